--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tools and experiments."""
--- /dev/null
+++ b/sassafraswood/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control layer for service call graphs."""
--- /dev/null
+++ b/sassafraswood/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a daemon, without input or output."""
--- /dev/null
+++ b/sassafraswood/daemon.py
@@ -0,0 +1,1 @@
+"""Composition root of the daemon."""
--- /dev/null
+++ b/sassafraswood/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data types without behaviour."""
--- /dev/null
+++ b/sassafraswood/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding and checks of messages, records, headers and documents."""
--- /dev/null
+++ b/sassafraswood/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tables that hold the state of a daemon."""
--- /dev/null
+++ b/sassafraswood/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to callers, peers, upstreams and the platform."""
