Add transports and call pipelines

Cause: the path of a call needs servers, peer connections and a client. Ruled out: nothing yet; this part is not wired.

--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -30,7 +30,11 @@
 DEFAULT_TIMEOUT_S: Final = 10.0
 MAX_TIMEOUT_S: Final = 60.0
 MAX_CALL_DEPTH: Final = 16
+HEADER_TIMEOUT_S: Final = 10.0
+BODY_TIMEOUT_S: Final = 10.0
+CALLER_KEEP_ALIVE_S: Final = 75
 MAX_BODY_BYTES: Final = 1024 * 1024
+MAX_MESSAGE_BYTES: Final = 4 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 16 * 1024
 CALL_ID_MEMORY_S: Final = 60.0
 DEFAULT_RETRY_ALLOWANCE: Final = 2
@@ -39,6 +43,9 @@
 # Peers.
 HEARTBEAT_INTERVAL_S: Final = 1.0
 PEER_SILENT_S: Final = 3.0
+PEER_CONNECT_S: Final = 0.5
+# Time for a serving daemon to say what became of a call.
+CANCEL_QUERY_S: Final = 0.5
 PEER_IDLE_CLOSE_S: Final = 60.0
 GOSSIP_INTERVAL_S: Final = 1.0
 GOSSIP_FANOUT: Final = 3
@@ -65,5 +72,7 @@
 # Header names, lower case as ASGI gives them.
 HEADER_RUN: Final = 'sassafraswood-run'
 HEADER_CALL_TOKEN: Final = 'call-token'
+# Sent by an upstream that sheds a call, with the token of the call.
+HEADER_NOT_RUN: Final = 'call-not-run'
 HEADER_TIMEOUT_MS: Final = 'request-timeout-ms'
 HEADER_IDEMPOTENCY_KEY: Final = 'idempotency-key'
--- /dev/null
+++ b/sassafraswood/coordination/first_daemon.py
@@ -0,0 +1,419 @@
+"""Takes a call from its arrival at the first daemon to its end."""
+
+import dataclasses
+import random as random_module
+import typing
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from sassafraswood import clock as clock_module
+from sassafraswood import const
+from sassafraswood import exceptions
+from sassafraswood.coordination import authorization
+from sassafraswood.coordination import call_tokens
+from sassafraswood.coordination import callee_limit
+from sassafraswood.coordination import idempotent_runs
+from sassafraswood.coordination import membership as membership_module
+from sassafraswood.coordination import quarantine as quarantine_module
+from sassafraswood.coordination import quota_client
+from sassafraswood.coordination import retry
+from sassafraswood.coordination import routing
+from sassafraswood.models import call
+from sassafraswood.models import document
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.models import records
+
+
+class PeerPort(typing.Protocol):
+    """Runs calls at daemons, this one included."""
+
+    async def async_run_call(
+        self, daemon_id: ids.DaemonId, message: messages.RunCall
+    ) -> messages.RunResult:
+        """Return the end of a call.
+
+        Raises:
+            PeerUnreachableError: The call was not sent.
+            PeerSilentError: The call may have run.
+        """
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class IncomingCall:
+    """A call as it arrived, with the rules of its route.
+
+    Attributes:
+        entry: Document of the callee.
+        request: The request as it goes to the upstream.
+        key: Key that the caller showed.
+        timeout_s: Time that the caller allows in seconds.
+    """
+
+    entry: records.DocumentEntry
+    route: document.RouteSpec
+    importance: enums.Importance
+    idempotent: bool
+    request: call.HttpRequest
+    key: str | None = None
+    timeout_s: float | None = None
+    idempotency_key: str | None = None
+
+
+class FirstDaemon:
+    """Authenticates, limits, routes and retries calls."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        random: random_module.Random,
+        authorization: authorization.Authorization,
+        quota: quota_client.QuotaClient,
+        quarantine: quarantine_module.Quarantine,
+        router: routing.Router,
+        retries: retry.RetryPolicy,
+        callees: callee_limit.CalleeLimits,
+        membership: membership_module.Membership,
+        runs: idempotent_runs.IdempotentRuns,
+        peers: PeerPort,
+        count: Callable[[str], None],
+    ) -> None:
+        """Take the parts that decide about a call."""
+        self._clock = clock
+        self._random = random
+        self._authorization = authorization
+        self._quota = quota
+        self._quarantine = quarantine
+        self._router = router
+        self._retries = retries
+        self._callees = callees
+        self._membership = membership
+        self._runs = runs
+        self._peers = peers
+        self._count = count
+        self._id_prefix = f'{random.getrandbits(128):032x}'
+        self._id_sequence = 0
+        self._is_stopping = False
+
+    def stop(self) -> None:
+        """Refuse new calls of callers; those in flight go on."""
+        self._is_stopping = True
+
+    async def async_call(self, incoming: IncomingCall) -> call.CallResult:
+        """Return the end of a caller's call."""
+        if self._is_stopping:
+            return _refused(enums.RefusalReason.DRAINING)
+        key = self._authorization.authenticate(
+            incoming.key, incoming.entry.document, incoming.route
+        )
+        if isinstance(key, call.Refusal):
+            return call.CallResult(result=key, allowance_left=0)
+        refusal = self._check_idempotency_key(incoming)
+        if refusal is None:
+            refusal = await self._async_take_quota(incoming, key)
+        if refusal is not None:
+            return call.CallResult(result=refusal, allowance_left=0)
+        total = incoming.entry.document.retry_allowance
+        context = self._new_context(incoming, key, total)
+        return await self._async_dispatch(context, incoming.request)
+
+    async def async_child_call(
+        self, incoming: IncomingCall, parent: call_tokens.TokenEntry
+    ) -> call.CallResult:
+        """Return the end of a call that an upstream makes for another call.
+
+        It runs for the workspace of the parent call, spends the retries and
+        the time of the parent, and costs no quota.
+        """
+        if parent.context.depth >= const.MAX_CALL_DEPTH:
+            return _refused(enums.RefusalReason.TOO_DEEP)
+        refusal = self._check_idempotency_key(incoming)
+        if refusal is None and not incoming.route.open:
+            refusal = self._check_workspace(incoming, parent.context)
+        if refusal is not None:
+            return call.CallResult(result=refusal, allowance_left=0)
+        lent = parent.allowance.lend()
+        context = self._child_context(incoming, parent, lent)
+        left = 0
+        try:
+            result = await self._async_dispatch(context, incoming.request)
+            left = min(lent, result.allowance_left)
+        finally:
+            parent.allowance.give_back(left)
+        return result
+
+    async def async_run_as_owner(
+        self, context: call.CallContext, request: call.HttpRequest
+    ) -> call.CallResult:
+        """Return the end of a call whose idempotency key this daemon owns."""
+        return await self._runs.async_run(
+            context, request, self._async_attempts
+        )
+
+    def _check_idempotency_key(
+        self, incoming: IncomingCall
+    ) -> call.Refusal | None:
+        if incoming.idempotent or incoming.idempotency_key is not None:
+            return None
+        if not incoming.route.require_idempotency_key:
+            return None
+        return _not_run(enums.RefusalReason.IDEMPOTENCY_KEY_REQUIRED)
+
+    def _check_workspace(
+        self, incoming: IncomingCall, parent: call.CallContext
+    ) -> call.Refusal | None:
+        if parent.workspace is None:
+            return _not_run(enums.RefusalReason.KEY_MISSING)
+        if parent.workspace not in incoming.entry.document.workspaces:
+            return _not_run(enums.RefusalReason.WORKSPACE_NOT_ALLOWED)
+        return self._authorization.recheck(parent)
+
+    async def _async_take_quota(
+        self, incoming: IncomingCall, key: records.KeyEntry | None
+    ) -> call.Refusal | None:
+        if key is None:
+            return None
+        timeout_s = incoming.timeout_s or incoming.route.timeout_s
+        verdicts: list[quota_client.QuotaVerdict] = []
+        done: anyio.Event | None = None
+
+        def finish(verdict: quota_client.QuotaVerdict) -> None:
+            verdicts.append(verdict)
+            if done is not None:
+                done.set()
+
+        verdict = self._quota.take(
+            incoming.entry.service,
+            key.workspace,
+            finish,
+            min(const.QUOTA_WAIT_S, timeout_s / 4),
+        )
+        if verdict is None:
+            done = anyio.Event()
+            await done.wait()
+            verdict = verdicts[0]
+        if verdict.is_granted:
+            return None
+        return call.Refusal(
+            reason=verdict.reason or enums.RefusalReason.RATE_EXCEEDED,
+            outcome=enums.Outcome.NOT_RUN,
+            retry_after_s=verdict.retry_after_s,
+        )
+
+    def _new_context(
+        self,
+        incoming: IncomingCall,
+        key: records.KeyEntry | None,
+        allowance: int,
+    ) -> call.CallContext:
+        call_id = self._new_id()
+        timeout_s = incoming.route.timeout_s
+        if incoming.timeout_s is not None:
+            timeout_s = min(timeout_s, incoming.timeout_s)
+        return call.CallContext(
+            call_id=call_id,
+            root_id=call_id,
+            service=incoming.entry.service,
+            workspace=key.workspace if key else None,
+            key_id=key.key_id if key else None,
+            importance=incoming.importance,
+            remaining_s=timeout_s,
+            allowance=allowance,
+            depth=1,
+            idempotent=incoming.idempotent,
+            fingerprint=_fingerprint(incoming),
+            route=incoming.route.path,
+            idempotency_key=incoming.idempotency_key,
+        )
+
+    def _child_context(
+        self,
+        incoming: IncomingCall,
+        parent: call_tokens.TokenEntry,
+        allowance: int,
+    ) -> call.CallContext:
+        timeout_s = min(parent.remaining_s, incoming.route.timeout_s)
+        if incoming.timeout_s is not None:
+            timeout_s = min(timeout_s, incoming.timeout_s)
+        return call.CallContext(
+            call_id=self._new_id(),
+            root_id=parent.context.root_id,
+            service=incoming.entry.service,
+            workspace=parent.context.workspace,
+            key_id=parent.context.key_id,
+            # A chain is worth as much as the request that it serves.
+            importance=parent.context.importance,
+            remaining_s=timeout_s,
+            allowance=allowance,
+            depth=parent.context.depth + 1,
+            idempotent=incoming.idempotent,
+            fingerprint=_fingerprint(incoming),
+            route=incoming.route.path,
+            idempotency_key=incoming.idempotency_key,
+        )
+
+    def _new_id(self) -> ids.CallId:
+        self._id_sequence += 1
+        return ids.CallId(f'{self._id_prefix}-{self._id_sequence:x}')
+
+    async def _async_dispatch(
+        self, context: call.CallContext, request: call.HttpRequest
+    ) -> call.CallResult:
+        refusal = self._quarantine.check(context.fingerprint)
+        if refusal is not None:
+            return call.CallResult(
+                result=refusal, allowance_left=context.allowance
+            )
+        if context.idempotent or context.idempotency_key is None:
+            return await self._async_attempts(context, request)
+        return await self._async_at_owner(context, request)
+
+    async def _async_at_owner(
+        self, context: call.CallContext, request: call.HttpRequest
+    ) -> call.CallResult:
+        owner = self._runs.owner_of(context)
+        if owner is None:
+            return _refused(
+                enums.RefusalReason.IDEMPOTENCY_OWNER_UNAVAILABLE,
+                context.allowance,
+            )
+        return await self._async_attempt(
+            owner, context, request, as_owner=True
+        )
+
+    async def _async_attempts(
+        self, context: call.CallContext, request: call.HttpRequest
+    ) -> call.CallResult:
+        deadline = self._clock.monotonic() + context.remaining_s
+        allowance = retry.RetryAllowance(context.allowance)
+        tried: set[ids.DaemonId] = set()
+        attempt = 0
+        self._retries.note_call(context.service)
+        while True:
+            attempt += 1
+            remaining_s = deadline - self._clock.monotonic()
+            result = await self._async_routed(
+                context, request, allowance, remaining_s, tried
+            )
+            if isinstance(result, call.Answer):
+                break
+            decision = self._retries.decide(
+                service=context.service,
+                refusal=result,
+                idempotent=context.idempotent,
+                allowance=allowance.left,
+                attempt=attempt,
+                remaining_s=deadline - self._clock.monotonic(),
+            )
+            if decision is None or not allowance.spend():
+                break
+            self._count(f'retried.{decision.reason.value}')
+            await anyio.sleep(decision.delay_s)
+        return call.CallResult(result=result, allowance_left=allowance.left)
+
+    async def _async_routed(
+        self,
+        context: call.CallContext,
+        request: call.HttpRequest,
+        allowance: retry.RetryAllowance,
+        remaining_s: float,
+        tried: set[ids.DaemonId],
+    ) -> call.Result:
+        """Return the end of one attempt; adds its daemon to tried."""
+        if remaining_s <= 0:
+            return _not_run(enums.RefusalReason.DEADLINE_UNREACHABLE)
+        choice = self._router.choose(
+            context.service, context.importance, frozenset(tried)
+        )
+        if isinstance(choice, call.Refusal):
+            return choice
+        if not self._acquire_callee(context.service):
+            return call.Refusal(
+                reason=enums.RefusalReason.CALLEE_BUSY,
+                outcome=enums.Outcome.NOT_RUN,
+                shed=True,
+                retry_after_s=1.0,
+            )
+        tried.add(choice)
+        lent = allowance.lend()
+        attempt_context = msgspec.structs.replace(
+            context,
+            call_id=self._new_id(),
+            remaining_s=remaining_s,
+            allowance=lent,
+        )
+        left = 0
+        try:
+            ended = await self._async_attempt(
+                choice, attempt_context, request, as_owner=False
+            )
+            left = min(lent, ended.allowance_left)
+        finally:
+            allowance.give_back(left)
+            self._callees.release(context.service)
+        return ended.result
+
+    def _acquire_callee(self, service: ids.ServiceName) -> bool:
+        total_slots = sum(
+            member.slots for member in self._membership.members(service)
+        )
+        return self._callees.acquire(
+            service,
+            limit=self._runs.caller_limit(service),
+            total_slots=total_slots,
+        )
+
+    async def _async_attempt(
+        self,
+        daemon_id: ids.DaemonId,
+        context: call.CallContext,
+        request: call.HttpRequest,
+        *,
+        as_owner: bool,
+    ) -> call.CallResult:
+        message = messages.RunCall(
+            context=context, request=request, as_owner=as_owner
+        )
+        self._router.note_sent(daemon_id)
+        result: call.Result | None = None
+        hint = None
+        left = 0
+        try:
+            ended = await self._peers.async_run_call(daemon_id, message)
+            result = ended.result
+            hint = ended.hint
+            left = ended.allowance_left
+        except exceptions.PeerUnreachableError:
+            result = _not_run(enums.RefusalReason.PEER_UNREACHABLE)
+            left = context.allowance
+        except exceptions.PeerSilentError:
+            result = call.Refusal(
+                reason=enums.RefusalReason.PEER_SILENT,
+                outcome=enums.Outcome.UNKNOWN,
+            )
+        finally:
+            self._router.note_result(daemon_id, result, hint)
+        return call.CallResult(result=result, allowance_left=left)
+
+
+def _fingerprint(incoming: IncomingCall) -> ids.Fingerprint:
+    return quarantine_module.fingerprint(
+        incoming.entry.service,
+        incoming.request.method,
+        incoming.request.target,
+        incoming.request.body,
+    )
+
+
+def _not_run(reason: enums.RefusalReason) -> call.Refusal:
+    return call.Refusal(reason=reason, outcome=enums.Outcome.NOT_RUN)
+
+
+def _refused(
+    reason: enums.RefusalReason, allowance: int = 0
+) -> call.CallResult:
+    return call.CallResult(result=_not_run(reason), allowance_left=allowance)
--- a/sassafraswood/models/call.py
+++ b/sassafraswood/models/call.py
@@ -20,6 +20,7 @@
         allowance: Retries that this attempt and its child calls may spend.
         depth: 1 for the call of a caller, one more per hop.
         idempotent: Whether the call may be run again.
+        route: Path pattern of the route.
     """
 
     call_id: ids.CallId
@@ -33,9 +34,15 @@
     depth: int
     idempotent: bool
     fingerprint: ids.Fingerprint
+    route: str = ''
     idempotency_key: str | None = None
 
 
+def with_remaining(context: CallContext, remaining_s: float) -> CallContext:
+    """Return the context with the seconds left until the deadline."""
+    return msgspec.structs.replace(context, remaining_s=remaining_s)
+
+
 class HttpRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request as it goes to the upstream."""
 
--- a/sassafraswood/models/enums.py
+++ b/sassafraswood/models/enums.py
@@ -44,6 +44,7 @@
     # The request itself.
     MALFORMED_REQUEST = 'malformed_request'
     HEADERS_TOO_LARGE = 'headers_too_large'
+    HEADERS_TIMEOUT = 'headers_timeout'
     BODY_TOO_LARGE = 'body_too_large'
     BODY_TIMEOUT = 'body_timeout'
     INVALID_TIMEOUT = 'invalid_timeout'
--- a/sassafraswood/models/messages.py
+++ b/sassafraswood/models/messages.py
@@ -83,10 +83,13 @@
     """What became of a cancelled call.
 
     Attributes:
+        incarnation: Process that answers; another process than the one that
+            the call was sent to proves nothing.
         result: The result, if the call had finished.
     """
 
     call_id: ids.CallId
+    incarnation: ids.Incarnation
     state: enums.CancelState
     result: call.Answer | call.Refusal | None = None
     allowance_left: int = 0
--- /dev/null
+++ b/sassafraswood/transport/http_server.py
@@ -0,0 +1,238 @@
+"""HTTP servers on the daemon's loop."""
+
+import asyncio
+import contextlib
+import functools
+import socket
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import MutableMapping
+from typing import Any
+
+import anyio
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+from sassafraswood import const
+from sassafraswood.models import call
+from sassafraswood.models import enums
+from sassafraswood.protocol import problems
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+Count = Callable[[str], None]
+
+
+class BodyTooLargeError(Exception):
+    """The body of a request exceeds the limit."""
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection before its request was whole."""
+
+
+async def async_read_body(receive: Receive, limit_bytes: int) -> bytes:
+    """Return the whole body of a request.
+
+    Raises:
+        BodyTooLargeError: It is larger than the limit.
+        CallerGoneError: The connection closed before its end.
+    """
+    message = await receive()
+    body: bytes = message.get('body', b'')
+    if not message.get('more_body', False):
+        if message['type'] == 'http.disconnect':
+            raise CallerGoneError
+        if len(body) > limit_bytes:
+            raise BodyTooLargeError
+        return body
+    parts = [body]
+    size = len(body)
+    while message.get('more_body', False):
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerGoneError
+        parts.append(message.get('body', b''))
+        size += len(parts[-1])
+        if size > limit_bytes:
+            raise BodyTooLargeError
+    return b''.join(parts)
+
+
+async def async_send(
+    send: Send, status: int, headers: call.Headers, body: bytes
+) -> None:
+    """Send a whole answer."""
+    encoded = [
+        (name.encode('latin-1'), value.encode('latin-1'))
+        for name, value in headers
+    ]
+    encoded.append((b'content-length', str(len(body)).encode()))
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': encoded,
+        }
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def async_send_refusal(send: Send, refusal: call.Refusal) -> None:
+    """Send the problem details of a refusal."""
+    details = problems.problem_details(refusal)
+    await async_send(send, details.status, details.headers, details.body)
+
+
+class _Protocol(httptools_impl.HttpToolsProtocol):
+    """Adds time limits and counted refusals to uvicorn's protocol."""
+
+    def __init__(self, count: Count, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._count = count
+        self._header_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        _detect_silence(transport.get_extra_info('socket'))
+        self._start_header_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        if self._header_timer is None:
+            self._start_header_timer()
+
+    def on_headers_complete(self) -> None:
+        self._stop_header_timer()
+        super().on_headers_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer malformed HTTP with problem details and close."""
+        del msg
+        refusal = call.Refusal(
+            reason=enums.RefusalReason.MALFORMED_REQUEST,
+            outcome=enums.Outcome.NOT_RUN,
+        )
+        self._refuse(refusal)
+
+    def _start_header_timer(self) -> None:
+        self._header_timer = self.loop.call_later(
+            const.HEADER_TIMEOUT_S, self._time_out
+        )
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _time_out(self) -> None:
+        self._header_timer = None
+        if self.transport.is_closing():
+            return
+        refusal = call.Refusal(
+            reason=enums.RefusalReason.HEADERS_TIMEOUT,
+            outcome=enums.Outcome.NOT_RUN,
+        )
+        self._refuse(refusal)
+
+    def _refuse(self, refusal: call.Refusal) -> None:
+        self._count(f'refused.{refusal.reason.value}')
+        details = problems.problem_details(refusal)
+        lines = [f'HTTP/1.1 {details.status} Refused'.encode()]
+        lines += [
+            f'{name}: {value}'.encode('latin-1')
+            for name, value in details.headers
+        ]
+        lines += [
+            b'connection: close',
+            f'content-length: {len(details.body)}'.encode(),
+        ]
+        self.transport.write(
+            b'\r\n'.join(lines) + b'\r\n\r\n' + details.body
+        )
+        self.transport.close()
+
+
+def _detect_silence(connection: Any) -> None:
+    """Let the kernel close connections whose other end has vanished."""
+    if connection is None or connection.family == socket.AF_UNIX:
+        return
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(const.PEER_SILENT_S * 1000),
+        ),
+    )
+    for level, option, value in options:
+        connection.setsockopt(level, option, value)
+
+
+class _Server(uvicorn.Server):
+    """A server whose signals the composition root handles."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class HttpServer:
+    """One listening address with an application."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        application: Application,
+        count: Count,
+        max_connections: int | None = None,
+    ) -> None:
+        """Prepare a server at host:port."""
+        host, port = address.rsplit(':', 1)
+        config = uvicorn.Config(
+            application,
+            host=host.strip('[]'),
+            port=int(port),
+            http=functools.partial(_Protocol, count),  # type: ignore[arg-type]
+            loop='none',
+            ws='none',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=const.CALLER_KEEP_ALIVE_S,
+            backlog=2048,
+        )
+        del max_connections
+        config.load()
+        self._server = _Server(config)
+
+    @property
+    def is_started(self) -> bool:
+        """Return whether the server listens."""
+        return self._server.started
+
+    async def async_serve(self) -> None:
+        """Serve until stop is called and all connections are done."""
+        await self._server.serve()
+
+    async def async_wait_started(self) -> None:
+        """Wait until the server listens."""
+        while not self._server.started and not self._server.should_exit:
+            await anyio.sleep(0.005)
+
+    def stop(self) -> None:
+        """Stop listening; requests in flight are finished."""
+        self._server.should_exit = True
--- /dev/null
+++ b/sassafraswood/transport/peer_mesh.py
@@ -0,0 +1,416 @@
+"""Connections between daemons."""
+
+import dataclasses
+from collections.abc import Callable
+
+import anyio
+import zmq
+import zmq.auth.asyncio
+
+from sassafraswood import clock as clock_module
+from sassafraswood import const
+from sassafraswood import exceptions
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.protocol import codec
+from sassafraswood.transport import peer_connection
+from sassafraswood.transport import zmq_socket
+
+# The domain of the authentication protocol (ZAP, RFC 27).
+_ZAP_DOMAIN = b'sassafraswood'
+_HIGH_WATER_MARK_MESSAGES = 10_000
+
+Reply = Callable[[messages.Message], None]
+RequestHandler = Callable[[messages.Message, Reply], None]
+ReplyHandler = Callable[[messages.Message, str], None]
+AddressLookup = Callable[[ids.DaemonId], str | None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CurveKeys:
+    """Key pair that all daemons of the fleet share, Z85 encoded."""
+
+    public: bytes
+    secret: bytes
+
+
+@dataclasses.dataclass(kw_only=True)
+class _PendingCall:
+    """A call that waits for its result.
+
+    Attributes:
+        is_query: True when a cancellation asks what became of the call.
+    """
+
+    connection: peer_connection.PeerConnection
+    incarnation: ids.Incarnation | None
+    payload: bytes
+    done: anyio.Event
+    connect_deadline: float
+    deadline: float
+    result: messages.RunResult | messages.CancelResult | None = None
+    error: exceptions.PeerError | None = None
+    is_query: bool = False
+
+
+class PeerMesh:
+    """Sends messages to peers and takes theirs.
+
+    Requests leave on a DEALER socket for each peer; they arrive on one
+    ROUTER socket, which also carries the replies.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        hello: messages.Hello,
+        keys: CurveKeys,
+        bind_address: str,
+        address_of: AddressLookup,
+        count: Callable[[str], None],
+    ) -> None:
+        """Prepare the sockets; call start on the running loop."""
+        self._clock = clock
+        self._hello = hello
+        self._keys = keys
+        self._bind_address = bind_address
+        self._address_of = address_of
+        self._count = count
+        self._connections: dict[str, peer_connection.PeerConnection] = {}
+        self._pending: dict[ids.CallId, _PendingCall] = {}
+        self._on_request: RequestHandler | None = None
+        self._on_reply: ReplyHandler | None = None
+        self._on_silent: Callable[[str], None] | None = None
+        self._context = zmq.Context()
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None
+        self._authenticator = None
+        self._router: zmq_socket.WatchedSocket | None = None
+
+    def start(
+        self,
+        *,
+        on_request: RequestHandler,
+        on_reply: ReplyHandler,
+        on_silent: Callable[[str], None],
+    ) -> None:
+        """Bind the ROUTER socket and hand messages to the handlers.
+
+        Args:
+            on_request: Takes messages that arrive on the ROUTER socket.
+            on_reply: Takes replies that are not results of calls.
+            on_silent: Takes the address of a peer that went silent.
+        """
+        self._on_request = on_request
+        self._on_reply = on_reply
+        self._on_silent = on_silent
+        authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+        authenticator.start()
+        authenticator.configure_curve_callback(
+            '*', credentials_provider=_FleetKey(self._keys.public)
+        )
+        self._authenticator = authenticator
+        router = self._context.socket(zmq.ROUTER)
+        router.set(zmq.SNDHWM, _HIGH_WATER_MARK_MESSAGES)
+        router.set(zmq.RCVHWM, _HIGH_WATER_MARK_MESSAGES)
+        router.set(zmq.MAXMSGSIZE, const.MAX_MESSAGE_BYTES)
+        router.set(zmq.CURVE_SERVER, 1)
+        router.set(zmq.CURVE_PUBLICKEY, self._keys.public)
+        router.set(zmq.CURVE_SECRETKEY, self._keys.secret)
+        router.set(zmq.ZAP_DOMAIN, _ZAP_DOMAIN)
+        router.bind(f'tcp://{self._bind_address}')
+        self._router = zmq_socket.WatchedSocket(
+            router, on_message=self._receive_request
+        )
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for connection in self._connections.values():
+            connection.close()
+        if self._router is not None:
+            self._router.close()
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def send(
+        self, daemon_id: ids.DaemonId, message: messages.Message
+    ) -> None:
+        """Send a message, best effort."""
+        address = self._address_of(daemon_id)
+        if address is not None:
+            self.send_to_address(address, message)
+
+    def send_to_address(
+        self, address: str, message: messages.Message
+    ) -> None:
+        """Send a message to the peer at host:port, best effort."""
+        connection = self._connect(address)
+        if not connection.send(codec.encode_message(message)):
+            self._count('peer.dropped')
+
+    def is_connected(self, daemon_id: ids.DaemonId) -> bool:
+        """Return whether a connection to the peer is established."""
+        address = self._address_of(daemon_id)
+        connection = self._connections.get(address or '')
+        return connection is not None and connection.is_ready
+
+    async def async_run_call(
+        self, daemon_id: ids.DaemonId, message: messages.RunCall
+    ) -> messages.RunResult:
+        """Send a call to a peer and return its result.
+
+        Raises:
+            PeerUnreachableError: The call was not sent.
+            PeerSilentError: The call may have run; nothing is known.
+        """
+        call_id = message.context.call_id
+        connection = self._connect_to(daemon_id)
+        payload = codec.encode_message(message)
+        pending = self._begin(
+            call_id, connection, payload, message.context.remaining_s
+        )
+        if not connection.send(payload):
+            del self._pending[call_id]
+            raise exceptions.PeerUnreachableError(daemon_id)
+        try:
+            await pending.done.wait()
+        except anyio.get_cancelled_exc_class():
+            self._cancel_call(connection, call_id, payload)
+            raise
+        finally:
+            self._pending.pop(call_id, None)
+        return self._finished(pending)
+
+    def tick(self) -> None:
+        """Send heartbeats and end calls that are overdue, every 0.25 s."""
+        now = self._clock.monotonic()
+        for address, connection in list(self._connections.items()):
+            if self._is_idle(connection, now):
+                connection.close()
+                del self._connections[address]
+                continue
+            connection.tick()
+        for call_id, pending in list(self._pending.items()):
+            if now >= pending.connect_deadline:
+                self._give_up_connecting(pending)
+            if now >= pending.deadline:
+                self._expire(call_id, pending)
+
+    def _is_idle(
+        self, connection: peer_connection.PeerConnection, now: float
+    ) -> bool:
+        if now - connection.last_used < const.PEER_IDLE_CLOSE_S:
+            return False
+        return all(
+            pending.connection is not connection
+            for pending in self._pending.values()
+        )
+
+    def _begin(
+        self,
+        call_id: ids.CallId,
+        connection: peer_connection.PeerConnection,
+        payload: bytes,
+        remaining_s: float,
+    ) -> _PendingCall:
+        peer = connection.peer
+        now = self._clock.monotonic()
+        pending = _PendingCall(
+            connection=connection,
+            incarnation=peer[1] if peer else None,
+            payload=payload,
+            done=anyio.Event(),
+            connect_deadline=now + min(const.PEER_CONNECT_S, remaining_s),
+            deadline=now + remaining_s + const.CANCEL_QUERY_S,
+        )
+        self._pending[call_id] = pending
+        return pending
+
+    def _finished(self, pending: _PendingCall) -> messages.RunResult:
+        if pending.error is not None:
+            raise pending.error
+        result = pending.result
+        if isinstance(result, messages.RunResult):
+            return result
+        raise exceptions.PeerSilentError('no result')
+
+    def _give_up_connecting(self, pending: _PendingCall) -> None:
+        if pending.connection.is_ready:
+            return
+        if pending.connection.withdraw(pending.payload):
+            self._fail(pending, exceptions.PeerUnreachableError('connect'))
+
+    def _expire(self, call_id: ids.CallId, pending: _PendingCall) -> None:
+        if not pending.is_query:
+            self._query(call_id, pending)
+            return
+        self._fail(pending, exceptions.PeerSilentError('no result'))
+
+    def _query(self, call_id: ids.CallId, pending: _PendingCall) -> None:
+        pending.is_query = True
+        pending.deadline = self._clock.monotonic() + const.CANCEL_QUERY_S
+        message = messages.CancelCall(call_id=call_id)
+        pending.connection.send(codec.encode_message(message))
+
+    def _fail(
+        self, pending: _PendingCall, error: exceptions.PeerError
+    ) -> None:
+        pending.error = error
+        pending.done.set()
+
+    def _cancel_call(
+        self,
+        connection: peer_connection.PeerConnection,
+        call_id: ids.CallId,
+        payload: bytes,
+    ) -> None:
+        if connection.withdraw(payload):
+            return
+        message = messages.CancelCall(call_id=call_id)
+        connection.send(codec.encode_message(message))
+
+    def _connect_to(
+        self, daemon_id: ids.DaemonId
+    ) -> peer_connection.PeerConnection:
+        address = self._address_of(daemon_id)
+        if address is None:
+            raise exceptions.PeerUnreachableError(daemon_id)
+        return self._connect(address)
+
+    def _connect(self, address: str) -> peer_connection.PeerConnection:
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = peer_connection.PeerConnection(
+                address=address,
+                clock=self._clock,
+                new_socket=self._new_dealer,
+                hello=self._hello,
+                on_message=self._receive_reply,
+                on_malformed=self._count_malformed,
+                on_replaced=self._connection_replaced,
+            )
+            self._connections[address] = connection
+        return connection
+
+    def _new_dealer(self) -> zmq.Socket:
+        socket = self._context.socket(zmq.DEALER)
+        socket.set(zmq.SNDHWM, _HIGH_WATER_MARK_MESSAGES)
+        socket.set(zmq.RCVHWM, _HIGH_WATER_MARK_MESSAGES)
+        socket.set(zmq.MAXMSGSIZE, const.MAX_MESSAGE_BYTES)
+        # Without it, a message would wait in the socket for a connection
+        # that may come long after the sender gave up.
+        socket.set(zmq.IMMEDIATE, 1)
+        socket.set(zmq.RECONNECT_IVL, 100)
+        socket.set(zmq.RECONNECT_IVL_MAX, 2000)
+        socket.set(zmq.CURVE_SERVERKEY, self._keys.public)
+        socket.set(zmq.CURVE_PUBLICKEY, self._keys.public)
+        socket.set(zmq.CURVE_SECRETKEY, self._keys.secret)
+        return socket
+
+    def _count_malformed(self) -> None:
+        self._count('peer.malformed')
+
+    def _receive_request(self, frames: list[bytes]) -> None:
+        identity = frames[0]
+        try:
+            message = codec.decode_message(frames[-1])
+        except exceptions.DecodeError:
+            self._count_malformed()
+            return
+
+        def reply(answer: messages.Message) -> None:
+            if self._router is None:
+                return
+            payload = codec.encode_message(answer)
+            if not self._router.send([identity, payload]):
+                self._count('peer.dropped')
+
+        assert self._on_request is not None
+        self._on_request(message, reply)
+
+    def _receive_reply(
+        self,
+        connection: peer_connection.PeerConnection,
+        message: messages.Message,
+    ) -> None:
+        if isinstance(message, messages.RunResult | messages.CancelResult):
+            self._receive_result(message)
+            return
+        if isinstance(message, messages.Pong):
+            self._check_incarnation(connection, message)
+        assert self._on_reply is not None
+        self._on_reply(message, connection.address)
+
+    def _receive_result(
+        self, message: messages.RunResult | messages.CancelResult
+    ) -> None:
+        pending = self._pending.get(message.call_id)
+        if pending is None or pending.done.is_set():
+            self._count('answers.late')
+            return
+        if isinstance(message, messages.RunResult):
+            pending.result = message
+            pending.done.set()
+            return
+        self._apply_cancel_result(pending, message)
+
+    def _apply_cancel_result(
+        self, pending: _PendingCall, message: messages.CancelResult
+    ) -> None:
+        if message.state is enums.CancelState.FINISHED and message.result:
+            pending.result = messages.RunResult(
+                call_id=message.call_id,
+                result=message.result,
+                allowance_left=message.allowance_left,
+                hint=None,
+            )
+            pending.done.set()
+            return
+        # Only the process that the call was sent to can prove anything.
+        is_proof = (
+            message.state is enums.CancelState.NOT_RUN
+            and message.incarnation == pending.incarnation
+        )
+        if is_proof:
+            self._fail(pending, exceptions.PeerUnreachableError('not run'))
+            return
+        self._fail(pending, exceptions.PeerSilentError('cancelled'))
+
+    def _check_incarnation(
+        self,
+        connection: peer_connection.PeerConnection,
+        message: messages.Pong,
+    ) -> None:
+        for pending in self._pending.values():
+            if pending.connection is not connection:
+                continue
+            if pending.incarnation is None:
+                pending.incarnation = message.incarnation
+            elif pending.incarnation != message.incarnation:
+                self._fail(
+                    pending, exceptions.PeerSilentError('peer restarted')
+                )
+
+    def _connection_replaced(
+        self, connection: peer_connection.PeerConnection
+    ) -> None:
+        self._count('peer.replaced')
+        for call_id, pending in self._pending.items():
+            if pending.connection is connection:
+                self._query(call_id, pending)
+        assert self._on_silent is not None
+        self._on_silent(connection.address)
+
+
+class _FleetKey:
+    """Accepts the fleet's public key only."""
+
+    def __init__(self, public: bytes) -> None:
+        self._public = public
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a client with this key may connect."""
+        del domain
+        return key == self._public
