--- a/sassafraswood/exceptions.py
+++ b/sassafraswood/exceptions.py
@@ -46,6 +46,19 @@
     """Bytes that are no message or record."""
 
 
+class HeaderError(SassafraswoodError):
+    """A header of a request is wrong.
+
+    Attributes:
+        reason: Reason code for the caller.
+    """
+
+    def __init__(self, reason: enums.RefusalReason, detail: str) -> None:
+        """Take the reason and a text that names no secret."""
+        super().__init__(detail)
+        self.reason = reason
+
+
 class LogError(SassafraswoodError):
     """The platform's log failed."""
 
--- /dev/null
+++ b/sassafraswood/protocol/headers.py
@@ -0,0 +1,161 @@
+"""Headers of requests and answers.
+
+Headers are lists of pairs with lower-case names, as ASGI servers give them.
+"""
+
+from collections.abc import Set
+import re
+import typing
+
+from sassafraswood import const
+from sassafraswood import exceptions
+from sassafraswood.models import call
+from sassafraswood.models import enums
+
+# RFC 9110 section 7.6.1, with the names that RFC 2616 section 13.5.1 listed.
+HOP_BY_HOP: typing.Final = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+# The request to the upstream is formed anew with a body that was received
+# whole, so length, host and expectation are set by the client of the upstream.
+# Cookies pass: they belong to the caller and its service.
+_NOT_TO_UPSTREAM: typing.Final = frozenset(
+    {
+        'authorization',
+        const.HEADER_CALL_TOKEN,
+        const.HEADER_RUN,
+        const.HEADER_TIMEOUT_MS,
+        'content-length',
+        'expect',
+        'host',
+    }
+)
+_NOT_TO_CALLER: typing.Final = frozenset(
+    {const.HEADER_CALL_TOKEN, const.HEADER_RUN, 'content-length'}
+)
+MAX_KEY_CHARACTERS: typing.Final = 512
+
+# RFC 6750 section 2.1.
+_BEARER: typing.Final = re.compile(
+    r'bearer +([A-Za-z0-9._~+/-]+=*)', re.IGNORECASE
+)
+_TIMEOUT_MS: typing.Final = re.compile(r'[0-9]{1,10}')
+# RFC 8941 section 3.3.3.
+_QUOTED: typing.Final = re.compile(r'"((?:[ !#-\[\]-~]|\\["\\])*)"')
+_BARE: typing.Final = re.compile(r'[!#-+\--:<-\[\]-~]+')
+_ESCAPED: typing.Final = re.compile(r'\\(["\\])')
+
+
+def remove_hop_by_hop(headers: call.Headers) -> call.Headers:
+    """Return the headers without those that concern one connection only."""
+    return _without(headers, frozenset())
+
+
+def to_upstream(headers: call.Headers) -> call.Headers:
+    """Return the headers of a request as they go to the upstream."""
+    return _without(headers, _NOT_TO_UPSTREAM)
+
+
+def to_caller(headers: call.Headers) -> call.Headers:
+    """Return the headers of an answer as they go to the caller."""
+    return _without(headers, _NOT_TO_CALLER)
+
+
+def bearer_key(headers: call.Headers) -> str | None:
+    """Return the key in Authorization, or None without that header.
+
+    Raises:
+        HeaderError: There are several, or it is no bearer key.
+    """
+    value = _single(
+        headers, 'authorization', enums.RefusalReason.MALFORMED_REQUEST
+    )
+    if value is None:
+        return None
+    match = _BEARER.fullmatch(value.strip())
+    if match is None or len(match[1]) > MAX_KEY_CHARACTERS:
+        raise exceptions.HeaderError(
+            enums.RefusalReason.KEY_MISSING,
+            'Authorization must be "Bearer KEY"',
+        )
+    return match[1]
+
+
+def timeout_s(headers: call.Headers) -> float | None:
+    """Return Request-Timeout-Ms in seconds, or None without that header.
+
+    Values above MAX_TIMEOUT_S count as MAX_TIMEOUT_S.
+
+    Raises:
+        HeaderError: It is not a positive integer.
+    """
+    reason = enums.RefusalReason.INVALID_TIMEOUT
+    value = _single(headers, const.HEADER_TIMEOUT_MS, reason)
+    if value is None:
+        return None
+    value = value.strip()
+    if not _TIMEOUT_MS.fullmatch(value) or int(value) == 0:
+        raise exceptions.HeaderError(
+            reason, 'Request-Timeout-Ms must be a positive integer'
+        )
+    return min(int(value) / 1000.0, const.MAX_TIMEOUT_S)
+
+
+def idempotency_key(headers: call.Headers) -> str | None:
+    """Return the Idempotency-Key, or None without that header.
+
+    A key in the quotes of RFC 8941 is the same as the key without them.
+
+    Raises:
+        HeaderError: It is empty, too long or has other characters.
+    """
+    reason = enums.RefusalReason.IDEMPOTENCY_KEY_MALFORMED
+    value = _single(headers, const.HEADER_IDEMPOTENCY_KEY, reason)
+    if value is None:
+        return None
+    value = value.strip(' \t')
+    match = _QUOTED.fullmatch(value)
+    if match is not None:
+        key = _ESCAPED.sub(r'\1', match[1])
+    elif _BARE.fullmatch(value):
+        key = value
+    else:
+        key = ''
+    if not 1 <= len(key) <= const.MAX_IDEMPOTENCY_KEY_BYTES:
+        raise exceptions.HeaderError(
+            reason,
+            'Idempotency-Key must have 1 to '
+            f'{const.MAX_IDEMPOTENCY_KEY_BYTES} visible ASCII characters',
+        )
+    return key
+
+
+def _without(headers: call.Headers, names: Set[str]) -> call.Headers:
+    removed = HOP_BY_HOP | names
+    for name, value in headers:
+        if name == 'connection':
+            removed |= {
+                option.strip(' \t').lower() for option in value.split(',')
+            }
+    return [pair for pair in headers if pair[0] not in removed]
+
+
+def _single(
+    headers: call.Headers, name: str, reason: enums.RefusalReason
+) -> str | None:
+    values = [value for key, value in headers if key == name]
+    if not values:
+        return None
+    if len(values) > 1:
+        raise exceptions.HeaderError(reason, f'{name} is given twice')
+    return values[0]
