--- a/lab/asgi.py
+++ b/lab/asgi.py
@@ -6,6 +6,7 @@
 from collections.abc import MutableMapping
 from typing import Any
 
+import anyio
 import uvicorn
 
 Scope = MutableMapping[str, Any]
@@ -53,18 +54,47 @@
     )
 
 
-def run_app(app: Callable[..., Any], address: str) -> None:
-    """Serve an application at host:port until the process is stopped."""
+def run_app(
+    app: Callable[..., Any],
+    address: str,
+    on_started: Callable[[], Awaitable[None]] | None = None,
+) -> None:
+    """Serve an application at host:port until the process is stopped.
+
+    Args:
+        app: ASGI application.
+        address: host:port to listen on.
+        on_started: Runs once the server listens.
+    """
     host, port = address.rsplit(':', 1)
-    uvicorn.run(
+    config = uvicorn.Config(
         app,
         host=host,
         port=int(port),
         http='httptools',
-        loop='uvloop',
+        loop='none',
         lifespan='off',
         ws='none',
         log_level='error',
         access_log=False,
         timeout_keep_alive=60,
+        timeout_graceful_shutdown=2,
+    )
+    anyio.run(
+        _async_serve,
+        uvicorn.Server(config),
+        on_started,
+        backend_options={'use_uvloop': True},
     )
+
+
+async def _async_serve(
+    server: uvicorn.Server,
+    on_started: Callable[[], Awaitable[None]] | None,
+) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve)
+        while not server.started and not server.should_exit:
+            await anyio.sleep(0.01)
+        if on_started is not None:
+            await on_started()
--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -15,6 +15,8 @@
 # a bounded time only.
 MAX_LEASE_WITHOUT_LOG_S: Final = 4 * 3600.0
 
+HAND_OVER_RESEND_S: Final = 0.5
+
 # Quota.
 QUOTA_TOKEN_LIFETIME_S: Final = 1.0
 QUOTA_TOKEN_MARGIN_S: Final = 0.25
@@ -24,6 +26,9 @@
 IDEMPOTENCY_KEY_LIFETIME_S: Final = 600.0
 OPAQUE_KEY_LIFETIME_S: Final = 24 * 3600.0
 CLOCK_SKEW_S: Final = 2.0
+# How long a call waits for a partition that is being handed over.
+OWNER_PATIENCE_S: Final = 3.0
+OWNER_POLL_S: Final = 0.05
 MAX_IDEMPOTENCY_KEY_BYTES: Final = 128
 
 # Calls.
@@ -60,13 +65,21 @@
 # Log.
 LOG_POLL_WAIT_S: Final = 2.0
 LOG_TIMEOUT_S: Final = 3.0
+LOG_RETRY_S: Final = 0.5
+PUBLISH_TIMEOUT_S: Final = 15.0
+SNAPSHOT_INTERVAL_S: Final = 3600.0
+SNAPSHOT_RECORDS: Final = 500
 LOG_BATCH_RECORDS: Final = 500
 
 # Connections to upstreams.
 UPSTREAM_CONNECT_TIMEOUT_S: Final = 1.0
 UPSTREAM_IDLE_S: Final = 5.0
 
+COLD_START_S: Final = 10.0
+
 # Graceful stop.
+# Time for others to hear that a daemon leaves before it refuses calls.
+LEAVE_NOTICE_S: Final = 1.5
 DRAIN_TIMEOUT_S: Final = 30.0
 
 # Header names, lower case as ASGI gives them.
--- a/sassafraswood/coordination/authorization.py
+++ b/sassafraswood/coordination/authorization.py
@@ -29,9 +29,7 @@
 class Authorization:
     """Checks keys when a call arrives and again before it is dispatched."""
 
-    def __init__(
-        self, *, keys: KeyLookup, freshness: StalenessCheck
-    ) -> None:
+    def __init__(self, *, keys: KeyLookup, freshness: StalenessCheck) -> None:
         """Take the keys and the check of their age."""
         self._keys = keys
         self._freshness = freshness
--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -14,6 +14,7 @@
 from sassafraswood.coordination import authorization
 from sassafraswood.coordination import call_tokens
 from sassafraswood.coordination import callee_limit
+from sassafraswood.coordination import configuration as configuration_module
 from sassafraswood.coordination import idempotent_runs
 from sassafraswood.coordination import membership as membership_module
 from sassafraswood.coordination import quarantine as quarantine_module
@@ -77,6 +78,7 @@
         router: routing.Router,
         retries: retry.RetryPolicy,
         callees: callee_limit.CalleeLimits,
+        configuration: configuration_module.Configuration,
         membership: membership_module.Membership,
         runs: idempotent_runs.IdempotentRuns,
         peers: PeerPort,
@@ -91,6 +93,7 @@
         self._router = router
         self._retries = retries
         self._callees = callees
+        self._configuration = configuration
         self._membership = membership
         self._runs = runs
         self._peers = peers
@@ -196,7 +199,7 @@
             done = anyio.Event()
             await done.wait()
             verdict = verdicts[0]
-        if verdict.is_granted:
+        if verdict.granted:
             return None
         return call.Refusal(
             reason=verdict.reason or enums.RefusalReason.RATE_EXCEEDED,
@@ -274,6 +277,32 @@
 
     async def _async_at_owner(
         self, context: call.CallContext, request: call.HttpRequest
+    ) -> call.CallResult:
+        """Return the end of a call at the owner of its key.
+
+        A partition that is handed over has no owner for a moment. Nothing
+        has reached an upstream then, so asking again costs no retry.
+        """
+        deadline = self._clock.monotonic() + context.remaining_s
+        patience = self._clock.monotonic() + min(
+            const.OWNER_PATIENCE_S, context.remaining_s / 2
+        )
+        while True:
+            remaining_s = deadline - self._clock.monotonic()
+            result = await self._async_ask_owner(
+                msgspec.structs.replace(
+                    context, call_id=self._new_id(), remaining_s=remaining_s
+                ),
+                request,
+            )
+            if not _is_owner_missing(result.result):
+                return result
+            if self._clock.monotonic() >= patience:
+                return result
+            await anyio.sleep(const.OWNER_POLL_S)
+
+    async def _async_ask_owner(
+        self, context: call.CallContext, request: call.HttpRequest
     ) -> call.CallResult:
         owner = self._runs.owner_of(context)
         if owner is None:
@@ -363,10 +392,16 @@
         )
         return self._callees.acquire(
             service,
-            limit=self._runs.caller_limit(service),
+            limit=self._caller_limit(service),
             total_slots=total_slots,
         )
 
+    def _caller_limit(self, service: ids.ServiceName) -> int | None:
+        entry = self._configuration.document(service)
+        if entry is None:
+            return None
+        return entry.document.max_concurrency_per_caller
+
     async def _async_attempt(
         self,
         daemon_id: ids.DaemonId,
@@ -401,7 +436,7 @@
 
 
 def _fingerprint(incoming: IncomingCall) -> ids.Fingerprint:
-    return quarantine_module.fingerprint(
+    return quarantine_module.compute_fingerprint(
         incoming.entry.service,
         incoming.request.method,
         incoming.request.target,
@@ -409,6 +444,18 @@
     )
 
 
+def _is_owner_missing(result: call.Result) -> bool:
+    if not isinstance(result, call.Refusal):
+        return False
+    if result.outcome is not enums.Outcome.NOT_RUN:
+        return False
+    return result.reason in (
+        enums.RefusalReason.IDEMPOTENCY_OWNER_UNAVAILABLE,
+        enums.RefusalReason.PEER_UNREACHABLE,
+        enums.RefusalReason.DRAINING,
+    )
+
+
 def _not_run(reason: enums.RefusalReason) -> call.Refusal:
     return call.Refusal(reason=reason, outcome=enums.Outcome.NOT_RUN)
 
--- a/sassafraswood/coordination/serving.py
+++ b/sassafraswood/coordination/serving.py
@@ -67,6 +67,7 @@
         upstream: UpstreamPort,
         on_crash: Callable[[list[ids.Fingerprint]], None],
         on_lone_success: Callable[[ids.Fingerprint], None],
+        on_unreachable: Callable[[], None],
     ) -> None:
         """Take the parts that decide about a call."""
         self._clock = clock
@@ -78,6 +79,7 @@
         self._upstream = upstream
         self._on_crash = on_crash
         self._on_lone_success = on_lone_success
+        self._on_unreachable = on_unreachable
         self._runs: dict[ids.CallId, _Run] = {}
         self._ended: collections.OrderedDict[
             ids.CallId, tuple[float, enums.CancelState]
@@ -252,6 +254,9 @@
     async def _async_check_crash(
         self, run: _Run, error: exceptions.UpstreamError
     ) -> None:
+        if error.reason is enums.RefusalReason.UPSTREAM_UNREACHABLE:
+            self._on_unreachable()
+            return
         broken = (
             enums.RefusalReason.UPSTREAM_BROKE,
             enums.RefusalReason.ANSWER_TRUNCATED,
@@ -279,9 +284,7 @@
             return const.MAX_BODY_BYTES
         return entry.document.max_body_bytes
 
-    def _remember(
-        self, call_id: ids.CallId, state: enums.CancelState
-    ) -> None:
+    def _remember(self, call_id: ids.CallId, state: enums.CancelState) -> None:
         self._ended[call_id] = (self._clock.monotonic(), state)
 
 
@@ -297,14 +300,10 @@
 
 def _cancelled(run: _Run) -> call.Refusal:
     outcome = enums.Outcome.UNKNOWN if run.is_sent else enums.Outcome.NOT_RUN
-    return call.Refusal(
-        reason=enums.RefusalReason.CANCELLED, outcome=outcome
-    )
+    return call.Refusal(reason=enums.RefusalReason.CANCELLED, outcome=outcome)
 
 
-def _end_state(
-    run: _Run, result: call.CallResult | None
-) -> enums.CancelState:
+def _end_state(run: _Run, result: call.CallResult | None) -> enums.CancelState:
     if run.is_sent:
         return enums.CancelState.CANCELLED_UNKNOWN
     if result is None or isinstance(result.result, call.Refusal):
--- a/sassafraswood/models/messages.py
+++ b/sassafraswood/models/messages.py
@@ -26,18 +26,16 @@
     upstream_status: enums.UpstreamStatus
 
 
-class Hello(msgspec.Struct, frozen=True, kw_only=True, tag='hello'):
-    """First message on a connection."""
-
-    daemon_id: ids.DaemonId
-    incarnation: ids.Incarnation
-    protocol_version: int
-
-
 class Ping(msgspec.Struct, frozen=True, kw_only=True, tag='ping'):
-    """Heartbeat of the connection."""
+    """Heartbeat of the connection.
+
+    It names the sender, because the receiver loses track of who is behind a
+    connection when the socket reconnects by itself.
+    """
 
     sequence: int
+    daemon_id: ids.DaemonId
+    incarnation: ids.Incarnation
 
 
 class Pong(msgspec.Struct, frozen=True, kw_only=True, tag='pong'):
@@ -303,8 +301,7 @@
 
 
 Message = (
-    Hello
-    | Ping
+    Ping
     | Pong
     | RunCall
     | RunResult
--- a/sassafraswood/transport/caller_app.py
+++ b/sassafraswood/transport/caller_app.py
@@ -195,9 +195,7 @@
         self._count('answers.whole')
         headers = headers_module.to_caller(answer.headers)
         headers.append((const.HEADER_RUN, enums.Outcome.RUN.value))
-        await http_server.async_send(
-            send, answer.status, headers, answer.body
-        )
+        await http_server.async_send(send, answer.status, headers, answer.body)
 
 
 async def _async_watch_caller(active: _Active) -> None:
--- a/sassafraswood/transport/http_server.py
+++ b/sassafraswood/transport/http_server.py
@@ -154,9 +154,7 @@
             b'connection: close',
             f'content-length: {len(details.body)}'.encode(),
         ]
-        self.transport.write(
-            b'\r\n'.join(lines) + b'\r\n\r\n' + details.body
-        )
+        self.transport.write(b'\r\n'.join(lines) + b'\r\n\r\n' + details.body)
         self.transport.close()
 
 
--- a/sassafraswood/transport/log_client.py
+++ b/sassafraswood/transport/log_client.py
@@ -58,9 +58,14 @@
             raise exceptions.LogOutcomeUnknownError('no answer') from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise exceptions.LogOutcomeUnknownError(str(error)) from error
+        if answer.status >= 500 and answer.status != 503:
+            raise exceptions.LogOutcomeUnknownError(f'status {answer.status}')
         if answer.status != 201:
             raise exceptions.LogUnavailableError(f'status {answer.status}')
-        decoded = _decode(answer.content, _AppendAnswer)
+        try:
+            decoded = _decode(answer.content, _AppendAnswer)
+        except exceptions.LogUnavailableError as error:
+            raise exceptions.LogOutcomeUnknownError(str(error)) from error
         return ids.Offset(decoded.offset)
 
     async def async_read(
--- a/sassafraswood/transport/metrics.py
+++ b/sassafraswood/transport/metrics.py
@@ -17,9 +17,7 @@
         self._client: statsd.StatsClient | None = None
         if address is not None:
             host, port = address.rsplit(':', 1)
-            self._client = statsd.StatsClient(
-                host, int(port), prefix=prefix
-            )
+            self._client = statsd.StatsClient(host, int(port), prefix=prefix)
 
     @property
     def counts(self) -> dict[str, int]:
--- a/sassafraswood/transport/peer_connection.py
+++ b/sassafraswood/transport/peer_connection.py
@@ -9,6 +9,7 @@
 from sassafraswood import exceptions
 from sassafraswood.models import ids
 from sassafraswood.models import messages
+from sassafraswood.models import records
 from sassafraswood.protocol import codec
 from sassafraswood.transport import zmq_socket
 
@@ -29,7 +30,7 @@
         address: str,
         clock: clock_module.Clock,
         new_socket: SocketFactory,
-        hello: messages.Hello,
+        own: records.Holder,
         on_message: MessageHandler,
         on_malformed: Callable[[], None],
         on_replaced: Callable[['PeerConnection'], None],
@@ -38,7 +39,7 @@
         self._address = address
         self._clock = clock
         self._new_socket = new_socket
-        self._hello = codec.encode_message(hello)
+        self._own = own
         self._on_message = on_message
         self._on_malformed = on_malformed
         self._on_replaced = on_replaced
@@ -126,7 +127,6 @@
         if self._is_greeted:
             return
         self._is_greeted = True
-        self._socket.send([self._hello])
         self._ping()
 
     def _become_ready(self) -> None:
@@ -144,7 +144,11 @@
         if not self._is_greeted:
             return
         self._sequence += 1
-        ping = messages.Ping(sequence=self._sequence)
+        ping = messages.Ping(
+            sequence=self._sequence,
+            daemon_id=self._own.daemon_id,
+            incarnation=self._own.incarnation,
+        )
         self._socket.send([codec.encode_message(ping)])
 
     def _receive(self, frames: list[bytes]) -> None:
--- /dev/null
+++ b/sassafraswood/transport/peer_dispatch.py
@@ -0,0 +1,336 @@
+"""Hands messages of peers to the objects that decide."""
+
+import dataclasses
+import functools
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from sassafraswood import clock as clock_module
+from sassafraswood.coordination import configuration as configuration_module
+from sassafraswood.coordination import freshness as freshness_module
+from sassafraswood.coordination import idempotency
+from sassafraswood.coordination import log_follower
+from sassafraswood.coordination import membership as membership_module
+from sassafraswood.coordination import partition_lease
+from sassafraswood.coordination import ports
+from sassafraswood.coordination import publishing
+from sassafraswood.coordination import quarantine as quarantine_module
+from sassafraswood.coordination import quota_client
+from sassafraswood.coordination import quota_owner
+from sassafraswood.coordination import routing
+from sassafraswood.coordination import serving as serving_module
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.models import records
+from sassafraswood.transport import call_port
+from sassafraswood.transport import peer_mesh
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Parts:
+    """The objects that take messages."""
+
+    own: records.Holder
+    clock: clock_module.Clock
+    outbox: ports.Outbox
+    calls: call_port.CallPort
+    serving: serving_module.Serving
+    router: routing.Router
+    membership: membership_module.Membership
+    freshness: freshness_module.Freshness
+    configuration: configuration_module.Configuration
+    follower: log_follower.LogFollower
+    leases: partition_lease.PartitionLeases
+    quota_owner: quota_owner.QuotaOwner
+    quota_client: quota_client.QuotaClient
+    idempotency: idempotency.IdempotencyOwner
+    quarantine: quarantine_module.Quarantine
+    rollout: publishing.Rollout
+    on_hand_over_done: Callable[[messages.HandOverDone], None]
+    count: Callable[[str], None]
+
+
+class PeerDispatch:
+    """Takes each message to its owner, by type."""
+
+    def __init__(self, *, parts: Parts, tasks: anyio.abc.TaskGroup) -> None:
+        """Take the parts and the task group in which calls run."""
+        self._parts = parts
+        self._tasks = tasks
+        self._owner_runs: dict[ids.CallId, anyio.CancelScope] = {}
+        self.handle = functools.singledispatch(self._ignore)
+        self.handle.register(messages.Ping, self._on_ping)
+        self.handle.register(messages.Pong, self._on_pong)
+        self.handle.register(messages.RunCall, self._on_run_call)
+        self.handle.register(messages.CancelCall, self._on_cancel_call)
+        self.handle.register(messages.QuotaRequest, self._on_quota_request)
+        self.handle.register(messages.QuotaGrant, self._on_quota_grant)
+        self.handle.register(messages.GuardRequest, self._on_guard_request)
+        self.handle.register(messages.GuardPromise, self._on_guard_promise)
+        self.handle.register(messages.HandOver, self._on_hand_over)
+        self.handle.register(messages.HandOverDone, self._on_hand_over_done)
+        self.handle.register(messages.Digest, self._on_digest)
+        self.handle.register(messages.MembersDelta, self._on_members_delta)
+        self.handle.register(messages.RecordsRequest, self._on_records_request)
+        self.handle.register(messages.Records, self._on_records)
+        self.handle.register(messages.FingerprintReport, self._on_fingerprints)
+        self.handle.register(messages.Leaving, self._on_leaving)
+
+    def on_request(
+        self,
+        message: messages.Message,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        """Take a message that arrived on the ROUTER socket."""
+        self.handle(message, sender, reply)
+
+    def on_reply(
+        self, message: messages.Message, sender: ids.DaemonId
+    ) -> None:
+        """Take a reply that is no result of a call."""
+        self.handle(message, sender, _no_reply)
+
+    def on_own(self, message: messages.Message) -> None:
+        """Take a message of this daemon to itself."""
+
+        def reply(answer: messages.Message) -> None:
+            self.handle(answer, self._parts.own.daemon_id, _no_reply)
+
+        self.handle(message, self._parts.own.daemon_id, reply)
+
+    def on_silent(self, daemon_id: ids.DaemonId) -> None:
+        """Take that a connection to a peer went silent."""
+        self._parts.membership.note_silent(daemon_id)
+
+    def _ignore(
+        self,
+        message: messages.Message,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del message, sender, reply
+        self._parts.count('peer.unexpected')
+
+    def _on_ping(
+        self,
+        message: messages.Ping,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        parts = self._parts
+        parts.membership.note_heard(sender, message.incarnation)
+        reply(
+            messages.Pong(
+                sequence=message.sequence,
+                daemon_id=parts.own.daemon_id,
+                incarnation=parts.own.incarnation,
+                hint=parts.serving.hint(),
+            )
+        )
+
+    def _on_pong(
+        self,
+        message: messages.Pong,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del reply
+        parts = self._parts
+        parts.membership.note_heard(sender, message.incarnation)
+        if message.hint is not None:
+            parts.router.note_hint(sender, message.hint)
+
+    def _on_run_call(
+        self,
+        message: messages.RunCall,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender
+        self._tasks.start_soon(self._async_run, message, reply)
+
+    async def _async_run(
+        self, message: messages.RunCall, reply: peer_mesh.Reply
+    ) -> None:
+        if not message.as_owner:
+            reply(await self._parts.calls.async_run_here(message))
+            return
+        call_id = message.context.call_id
+        result: messages.RunResult | None = None
+        with anyio.CancelScope() as scope:
+            self._owner_runs[call_id] = scope
+            try:
+                result = await self._parts.calls.async_run_here(message)
+            finally:
+                del self._owner_runs[call_id]
+        if result is not None:
+            reply(result)
+
+    def _on_cancel_call(
+        self,
+        message: messages.CancelCall,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender
+        owner_run = self._owner_runs.get(message.call_id)
+        if owner_run is not None:
+            # The run of the key goes on; only this wait for it ends.
+            owner_run.cancel()
+            state = enums.CancelState.CANCELLED_UNKNOWN
+        else:
+            state = self._parts.serving.cancel(message.call_id)
+        reply(
+            messages.CancelResult(
+                call_id=message.call_id,
+                incarnation=self._parts.own.incarnation,
+                state=state,
+            )
+        )
+
+    def _on_quota_request(
+        self,
+        message: messages.QuotaRequest,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender
+        reply(self._parts.quota_owner.on_request(message))
+
+    def _on_quota_grant(
+        self,
+        message: messages.QuotaGrant,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del reply
+        self._parts.quota_client.on_grant(message, sender)
+
+    def _on_guard_request(
+        self,
+        message: messages.GuardRequest,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del reply
+        self._parts.leases.on_guard_request(message, sender)
+
+    def _on_guard_promise(
+        self,
+        message: messages.GuardPromise,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del reply
+        self._parts.leases.on_guard_promise(message, sender)
+
+    def _on_hand_over(
+        self,
+        message: messages.HandOver,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender
+        is_complete = self._parts.idempotency.accept(message)
+        if is_complete or not message.last:
+            reply(
+                messages.HandOverDone(
+                    service=message.service,
+                    partition=message.partition,
+                    term=message.term,
+                    part=message.part,
+                )
+            )
+
+    def _on_hand_over_done(
+        self,
+        message: messages.HandOverDone,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender, reply
+        self._parts.on_hand_over_done(message)
+
+    def _on_digest(
+        self,
+        message: messages.Digest,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del reply
+        parts = self._parts
+        parts.membership.note_heard(sender, message.incarnation)
+        parts.freshness.note_peer(
+            sender, message.failure_domain, message.log_read_age_s
+        )
+        parts.rollout.note(
+            message.daemon_id, message.incarnation, message.next_offset
+        )
+        parts.membership.on_digest(message)
+        own_offset = parts.configuration.next_offset
+        if message.next_offset > own_offset:
+            request = messages.RecordsRequest(from_offset=own_offset)
+            parts.outbox.send(sender, request)
+        if message.fingerprints_hash != parts.quarantine.table_hash():
+            if not message.is_reply:
+                parts.outbox.send(sender, parts.quarantine.report())
+
+    def _on_members_delta(
+        self,
+        message: messages.MembersDelta,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del reply
+        self._parts.membership.on_members_delta(message, sender)
+
+    def _on_records_request(
+        self,
+        message: messages.RecordsRequest,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender
+        entries = self._parts.configuration.entries_from(message.from_offset)
+        if entries is not None:
+            reply(messages.Records(entries=entries))
+            return
+        snapshot = self._parts.configuration.snapshot()
+        reply(messages.Records(entries=[], snapshot=snapshot))
+
+    def _on_records(
+        self,
+        message: messages.Records,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender, reply
+        if message.snapshot is not None:
+            self._parts.follower.apply_snapshot(message.snapshot)
+        self._parts.follower.apply(message.entries)
+
+    def _on_fingerprints(
+        self,
+        message: messages.FingerprintReport,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender, reply
+        self._parts.quarantine.merge(message)
+
+    def _on_leaving(
+        self,
+        message: messages.Leaving,
+        sender: ids.DaemonId,
+        reply: peer_mesh.Reply,
+    ) -> None:
+        del sender, reply
+        self._parts.membership.on_leaving(message)
+
+
+def _no_reply(message: messages.Message) -> None:
+    del message
--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -13,6 +13,7 @@
 from sassafraswood.models import enums
 from sassafraswood.models import ids
 from sassafraswood.models import messages
+from sassafraswood.models import records
 from sassafraswood.protocol import codec
 from sassafraswood.transport import peer_connection
 from sassafraswood.transport import zmq_socket
@@ -21,9 +22,12 @@
 _ZAP_DOMAIN = b'sassafraswood'
 _HIGH_WATER_MARK_MESSAGES = 10_000
 
+# Senders that were not heard for this long are forgotten.
+_SENDER_MEMORY_S = 60.0
+
 Reply = Callable[[messages.Message], None]
-RequestHandler = Callable[[messages.Message, Reply], None]
-ReplyHandler = Callable[[messages.Message, str], None]
+RequestHandler = Callable[[messages.Message, ids.DaemonId, Reply], None]
+ReplyHandler = Callable[[messages.Message, ids.DaemonId], None]
 AddressLookup = Callable[[ids.DaemonId], str | None]
 
 
@@ -65,7 +69,7 @@
         self,
         *,
         clock: clock_module.Clock,
-        hello: messages.Hello,
+        own: records.Holder,
         keys: CurveKeys,
         bind_address: str,
         address_of: AddressLookup,
@@ -73,16 +77,17 @@
     ) -> None:
         """Prepare the sockets; call start on the running loop."""
         self._clock = clock
-        self._hello = hello
+        self._own = own
         self._keys = keys
         self._bind_address = bind_address
         self._address_of = address_of
         self._count = count
         self._connections: dict[str, peer_connection.PeerConnection] = {}
         self._pending: dict[ids.CallId, _PendingCall] = {}
+        self._senders: dict[bytes, tuple[ids.DaemonId, float]] = {}
         self._on_request: RequestHandler | None = None
         self._on_reply: ReplyHandler | None = None
-        self._on_silent: Callable[[str], None] | None = None
+        self._on_silent: Callable[[ids.DaemonId], None] | None = None
         self._context = zmq.Context()
         self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None
         self._authenticator = None
@@ -93,14 +98,14 @@
         *,
         on_request: RequestHandler,
         on_reply: ReplyHandler,
-        on_silent: Callable[[str], None],
+        on_silent: Callable[[ids.DaemonId], None],
     ) -> None:
         """Bind the ROUTER socket and hand messages to the handlers.
 
         Args:
             on_request: Takes messages that arrive on the ROUTER socket.
             on_reply: Takes replies that are not results of calls.
-            on_silent: Takes the address of a peer that went silent.
+            on_silent: Takes a peer whose connection went silent.
         """
         self._on_request = on_request
         self._on_reply = on_reply
@@ -134,17 +139,13 @@
             self._authenticator.stop()
         self._context.destroy(linger=0)
 
-    def send(
-        self, daemon_id: ids.DaemonId, message: messages.Message
-    ) -> None:
+    def send(self, daemon_id: ids.DaemonId, message: messages.Message) -> None:
         """Send a message, best effort."""
         address = self._address_of(daemon_id)
         if address is not None:
             self.send_to_address(address, message)
 
-    def send_to_address(
-        self, address: str, message: messages.Message
-    ) -> None:
+    def send_to_address(self, address: str, message: messages.Message) -> None:
         """Send a message to the peer at host:port, best effort."""
         connection = self._connect(address)
         if not connection.send(codec.encode_message(message)):
@@ -186,6 +187,7 @@
     def tick(self) -> None:
         """Send heartbeats and end calls that are overdue, every 0.25 s."""
         now = self._clock.monotonic()
+        self._forget_senders(now)
         for address, connection in list(self._connections.items()):
             if self._is_idle(connection, now):
                 connection.close()
@@ -286,7 +288,7 @@
                 address=address,
                 clock=self._clock,
                 new_socket=self._new_dealer,
-                hello=self._hello,
+                own=self._own,
                 on_message=self._receive_reply,
                 on_malformed=self._count_malformed,
                 on_replaced=self._connection_replaced,
@@ -327,8 +329,28 @@
             if not self._router.send([identity, payload]):
                 self._count('peer.dropped')
 
+        sender = self._find_sender(identity, message)
+        if sender is None:
+            self._count('peer.unidentified')
+            return
         assert self._on_request is not None
-        self._on_request(message, reply)
+        self._on_request(message, sender, reply)
+
+    def _find_sender(
+        self, identity: bytes, message: messages.Message
+    ) -> ids.DaemonId | None:
+        if isinstance(message, messages.Ping):
+            now = self._clock.monotonic()
+            self._senders[identity] = (message.daemon_id, now)
+            return message.daemon_id
+        known = self._senders.get(identity)
+        return known[0] if known is not None else None
+
+    def _forget_senders(self, now: float) -> None:
+        limit = now - _SENDER_MEMORY_S
+        for identity, (_, heard_at) in list(self._senders.items()):
+            if heard_at < limit:
+                del self._senders[identity]
 
     def _receive_reply(
         self,
@@ -341,7 +363,8 @@
         if isinstance(message, messages.Pong):
             self._check_incarnation(connection, message)
         assert self._on_reply is not None
-        self._on_reply(message, connection.address)
+        if connection.peer is not None:
+            self._on_reply(message, connection.peer[0])
 
     def _receive_result(
         self, message: messages.RunResult | messages.CancelResult
@@ -401,7 +424,8 @@
             if pending.connection is connection:
                 self._query(call_id, pending)
         assert self._on_silent is not None
-        self._on_silent(connection.address)
+        if connection.peer is not None:
+            self._on_silent(connection.peer[0])
 
 
 class _FleetKey:
