--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -5,6 +5,9 @@
 VERSION: Final = '0.1.0'
 PROTOCOL_VERSION: Final = 1
 
+# Names of services, workspaces, daemons, keys and failure domains.
+NAME_PATTERN: Final = '[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?'
+
 # Partitions and leases.
 PARTITIONS_PER_SERVICE: Final = 3
 LEASE_S: Final = 10.0
@@ -55,6 +58,18 @@
 LOG_TIMEOUT_S: Final = 3.0
 LOG_BATCH_RECORDS: Final = 500
 
+# Folded state. The bounds are part of the fold: daemons with other values
+# would disagree about repeated publications. At 740 changes a day the
+# results of almost three days are remembered.
+MAX_PUBLICATION_RESULTS: Final = 2048
+MAX_PUBLICATION_ID_CHARACTERS: Final = 128
+MAX_PUBLICATION_DETAIL_CHARACTERS: Final = 1000
+MAX_LOGGED_MEMBERS: Final = 2048
+MAX_QUARANTINES: Final = 1024
+# Log entries kept for peers; not part of the fold.
+RECENT_ENTRIES: Final = 1024
+RECENT_ENTRY_BYTES: Final = 1024 * 1024
+
 # Connections to upstreams.
 UPSTREAM_CONNECT_TIMEOUT_S: Final = 1.0
 UPSTREAM_IDLE_S: Final = 5.0
--- a/sassafraswood/exceptions.py
+++ b/sassafraswood/exceptions.py
@@ -84,6 +84,21 @@
         self.first = first
 
 
+class OffsetGapError(LogError):
+    """An entry does not follow the entries that were folded.
+
+    Attributes:
+        expected: First offset that was not folded.
+        found: Offset of the entry.
+    """
+
+    def __init__(self, expected: int, found: int) -> None:
+        """Take both offsets."""
+        super().__init__(f'offset {found} does not follow, need {expected}')
+        self.expected = expected
+        self.found = found
+
+
 class PeerError(SassafraswoodError):
     """A message to a peer failed."""
 
--- a/sassafraswood/protocol/checks.py
+++ b/sassafraswood/protocol/checks.py
@@ -1,14 +1,16 @@
 """Checks that collect every problem of a JSON value."""
 
 from collections.abc import Iterable
+import functools
 import re
 import typing
 
 import msgspec
 
+from sassafraswood import const
 from sassafraswood import exceptions
 
-NAME: typing.Final = re.compile(r'[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?')
+NAME: typing.Final = re.compile(const.NAME_PATTERN)
 NAME_ALLOWED: typing.Final = (
     'lower-case letters, digits and inner hyphens, 1 to 63 characters'
 )
@@ -38,6 +40,17 @@
     return f'a value of type {type(value).__name__}'
 
 
+@functools.cache
+def _fields_of(struct: type[msgspec.Struct]) -> dict[str, bool]:
+    """Return the fields and whether each is required.
+
+    Reading them from the type takes longer than all checks of a route.
+    """
+    return {
+        field.name: field.required for field in msgspec.structs.fields(struct)
+    }
+
+
 class Checker:
     """Collects problems; no method raises."""
 
@@ -59,13 +72,13 @@
         if not isinstance(value, dict):
             self.add(path, show(value), 'an object')
             return {}
-        known = {field.name: field for field in msgspec.structs.fields(struct)}
+        known = _fields_of(struct)
         for name in value:
             if name not in known:
                 allowed = ', '.join(sorted(known))
                 self.add(f'{path}.{show(name)}', 'unknown field', allowed)
-        for name, field in known.items():
-            if field.required and name not in value:
+        for name, is_required in known.items():
+            if is_required and name not in value:
                 self.add(f'{path}.{name}', 'nothing', 'a value')
         return {name: value[name] for name in known if name in value}
 
--- /dev/null
+++ b/tests/coordination/test_configuration.py
@@ -0,0 +1,337 @@
+"""Tests of the fold of the log."""
+
+from collections.abc import Sequence
+import hashlib
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from sassafraswood import const
+from sassafraswood.coordination import configuration
+from sassafraswood import exceptions
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.models import records
+from sassafraswood.protocol import codec
+from sassafraswood.protocol import documents
+
+_KEYS = [hashlib.sha256(key.encode()).hexdigest() for key in 'xyz']
+_NAMES = strategies.sampled_from(['a', 'b', 'c'])
+_IDS = strategies.sampled_from([f'p{number}' for number in range(12)])
+_VERSIONS = strategies.integers(0, 3)
+_HOLDERS = strategies.builds(
+    records.Holder, daemon_id=_NAMES, incarnation=_VERSIONS
+)
+
+
+class _Partitions:
+    """Accepts claims that replace the term in force."""
+
+    def __init__(self) -> None:
+        self._entries: dict[typing.Any, records.PartitionEntry] = {}
+
+    def apply(self, record: records.Record, offset: ids.Offset) -> bool:
+        if not isinstance(record, records.ClaimPartition):
+            return False
+        known = self.get(record.service, record.partition)
+        if record.replaces != (0 if known is None else known.term):
+            return False
+        term = ids.Term(record.replaces + 1)
+        self._entries[record.service, record.partition] = (
+            records.PartitionEntry(
+                service=record.service,
+                partition=record.partition,
+                term=term,
+                owner=record.owner,
+                guardian=record.guardian,
+                offset=offset,
+                wait_s=record.wait_s,
+                continuous_since=term,
+            )
+        )
+        return True
+
+    def get(
+        self, service: ids.ServiceName, partition: int
+    ) -> records.PartitionEntry | None:
+        return self._entries.get((service, partition))
+
+    def entries(self) -> list[records.PartitionEntry]:
+        return list(self._entries.values())
+
+    def restore(self, entries: list[records.PartitionEntry]) -> None:
+        self._entries = {(e.service, e.partition): e for e in entries}
+
+
+def _new() -> configuration.Configuration:
+    return configuration.Configuration(
+        decode=codec.decode_record,
+        check_document=documents.check_document,
+        partitions=_Partitions(),
+    )
+
+
+def _document(service: str, rate: float = 1.0) -> dict[str, typing.Any]:
+    return {
+        'version': 1,
+        'service': service,
+        'routes': [{'path': '/**'}],
+        'workspaces': {'own': {'rate': rate, 'burst': 1}},
+    }
+
+
+def _publish(
+    publication_id: str, replaces: int, service: str = 'a', rate: float = 1.0
+) -> records.Publish:
+    return records.Publish(
+        publication_id=ids.PublicationId(publication_id),
+        service=ids.ServiceName(service),
+        replaces=ids.Revision(replaces),
+        document=_document(service, rate),
+    )
+
+
+def _grant(publication_id: str, key_id: str, key: int = 0) -> records.GrantKey:
+    return records.GrantKey(
+        publication_id=ids.PublicationId(publication_id),
+        key_id=ids.KeyId(key_id),
+        workspace=ids.Workspace('own'),
+        key_sha256=_KEYS[key],
+    )
+
+
+def _withdraw(publication_id: str, key_id: str) -> records.WithdrawKey:
+    return records.WithdrawKey(
+        publication_id=ids.PublicationId(publication_id),
+        key_id=ids.KeyId(key_id),
+    )
+
+
+def _entries(bodies: Sequence[records.Record | str]) -> list[records.LogEntry]:
+    return [
+        records.LogEntry(
+            offset=ids.Offset(offset),
+            body=body if isinstance(body, str) else codec.encode_record(body),
+        )
+        for offset, body in enumerate(bodies)
+    ]
+
+
+def _fold(
+    bodies: Sequence[records.Record | str],
+) -> configuration.Configuration:
+    folded = _new()
+    for entry in _entries(bodies):
+        folded.apply(entry)
+    return folded
+
+
+def _status(folded: configuration.Configuration, publication_id: str) -> str:
+    entry = folded.publication(ids.PublicationId(publication_id))
+    assert entry is not None
+    return entry.status.value
+
+
+_RECORDS = strategies.one_of(
+    strategies.builds(
+        _publish, _IDS, _VERSIONS, _NAMES, strategies.floats(-1, 9)
+    ),
+    strategies.builds(_grant, _IDS, _NAMES, strategies.integers(0, 2)),
+    strategies.builds(_withdraw, _IDS, _NAMES),
+    strategies.builds(
+        records.Announce,
+        member=strategies.builds(
+            records.Member,
+            daemon_id=_NAMES,
+            incarnation=_VERSIONS,
+            version=_VERSIONS,
+            service=_NAMES,
+            failure_domain=_NAMES,
+            region=_NAMES,
+            peer_address=_NAMES,
+            http_address=_NAMES,
+        ),
+    ),
+    strategies.builds(records.Leave, daemon_id=_NAMES, incarnation=_VERSIONS),
+    strategies.builds(
+        records.ClaimPartition,
+        service=_NAMES,
+        partition=strategies.just(0),
+        replaces=_VERSIONS,
+        owner=_HOLDERS,
+        guardian=_HOLDERS,
+        wait_s=strategies.just(11.0),
+    ),
+    strategies.builds(
+        records.QuarantineFingerprint,
+        fingerprint=_NAMES,
+        service=_NAMES,
+        until_unix_s=strategies.floats(0, 9),
+    ),
+    strategies.sampled_from(['', '{"type":"newer"}', '[1]', '{"type":']),
+)
+_LOGS = strategies.lists(_RECORDS, max_size=40)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+@hypothesis.given(_LOGS, strategies.integers(0, 40), strategies.integers(0, 9))
+def test_snapshot_and_tail_equal_the_full_fold(
+    log: list, cut: int, overlap: int
+) -> None:
+    """Guards against daemons that disagree by the way they were started."""
+    full = _fold(log)
+    head = _fold(log[:cut])
+    body = codec.encode_record(head.snapshot())
+    snapshot = codec.decode_record(body)
+    assert isinstance(snapshot, records.Snapshot)
+    restored = _new()
+    assert restored.apply_snapshot(snapshot) == (head.next_offset > 0)
+    # Batches of a log and of peers overlap.
+    for entry in _entries(log)[max(0, cut - overlap) :]:
+        restored.apply(entry)
+    assert restored.snapshot() == full.snapshot()
+    # Whoever is past the snapshot ignores it, as a record and from a peer.
+    before = full.snapshot()
+    assert not full.apply_snapshot(snapshot)
+    full.apply(records.LogEntry(offset=full.next_offset, body=body))
+    after = full.snapshot()
+    assert after.next_offset == before.next_offset + 1
+    assert (after.documents, after.keys) == (before.documents, before.keys)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+@hypothesis.given(_LOGS)
+def test_nothing_in_force_ever_reverts(log: list) -> None:
+    """Guards against an older revision or a withdrawn key coming back."""
+    folded = _new()
+    revisions: dict[str, int] = {}
+    withdrawn: set[str] = set()
+    results: dict[str, records.PublicationEntry] = {}
+    for entry in _entries(log):
+        folded.apply(entry)
+        folded.apply(entry)
+        for item in folded.documents():
+            step = item.revision - revisions.get(item.service, 0)
+            assert step in (0, 1)
+            revisions[item.service] = item.revision
+        withdrawn |= {
+            key.key_id for key in folded.snapshot().keys if key.withdrawn
+        }
+        assert not any(folded.is_key_valid(ids.KeyId(k)) for k in withdrawn)
+        for result in folded.snapshot().publications:
+            first = results.setdefault(result.publication_id, result)
+            assert result == first
+
+
+def test_racing_operators_get_one_winner() -> None:
+    """Guards against a revision that silently undoes another (R12)."""
+    folded = _fold([_publish('p1', 0, rate=1), _publish('p2', 0, rate=2)])
+    assert _status(folded, 'p1') == 'accepted'
+    assert _status(folded, 'p2') == 'conflict'
+    entry = folded.document(ids.ServiceName('a'))
+    assert entry is not None
+    assert entry.document.workspaces[ids.Workspace('own')].rate == 1
+
+
+def test_repeated_publication_counts_once() -> None:
+    """Guards against a lost answer and a resend counting twice."""
+    folded = _fold(
+        [
+            _publish('p1', 0),
+            _publish('p1', 0),
+            _publish('p2', 1),
+            _publish('p1', 2, rate=9),
+        ]
+    )
+    entry = folded.document(ids.ServiceName('a'))
+    assert entry is not None and entry.revision == 2
+    assert _status(folded, 'p1') == 'accepted'
+
+
+def test_invalid_document_is_recorded_and_replaces_nothing() -> None:
+    """Guards against a wrong document taking the service's rules away."""
+    folded = _fold([_publish('p1', 0), _publish('p2', 1, rate=-1)])
+    entry = folded.publication(ids.PublicationId('p2'))
+    assert entry is not None
+    assert entry.status is enums.PublicationStatus.INVALID
+    assert '.rate' in entry.detail
+    in_force = folded.document(ids.ServiceName('a'))
+    assert in_force is not None and in_force.revision == 1
+
+
+def test_withdrawn_keys_stay_withdrawn() -> None:
+    """Guards against a withdrawn key working again (R5)."""
+    folded = _fold(
+        [
+            _grant('p1', 'k1'),
+            _withdraw('p2', 'k1'),
+            _grant('p3', 'k1', 1),
+            _grant('p4', 'k2', 0),
+            _withdraw('p5', 'k3'),
+        ]
+    )
+    assert not folded.is_key_valid(ids.KeyId('k1'))
+    found = folded.find_key('x')
+    assert found is not None and found.withdrawn
+    for publication_id in ('p3', 'p4', 'p5'):
+        assert _status(folded, publication_id) == 'conflict'
+    assert folded.find_key('y') is None
+
+
+def test_key_works_once_granted_after_a_miss() -> None:
+    """Guards against a cached miss that refuses a new key."""
+    folded = _new()
+    assert folded.find_key('x') is None
+    folded.apply(_entries([_grant('p1', 'k1')])[0])
+    assert folded.find_key('x') is not None
+    assert folded.is_key_valid(ids.KeyId('k1'))
+
+
+def test_missing_entries_raise() -> None:
+    """Guards against folding past records that were not seen."""
+    entries = _entries([_publish('p1', 0), _publish('p2', 1)])
+    with pytest.raises(exceptions.OffsetGapError) as caught:
+        _new().apply(entries[1])
+    assert (caught.value.expected, caught.value.found) == (0, 1)
+
+
+def test_reader_past_retention_starts_from_a_snapshot_record() -> None:
+    """Guards against a fleet that cannot start once old records are gone."""
+    log: list[records.Record | str] = [_publish('p1', 0), _grant('p2', 'k1')]
+    log.append(_fold(log).snapshot())
+    log += [_publish('p3', 1), '']
+    log.append(_fold(log[:4]).snapshot())
+    log.append(_withdraw('p4', 'k1'))
+    full = _fold(log)
+    # Offset 4 and later are kept; the first snapshot is gone.
+    kept = _entries(log)[4:]
+    reader = _new()
+    assert reader.apply_snapshot_in(kept)
+    assert reader.next_offset == 4
+    for entry in kept:
+        reader.apply(entry)
+    assert reader.snapshot() == full.snapshot()
+    # A snapshot whose tail is not kept would leave a gap.
+    assert not _new().apply_snapshot_in(_entries(log)[5:])
+
+
+def test_kept_entries_and_results_are_bounded() -> None:
+    """Guards against memory that grows with the log."""
+    folded = _new()
+    total = const.MAX_PUBLICATION_RESULTS + 10
+    for number in range(total):
+        body = codec.encode_record(_withdraw(f'p{number}', 'k'))
+        folded.apply(records.LogEntry(offset=ids.Offset(number), body=body))
+    assert len(folded.snapshot().publications) == (
+        const.MAX_PUBLICATION_RESULTS
+    )
+    first = total - const.RECENT_ENTRIES
+    assert folded.entries_from(ids.Offset(first - 1)) is None
+    kept = folded.entries_from(ids.Offset(first))
+    assert kept is not None and kept[0].offset == first
+    assert folded.entries_from(ids.Offset(total)) == []
+    huge = 'x' * (const.RECENT_ENTRY_BYTES + 1)
+    folded.apply(records.LogEntry(offset=ids.Offset(total), body=huge))
+    assert folded.entries_from(ids.Offset(total)) is None
