Take the gossip and freshness rules into the composition root

Cause: heartbeats on every gossip connection would exceed 12 KB/s at 750 daemons. Ruled out: long-lived gossip connections to all peers. Figures: arithmetic only; 3 new gossip connections a second, closed after 5 s, leave about 15 with heartbeats instead of 180.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -223,7 +223,7 @@
                 process.wait()
         self._directory.cleanup()
 
-    def signal(self, daemon_id: str, number: signal.Signals) -> None:
+    def signal_daemon(self, daemon_id: str, number: signal.Signals) -> None:
         """Send a signal to a daemon."""
         process = self.daemons[daemon_id].process
         if process is not None:
--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -54,6 +54,9 @@
 PEER_CONNECT_S: Final = 0.5
 # Time for a serving daemon to say what became of a call.
 CANCEL_QUERY_S: Final = 0.5
+# Connections that are not used get no heartbeats after this time.
+HEARTBEAT_IDLE_S: Final = 10.0
+GOSSIP_IDLE_CLOSE_S: Final = 5.0
 PEER_IDLE_CLOSE_S: Final = 60.0
 GOSSIP_INTERVAL_S: Final = 1.0
 GOSSIP_FANOUT: Final = 3
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -102,6 +102,7 @@
         self._build_calls(random, count)
         self._build_servers(count)
         self._is_stopping = False
+        self._has_read_log = False
 
     def _build_state(self, random: random_module.Random) -> None:
         del random
@@ -142,6 +143,7 @@
             random=random,
             outbox=self._outbox,
             own=self._own_member(),
+            log_state=self._log_state,
         )
         self._appender = log_follower.LogAppender(
             log=self._log,
@@ -413,11 +415,6 @@
         self._idempotency.tick()
         self._lifecycle.tick()
         self._freshness.set_known(self._membership.members())
-        self._membership.set_digest_source(
-            next_offset=self._configuration.next_offset,
-            log_read_age_s=self._freshness.log_read_age(),
-            fingerprints_hash=self._quarantine.table_hash(),
-        )
         self._membership.tick()
         self._contact_seeds()
         self._announce_if_needed()
@@ -441,8 +438,12 @@
         own = self._settings.advertised_peer_address
         for peer in self._settings.peers:
             if peer.address not in known and peer.address != own:
-                message = self._membership.introduction()
-                self._mesh.send_to_address(peer.address, message)
+                self._mesh.send_to_address(
+                    peer.address,
+                    messages.MembersDelta(
+                        members=[self._membership.own], is_full=True
+                    ),
+                )
 
     def _announce_if_needed(self) -> None:
         """Append the own entry until the log shows it."""
@@ -462,16 +463,43 @@
 
     def _on_record(self, record: records.Record) -> None:
         if isinstance(record, records.Announce):
-            self._membership.merge([record.member])
+            self._membership.merge([record.member], age_s=self._log_age_s())
         elif isinstance(record, records.Leave):
             self._membership.remove(record.daemon_id, record.incarnation)
         elif isinstance(record, records.Snapshot):
-            self._membership.merge(record.members)
+            self._membership.merge(record.members, age_s=self._log_age_s())
+            self._merge_quarantines(record.quarantines)
         elif isinstance(record, records.QuarantineFingerprint):
-            self._quarantine.merge(quarantine.report_of([record]))
+            self._merge_quarantines([record])
         elif isinstance(record, records.Publish):
             self._log_document(record.service)
 
+    def _log_age_s(self) -> float:
+        """Return the age to assume for members in the log.
+
+        Until the log was read to its tail, its members may be long lost.
+        They are kept for a minute, in which living ones are heard of.
+        """
+        if self._has_read_log:
+            return 0.0
+        return const.MEMBER_FORGET_S - 60.0
+
+    def _merge_quarantines(
+        self, quarantined: list[records.QuarantineFingerprint]
+    ) -> None:
+        self._quarantine.merge(
+            messages.FingerprintReport(
+                suspects={}, cleared=[], quarantined=quarantined
+            )
+        )
+
+    def _log_state(self) -> membership.LogState:
+        return membership.LogState(
+            next_offset=self._configuration.next_offset,
+            log_read_age_s=self._freshness.log_read_age(),
+            fingerprints_hash=self._quarantine.table_hash(),
+        )
+
     def _log_document(self, service: ids.ServiceName) -> None:
         entry = self._configuration.document(service)
         if entry is not None:
@@ -483,6 +511,7 @@
             )
 
     def _on_log_read(self, started_at: float) -> None:
+        self._has_read_log = True
         self._freshness.note_log_read(started_at)
         self._leases.note_log_read(started_at)
 
--- a/sassafraswood/transport/peer_connection.py
+++ b/sassafraswood/transport/peer_connection.py
@@ -47,6 +47,7 @@
         self._sequence = 0
         self._peer: tuple[ids.DaemonId, ids.Incarnation] | None = None
         self.last_used = clock.monotonic()
+        self.carried_call_at: float | None = None
         self._open()
 
     @property
@@ -90,13 +91,20 @@
                 return True
         return False
 
-    def tick(self) -> None:
-        """Send heartbeats and replace the connection when it is silent."""
+    def tick(self, *, is_busy: bool) -> None:
+        """Send heartbeats and replace the connection when it is silent.
+
+        Args:
+            is_busy: Whether calls wait for results on this connection.
+        """
         now = self._clock.monotonic()
         self._waiting = [item for item in self._waiting if item[0] > now]
-        if now - self._last_heard >= const.PEER_SILENT_S:
+        since = self._unanswered_since
+        if since is not None and now - since >= const.PEER_SILENT_S:
             self._replace()
             return
+        if now - self.last_used >= const.HEARTBEAT_IDLE_S and not is_busy:
+            return
         if now - self._last_ping >= const.HEARTBEAT_INTERVAL_S:
             self._ping()
 
@@ -108,7 +116,8 @@
         now = self._clock.monotonic()
         self._is_greeted = False
         self._is_ready = False
-        self._last_heard = now
+        # A connection that is never established counts as silent, too.
+        self._unanswered_since: float | None = now
         self._last_ping = now
         socket = self._new_socket()
         socket.connect(f'tcp://{self._address}')
@@ -140,9 +149,12 @@
                 self._socket.send([payload])
 
     def _ping(self) -> None:
-        self._last_ping = self._clock.monotonic()
+        now = self._clock.monotonic()
+        self._last_ping = now
         if not self._is_greeted:
             return
+        if self._unanswered_since is None:
+            self._unanswered_since = now
         self._sequence += 1
         ping = messages.Ping(
             sequence=self._sequence,
@@ -152,7 +164,7 @@
         self._socket.send([codec.encode_message(ping)])
 
     def _receive(self, frames: list[bytes]) -> None:
-        self._last_heard = self._clock.monotonic()
+        self._unanswered_since = None
         try:
             message = codec.decode_message(frames[-1])
         except exceptions.DecodeError:
--- a/sassafraswood/transport/peer_dispatch.py
+++ b/sassafraswood/transport/peer_dispatch.py
@@ -263,15 +263,19 @@
     ) -> None:
         del reply
         parts = self._parts
-        parts.membership.note_heard(sender, message.incarnation)
-        parts.freshness.note_peer(
-            sender, message.failure_domain, message.log_read_age_s
-        )
         parts.rollout.note(
             message.daemon_id, message.incarnation, message.next_offset
         )
-        parts.membership.on_digest(message)
         own_offset = parts.configuration.next_offset
+        asked_at = parts.membership.on_digest(message)
+        if asked_at is not None:
+            is_caught_up = own_offset >= message.next_offset
+            parts.freshness.note_peer(
+                sender,
+                message.failure_domain,
+                message.log_read_age_s if is_caught_up else None,
+                asked_at=asked_at,
+            )
         if message.next_offset > own_offset:
             request = messages.RecordsRequest(from_offset=own_offset)
             parts.outbox.send(sender, request)
--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -168,6 +168,7 @@
         """
         call_id = message.context.call_id
         connection = self._connect_to(daemon_id)
+        connection.carried_call_at = self._clock.monotonic()
         payload = codec.encode_message(message)
         pending = self._begin(
             call_id, connection, payload, message.context.remaining_s
@@ -188,28 +189,20 @@
         """Send heartbeats and end calls that are overdue, every 0.25 s."""
         now = self._clock.monotonic()
         self._forget_senders(now)
+        busy = {pending.connection for pending in self._pending.values()}
         for address, connection in list(self._connections.items()):
-            if self._is_idle(connection, now):
+            is_busy = connection in busy
+            if not is_busy and _is_idle(connection, now):
                 connection.close()
                 del self._connections[address]
                 continue
-            connection.tick()
+            connection.tick(is_busy=is_busy)
         for call_id, pending in list(self._pending.items()):
             if now >= pending.connect_deadline:
                 self._give_up_connecting(pending)
             if now >= pending.deadline:
                 self._expire(call_id, pending)
 
-    def _is_idle(
-        self, connection: peer_connection.PeerConnection, now: float
-    ) -> bool:
-        if now - connection.last_used < const.PEER_IDLE_CLOSE_S:
-            return False
-        return all(
-            pending.connection is not connection
-            for pending in self._pending.values()
-        )
-
     def _begin(
         self,
         call_id: ids.CallId,
@@ -428,6 +421,19 @@
             self._on_silent(connection.peer[0])
 
 
+def _is_idle(connection: peer_connection.PeerConnection, now: float) -> bool:
+    """Return whether a connection is to be closed.
+
+    Connections that carry calls stay open longer than those of gossip, of
+    which a large fleet would otherwise hold one to everyone.
+    """
+    idle_s = now - connection.last_used
+    carried_at = connection.carried_call_at
+    if carried_at is None or now - carried_at >= const.PEER_IDLE_CLOSE_S:
+        return idle_s >= const.GOSSIP_IDLE_CLOSE_S
+    return idle_s >= const.PEER_IDLE_CLOSE_S
+
+
 class _FleetKey:
     """Accepts the fleet's public key only."""
 
--- a/sassafraswood/transport/zmq_socket.py
+++ b/sassafraswood/transport/zmq_socket.py
@@ -30,7 +30,7 @@
         self._loop = asyncio.get_running_loop()
         self._is_scheduled = False
         self._is_closed = False
-        self._descriptor: int = socket.getsockopt(zmq.FD)
+        self._descriptor = int(socket.getsockopt(zmq.FD))
         self._loop.add_reader(self._descriptor, self._process)
         self._schedule()
 
@@ -75,5 +75,5 @@
             self._schedule()
         if self._is_closed or self._on_writable is None:
             return
-        if self._socket.getsockopt(zmq.EVENTS) & zmq.POLLOUT:
+        if int(self._socket.getsockopt(zmq.EVENTS)) & zmq.POLLOUT:
             self._on_writable()
