--- a/lab/client.py
+++ b/lab/client.py
@@ -1,7 +1,6 @@
 """Callers for experiments."""
 
 import dataclasses
-import ssl
 import typing
 from collections.abc import Iterable
 
@@ -39,6 +38,7 @@
 
     def __init__(self, address: str, *, key: str | None = None) -> None:
         """Call the daemon at host:port with a key."""
+        self.address = address
         host, port = address.rsplit(':', 1)
         self._origin = httpcore.Origin(b'http', host.encode(), int(port))
         self._key = key
@@ -67,7 +67,6 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
             TimeoutError,
-            ssl.SSLError,
         ):
             await self.async_close()
             return BROKEN
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -286,9 +286,13 @@
                 f'{daemon_id} ended: {self.output(daemon_id)[-2000:]}'
             )
         try:
-            _, fleet = self.operate(daemon_id, 'GET', 'fleet')
+            status, fleet = self.operate(daemon_id, 'GET', 'fleet')
         except OSError:
             return False
+        if status != 200:
+            raise FleetError(
+                f'{daemon_id}: {fleet} {self.output(daemon_id)[-2000:]}'
+            )
         serving = {
             member['daemon_id']
             for member in fleet['members']
--- a/sassafraswood/transport/http_server.py
+++ b/sassafraswood/transport/http_server.py
@@ -205,6 +205,8 @@
             http=functools.partial(_Protocol, count),  # type: ignore[arg-type]
             loop='none',
             ws='none',
+            interface='asgi3',
+            proxy_headers=False,
             lifespan='off',
             log_config=None,
             access_log=False,
--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -19,7 +19,7 @@
 from sassafraswood.transport import zmq_socket
 
 # The domain of the authentication protocol (ZAP, RFC 27).
-_ZAP_DOMAIN = b'sassafraswood'
+_ZAP_DOMAIN = 'sassafraswood'
 _HIGH_WATER_MARK_MESSAGES = 10_000
 
 # Senders that were not heard for this long are forgotten.
@@ -113,7 +113,7 @@
         authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
         authenticator.start()
         authenticator.configure_curve_callback(
-            '*', credentials_provider=_FleetKey(self._keys.public)
+            _ZAP_DOMAIN, credentials_provider=_FleetKey(self._keys.public)
         )
         self._authenticator = authenticator
         router = self._context.socket(zmq.ROUTER)
@@ -123,7 +123,7 @@
         router.set(zmq.CURVE_SERVER, 1)
         router.set(zmq.CURVE_PUBLICKEY, self._keys.public)
         router.set(zmq.CURVE_SECRETKEY, self._keys.secret)
-        router.set(zmq.ZAP_DOMAIN, _ZAP_DOMAIN)
+        router.set(zmq.ZAP_DOMAIN, _ZAP_DOMAIN.encode())
         router.bind(f'tcp://{self._bind_address}')
         self._router = zmq_socket.WatchedSocket(
             router, on_message=self._receive_request
--- a/sassafraswood/transport/upstream_client.py
+++ b/sassafraswood/transport/upstream_client.py
@@ -161,7 +161,9 @@
 
     def _to_http(self, request: call.HttpRequest) -> httpcore.Request:
         assert self._origin is not None
-        headers = [
+        host = b'%s:%d' % (self._origin.host, self._origin.port)
+        headers = [(b'host', host)]
+        headers += [
             (name.encode('latin-1'), value.encode('latin-1'))
             for name, value in request.headers
         ]
