Bound retries by one allowance per request

Ruled out: lending a child call the whole allowance (parallel child calls would get nothing), rounding parts down (a chain of 12 hops lends 24 times and deep hops would get none), a full table of call tokens that drops the oldest entry (breaks a live call). Conclusion: each call and attempt is lent half of what is left, rounded up; Refusal.relayed marks what a hop below has already seen.

--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -49,6 +49,58 @@
 
 # Crashing requests.
 QUARANTINE_S: Final = 3600.0
+# Longer than a quarantine, so that the first run after it is a lone one.
+SUSPECT_S: Final = 2 * 3600.0
+# A crash adds at most one entry per slot; this keeps the last few crashes.
+MAX_SUSPECTS: Final = 1024
+MAX_QUARANTINED: Final = 1024
+
+# Routing.
+# Bounds how long a wrong or outdated hint can act.
+HINT_LIFETIME_S: Final = 1.0
+PROBING_SHARE: Final = 0.02
+COLD_START_SHARE: Final = 0.1
+# Load of the own failure domain, relative to its limits, above which more
+# calls leave it and below which fewer do. Between the two nothing changes.
+DOMAIN_LOADED_RATIO: Final = 0.8
+DOMAIN_RELIEVED_RATIO: Final = 0.6
+REMOTE_SHARE_INTERVAL_S: Final = 0.1
+REMOTE_SHARE_UP: Final = 0.25
+REMOTE_SHARE_DOWN: Final = 0.05
+# Difference in load from which a call leaves the own failure domain.
+REMOTE_MARGIN: Final = 0.1
+# Added to the load of an upstream in another region, half of its limit.
+OTHER_REGION_LOAD: Final = 0.5
+AVOID_BASE_S: Final = 0.1
+AVOID_MAX_S: Final = 3.0
+ROUTING_PURGE_S: Final = 10.0
+
+# Retries.
+RETRY_DELAY_BASE_S: Final = 0.02
+RETRY_DELAY_MAX_S: Final = 1.0
+# A retry with less time left than this cannot finish.
+RETRY_MIN_REMAINING_S: Final = 0.01
+# Retries that a service with little traffic may use before the ratio binds.
+RETRY_BUDGET_RESERVE: Final = 10.0
+RETRY_BUDGET_IDLE_S: Final = 600.0
+
+# Limits per callee.
+CALLEE_WINDOW_S: Final = 0.25
+# Service time, relative to the usual one, from which a callee is slow.
+CALLEE_SLOW_RATIO: Final = 3.0
+# Calls that a slow callee may always hold, so that it can be measured.
+CALLEE_MIN_LIMIT: Final = 8
+# Fewer calls say too little about the usual service time.
+CALLEE_MIN_SAMPLES: Final = 20
+CALLEE_USUAL_GAIN: Final = 0.1
+# A service time that has doubled for good counts as usual after about
+# 4 minutes (ln 2 / 0.003).
+CALLEE_USUAL_DRIFT_PER_S: Final = 0.003
+
+# Call tokens.
+CALL_TOKEN_BITS: Final = 256
+# Several times the largest number of slots, for calls that end late.
+MAX_CALL_TOKENS: Final = 4096
 
 # Log.
 LOG_POLL_WAIT_S: Final = 2.0
--- /dev/null
+++ b/sassafraswood/coordination/retry.py
@@ -0,0 +1,187 @@
+"""Decides whether a call is tried again."""
+
+import dataclasses
+import random as random_module
+
+from sassafraswood import clock as clock_module
+from sassafraswood import const
+from sassafraswood.models import call
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.state import retry_budget
+
+# Another upstream may answer differently. All other reasons concern the
+# request, its key, its quota or its time, and would only be met again.
+_RETRYABLE = frozenset(
+    {
+        enums.RefusalReason.AUTHORIZATION_STALE,
+        enums.RefusalReason.OVERLOADED,
+        enums.RefusalReason.QUEUE_FULL,
+        enums.RefusalReason.DEADLINE_UNREACHABLE,
+        enums.RefusalReason.UPSTREAM_SHED,
+        enums.RefusalReason.NO_UPSTREAM,
+        enums.RefusalReason.UPSTREAM_UNREACHABLE,
+        enums.RefusalReason.DRAINING,
+        enums.RefusalReason.PEER_UNREACHABLE,
+        enums.RefusalReason.PEER_SILENT,
+        enums.RefusalReason.UPSTREAM_BROKE,
+        enums.RefusalReason.ANSWER_TRUNCATED,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RetryDecision:
+    """A retry that may be made.
+
+    Attributes:
+        delay_s: Seconds to wait before the next attempt.
+        reason: Reason for the counter.
+    """
+
+    delay_s: float
+    reason: enums.RetryReason
+
+
+class RetryPolicy:
+    """Rules for one more attempt, with a budget per callee."""
+
+    def __init__(
+        self, *, clock: clock_module.Clock, random: random_module.Random
+    ) -> None:
+        """Take the clock and the source of the jitter."""
+        self._clock = clock
+        self._random = random
+        self._budgets = retry_budget.RetryBudgetTable(
+            reserve=const.RETRY_BUDGET_RESERVE
+        )
+        self._drop_at = clock.monotonic() + const.RETRY_BUDGET_IDLE_S
+
+    def note_call(self, service: ids.ServiceName) -> None:
+        """Count the first attempt of a call; retries are not counted."""
+        now = self._clock.monotonic()
+        self._budgets.deposit(service, const.RETRY_BUDGET_RATIO, now)
+        if now >= self._drop_at:
+            self._budgets.drop_unused(now - const.RETRY_BUDGET_IDLE_S)
+            self._drop_at = now + const.RETRY_BUDGET_IDLE_S
+
+    def decide(
+        self,
+        *,
+        service: ids.ServiceName,
+        refusal: call.Refusal,
+        idempotent: bool,
+        allowance: int,
+        attempt: int,
+        remaining_s: float,
+    ) -> RetryDecision | None:
+        """Return the retry to make, or None.
+
+        A decision takes one retry from the budget of the callee. The caller
+        then spends one from the RetryAllowance of the call.
+
+        Args:
+            service: The callee.
+            refusal: The end of the last attempt.
+            idempotent: Whether the call may be run again.
+            allowance: Retries left in the RetryAllowance of the call.
+            attempt: Attempts made so far; 1 after the first.
+            remaining_s: Seconds until the deadline.
+        """
+        reason = _find_reason(refusal, idempotent, attempt)
+        if reason is None or allowance < 1:
+            return None
+        delay_s = self._draw_delay(attempt)
+        if remaining_s - delay_s < const.RETRY_MIN_REMAINING_S:
+            return None
+        if not self._budgets.withdraw(service, self._clock.monotonic()):
+            return None
+        return RetryDecision(delay_s=delay_s, reason=reason)
+
+    def _draw_delay(self, attempt: int) -> float:
+        """Return a delay in seconds with full jitter.
+
+        Uniform between 0 and base x 2^(attempt - 1), capped. Source: M.
+        Brooker, "Exponential Backoff and Jitter", AWS Architecture Blog,
+        2015.
+        """
+        # The exponent is bounded so that the power stays a small number.
+        exponent = min(max(attempt - 1, 0), 16)
+        longest_s = min(
+            const.RETRY_DELAY_MAX_S, const.RETRY_DELAY_BASE_S * 2**exponent
+        )
+        return self._random.uniform(0.0, longest_s)
+
+
+class RetryAllowance:
+    """Retries that one call and its child calls may still spend.
+
+    What was spent, what is lent and what is left always add up to the total.
+    A part that is never given back, because an answer was lost, stays lent:
+    it may have been spent. So the attempts of a whole call tree beyond the
+    first ones never exceed the total of the original request.
+    """
+
+    def __init__(self, total: int) -> None:
+        """Take the number of retries."""
+        self._left = max(0, total)
+        self._lent = 0
+
+    @property
+    def left(self) -> int:
+        """Return the retries that are neither spent nor lent."""
+        return self._left
+
+    def spend(self) -> bool:
+        """Take one retry; return False if none is left."""
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+    def lend(self) -> int:
+        """Return the part for one child call or attempt.
+
+        This is half of what is left, rounded up: child calls in parallel
+        get a part each, and a single retry reaches the deepest hop.
+        """
+        part = (self._left + 1) // 2
+        self._left -= part
+        self._lent += part
+        return part
+
+    def give_back(self, unused: int) -> None:
+        """Take back the unused part of one loan.
+
+        More than what is lent is ignored. Where several loans are out, the
+        caller limits the number to the loan that it belongs to.
+        """
+        part = min(max(0, unused), self._lent)
+        self._lent -= part
+        self._left += part
+
+
+def _find_reason(
+    refusal: call.Refusal, idempotent: bool, attempt: int
+) -> enums.RetryReason | None:
+    if refusal.reason not in _RETRYABLE:
+        return None
+    if not _may_run_again(refusal, idempotent):
+        return None
+    if refusal.shed:
+        # Retried by each hop, one shed call would become 2^depth calls just
+        # when there is no capacity for them.
+        if refusal.relayed or attempt > 1:
+            return None
+        return enums.RetryReason.OVERLOADED_ONCE
+    if refusal.reason is enums.RefusalReason.PEER_SILENT:
+        return enums.RetryReason.PEER_SILENT
+    if refusal.outcome is enums.Outcome.NOT_RUN:
+        return enums.RetryReason.NOT_RUN_ELSEWHERE
+    return enums.RetryReason.UNKNOWN_IDEMPOTENT
+
+
+def _may_run_again(refusal: call.Refusal, idempotent: bool) -> bool:
+    if refusal.outcome is enums.Outcome.NOT_RUN:
+        return True
+    return refusal.outcome is enums.Outcome.UNKNOWN and idempotent
--- a/sassafraswood/exceptions.py
+++ b/sassafraswood/exceptions.py
@@ -98,3 +98,16 @@
         super().__init__(f'{reason.value} ({outcome.value})')
         self.reason = reason
         self.outcome = outcome
+
+
+class CallTableFullError(SassafraswoodError):
+    """Too many calls hold a call token.
+
+    Attributes:
+        limit: Largest number of calls.
+    """
+
+    def __init__(self, limit: int) -> None:
+        """Take the largest number of calls."""
+        super().__init__(f'{limit} calls already hold a call token')
+        self.limit = limit
--- a/sassafraswood/models/call.py
+++ b/sassafraswood/models/call.py
@@ -62,6 +62,8 @@
         retry_after_s: When a new try may succeed, in seconds.
         shed: True if the refusal is caused by overload; hops above do not
             retry it.
+        relayed: True if a hop below has seen the refusal and had its chance
+            to retry, for example in a child call of the upstream.
     """
 
     reason: enums.RefusalReason
@@ -69,6 +71,7 @@
     detail: str = ''
     retry_after_s: float | None = None
     shed: bool = False
+    relayed: bool = False
 
 
 Result = Answer | Refusal
--- /dev/null
+++ b/sassafraswood/state/call_table.py
@@ -0,0 +1,60 @@
+"""Calls in flight by call token."""
+
+import dataclasses
+import heapq
+import typing
+
+from sassafraswood.models import ids
+
+Entry = typing.TypeVar('Entry')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoredCall(typing.Generic[Entry]):
+    """An entry with its deadline in monotonic seconds."""
+
+    deadline: float
+    entry: Entry
+
+
+class CallTable(typing.Generic[Entry]):
+    """Entries by token, ordered by deadline."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._calls: dict[ids.CallToken, StoredCall[Entry]] = {}
+        self._by_deadline: list[tuple[float, ids.CallToken]] = []
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self._calls)
+
+    def add(self, token: ids.CallToken, deadline: float, entry: Entry) -> None:
+        """Add an entry under a new token."""
+        self._calls[token] = StoredCall(deadline=deadline, entry=entry)
+        heapq.heappush(self._by_deadline, (deadline, token))
+
+    def get(self, token: ids.CallToken) -> StoredCall[Entry] | None:
+        """Return the entry of a token, or None."""
+        return self._calls.get(token)
+
+    def remove(self, token: ids.CallToken) -> StoredCall[Entry] | None:
+        """Remove and return the entry of a token, or None."""
+        stored = self._calls.pop(token, None)
+        # Removed tokens stay in the heap until they surface or outnumber
+        # the entries.
+        if len(self._by_deadline) > 2 * len(self._calls) + 64:
+            self._rebuild()
+        return stored
+
+    def drop_until(self, now: float) -> None:
+        """Remove the entries whose deadline is not after now."""
+        while self._by_deadline and self._by_deadline[0][0] <= now:
+            _, token = heapq.heappop(self._by_deadline)
+            self._calls.pop(token, None)
+
+    def _rebuild(self) -> None:
+        self._by_deadline = [
+            (stored.deadline, token) for token, stored in self._calls.items()
+        ]
+        heapq.heapify(self._by_deadline)
