--- /dev/null
+++ b/tests/state/test_hints.py
@@ -0,0 +1,17 @@
+"""Tests of the table of loads."""
+
+from sassafraswood.models import ids
+from sassafraswood.state import hints
+
+
+def test_reading_adds_no_entry() -> None:
+    """Guards against a table that grows with each member looked at."""
+    table = hints.HintTable()
+    name = ids.DaemonId('a')
+    assert table.find(name) is None
+    assert len(table) == 0
+    table.get(name).in_flight += 1
+    assert table.get(name).in_flight == 1
+    table.remove(name)
+    table.remove(name)
+    assert table.items() == []
