Quarantine requests that crash their upstream

Cause: one request, sent again by its caller, crashes each upstream in turn. Ruled out: refusal after two crashes in which a request was in flight (popular requests always are), durations in reports (each exchange lengthens them, and a clearance cannot be ordered against a crash), a fast hash (collisions could be made on purpose). Conclusion: suspects run alone, and entries merge by the larger pair of crash time and clearance. The bound of two crashes needs reports that are faster than the next send.

--- /dev/null
+++ b/sassafraswood/coordination/quarantine.py
@@ -0,0 +1,260 @@
+"""Keeps a request that crashes its upstream from crashing all of them."""
+
+import hashlib
+import math
+from typing import Sequence
+
+from sassafraswood import clock as clock_module
+from sassafraswood import const
+from sassafraswood.models import call
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.models import records
+from sassafraswood.state import fingerprints
+
+# Smallest step by which a crash is dated after the one before. A float of a
+# present Unix time resolves 0.24 microseconds.
+_STEP_S = 1e-6
+
+
+def compute_fingerprint(
+    service: ids.ServiceName, method: str, target: str, body: bytes
+) -> ids.Fingerprint:
+    """Return the SHA-256 of a request in hexadecimal.
+
+    Each part is preceded by its length, so that no two requests give the
+    same input. The hash is cryptographic: with a fast one, a workspace could
+    search for a crashing request that collides with a request of another
+    workspace and have that one refused.
+
+    Args:
+        service: The callee.
+        method: HTTP method.
+        target: Path and query.
+        body: The whole body.
+    """
+    digest = hashlib.sha256()
+    for text in (service, method, target):
+        part = text.encode('utf-8', 'surrogatepass')
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    digest.update(len(body).to_bytes(8, 'big'))
+    digest.update(body)
+    return ids.Fingerprint(digest.hexdigest())
+
+
+class Quarantine:
+    """Suspected and quarantined fingerprints.
+
+    The serving daemon runs a suspect alone. Times are Unix times, because
+    they are shared between VMs whose clocks differ by up to CLOCK_SKEW_S;
+    times further in the future are cut to that.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        service: ids.ServiceName = ids.ServiceName(''),
+        max_suspects: int = const.MAX_SUSPECTS,
+        max_quarantined: int = const.MAX_QUARANTINED,
+    ) -> None:
+        """Take the clock and the service of the own upstream."""
+        self._clock = clock
+        self._service = service
+        self._table = fingerprints.FingerprintTable(
+            max_crashes=max_suspects, max_quarantined=max_quarantined
+        )
+
+    def check(self, fingerprint: ids.Fingerprint) -> call.Refusal | None:
+        """Return the refusal of a quarantined fingerprint, or None."""
+        entry = self._table.quarantine(fingerprint)
+        if entry is None:
+            return None
+        left_s = entry.until_unix_s - self._clock.wall()
+        if left_s <= 0.0:
+            return None
+        return call.Refusal(
+            reason=enums.RefusalReason.QUARANTINED,
+            outcome=enums.Outcome.NOT_RUN,
+            detail='this request crashed the upstream that ran it alone',
+            retry_after_s=left_s,
+        )
+
+    def is_suspect(self, fingerprint: ids.Fingerprint) -> bool:
+        """Return whether a request has to run alone."""
+        entry = self._table.crash(fingerprint)
+        if entry is None or entry.is_cleared:
+            return False
+        return entry.crash_unix_s + const.SUSPECT_S > self._clock.wall()
+
+    def note_crash(
+        self, in_flight: Sequence[ids.Fingerprint]
+    ) -> messages.FingerprintReport:
+        """Record a crash of the own upstream; return what to tell others.
+
+        A suspect that was the only request in flight is quarantined. All
+        others become suspects, for SUSPECT_S from this crash.
+
+        Args:
+            in_flight: Fingerprints of the calls that the upstream was
+                running; calls that it had surely not begun are left out.
+        """
+        distinct = set(in_flight)
+        if len(distinct) == 1:
+            (fingerprint,) = distinct
+            if self.is_suspect(fingerprint):
+                return self._quarantine(fingerprint)
+        now = self._clock.wall()
+        crashes = {
+            fingerprint: fingerprints.CrashEntry(
+                self._date_crash(fingerprint, now), False
+            )
+            for fingerprint in distinct
+        }
+        self._table.put_crashes(crashes)
+        self._drop_expired(now)
+        return _report(crashes, [], now)
+
+    def note_lone_success(
+        self, fingerprint: ids.Fingerprint
+    ) -> messages.FingerprintReport:
+        """Clear a suspect that ran alone; return what to tell others.
+
+        Only crashes known here are cleared: a later crash elsewhere keeps
+        the fingerprint a suspect after the merge.
+        """
+        now = self._clock.wall()
+        entry = self._table.crash(fingerprint)
+        if entry is None or entry.is_cleared:
+            return _report({}, [], now)
+        cleared = {
+            fingerprint: fingerprints.CrashEntry(entry.crash_unix_s, True)
+        }
+        self._table.put_crashes(cleared)
+        return _report(cleared, [], now)
+
+    def merge(self, report: messages.FingerprintReport) -> None:
+        """Take in what another daemon or the log knows.
+
+        Commutative, associative and idempotent. Entries without a time of
+        their crash and times that are no finite numbers are ignored.
+        """
+        now = self._clock.wall()
+        latest = now + const.CLOCK_SKEW_S
+        crashes = {}
+        for fingerprint, crash_unix_s in report.crash_unix_s.items():
+            if not math.isfinite(crash_unix_s):
+                continue
+            # In both lists, the clearance wins, as it does between reports.
+            is_cleared = fingerprint in report.cleared
+            if not is_cleared and fingerprint not in report.suspects:
+                continue
+            crashes[fingerprint] = fingerprints.CrashEntry(
+                min(crash_unix_s, latest), is_cleared
+            )
+        quarantined = [
+            records.QuarantineFingerprint(
+                fingerprint=entry.fingerprint,
+                service=entry.service,
+                until_unix_s=min(
+                    entry.until_unix_s, latest + const.QUARANTINE_S
+                ),
+            )
+            for entry in report.quarantined
+            if math.isfinite(entry.until_unix_s)
+        ]
+        self._table.put_crashes(crashes)
+        self._table.put_quarantines(quarantined)
+        self._drop_expired(now)
+
+    def report(
+        self, only: Sequence[ids.Fingerprint] | None = None
+    ) -> messages.FingerprintReport:
+        """Return all that is known, or what is known about some.
+
+        Args:
+            only: Fingerprints to report; None reports the whole table.
+        """
+        now = self._clock.wall()
+        self._drop_expired(now)
+        crashes = self._table.crashes
+        quarantined = self._table.quarantined
+        if only is not None:
+            crashes = {key: crashes[key] for key in only if key in crashes}
+            quarantined = [
+                entry for entry in quarantined if entry.fingerprint in only
+            ]
+        return _report(crashes, quarantined, now)
+
+    def table_hash(self) -> int:
+        """Return a 63-bit hash of the table, for digests."""
+        self._drop_expired(self._clock.wall())
+        digest = hashlib.blake2b(digest_size=8)
+        for fingerprint, entry in sorted(self._table.crashes.items()):
+            line = f'{fingerprint} {entry.crash_unix_s} {entry.is_cleared}\n'
+            digest.update(line.encode('utf-8', 'surrogatepass'))
+        for quarantined in self._table.quarantined:
+            line = f'{quarantined.fingerprint} {quarantined.until_unix_s}\n'
+            digest.update(line.encode('utf-8', 'surrogatepass'))
+        return int.from_bytes(digest.digest(), 'big') >> 1
+
+    def _quarantine(
+        self, fingerprint: ids.Fingerprint
+    ) -> messages.FingerprintReport:
+        now = self._clock.wall()
+        record = records.QuarantineFingerprint(
+            fingerprint=fingerprint,
+            service=self._service,
+            until_unix_s=now + const.QUARANTINE_S,
+        )
+        self._table.put_quarantines([record])
+        # It stays a suspect beyond the quarantine, so that the first run
+        # after it is again a lone one.
+        crashes = {
+            fingerprint: fingerprints.CrashEntry(
+                self._date_crash(fingerprint, now), False
+            )
+        }
+        self._table.put_crashes(crashes)
+        self._drop_expired(now)
+        return _report(crashes, [record], now)
+
+    def _date_crash(self, fingerprint: ids.Fingerprint, now: float) -> float:
+        """Return a time after every known crash of the fingerprint.
+
+        Otherwise a clock that is behind would let the clearance of an older
+        crash hide this one.
+        """
+        known = self._table.crash(fingerprint)
+        if known is None:
+            return now
+        return max(now, known.crash_unix_s + _STEP_S)
+
+    def _drop_expired(self, now: float) -> None:
+        self._table.drop_until(now - const.SUSPECT_S, now)
+
+
+def _report(
+    crashes: dict[ids.Fingerprint, fingerprints.CrashEntry],
+    quarantined: list[records.QuarantineFingerprint],
+    now: float,
+) -> messages.FingerprintReport:
+    suspects = {}
+    cleared = []
+    for fingerprint, entry in sorted(crashes.items()):
+        if entry.is_cleared:
+            cleared.append(fingerprint)
+            continue
+        left_s = entry.crash_unix_s + const.SUSPECT_S - now
+        suspects[fingerprint] = max(0.0, left_s)
+    return messages.FingerprintReport(
+        suspects=suspects,
+        cleared=cleared,
+        quarantined=quarantined,
+        crash_unix_s={
+            fingerprint: entry.crash_unix_s
+            for fingerprint, entry in sorted(crashes.items())
+        },
+    )
--- a/sassafraswood/models/messages.py
+++ b/sassafraswood/models/messages.py
@@ -286,11 +286,14 @@
             seconds for which they stay suspect.
         cleared: Suspects that ran alone without a crash.
         quarantined: Refused everywhere until the given Unix time.
+        crash_unix_s: Unix time of the last crash of each fingerprint in
+            suspects and cleared; it orders a crash and its clearance.
     """
 
     suspects: dict[ids.Fingerprint, float]
     cleared: list[ids.Fingerprint]
     quarantined: list[records.QuarantineFingerprint]
+    crash_unix_s: dict[ids.Fingerprint, float] = {}
 
 
 class Leaving(msgspec.Struct, frozen=True, kw_only=True, tag='leaving'):
--- /dev/null
+++ b/tests/state/test_fingerprints.py
@@ -0,0 +1,44 @@
+"""Tests of the table of crash fingerprints."""
+
+from sassafraswood.models import ids
+from sassafraswood.state import fingerprints
+
+
+def make_table() -> fingerprints.FingerprintTable:
+    """Return a table of two crash entries."""
+    return fingerprints.FingerprintTable(max_crashes=2, max_quarantined=2)
+
+
+def test_clearance_wins_over_its_crash_only() -> None:
+    """Guards against a clearance that covers a crash after it."""
+    table = make_table()
+    key = ids.Fingerprint('a')
+    entry = fingerprints.CrashEntry
+    for given, expected in [
+        (entry(5.0, True), entry(5.0, True)),
+        (entry(5.0, False), entry(5.0, True)),
+        (entry(6.0, False), entry(6.0, False)),
+        (entry(5.0, True), entry(6.0, False)),
+    ]:
+        table.put_crashes({key: given})
+        assert table.crash(key) == expected
+
+
+def test_full_table_keeps_the_latest_crashes() -> None:
+    """Guards against old entries that crowd out a crash of now."""
+    table = make_table()
+    for number in [3, 1, 2]:
+        key = ids.Fingerprint(str(number))
+        table.put_crashes({key: fingerprints.CrashEntry(float(number), False)})
+    assert sorted(table.crashes) == ['2', '3']
+
+
+def test_expired_entries_are_dropped() -> None:
+    """Guards against entries that outlive their time."""
+    table = make_table()
+    key = ids.Fingerprint('a')
+    table.put_crashes({key: fingerprints.CrashEntry(5.0, False)})
+    table.drop_until(4.0, 0.0)
+    assert table.crash(key) is not None
+    table.drop_until(5.0, 0.0)
+    assert table.crash(key) is None
