Probe silent peers and keep the more telling refusal

Cause: the router names peers to probe, and a retry that finds no other upstream replaced the first refusal by no_upstream. Ruled out: sending calls as probes; their outcome could stay unknown.

--- a/lab/bench.py
+++ b/lab/bench.py
@@ -135,15 +135,19 @@
     """
     with fleet.Fleet(_specs()) as running:
         _prepare(running)
-        result = anyio.run(
-            _async_measure, running, calls, interval_ms / 1000
-        )
+        result = anyio.run(_async_measure, running, calls, interval_ms / 1000)
     if as_json:
         print(json.dumps(dataclasses.asdict(result)))
         return
-    print(f'{calls} calls on each path, one connection, {interval_ms} ms apart')
-    print(f'direct  p50 {result.direct_p50:.2f} ms  p99 {result.direct_p99:.2f} ms')
-    print(f'path    p50 {result.path_p50:.2f} ms  p99 {result.path_p99:.2f} ms')
+    print(
+        f'{calls} calls on each path, one connection, {interval_ms} ms apart'
+    )
+    print(
+        f'direct  p50 {result.direct_p50:.2f} ms  p99 {result.direct_p99:.2f} ms'
+    )
+    print(
+        f'path    p50 {result.path_p50:.2f} ms  p99 {result.path_p99:.2f} ms'
+    )
     print(
         f'added   p50 {result.added_p50:.2f} ms  p99 {result.added_p99:.2f} ms'
         f'  (aim: {AIM_P99_ADDED_MS} ms at p99)'
--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -321,15 +321,21 @@
         allowance = retry.RetryAllowance(context.allowance)
         tried: set[ids.DaemonId] = set()
         attempt = 0
+        result: call.Result | None = None
         self._retries.note_call(context.service)
         while True:
             attempt += 1
             remaining_s = deadline - self._clock.monotonic()
+            earlier = result
             result = await self._async_routed(
                 context, request, allowance, remaining_s, tried
             )
             if isinstance(result, call.Answer):
                 break
+            if earlier is not None and len(tried) < attempt:
+                # No other upstream was left; the earlier end says more.
+                result = earlier
+                break
             decision = self._retries.decide(
                 service=context.service,
                 refusal=result,
--- a/sassafraswood/coordination/serving.py
+++ b/sassafraswood/coordination/serving.py
@@ -218,9 +218,13 @@
         context = run.context
         allowance = retry.RetryAllowance(context.allowance)
         remaining_s = run.deadline - self._clock.monotonic()
-        token = self._tokens.issue(
-            call.with_remaining(context, remaining_s), allowance
-        )
+        try:
+            token = self._tokens.issue(
+                call.with_remaining(context, remaining_s), allowance
+            )
+        except exceptions.CallTableFullError:
+            self._finish(run, admission_module.ServiceOutcome.CANCELLED)
+            return _unused(_not_run(enums.RefusalReason.OVERLOADED), context)
         outcome = admission_module.ServiceOutcome.CANCELLED
         try:
             with anyio.fail_after(remaining_s):
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -334,6 +334,7 @@
         tasks.start_soon(_async_every, 0.25, self._mesh.tick)
         tasks.start_soon(_async_every, 0.2, self._leases.tick)
         tasks.start_soon(_async_every, 0.1, self._hand_overs.tick)
+        tasks.start_soon(_async_every, 0.1, self._probe_peers)
         tasks.start_soon(self._async_fast_ticks)
         tasks.start_soon(_async_every, 1.0, self._tick_second)
         tasks.start_soon(self._async_tend_upstream)
@@ -428,6 +429,10 @@
                 is_accepting = await self._upstream.async_probe()
                 self._lifecycle.note_probe(is_accepting)
 
+    def _probe_peers(self) -> None:
+        for daemon_id in self._router.probes_due():
+            self._mesh.probe(daemon_id)
+
     def _contact_seeds(self) -> None:
         """Ask the peers of the settings while few members are known."""
         known = {
--- a/sassafraswood/transport/peer_connection.py
+++ b/sassafraswood/transport/peer_connection.py
@@ -106,7 +106,23 @@
         if now - self.last_used >= const.HEARTBEAT_IDLE_S and not is_busy:
             return
         if now - self._last_ping >= const.HEARTBEAT_INTERVAL_S:
-            self._ping()
+            self.ping()
+
+    def ping(self) -> None:
+        """Send a heartbeat if the connection is established."""
+        now = self._clock.monotonic()
+        self._last_ping = now
+        if not self._is_greeted:
+            return
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+        self._sequence += 1
+        ping = messages.Ping(
+            sequence=self._sequence,
+            daemon_id=self._own.daemon_id,
+            incarnation=self._own.incarnation,
+        )
+        self._socket.send([codec.encode_message(ping)])
 
     def close(self) -> None:
         """Close the socket."""
@@ -136,7 +152,7 @@
         if self._is_greeted:
             return
         self._is_greeted = True
-        self._ping()
+        self.ping()
 
     def _become_ready(self) -> None:
         if self._is_ready:
@@ -148,21 +164,6 @@
             if expires > now:
                 self._socket.send([payload])
 
-    def _ping(self) -> None:
-        now = self._clock.monotonic()
-        self._last_ping = now
-        if not self._is_greeted:
-            return
-        if self._unanswered_since is None:
-            self._unanswered_since = now
-        self._sequence += 1
-        ping = messages.Ping(
-            sequence=self._sequence,
-            daemon_id=self._own.daemon_id,
-            incarnation=self._own.incarnation,
-        )
-        self._socket.send([codec.encode_message(ping)])
-
     def _receive(self, frames: list[bytes]) -> None:
         self._unanswered_since = None
         try:
--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -151,6 +151,12 @@
         if not connection.send(codec.encode_message(message)):
             self._count('peer.dropped')
 
+    def probe(self, daemon_id: ids.DaemonId) -> None:
+        """Ask a peer for a sign of life, on a new connection if needed."""
+        address = self._address_of(daemon_id)
+        if address is not None:
+            self._connect(address).ping()
+
     def is_connected(self, daemon_id: ids.DaemonId) -> bool:
         """Return whether a connection to the peer is established."""
         address = self._address_of(daemon_id)
