Add the baseline with control off

Cause: the measurements need the same daemons without admission control, with retries at each hop and with rates counted per daemon. Ruled out: a separate program, which would drift from the daemon. Conclusion: chosen by the setting control.

--- /dev/null
+++ b/sassafraswood/coordination/baseline.py
@@ -0,0 +1,189 @@
+"""The comparison that the project keeps: daemons with control off.
+
+There is no admission control, each hop retries by itself, and rates are
+counted by each daemon alone. It is chosen by the setting `control` and is
+meant for measurements only.
+"""
+
+import dataclasses
+import random as random_module
+from collections.abc import Callable
+
+from sassafraswood import clock as clock_module
+from sassafraswood.coordination import admission
+from sassafraswood.coordination import quota_client
+from sassafraswood.coordination import retry
+from sassafraswood.models import call
+from sassafraswood.models import document
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.models import records
+
+_ATTEMPTS_PER_HOP = 3
+_UNBOUNDED_ALLOWANCE = 1_000_000
+
+
+class UnboundedAdmission(admission.Admission):
+    """Starts each call at once while there is an upstream."""
+
+    def __init__(
+        self, *, clock: clock_module.Clock, random: random_module.Random
+    ) -> None:
+        """Start without an upstream."""
+        super().__init__(clock=clock, random=random)
+        self._started = 0
+        self._slots = 0
+        self._upstream = enums.UpstreamStatus.ABSENT
+
+    @property
+    def limit(self) -> int:
+        """Return the announced slots."""
+        return self._slots
+
+    def set_upstream(self, status: enums.UpstreamStatus, slots: int) -> None:
+        """Take the state of the upstream."""
+        self._upstream = status
+        self._slots = slots
+
+    def submit(
+        self,
+        request: admission.AdmissionRequest,
+        on_start: Callable[[], None],
+        on_refused: Callable[[call.Refusal], None],
+    ) -> admission.Ticket:
+        """Start the call, or refuse it without an upstream."""
+        ticket = admission.Ticket(
+            request, self._clock.monotonic(), on_start, on_refused
+        )
+        if self._upstream not in admission.SERVING_STATUSES:
+            ticket.state = admission.TicketState.REFUSED
+            on_refused(
+                call.Refusal(
+                    reason=enums.RefusalReason.NO_UPSTREAM,
+                    outcome=enums.Outcome.NOT_RUN,
+                )
+            )
+            return ticket
+        ticket.state = admission.TicketState.RUNNING
+        self._started += 1
+        on_start()
+        return ticket
+
+    def finish(
+        self, ticket: admission.Ticket, outcome: admission.ServiceOutcome
+    ) -> None:
+        """Take the end of a call."""
+        del outcome
+        if ticket.state is admission.TicketState.RUNNING:
+            ticket.state = admission.TicketState.FINISHED
+            self._started -= 1
+
+    def cancel(self, ticket: admission.Ticket) -> None:
+        """Take the cancellation of a call."""
+        self.finish(ticket, admission.ServiceOutcome.CANCELLED)
+
+    def hint(self) -> messages.AdmissionHint:
+        """Return a hint that refuses nothing."""
+        return messages.AdmissionHint(
+            lowest_importance=enums.Importance.LOW,
+            limit=self._slots,
+            in_flight=self._started,
+            queued=0,
+            upstream_status=self._upstream,
+        )
+
+    def tick(self) -> None:
+        """Do nothing."""
+
+
+class HopRetries(retry.RetryPolicy):
+    """Retries each failure twice, at each hop and at once."""
+
+    def total(self, service_document: document.ServiceDocument) -> int:
+        """Return a number that no call tree uses up."""
+        del service_document
+        return _UNBOUNDED_ALLOWANCE
+
+    def decide(
+        self,
+        *,
+        service: ids.ServiceName,
+        refusal: call.Refusal,
+        idempotent: bool,
+        allowance: int,
+        attempt: int,
+        remaining_s: float,
+    ) -> retry.RetryDecision | None:
+        """Return a retry while the hop has attempts left."""
+        del service, allowance
+        is_safe = idempotent or refusal.outcome is enums.Outcome.NOT_RUN
+        if attempt >= _ATTEMPTS_PER_HOP or not is_safe or remaining_s <= 0:
+            return None
+        return retry.RetryDecision(
+            delay_s=0.0, reason=enums.RetryReason.NOT_RUN_ELSEWHERE
+        )
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Bucket:
+    level: float
+    updated_at: float
+
+
+class DaemonQuota(quota_client.QuotaClient):
+    """Counts the whole rate of a workspace at each daemon alone."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        documents: Callable[[ids.ServiceName], records.DocumentEntry | None],
+    ) -> None:
+        """Take the documents."""
+        self._clock = clock
+        self._documents = documents
+        self._buckets: dict[
+            tuple[ids.ServiceName, ids.Workspace], _Bucket
+        ] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Return False, because there is nothing to prefetch."""
+        return False
+
+    def take(
+        self,
+        service: ids.ServiceName,
+        workspace: ids.Workspace,
+        on_done: Callable[[quota_client.QuotaVerdict], None],
+        wait_s: float,
+    ) -> quota_client.QuotaVerdict | None:
+        """Return the verdict of the local bucket."""
+        del on_done, wait_s
+        entry = self._documents(service)
+        if entry is None or workspace not in entry.document.workspaces:
+            return _refused(1.0)
+        spec = entry.document.workspaces[workspace]
+        now = self._clock.monotonic()
+        bucket = self._buckets.setdefault(
+            (service, workspace), _Bucket(level=spec.burst, updated_at=now)
+        )
+        refilled = bucket.level + spec.rate * (now - bucket.updated_at)
+        bucket.level = min(spec.burst, refilled)
+        bucket.updated_at = now
+        if bucket.level < 1.0:
+            return _refused((1.0 - bucket.level) / spec.rate)
+        bucket.level -= 1.0
+        return quota_client.QuotaVerdict(granted=True)
+
+    def tick(self) -> None:
+        """Do nothing."""
+
+
+def _refused(retry_after_s: float) -> quota_client.QuotaVerdict:
+    return quota_client.QuotaVerdict(
+        granted=False,
+        reason=enums.RefusalReason.RATE_EXCEEDED,
+        retry_after_s=retry_after_s,
+    )
--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -120,7 +120,7 @@
             refusal = await self._async_take_quota(incoming, key)
         if refusal is not None:
             return call.CallResult(result=refusal, allowance_left=0)
-        total = incoming.entry.document.retry_allowance
+        total = self._retries.total(incoming.entry.document)
         context = self._new_context(incoming, key, total)
         return await self._async_dispatch(context, incoming.request)
 
--- a/sassafraswood/coordination/retry.py
+++ b/sassafraswood/coordination/retry.py
@@ -6,6 +6,7 @@
 from sassafraswood import clock as clock_module
 from sassafraswood import const
 from sassafraswood.models import call
+from sassafraswood.models import document
 from sassafraswood.models import enums
 from sassafraswood.models import ids
 from sassafraswood.state import retry_budget
@@ -57,6 +58,10 @@
         )
         self._drop_at = clock.monotonic() + const.RETRY_BUDGET_IDLE_S
 
+    def total(self, service_document: document.ServiceDocument) -> int:
+        """Return the allowance of an original request."""
+        return service_document.retry_allowance
+
     def note_call(self, service: ids.ServiceName) -> None:
         """Count the first attempt of a call; retries are not counted."""
         now = self._clock.monotonic()
