Choose the baseline by the setting control

Cause: the composition root did not use the baseline objects yet. Ruled out: switches inside the decisions. Conclusion: one place decides which objects are built.

--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -16,6 +16,7 @@
 from sassafraswood import const
 from sassafraswood.coordination import admission
 from sassafraswood.coordination import authorization
+from sassafraswood.coordination import baseline
 from sassafraswood.coordination import call_tokens
 from sassafraswood.coordination import callee_limit
 from sassafraswood.coordination import configuration
@@ -85,6 +86,7 @@
         """Build the parts; nothing runs or listens yet."""
         self._settings = settings
         self._clock = clock_module.SystemClock()
+        self._is_baseline = settings.control is enums.ControlMode.BASELINE
         random = random_module.Random(secrets.randbits(64))
         statsd = settings.statsd
         self._metrics = metrics.Metrics(
@@ -186,13 +188,7 @@
             leases=self._leases,
             configuration=self._configuration,
         )
-        self._quota = quota_client.QuotaClient(
-            clock=self._clock,
-            random=random,
-            outbox=self._outbox,
-            own=self._own,
-            configuration=self._configuration,
-        )
+        self._quota = self._new_quota(random)
         self._snapshots = snapshot_duty.SnapshotDuty(
             clock=self._clock,
             own=self._own.daemon_id,
@@ -211,7 +207,7 @@
     def _build_calls(
         self, random: random_module.Random, count: Callable[[str], None]
     ) -> None:
-        self._admission = admission.Admission(clock=self._clock, random=random)
+        self._admission = self._new_admission(random)
         self._lifecycle = upstream_lifecycle.UpstreamLifecycle(
             clock=self._clock,
             admission=self._admission,
@@ -259,7 +255,7 @@
             quota=self._quota,
             quarantine=self._quarantine,
             router=self._router,
-            retries=retry.RetryPolicy(clock=self._clock, random=random),
+            retries=self._new_retries(random),
             callees=callee_limit.CalleeLimits(clock=self._clock),
             configuration=self._configuration,
             membership=self._membership,
@@ -269,6 +265,35 @@
         )
         self._port.set_first(self._calls)
 
+    def _new_quota(
+        self, random: random_module.Random
+    ) -> quota_client.QuotaClient:
+        if self._is_baseline:
+            return baseline.DaemonQuota(
+                clock=self._clock, documents=self._configuration.document
+            )
+        return quota_client.QuotaClient(
+            clock=self._clock,
+            random=random,
+            outbox=self._outbox,
+            own=self._own,
+            configuration=self._configuration,
+        )
+
+    def _new_admission(
+        self, random: random_module.Random
+    ) -> admission.Admission:
+        if self._is_baseline:
+            return baseline.UnboundedAdmission(
+                clock=self._clock, random=random
+            )
+        return admission.Admission(clock=self._clock, random=random)
+
+    def _new_retries(self, random: random_module.Random) -> retry.RetryPolicy:
+        if self._is_baseline:
+            return baseline.HopRetries(clock=self._clock, random=random)
+        return retry.RetryPolicy(clock=self._clock, random=random)
+
     def _build_servers(self, count: Callable[[str], None]) -> None:
         settings = self._settings
         self._callers = caller_app.CallerApp(
