--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -449,7 +449,7 @@
     async def _async_tend_upstream(self) -> None:
         while True:
             await anyio.sleep(1.0)
-            await self._upstream.async_retire_idle()
+            self._upstream.retire_idle()
             if self._lifecycle.status is enums.UpstreamStatus.CRASHED:
                 is_accepting = await self._upstream.async_probe()
                 self._lifecycle.note_probe(is_accepting)
