--- a/lab/asgi.py
+++ b/lab/asgi.py
@@ -1,9 +1,9 @@
 """Small pieces shared by the stand-ins' HTTP applications."""
 
-import json
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import MutableMapping
+import json
 from typing import Any
 
 import anyio
--- a/lab/bench.py
+++ b/lab/bench.py
@@ -10,8 +10,8 @@
 import time
 
 import anyio
-import typer
 from hdrh import histogram
+import typer
 
 from lab import client
 from lab import fleet
--- a/lab/client.py
+++ b/lab/client.py
@@ -1,8 +1,8 @@
 """Callers for experiments."""
 
+from collections.abc import Iterable
 import dataclasses
 import typing
-from collections.abc import Iterable
 
 import anyio
 import httpcore
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -13,9 +13,9 @@
 from typing import Any
 
 import anyio
+from hdrh import histogram
 import typer
 import uuid6
-from hdrh import histogram
 
 from lab import client
 from lab import fleet
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -11,9 +11,9 @@
 import tempfile
 import time
 import types
+from typing import Any
 import urllib.error
 import urllib.request
-from typing import Any
 
 import zmq
 
--- a/sassafraswood/coordination/baseline.py
+++ b/sassafraswood/coordination/baseline.py
@@ -5,9 +5,9 @@
 meant for measurements only.
 """
 
+from collections.abc import Callable
 import dataclasses
 import random as random_module
-from collections.abc import Callable
 
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import admission
--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -1,16 +1,15 @@
 """Takes a call from its arrival at the first daemon to its end."""
 
+from collections.abc import Callable
 import dataclasses
 import random as random_module
 import typing
-from collections.abc import Callable
 
 import anyio
 import msgspec
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
-from sassafraswood import exceptions
 from sassafraswood.coordination import authorization
 from sassafraswood.coordination import call_tokens
 from sassafraswood.coordination import callee_limit
@@ -21,6 +20,7 @@
 from sassafraswood.coordination import quota_client
 from sassafraswood.coordination import retry
 from sassafraswood.coordination import routing
+from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import document
 from sassafraswood.models import enums
--- a/sassafraswood/coordination/idempotent_runs.py
+++ b/sassafraswood/coordination/idempotent_runs.py
@@ -1,10 +1,10 @@
 """Runs calls with an idempotency key at the owner of the key."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import hashlib
 import typing
-from collections.abc import Awaitable
-from collections.abc import Callable
 
 import anyio
 import anyio.abc
--- a/sassafraswood/coordination/log_follower.py
+++ b/sassafraswood/coordination/log_follower.py
@@ -1,15 +1,15 @@
 """Follows the platform's log and appends records to it."""
 
 import collections
-import typing
 from collections.abc import Callable
+import typing
 
 import anyio
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
-from sassafraswood import exceptions
 from sassafraswood.coordination import configuration as configuration_module
+from sassafraswood import exceptions
 from sassafraswood.models import ids
 from sassafraswood.models import records
 
--- a/sassafraswood/coordination/publishing.py
+++ b/sassafraswood/coordination/publishing.py
@@ -6,9 +6,9 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
-from sassafraswood import exceptions
 from sassafraswood.coordination import configuration as configuration_module
 from sassafraswood.coordination import log_follower
+from sassafraswood import exceptions
 from sassafraswood.models import ids
 from sassafraswood.models import records
 
--- a/sassafraswood/coordination/serving.py
+++ b/sassafraswood/coordination/serving.py
@@ -1,21 +1,21 @@
 """Serves calls with the upstream beside this daemon."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import typing
-from collections.abc import Callable
 
 import anyio
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
-from sassafraswood import exceptions
 from sassafraswood.coordination import admission as admission_module
 from sassafraswood.coordination import authorization
 from sassafraswood.coordination import call_tokens
 from sassafraswood.coordination import configuration as configuration_module
 from sassafraswood.coordination import quarantine as quarantine_module
 from sassafraswood.coordination import retry
+from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import enums
 from sassafraswood.models import ids
--- a/sassafraswood/coordination/snapshot_duty.py
+++ b/sassafraswood/coordination/snapshot_duty.py
@@ -1,7 +1,7 @@
 """Decides when this daemon appends a snapshot of the log's state."""
 
-import typing
 from collections.abc import Callable
+import typing
 
 import xxhash
 
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -1,12 +1,12 @@
 """Composition root of the daemon."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import random as random_module
 import secrets
 import signal
 import time
-from collections.abc import Awaitable
-from collections.abc import Callable
 from typing import Any
 
 import anyio
--- a/sassafraswood/protocol/incoming.py
+++ b/sassafraswood/protocol/incoming.py
@@ -2,8 +2,8 @@
 
 import typing
 
-from sassafraswood import exceptions
 from sassafraswood.coordination import first_daemon
+from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import enums
 from sassafraswood.models import ids
--- a/sassafraswood/transport/caller_app.py
+++ b/sassafraswood/transport/caller_app.py
@@ -1,8 +1,8 @@
 """HTTP application for callers and for the upstream's own calls."""
 
-import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 
 import anyio
 import anyio.abc
--- a/sassafraswood/transport/http_server.py
+++ b/sassafraswood/transport/http_server.py
@@ -1,13 +1,13 @@
 """HTTP servers on the daemon's loop."""
 
 import asyncio
-import contextlib
-import functools
-import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import MutableMapping
+import contextlib
+import functools
+import socket
 from typing import Any
 
 import anyio
--- a/sassafraswood/transport/local_app.py
+++ b/sassafraswood/transport/local_app.py
@@ -1,16 +1,16 @@
 """HTTP application for the upstream and for operators."""
 
-import hmac
 from collections.abc import Callable
+import hmac
 from typing import Any
 from typing import TypeVar
 
 import msgspec
 
 from sassafraswood import const
-from sassafraswood import exceptions
 from sassafraswood.coordination import publishing
 from sassafraswood.coordination import upstream_lifecycle
+from sassafraswood import exceptions
 from sassafraswood.models import enums
 from sassafraswood.models import ids
 from sassafraswood.models import records
--- a/sassafraswood/transport/peer_dispatch.py
+++ b/sassafraswood/transport/peer_dispatch.py
@@ -1,8 +1,8 @@
 """Hands messages of peers to the objects that decide."""
 
+from collections.abc import Callable
 import dataclasses
 import functools
-from collections.abc import Callable
 
 import anyio
 import anyio.abc
--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -1,7 +1,7 @@
 """Connections between daemons."""
 
-import dataclasses
 from collections.abc import Callable
+import dataclasses
 
 import anyio
 import zmq
