Add partition leases and idempotency keys

Cause: quota and idempotency need one owner per partition of a service, agreed through the log alone, and a takeover that runs no key twice.

Ruled out: a ChangeGuardian that names only the term. A copy of it that the log appends late would bring back a former guardian, who may claim with the short wait while the owner relies on another one's promises. It names the guardian version that it replaces instead.

--- a/sassafraswood/models/records.py
+++ b/sassafraswood/models/records.py
@@ -93,6 +93,8 @@
 
     Attributes:
         wait_s: Seconds from the append until the term starts.
+        reclaimed_by_operator: An operator states that the VMs of the last
+            owner and its guardian are destroyed, which allows a short wait.
     """
 
     service: ids.ServiceName
@@ -101,6 +103,7 @@
     owner: Holder
     guardian: Holder | None
     wait_s: float
+    reclaimed_by_operator: bool = False
 
 
 class TransferPartition(
@@ -114,6 +117,8 @@
     Attributes:
         with_state: Whether the new owner received the state of the term, so
             that knowledge of idempotency keys continues.
+        release: The last daemon of a service stops: nobody owns the new
+            term and anyone may claim it at once. `owner` is the sender.
     """
 
     service: ids.ServiceName
@@ -123,18 +128,26 @@
     owner: Holder
     guardian: Holder | None
     with_state: bool
+    release: bool = False
 
 
 class ChangeGuardian(
     msgspec.Struct, frozen=True, kw_only=True, tag='change_guardian'
 ):
-    """A new guardian, named by the owner of the term."""
+    """A new guardian, named by the owner of the term once it has begun.
+
+    Attributes:
+        replaces_version: Guardian version that it replaces. A copy that the
+            log appends late is rejected, so that it can't bring back a
+            guardian whom the owner no longer asks for promises.
+    """
 
     service: ids.ServiceName
     partition: int
     term: ids.Term
     sender: Holder
     guardian: Holder | None
+    replaces_version: int = 0
 
 
 class QuarantineFingerprint(
@@ -175,9 +188,11 @@
     Attributes:
         offset: Offset of the record that began the term.
         wait_s: Seconds from the append of that record to the start of the
-            term.
+            term; 0 once the owner has recorded that the term began.
         continuous_since: First term of the unbroken chain of hand-overs
             with state that leads to this term.
+        guardian_version: Number of changes of guardian within the term.
+        released: Whether the partition is free; `owner` is who released it.
     """
 
     service: ids.ServiceName
@@ -188,6 +203,8 @@
     offset: ids.Offset
     wait_s: float
     continuous_since: ids.Term
+    guardian_version: int = 0
+    released: bool = False
 
 
 class PublicationEntry(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/sassafraswood/state/idempotency_table.py
@@ -0,0 +1,183 @@
+"""Idempotency keys and what became of them."""
+
+import dataclasses
+import enum
+import heapq
+from typing import Callable
+
+from sassafraswood import const
+from sassafraswood.models import call
+from sassafraswood.models import ids
+
+EntryKey = tuple[ids.ServiceName, ids.Workspace | None, str]
+
+
+class KeyState(enum.Enum):
+    """What is known about the run of a key."""
+
+    RUNNING = enum.auto()
+    FINISHED = enum.auto()
+    # The outcome is unknown, or the answer is no longer kept.
+    UNKNOWN = enum.auto()
+
+
+@dataclasses.dataclass(kw_only=True)
+class Entry:
+    """An idempotency key.
+
+    Attributes:
+        result: The result while it is kept; only when FINISHED.
+        first_seen_at: Monotonic time in seconds.
+        waiters: Called with the result when the run ends.
+    """
+
+    partition: int
+    request_sha256: str
+    state: KeyState
+    first_seen_at: float
+    result: call.Result | None = None
+    waiters: list[Callable[[call.Result], None]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+class IdempotencyTable:
+    """Entries by service, workspace and key, bounded in number and bytes.
+
+    The byte count covers keys, answers and a fixed overhead per entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_entries: int = const.MAX_IDEMPOTENCY_ENTRIES,
+        max_bytes: int = const.MAX_IDEMPOTENCY_BYTES,
+    ) -> None:
+        """Start empty with the given bounds."""
+        self._max_entries = max_entries
+        self._max_bytes = max_bytes
+        self._entries: dict[EntryKey, Entry] = {}
+        self._bytes = 0
+        self._sequence = 0
+        # (due time, sequence, key, entry), ordered by due time.
+        self._answers: list[tuple[float, int, EntryKey, Entry]] = []
+        self._removals: list[tuple[float, int, EntryKey, Entry]] = []
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self._entries)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the bytes counted against the bound."""
+        return self._bytes
+
+    def get(self, key: EntryKey) -> Entry | None:
+        """Return the entry of a key."""
+        return self._entries.get(key)
+
+    def items(
+        self, service: ids.ServiceName, partition: int
+    ) -> list[tuple[EntryKey, Entry]]:
+        """Return the entries of a partition."""
+        return [
+            (key, entry)
+            for key, entry in self._entries.items()
+            if key[0] == service and entry.partition == partition
+        ]
+
+    def has_room(self, key: EntryKey) -> bool:
+        """Return whether an entry without answer fits."""
+        return (
+            len(self._entries) < self._max_entries
+            and self._bytes + key_bytes(key) <= self._max_bytes
+        )
+
+    def add(self, key: EntryKey, entry: Entry, *, remove_at: float) -> None:
+        """Add an entry without result until `remove_at`."""
+        self._entries[key] = entry
+        self._bytes += key_bytes(key)
+        self._push(self._removals, remove_at, key, entry)
+
+    def store_result(
+        self, key: EntryKey, result: call.Result, *, drop_at: float
+    ) -> None:
+        """Keep the result of an entry until `drop_at`, if it fits.
+
+        A result that does not fit leaves the entry without one.
+        """
+        entry = self._entries[key]
+        size = result_bytes(result)
+        if self._bytes + size > self._max_bytes:
+            entry.state = KeyState.UNKNOWN
+            return
+        entry.state = KeyState.FINISHED
+        entry.result = result
+        self._bytes += size
+        self._push(self._answers, drop_at, key, entry)
+
+    def remove(self, key: EntryKey) -> Entry | None:
+        """Remove an entry and return it."""
+        entry = self._entries.pop(key, None)
+        if entry is None:
+            return None
+        self._bytes -= key_bytes(key)
+        self._drop_result(entry)
+        # Keys that are freed and begun again would fill the queue otherwise.
+        if len(self._removals) > 2 * len(self._entries) + 64:
+            self._removals = [
+                item
+                for item in self._removals
+                if self._entries.get(item[2]) is item[3]
+            ]
+            heapq.heapify(self._removals)
+        return entry
+
+    def expire(self, now: float) -> None:
+        """Drop results and entries that are due; running ones stay."""
+        while self._answers and self._answers[0][0] <= now:
+            _, _, key, entry = heapq.heappop(self._answers)
+            if self._entries.get(key) is entry:
+                self._drop_result(entry)
+        postponed = []
+        while self._removals and self._removals[0][0] <= now:
+            item = heapq.heappop(self._removals)
+            _, _, key, entry = item
+            if self._entries.get(key) is not entry:
+                continue
+            if entry.state is KeyState.RUNNING:
+                postponed.append(item)
+                continue
+            self.remove(key)
+        for item in postponed:
+            heapq.heappush(self._removals, item)
+
+    def _drop_result(self, entry: Entry) -> None:
+        if entry.result is None:
+            return
+        self._bytes -= result_bytes(entry.result)
+        entry.result = None
+        entry.state = KeyState.UNKNOWN
+
+    def _push(
+        self,
+        heap: list[tuple[float, int, EntryKey, Entry]],
+        due_at: float,
+        key: EntryKey,
+        entry: Entry,
+    ) -> None:
+        self._sequence += 1
+        heapq.heappush(heap, (due_at, self._sequence, key, entry))
+
+
+def key_bytes(key: EntryKey) -> int:
+    """Return the bytes counted for an entry without result."""
+    return len(key[2]) + const.IDEMPOTENCY_ENTRY_BYTES
+
+
+def result_bytes(result: call.Result) -> int:
+    """Return the bytes counted for a result."""
+    if isinstance(result, call.Refusal):
+        return len(result.detail)
+    headers = sum(len(name) + len(value) for name, value in result.headers)
+    return len(result.body) + headers
