--- a/sassafraswood/coordination/idempotency.py
+++ b/sassafraswood/coordination/idempotency.py
@@ -139,7 +139,9 @@
         """Start without entries."""
         self._clock = clock
         self._leases = leases
-        self._table = table or idempotency_table.IdempotencyTable()
+        if table is None:
+            table = idempotency_table.IdempotencyTable()
+        self._table = table
         self._knowledge: dict[_PartitionKey, _Knowledge] = {}
         self._staged: dict[_PartitionKey, _Staged] = {}
         self._exports: dict[
--- a/sassafraswood/coordination/partition_lease.py
+++ b/sassafraswood/coordination/partition_lease.py
@@ -500,6 +500,9 @@
     def _act_as_owner(
         self, entry: records.PartitionEntry, slot: _Slot, now: float
     ) -> None:
+        if slot.unresolved_changes == 0:
+            # Also during a hand-over, so that the guardian doesn't claim.
+            self._ask_guardian(entry, slot, now)
         if slot.transfer is not None:
             self._repeat_transfer(entry, slot, now)
             return
@@ -510,8 +513,6 @@
         if self._is_stopping:
             self._stop_term(entry, slot, now)
             return
-        if slot.unresolved_changes == 0:
-            self._ask_guardian(entry, slot, now)
         if slot.starts_at <= now and self._is_log_fresh(now):
             self._consider_guardian(entry, slot, now)
 
