Fit the partition table to the fold and start buckets with their term

Cause: the fold and the table were written side by side and named one method differently; token buckets only began to fill at the first request. Ruled out: an adapter between the two.

--- a/sassafraswood/coordination/configuration.py
+++ b/sassafraswood/coordination/configuration.py
@@ -29,7 +29,15 @@
 class PartitionFold(typing.Protocol):
     """The table that folds the records of partitions."""
 
-    def apply(self, record: records.Record, offset: ids.Offset) -> bool:
+    def apply(
+        self,
+        record: (
+            records.ClaimPartition
+            | records.TransferPartition
+            | records.ChangeGuardian
+        ),
+        offset: ids.Offset,
+    ) -> bool:
         """Fold a record; return whether it was accepted."""
 
     def get(
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -357,7 +357,7 @@
         tasks.start_soon(self._appender.async_run)
         tasks.start_soon(self._callers.async_watch)
         tasks.start_soon(_async_every, 0.25, self._mesh.tick)
-        tasks.start_soon(_async_every, 0.2, self._leases.tick)
+        tasks.start_soon(_async_every, 0.2, self._tick_partitions)
         tasks.start_soon(_async_every, 0.1, self._hand_overs.tick)
         tasks.start_soon(_async_every, 0.1, self._probe_peers)
         tasks.start_soon(self._async_fast_ticks)
@@ -454,6 +454,11 @@
                 is_accepting = await self._upstream.async_probe()
                 self._lifecycle.note_probe(is_accepting)
 
+    def _tick_partitions(self) -> None:
+        self._leases.tick()
+        for partition in range(const.PARTITIONS_PER_SERVICE):
+            self._quota_owner.refresh(self._settings.service, partition)
+
     def _probe_peers(self) -> None:
         for daemon_id in self._router.probes_due():
             self._mesh.probe(daemon_id)
--- a/sassafraswood/state/partitions.py
+++ b/sassafraswood/state/partitions.py
@@ -58,7 +58,7 @@
         """Return all entries, for a snapshot."""
         return list(self._entries.values())
 
-    def replace(self, entries: Iterable[records.PartitionEntry]) -> None:
+    def restore(self, entries: Iterable[records.PartitionEntry]) -> None:
         """Take the entries of a snapshot instead of the present ones."""
         self._entries = {(e.service, e.partition): e for e in entries}
 
