--- /dev/null
+++ b/lab/gossip.py
@@ -0,0 +1,139 @@
+"""A fleet of member tables that gossip in virtual time."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import heapq
+import random
+import typing
+
+from sassafraswood import clock
+from sassafraswood import const
+from sassafraswood.coordination import membership
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.models import records
+from sassafraswood.protocol import codec
+
+_LATENCY_S: typing.Final = 0.001
+_START_UNIX_US: typing.Final = 1_700_000_000_000_000
+
+
+def member(number: int, domains: int, **changes: typing.Any) -> records.Member:
+    """Return the entry of the daemon with a number, changed as given."""
+    address = f'10.{number % domains}.{number // 250}.{number % 250}'
+    values: dict[str, typing.Any] = {
+        'daemon_id': f'daemon-{number}',
+        'incarnation': _START_UNIX_US + number,
+        'version': 1,
+        'service': f'service-{number % 92}',
+        'failure_domain': f'domain-{number % domains}',
+        'region': f'region-{number % domains % 3}',
+        'peer_address': f'{address}:8090',
+        'http_address': f'{address}:8080',
+        'status': enums.MemberStatus.ACTIVE,
+        'upstream_status': enums.UpstreamStatus.READY,
+        'slots': 60,
+    }
+    return records.Member(**values | changes)
+
+
+class _Outbox:
+    def __init__(self, fleet: 'Fleet', sender: ids.DaemonId) -> None:
+        self._fleet = fleet
+        self._sender = sender
+
+    def send(self, daemon_id: ids.DaemonId, message: messages.Message) -> None:
+        self._fleet.send(self._sender, daemon_id, message)
+
+
+class Fleet:
+    """Daemons that only gossip; each message takes a millisecond.
+
+    Attributes:
+        clock: The virtual time of all daemons.
+        daemons: Running daemons; a removed one falls silent.
+        is_cut: Whether messages between two daemons are lost.
+        sent_bytes: Encoded bytes sent, by daemon.
+    """
+
+    def __init__(self, seed: int) -> None:
+        """Start an empty fleet."""
+        self.clock = clock.ManualClock()
+        self.daemons: dict[ids.DaemonId, membership.Membership] = {}
+        self.is_cut: Callable[[ids.DaemonId, ids.DaemonId], bool] = (
+            lambda sender, receiver: False
+        )
+        self.sent_bytes: dict[ids.DaemonId, int] = {}
+        self.log_read_age_s: float | None = 0.5
+        self._random = random.Random(seed)
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+
+    def add(
+        self,
+        own: records.Member,
+        known: Iterable[records.Member] = (),
+    ) -> membership.Membership:
+        """Start a daemon that knows some members."""
+        daemon = membership.Membership(
+            clock=self.clock,
+            random=random.Random(self._random.random()),
+            outbox=_Outbox(self, own.daemon_id),
+            own=own,
+            log_state=lambda: membership.LogState(
+                log_read_age_s=self.log_read_age_s
+            ),
+        )
+        daemon.merge([m for m in known if m.daemon_id != own.daemon_id])
+        self.daemons[own.daemon_id] = daemon
+        self.sent_bytes[own.daemon_id] = 0
+        self._at(self._random.random(), lambda: self._tick(daemon))
+        return daemon
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.clock.monotonic() + seconds
+        while self._queue and self._queue[0][0] <= end:
+            at, _, action = heapq.heappop(self._queue)
+            self.clock.advance(max(0.0, at - self.clock.monotonic()))
+            action()
+        self.clock.advance(end - self.clock.monotonic())
+
+    def send(
+        self,
+        sender: ids.DaemonId,
+        receiver: ids.DaemonId,
+        message: messages.Message,
+    ) -> None:
+        """Deliver a message after the latency unless the link is cut."""
+        if sender not in self.daemons:
+            return
+        data = codec.encode_message(message)
+        self.sent_bytes[sender] += len(data)
+        if not self.is_cut(sender, receiver):
+            self._at(_LATENCY_S, lambda: self._deliver(sender, receiver, data))
+
+    def _at(self, delay: float, action: Callable[[], None]) -> None:
+        self._count += 1
+        at = self.clock.monotonic() + delay
+        heapq.heappush(self._queue, (at, self._count, action))
+
+    def _tick(self, daemon: membership.Membership) -> None:
+        if self.daemons.get(daemon.own.daemon_id) is daemon:
+            daemon.tick()
+            self._at(const.GOSSIP_INTERVAL_S, lambda: self._tick(daemon))
+
+    def _deliver(
+        self, sender: ids.DaemonId, receiver: ids.DaemonId, data: bytes
+    ) -> None:
+        daemon = self.daemons.get(receiver)
+        if daemon is None:
+            return
+        message = codec.decode_message(data)
+        if isinstance(message, messages.Digest):
+            daemon.on_digest(message)
+        elif isinstance(message, messages.MembersDelta):
+            daemon.on_members_delta(message, sender)
+        elif isinstance(message, messages.Leaving):
+            daemon.on_leaving(message)
--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -45,6 +45,22 @@
 PEER_IDLE_CLOSE_S: Final = 60.0
 GOSSIP_INTERVAL_S: Final = 1.0
 GOSSIP_FANOUT: Final = 3
+# Differences of member tables that one daemon resolves per second. Bounds
+# the bytes while many members change; see docs/decisions/membership.md.
+GOSSIP_EXCHANGES_PER_S: Final = 1
+# Buckets of the member table, each with a hash of its own.
+GOSSIP_BUCKETS: Final = 128
+# Fewer than half of all buckets are resolved a few at a time; a table that
+# differs in more is that of a new member and is sent at once.
+GOSSIP_BUCKETS_PER_EXCHANGE: Final = 5
+# Members per digest whose last sign of life is passed on.
+GOSSIP_HEARD_MEMBERS: Final = 16
+# With an older read of the log, digests go to every failure domain, so that
+# an outage of the log is told from being cut off. Below
+# AUTHORIZATION_STALE_S by one gossip interval.
+GOSSIP_PROBE_LOG_AGE_S: Final = 2.0
+# A longer time between two ticks means that this daemon was suspended.
+GOSSIP_PAUSE_S: Final = 5.0
 MEMBER_FORGET_S: Final = 600.0
 
 # Keys.
--- a/sassafraswood/models/messages.py
+++ b/sassafraswood/models/messages.py
@@ -1,5 +1,7 @@
 """Messages between daemons."""
 
+import typing
+
 import msgspec
 
 from sassafraswood.models import call
@@ -227,7 +229,31 @@
     part: int
 
 
-class Digest(msgspec.Struct, frozen=True, kw_only=True, tag='digest'):
+# Digests are most of the bytes between idle daemons; the full names take
+# a third of each.
+_DIGEST_NAMES: typing.Final = {
+    'daemon_id': 'd',
+    'incarnation': 'i',
+    'failure_domain': 'f',
+    'next_offset': 'o',
+    'log_read_age_s': 'a',
+    'members_hash': 'm',
+    'fingerprints_hash': 'p',
+    'is_reply': 'r',
+    'sequence': 's',
+    'heard': 'h',
+    'bucket_hashes': 'b',
+}
+
+
+class Digest(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    rename=_DIGEST_NAMES,
+    tag='digest',
+):
     """What the sender knows.
 
     Attributes:
@@ -236,6 +262,11 @@
             tail, by itself or by a peer that told it; None if never.
         members_hash: Hash of its member table.
         fingerprints_hash: Hash of its table of crash fingerprints.
+        sequence: Number of the question; the reply repeats it.
+        heard: Seconds since the last sign of life of some members, by the
+            hash of daemon id and incarnation.
+        bucket_hashes: In a reply to a differing members_hash, the hash of
+            each bucket of the sender's member table.
     """
 
     daemon_id: ids.DaemonId
@@ -246,6 +277,9 @@
     members_hash: int
     fingerprints_hash: int
     is_reply: bool = False
+    sequence: int = 0
+    heard: dict[int, int] = {}
+    bucket_hashes: list[int] = []
 
 
 class RecordsRequest(
@@ -264,16 +298,30 @@
 
 
 class MembersDelta(
-    msgspec.Struct, frozen=True, kw_only=True, tag='members_delta'
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag='members_delta',
 ):
     """Member entries and fingerprints to merge.
 
     Attributes:
         is_full: Whether the sender asks for the receiver's table in return.
+        ages_s: For each member the seconds since its last sign of life;
+            0 where missing.
+        buckets: Buckets that differ; summaries lists the sender's entries
+            in them.
+        summaries: Hash of incarnation and version by hash of the daemon id.
+        wanted: Hashes of the daemon ids whose entries the sender asks for.
     """
 
     members: list[records.Member]
     is_full: bool
+    ages_s: list[int] = []
+    buckets: list[int] = []
+    summaries: dict[int, int] = {}
+    wanted: list[int] = []
 
 
 class FingerprintReport(
--- a/sassafraswood/state/members.py
+++ b/sassafraswood/state/members.py
@@ -65,8 +65,10 @@
         """Return whether it neither left nor lost its address."""
         if member.status is enums.MemberStatus.LEFT:
             return False
-        own_rank = (member.incarnation, member.daemon_id)
         others = self._at_address.get(member.peer_address, ())
+        if len(others) <= 1:
+            return True
+        own_rank = (member.incarnation, member.daemon_id)
         return all(
             (self._entries[other].incarnation, other) <= own_rank
             for other in others
--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/test_configuration.py
@@ -313,6 +313,11 @@
     for entry in kept:
         reader.apply(entry)
     assert reader.snapshot() == full.snapshot()
+    # Entries from before the snapshot do not reach up to it.
+    behind = _new()
+    behind.apply(_entries(log)[0])
+    assert behind.apply_snapshot_in(kept)
+    assert behind.entries_from(ids.Offset(3)) is None
     # A snapshot whose tail is not kept would leave a gap.
     assert not _new().apply_snapshot_in(_entries(log)[5:])
 
