Do not take answers to an earlier process for fresh

Cause: numbers of questions began at 0, so a restarted daemon could match an answer that waited for its earlier process with a question of its own, and take an old read of the log for a fresh one.

Ruled out: random starts, which can still meet, and matching by time, as the clocks of two VMs differ. Numbers that begin at the incarnation rise faster than questions are asked.

The added test fails with numbers that begin at 0.

--- a/sassafraswood/coordination/membership.py
+++ b/sassafraswood/coordination/membership.py
@@ -77,7 +77,9 @@
         self._heard_at: dict[ids.DaemonId, float] = {}
         # When each daemon that did not answer was noted.
         self._silent: dict[ids.DaemonId, float] = {}
-        self._sequence = 0
+        # Numbers of questions go on across restarts, so that an answer to an
+        # earlier process of this daemon is not taken for a fresh one.
+        self._sequence: int = own.incarnation
         self._asked: dict[ids.DaemonId, tuple[int, float]] = {}
         self._exchanges_left = const.GOSSIP_EXCHANGES_PER_S
         self._next_domain = 0
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -202,6 +202,15 @@
     assert asking.on_digest(answer) == asked_at
     asking.tick()
     assert asking.on_digest(answer) is None
+    restarted = membership.Membership(
+        clock=manual,
+        random=random.Random(1),
+        outbox=_Sent(),
+        own=gossip.member(0, 3, incarnation=asking.own.incarnation + 10**6),
+    )
+    restarted.merge([answering.own])
+    restarted.tick()
+    assert restarted.on_digest(answer) is None
 
 
 def test_outage_of_the_log_probes_every_domain() -> None:
