--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -19,6 +19,35 @@
 QUOTA_TOKEN_LIFETIME_S: Final = 1.0
 QUOTA_TOKEN_MARGIN_S: Final = 0.25
 QUOTA_WAIT_S: Final = 0.05
+# Longest time for which a refusal is repeated without asking the owners.
+QUOTA_REFUSAL_MEMORY_S: Final = 0.05
+QUOTA_TICK_S: Final = 0.02
+# Tokens live 1 s; asking for half of that leaves time to use them.
+QUOTA_PREFETCH_S: Final = 0.5
+# At a demand equal to the rate, all first daemons together hold about
+# this share of the burst unspent and at most as much spent but unreported.
+QUOTA_BURST_FRACTION: Final = 0.25
+# An owner keeps this part of its share for calls that wait already.
+QUOTA_RESERVE_FRACTION: Final = 0.3
+# Below this burst, bucket levels that drift apart refuse calls, so a call
+# that waits asks all three owners for a part each and spending is reported
+# at once.
+QUOTA_EVEN_BURST: Final = 15.0
+# Prefetching from a smaller burst would keep whole tokens from others.
+QUOTA_MIN_PREFETCH_BURST: Final = 6.0
+# An owner that does not answer in this time is asked again only as a probe.
+QUOTA_ANSWER_TIMEOUT_S: Final = 0.05
+QUOTA_PROBE_INTERVAL_S: Final = 0.1
+# Twice the longest exchange between failure domains, after which the other
+# owners are asked as well.
+QUOTA_HEDGE_S: Final = 0.015
+# A call waits for QUOTA_WAIT_S and its daemon acts each QUOTA_TICK_S, so
+# what is kept for a first daemon that does not ask in this time is free.
+QUOTA_CLAIM_S: Final = 0.075
+# A repeated request that is older can only name expired grants.
+QUOTA_SEQUENCE_MEMORY_S: Final = 60.0
+# Absorbs rounding when fractions of three partitions make up one token.
+QUOTA_EPSILON: Final = 1e-9
 
 # Idempotency.
 IDEMPOTENCY_KEY_LIFETIME_S: Final = 600.0
--- /dev/null
+++ b/sassafraswood/coordination/quota_owner.py
@@ -0,0 +1,316 @@
+"""Grants of tokens by the owner of a partition."""
+
+import dataclasses
+
+from sassafraswood import clock
+from sassafraswood import const
+from sassafraswood.coordination import quota_claims
+from sassafraswood.coordination import quota_ports
+from sassafraswood.models import document
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.models import records
+from sassafraswood.state import token_bucket
+
+_GRANT_LIFETIME_S = const.QUOTA_TOKEN_LIFETIME_S + const.QUOTA_TOKEN_MARGIN_S
+
+_LONGEST_RETRY_S = 60.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Limit:
+    bucket: token_bucket.TokenBucket
+    claims: quota_claims.QuotaClaims
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Partition:
+    term: ids.Term
+    revision: ids.Revision
+    limits: dict[ids.Workspace, _Limit]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Sender:
+    incarnation: ids.Incarnation
+    sequence: int
+    heard_at: float
+    answer: messages.QuotaGrant
+
+
+class QuotaOwner:
+    """Answers quota requests for the partitions that this daemon owns.
+
+    A sender's request counts once: a repeated sequence gets the same answer
+    again, an older one or one of an older incarnation an empty answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        leases: quota_ports.Leases,
+        configuration: quota_ports.Documents,
+    ) -> None:
+        """Start without buckets; they are made per term when first seen."""
+        self._clock = clock
+        self._leases = leases
+        self._configuration = configuration
+        self._partitions: dict[tuple[ids.ServiceName, int], _Partition] = {}
+        self._senders: dict[ids.DaemonId, _Sender] = {}
+        self._next_grant_id = 1
+        self._next_prune_at = 0.0
+
+    def on_request(
+        self, message: messages.QuotaRequest
+    ) -> messages.QuotaGrant:
+        """Return the answer to a request."""
+        now = self._clock.monotonic()
+        self._forget_senders(now)
+        sender = self._senders.get(message.daemon_id)
+        if sender is not None:
+            seen = (sender.incarnation, sender.sequence)
+            if seen == (message.incarnation, message.sequence):
+                return sender.answer
+            if seen > (message.incarnation, message.sequence):
+                return messages.QuotaGrant(
+                    sequence=message.sequence, grants=[]
+                )
+        holder = records.Holder(
+            daemon_id=message.daemon_id, incarnation=message.incarnation
+        )
+        answer = messages.QuotaGrant(
+            sequence=message.sequence,
+            grants=[
+                self._answer(now, holder, demand) for demand in message.demands
+            ],
+        )
+        self._senders[message.daemon_id] = _Sender(
+            incarnation=message.incarnation,
+            sequence=message.sequence,
+            heard_at=now,
+            answer=answer,
+        )
+        return answer
+
+    def refresh(self, service: ids.ServiceName, partition: int) -> None:
+        """Take up a new term or document before the next request.
+
+        The composition root calls this after a term begins and after each
+        document is folded. Without it a bucket starts to fill at the first
+        request of its term, and a document counts from the next request.
+        """
+        entry = self._leases.owned(service, partition)
+        if entry is not None:
+            self._current(self._clock.monotonic(), entry, is_prompt=True)
+
+    def _answer(
+        self,
+        now: float,
+        holder: records.Holder,
+        demand: messages.QuotaDemand,
+    ) -> messages.GrantedTokens:
+        entry = self._leases.owned(demand.service, demand.partition)
+        if entry is None or entry.term != demand.term:
+            return _granted(demand, owned=False)
+        limits = self._current(now, entry).limits
+        limit = limits.get(demand.workspace)
+        if limit is None:
+            return _granted(demand, retry_after_s=const.QUOTA_TOKEN_LIFETIME_S)
+        limit.bucket.advance(now)
+        self._take_reports(holder, demand, limit.bucket)
+        return self._grant(now, holder, demand, limit)
+
+    def _take_reports(
+        self,
+        holder: records.Holder,
+        demand: messages.QuotaDemand,
+        bucket: token_bucket.TokenBucket,
+    ) -> None:
+        for grant_id, tokens in demand.spent.items():
+            bucket.report(grant_id, holder=holder, spent=tokens)
+        for grant_id, tokens in demand.returned.items():
+            bucket.report(grant_id, holder=holder, returned=tokens)
+
+    def _grant(
+        self,
+        now: float,
+        holder: records.Holder,
+        demand: messages.QuotaDemand,
+        limit: _Limit,
+    ) -> messages.GrantedTokens:
+        bucket, claims = limit.bucket, limit.claims
+        unit = min(1.0, bucket.share)
+        wanted = max(0.0, demand.wanted)
+        waiting = min(wanted, max(0.0, demand.waiting))
+        free = claims.share_out(now, level=bucket.level, unit=unit)
+        tokens = claims.take(
+            now,
+            holder=holder,
+            wanted=wanted,
+            waiting=waiting,
+            free=free,
+            unit=unit,
+            is_small=_is_small(bucket),
+            reserve=const.QUOTA_RESERVE_FRACTION * bucket.share,
+        )
+        grant_id = 0
+        if tokens > 0.0:
+            grant_id = self._next_grant_id
+            self._next_grant_id += 1
+            bucket.grant(
+                grant_id,
+                holder=holder,
+                tokens=tokens,
+                expires_at=now + _GRANT_LIFETIME_S,
+            )
+        retry_after_s = 0.0
+        if tokens < waiting - const.QUOTA_EPSILON:
+            retry_after_s = _retry_after_s(holder, waiting - tokens, limit)
+            if retry_after_s > const.QUOTA_WAIT_S:
+                # No call waits that long, so nothing is kept for it.
+                claims.drop(holder)
+        return _granted(
+            demand,
+            grant_id=grant_id,
+            tokens=tokens,
+            retry_after_s=retry_after_s,
+        )
+
+    def _current(
+        self,
+        now: float,
+        entry: records.PartitionEntry,
+        is_prompt: bool = False,
+    ) -> _Partition:
+        """Return the state of a term under the document in force."""
+        key = (entry.service, entry.partition)
+        state = self._partitions.get(key)
+        published = self._configuration.document(entry.service)
+        revision = published.revision if published else ids.Revision(0)
+        workspaces = published.document.workspaces if published else {}
+        if state is None or state.term != entry.term:
+            state = _Partition(term=entry.term, revision=revision, limits={})
+            for workspace, spec in workspaces.items():
+                limit = _new_limit(now, spec)
+                _count_tokens_of_earlier_term(now, entry, limit.bucket)
+                state.limits[workspace] = limit
+            self._partitions[key] = state
+        elif state.revision != revision:
+            _change_document(now, state, revision, workspaces, is_prompt)
+        return state
+
+    def _forget_senders(self, now: float) -> None:
+        if now < self._next_prune_at:
+            return
+        self._next_prune_at = now + const.QUOTA_SEQUENCE_MEMORY_S
+        oldest = now - const.QUOTA_SEQUENCE_MEMORY_S
+        self._senders = {
+            daemon_id: sender
+            for daemon_id, sender in self._senders.items()
+            if sender.heard_at > oldest
+        }
+
+
+def _granted(
+    demand: messages.QuotaDemand,
+    *,
+    grant_id: int = 0,
+    tokens: float = 0.0,
+    retry_after_s: float = 0.0,
+    owned: bool = True,
+) -> messages.GrantedTokens:
+    return messages.GrantedTokens(
+        service=demand.service,
+        partition=demand.partition,
+        term=demand.term,
+        workspace=demand.workspace,
+        grant_id=grant_id,
+        tokens=_compact(tokens),
+        retry_after_s=_compact(round(retry_after_s, 4)),
+        owned=owned,
+    )
+
+
+def _compact(number: float) -> float:
+    """Return whole numbers as int, which takes 1 byte instead of 9."""
+    return int(number) if number == int(number) else number
+
+
+def _is_small(bucket: token_bucket.TokenBucket) -> bool:
+    """Return whether first daemons collect single tokens in parts."""
+    burst = bucket.share * const.PARTITIONS_PER_SERVICE
+    return burst < const.QUOTA_MIN_PREFETCH_BURST
+
+
+def _retry_after_s(
+    holder: records.Holder, unmet: float, limit: _Limit
+) -> float:
+    """Return seconds until a unit or the unmet rest is expected."""
+    bucket = limit.bucket
+    unit = min(1.0, bucket.share)
+    own = bucket.outstanding_of(holder)
+    if _is_small(bucket):
+        if bucket.outstanding - own > const.QUOTA_EPSILON:
+            # The parts of one token may be at several first daemons, which
+            # give way to each other within an exchange.
+            return const.QUOTA_TICK_S / 2
+        if min(unmet, unit) > bucket.share - own + const.QUOTA_EPSILON:
+            # The holder itself keeps the bucket from refilling.
+            return const.QUOTA_TOKEN_LIFETIME_S
+    if bucket.rate <= 0.0:
+        return _LONGEST_RETRY_S
+    ahead = limit.claims.tokens_ahead(holder, unit)
+    return min(_LONGEST_RETRY_S, ahead / bucket.rate)
+
+
+def _new_limit(now: float, spec: document.WorkspaceSpec) -> _Limit:
+    bucket = token_bucket.TokenBucket(
+        rate=spec.rate / const.PARTITIONS_PER_SERVICE,
+        share=spec.burst / const.PARTITIONS_PER_SERVICE,
+        now=now,
+    )
+    return _Limit(bucket=bucket, claims=quota_claims.QuotaClaims())
+
+
+def _count_tokens_of_earlier_term(
+    now: float,
+    entry: records.PartitionEntry,
+    bucket: token_bucket.TokenBucket,
+) -> None:
+    """Keep the bucket empty while tokens of the last term may be spent.
+
+    A planned hand-over has no wait, so the last owner may have granted its
+    whole share a moment ago. A claim waits longer than tokens live.
+    """
+    if entry.term > 1 and entry.wait_s < _GRANT_LIFETIME_S:
+        bucket.assume_outstanding(0, expires_at=now + _GRANT_LIFETIME_S)
+
+
+def _change_document(
+    now: float,
+    state: _Partition,
+    revision: ids.Revision,
+    workspaces: dict[ids.Workspace, document.WorkspaceSpec],
+    is_prompt: bool,
+) -> None:
+    """Apply a document to the buckets of a partition."""
+    # The skipped documents may have had a smaller burst or rate.
+    skipped = revision != state.revision + 1
+    state.revision = revision
+    for workspace, limit in list(state.limits.items()):
+        spec = workspaces.get(workspace)
+        rate, burst = (spec.rate, spec.burst) if spec else (0.0, 0.0)
+        limit.bucket.change(
+            rate=rate / const.PARTITIONS_PER_SERVICE,
+            share=burst / const.PARTITIONS_PER_SERVICE,
+            now=now,
+            is_prompt=is_prompt,
+        )
+        if skipped:
+            limit.bucket.empty()
+        if spec is None and limit.bucket.outstanding <= 0.0:
+            del state.limits[workspace]
+    for workspace, spec in workspaces.items():
+        if workspace not in state.limits:
+            state.limits[workspace] = _new_limit(now, spec)
--- a/sassafraswood/models/messages.py
+++ b/sassafraswood/models/messages.py
@@ -92,13 +92,15 @@
     allowance_left: int = 0
 
 
-class QuotaDemand(msgspec.Struct, frozen=True, kw_only=True):
+class QuotaDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Use of and demand for tokens of one limit at one partition.
 
     Attributes:
         spent: Tokens spent since the last request, by grant.
         returned: Unspent tokens given back, by grant.
         wanted: Tokens wanted now.
+        waiting: Part of wanted for which calls wait; it comes before what
+            others prefetch.
     """
 
     service: ids.ServiceName
@@ -108,6 +110,7 @@
     spent: dict[int, float]
     returned: dict[int, float]
     wanted: float
+    waiting: float = 0.0
 
 
 class QuotaRequest(
@@ -121,7 +124,9 @@
     demands: list[QuotaDemand]
 
 
-class GrantedTokens(msgspec.Struct, frozen=True, kw_only=True):
+class GrantedTokens(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """Tokens for one limit.
 
     Attributes:
