--- /dev/null
+++ b/tests/coordination/test_quota_fleet.py
@@ -0,0 +1,82 @@
+"""Tests of quota owners and clients together in virtual time."""
+
+import random
+
+import pytest
+
+from lab import quota_faults
+from lab import quota_simulation
+from lab import quota_workload
+from sassafraswood.models import document
+
+_SPEC = document.WorkspaceSpec(rate=100.0, burst=100.0)
+_DURATION_S = 15.0
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_no_window_exceeds_rate_and_burst(seed: int) -> None:
+    """Guards against double admission after any order of faults."""
+    fleet = quota_faults.run(seed, duration_s=8.0)
+    for key in quota_faults.KEYS:
+        assert quota_simulation.excess(fleet, key) <= 1e-6
+    assert max(call.verdicts for call in fleet.calls) == 1
+
+
+def test_checker_sees_one_call_too_many() -> None:
+    """Guards against a checker that lets everything pass."""
+    spec = document.WorkspaceSpec(rate=1.0, burst=5.0)
+    fleet = quota_simulation.Fleet(
+        seed=1, clients=1, specs={quota_workload.KEY: spec}
+    )
+    fleet.run(fleet.now + 20.0)
+    for _ in range(5):
+        fleet.offer(fleet.now, 0, quota_workload.KEY)
+    fleet.run(fleet.now + 0.1)
+    assert quota_simulation.excess(fleet, quota_workload.KEY) <= 1e-6
+    extra = fleet.calls[0]
+    fleet.calls.append(extra)
+    assert quota_simulation.excess(fleet, quota_workload.KEY) > 0.9
+
+
+@pytest.mark.parametrize('name', quota_workload.PICKERS)
+def test_demand_below_the_rate_is_not_refused(name: str) -> None:
+    """Guards against refusals while another daemon holds the tokens."""
+    result = quota_workload.run(
+        quota_workload.poisson(random.Random(3), 80.0, _DURATION_S),
+        quota_workload.PICKERS[name],
+        _SPEC,
+        seed=3,
+        duration_s=_DURATION_S,
+    )
+    print(f'{name}: {result.refused} of {result.calls} refused')
+    assert result.refused <= result.calls / 1000
+
+
+@pytest.mark.parametrize('name', quota_workload.PICKERS)
+def test_allowed_bursts_are_not_refused(name: str) -> None:
+    """Guards against a burst that finds tokens stuck elsewhere."""
+    result = quota_workload.run(
+        quota_workload.bursts(random.Random(3), _SPEC, _DURATION_S),
+        quota_workload.PICKERS[name],
+        _SPEC,
+        seed=3,
+        duration_s=_DURATION_S,
+    )
+    print(f'{name}: {result.refused} of {result.calls} refused')
+    assert result.refused <= result.calls / 1000
+
+
+@pytest.mark.parametrize('name', quota_workload.PICKERS)
+def test_overload_is_granted_up_to_the_rate(name: str) -> None:
+    """Guards against tokens that are lost when many want them."""
+    result = quota_workload.run(
+        quota_workload.poisson(random.Random(3), 300.0, _DURATION_S),
+        quota_workload.PICKERS[name],
+        _SPEC,
+        seed=3,
+        duration_s=_DURATION_S,
+    )
+    # The burst that was full at the start does not count.
+    granted = result.granted_of_rate - _SPEC.burst / _SPEC.rate / _DURATION_S
+    print(f'{name}: {granted:.3f} of the rate granted')
+    assert granted >= 0.95
--- /dev/null
+++ b/tests/coordination/test_quota_owner.py
@@ -0,0 +1,197 @@
+"""Tests of the owner of a partition."""
+
+import pytest
+
+from lab import quota_simulation
+from sassafraswood import clock
+from sassafraswood.coordination import quota_owner
+from sassafraswood.models import document
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.models import records
+
+
+class _World:
+    """One owner of one partition with a third of rate 300 and burst 30."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock()
+        self.leases = quota_simulation.Leases()
+        self.documents = quota_simulation.Documents()
+        self.sequence = 0
+        self.owner = quota_owner.QuotaOwner(
+            clock=self.clock,
+            leases=self.leases,
+            configuration=self.documents,
+        )
+        self.publish(1, rate=300.0, burst=30.0)
+        self.begin(1, wait_s=0.0)
+
+    def publish(self, revision: int, rate: float, burst: float) -> None:
+        spec = document.WorkspaceSpec(rate=rate, burst=burst)
+        service = ids.ServiceName('status')
+        self.documents.entries[service] = records.DocumentEntry(
+            service=service,
+            revision=ids.Revision(revision),
+            offset=ids.Offset(revision),
+            document=document.ServiceDocument(
+                version=1,
+                service=service,
+                routes=[],
+                workspaces={ids.Workspace('blue'): spec},
+            ),
+        )
+
+    def begin(self, term: int, wait_s: float) -> None:
+        service = ids.ServiceName('status')
+        self.leases.entries[(service, 0)] = records.PartitionEntry(
+            service=service,
+            partition=0,
+            term=ids.Term(term),
+            owner=records.Holder(
+                daemon_id=ids.DaemonId('owner'),
+                incarnation=ids.Incarnation(1),
+            ),
+            guardian=None,
+            offset=ids.Offset(term),
+            wait_s=wait_s,
+            continuous_since=ids.Term(1),
+        )
+        self.owner.refresh(service, 0)
+
+    def ask(
+        self,
+        wanted: float,
+        *,
+        daemon: str = 'a',
+        sequence: int | None = None,
+        term: int = 1,
+        incarnation: int = 1,
+        returned: dict[int, float] | None = None,
+        spent: dict[int, float] | None = None,
+    ) -> messages.QuotaGrant:
+        self.sequence += 1
+        demand = messages.QuotaDemand(
+            service=ids.ServiceName('status'),
+            partition=0,
+            term=ids.Term(term),
+            workspace=ids.Workspace('blue'),
+            spent=spent or {},
+            returned=returned or {},
+            wanted=wanted,
+            waiting=wanted,
+        )
+        return self.owner.on_request(
+            messages.QuotaRequest(
+                sequence=self.sequence if sequence is None else sequence,
+                daemon_id=ids.DaemonId(daemon),
+                incarnation=ids.Incarnation(incarnation),
+                demands=[demand],
+            )
+        )
+
+
+def _tokens(answer: messages.QuotaGrant) -> float:
+    return sum(grant.tokens for grant in answer.grants)
+
+
+def test_new_term_starts_empty() -> None:
+    """Guards against a burst of the old owner and one of the new one."""
+    world = _World()
+    assert _tokens(world.ask(5.0)) == 0.0
+    world.clock.advance(0.05)
+    assert _tokens(world.ask(5.0)) == pytest.approx(5.0)
+
+
+def test_hand_over_waits_for_tokens_of_the_last_owner() -> None:
+    """Guards against tokens of two terms that are valid at once."""
+    world = _World()
+    world.begin(2, wait_s=0.0)
+    world.clock.advance(1.2)
+    assert _tokens(world.ask(5.0, term=2)) == 0.0
+    world.clock.advance(0.2)
+    assert _tokens(world.ask(5.0, term=2)) == pytest.approx(5.0)
+
+
+def test_lease_is_checked_at_each_grant() -> None:
+    """Guards against grants after a pause in which the lease ended."""
+    world = _World()
+    world.clock.advance(1.0)
+    world.ask(1.0)
+    world.leases.entries.clear()
+    answer = world.ask(1.0)
+    assert not answer.grants[0].owned
+    assert _tokens(answer) == 0.0
+
+
+def test_old_term_gets_nothing() -> None:
+    """Guards against reports about grants of another owner."""
+    world = _World()
+    world.begin(2, wait_s=11.0)
+    world.clock.advance(1.0)
+    assert not world.ask(1.0, term=1).grants[0].owned
+
+
+def test_repeated_and_late_requests_count_once() -> None:
+    """Guards against messages that the network delivers twice or late."""
+    world = _World()
+    world.clock.advance(1.0)
+    first = world.ask(4.0, sequence=7)
+    assert world.ask(4.0, sequence=7) == first
+    assert world.ask(4.0, sequence=6).grants == []
+    assert _tokens(world.ask(6.0, sequence=8)) == pytest.approx(6.0)
+    assert _tokens(world.ask(1.0, sequence=1, incarnation=0)) == 0.0
+
+
+def test_returned_tokens_count_once() -> None:
+    """Guards against a repeated return that creates tokens."""
+    world = _World()
+    world.clock.advance(1.0)
+    grant = world.ask(10.0).grants[0]
+    back = {grant.grant_id: 10.0}
+    world.ask(0.0, returned=back)
+    assert _tokens(world.ask(10.0, returned=back)) == pytest.approx(10.0)
+    assert _tokens(world.ask(10.0, daemon='b')) == 0.0
+
+
+def test_document_raise_and_cut_count_at_once() -> None:
+    """Guards against extra tokens at a raise and old tokens after a cut."""
+    world = _World()
+    world.clock.advance(1.0)
+    world.publish(2, rate=3.0, burst=300.0)
+    world.owner.refresh(ids.ServiceName('status'), 0)
+    assert _tokens(world.ask(50.0)) == pytest.approx(10.0)
+    world.clock.advance(2.0)
+    world.publish(3, rate=300.0, burst=3.0)
+    assert _tokens(world.ask(50.0)) == pytest.approx(1.0)
+
+
+def test_skipped_document_empties_the_bucket() -> None:
+    """Guards against tokens that a document in between had taken away."""
+    world = _World()
+    world.clock.advance(1.0)
+    world.publish(3, rate=300.0, burst=30.0)
+    assert _tokens(world.ask(5.0)) == 0.0
+
+
+def test_scarce_tokens_are_shared_out_in_turns() -> None:
+    """Guards against one busy first daemon that starves the others."""
+    world = _World()
+    got = {'busy': 0.0, 'b': 0.0, 'c': 0.0}
+    spent: dict[str, dict[int, float]] = {name: {} for name in got}
+
+    def ask(name: str, wanted: float) -> None:
+        answer = world.ask(wanted, daemon=name, spent=spent[name])
+        grant = answer.grants[0]
+        spent[name] = {grant.grant_id: grant.tokens}
+        got[name] += grant.tokens
+
+    for step in range(3000):
+        world.clock.advance(0.001)
+        ask('busy', 50.0)
+        if step % 20 == 0:
+            ask('b', 3.0)
+            ask('c', 3.0)
+    # Each gets a third of 100 tokens/s over 3 s, give or take one burst.
+    assert min(got.values()) >= 85.0
+    assert sum(got.values()) == pytest.approx(300.0, abs=10.0)
