Add the fair queue of waiting calls

Figures: 4,000 calls of costs 10, 100 and 20 ms with weights 1, 1 and 2 are within 5% of their shares in tests/state. Conclusion: start-time fair queuing over slot time with bounded credit and debt; the expected time is charged at the start and corrected at the end.

--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -55,6 +55,23 @@
 LOG_TIMEOUT_S: Final = 3.0
 LOG_BATCH_RECORDS: Final = 500
 
+# Admission.
+ADMISSION_TICK_S: Final = 0.01
+# Waiting time allowed while a queue lasts; raised to this many starts, so
+# that a slow upstream always finds the next call waiting.
+QUEUE_TARGET_S: Final = 0.02
+QUEUE_TARGET_STARTS: Final = 16
+# Waiting time allowed to a burst: the queue was empty this recently.
+QUEUE_BURST_S: Final = 0.2
+QUEUE_MIN_ENTRIES: Final = 32
+QUEUE_ENTRIES_PER_SLOT: Final = 4
+# Calls that run alone stop the others for at most this long while the
+# upstream empties, and then for at most ALONE_RUN_S.
+ALONE_DRAIN_S: Final = 1.0
+ALONE_RUN_S: Final = 5.0
+ALONE_PATIENCE_S: Final = 0.2
+ALONE_MAX_QUEUED: Final = 8
+
 # Connections to upstreams.
 UPSTREAM_CONNECT_TIMEOUT_S: Final = 1.0
 UPSTREAM_IDLE_S: Final = 5.0
--- a/sassafraswood/models/enums.py
+++ b/sassafraswood/models/enums.py
@@ -30,6 +30,23 @@
     CRASHED = 'crashed'
 
 
+class ServiceOutcome(enum.StrEnum):
+    """How a call that was started at the upstream ended."""
+
+    # A whole answer that is not a server error.
+    COMPLETED = 'completed'
+    # A server error other than load shedding.
+    FAILED = 'failed'
+    # The deadline passed while the call ran.
+    TIMED_OUT = 'timed_out'
+    # The upstream refused the call because of its own load.
+    SHED = 'shed'
+    # The caller cancelled the call while it ran.
+    CANCELLED = 'cancelled'
+    # The connection to the upstream broke or was refused.
+    BROKEN = 'broken'
+
+
 class MemberStatus(enum.StrEnum):
     """State of a daemon as the others know it."""
 
--- /dev/null
+++ b/sassafraswood/state/fair_queue.py
@@ -0,0 +1,310 @@
+"""Queue with importance classes and fair shares of slot time."""
+
+import collections
+import heapq
+import itertools
+from typing import Final, Generic, TypeVar
+
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+
+# Calls that a workspace may catch up after its queue was empty. At low call
+# rates a queue is empty by chance, and without this the share would be lost.
+CREDIT_CALLS: Final = 4.0
+# Bounds of what a workspace owes for slot time used beyond its share, in
+# seconds of the whole upstream and in own calls. Without them, long calls
+# of a quiet hour would shut a workspace out later.
+DEBT_S: Final = 1.0
+DEBT_CALLS: Final = 4.0
+MAX_IDLE_ACCOUNTS: Final = 1024
+COST_GAIN: Final = 0.1
+
+
+class Entry:
+    """A call that waits or runs.
+
+    Attributes:
+        deadline: Monotonic time in seconds.
+        queued_at: Monotonic time in seconds.
+        charged_s: Slot time charged to the workspace so far in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        workspace: ids.Workspace | None,
+        weight: float,
+        importance: enums.Importance,
+        deadline: float,
+        queued_at: float,
+    ) -> None:
+        """Take what decides the order of the entry."""
+        self.workspace = workspace
+        self.weight = weight
+        self.importance = importance
+        self.deadline = deadline
+        self.queued_at = queued_at
+        self.charged_s = 0.0
+        self.sequence = -1
+
+
+EntryT = TypeVar('EntryT', bound=Entry)
+
+
+class _Account(Generic[EntryT]):
+    """Slot time and waiting calls of one workspace in one class."""
+
+    def __init__(self, tag: float) -> None:
+        self.tag = tag
+        self.weight = 1.0
+        self.cost_s: float | None = None
+        self.running = 0
+        self.entries: collections.OrderedDict[int, EntryT] = (
+            collections.OrderedDict()
+        )
+
+
+class _Class(Generic[EntryT]):
+    """Accounts of one importance class."""
+
+    def __init__(self) -> None:
+        self.virtual_s = 0.0
+        self.length = 0
+        self.forget_at = MAX_IDLE_ACCOUNTS
+        self.accounts: dict[ids.Workspace | None, _Account[EntryT]] = {}
+        # Accounts with waiting calls.
+        self.waiting: dict[ids.Workspace | None, _Account[EntryT]] = {}
+
+
+class FairQueue(Generic[EntryT]):
+    """Bounded queue of waiting calls and the slot time that they used.
+
+    Higher classes go first. Inside a class the order is start-time fair
+    queuing (Goyal, Vin and Cheng, 1996) over slot time: the start tag of a
+    workspace grows by the slot time of its calls divided by its weight. A
+    call is charged its expected time when it starts and corrected when it
+    ends. Calls of one workspace keep their order.
+    """
+
+    def __init__(self, max_entries: int) -> None:
+        """Start empty with room for max_entries."""
+        self.max_entries = max_entries
+        self.slots = 1
+        self._classes: dict[enums.Importance, _Class[EntryT]] = {
+            importance: _Class()
+            for importance in sorted(enums.Importance, reverse=True)
+        }
+        self._length = 0
+        self._sequence = itertools.count()
+        self._deadlines: list[tuple[float, int, EntryT]] = []
+        self._mean_cost_s = 0.05
+
+    def __len__(self) -> int:
+        """Return the number of waiting calls."""
+        return self._length
+
+    def push(self, entry: EntryT) -> EntryT | None:
+        """Add the entry; return the entry displaced, if any.
+
+        The displaced entry may be the new one.
+        """
+        cls = self._classes[entry.importance]
+        account = self._account(entry)
+        if not account.entries:
+            account.tag = max(
+                account.tag, cls.virtual_s - self._credit(account)
+            )
+            cls.waiting[entry.workspace] = account
+        entry.sequence = next(self._sequence)
+        account.entries[entry.sequence] = entry
+        cls.length += 1
+        self._length += 1
+        heapq.heappush(
+            self._deadlines, (entry.deadline, entry.sequence, entry)
+        )
+        if self._length <= self.max_entries:
+            return None
+        displaced = self._most_over_served()
+        self.remove(displaced)
+        return displaced
+
+    def pop(self) -> EntryT | None:
+        """Remove and return the entry to start next, if any."""
+        for cls in self._classes.values():
+            if not cls.waiting:
+                continue
+            account = min(cls.waiting.values(), key=self._order)
+            entry = next(iter(account.entries.values()))
+            self.remove(entry)
+            return entry
+        return None
+
+    def remove(self, entry: EntryT) -> bool:
+        """Remove the entry; return whether it was waiting."""
+        cls = self._classes[entry.importance]
+        account = cls.waiting.get(entry.workspace)
+        if (
+            account is None
+            or account.entries.pop(entry.sequence, None) is None
+        ):
+            return False
+        if not account.entries:
+            del cls.waiting[entry.workspace]
+        cls.length -= 1
+        self._length -= 1
+        if len(self._deadlines) > 2 * self._length + 64:
+            self._compact()
+        return True
+
+    def remove_all(self) -> list[EntryT]:
+        """Remove and return all entries."""
+        removed = []
+        while (entry := self.pop()) is not None:
+            removed.append(entry)
+        return removed
+
+    def remove_waiting_since(self, queued_at: float) -> list[EntryT]:
+        """Remove and return the entries queued before the given time."""
+        removed = []
+        for cls in self._classes.values():
+            for account in list(cls.waiting.values()):
+                while account.entries:
+                    entry = next(iter(account.entries.values()))
+                    if entry.queued_at >= queued_at:
+                        break
+                    self.remove(entry)
+                    removed.append(entry)
+        return removed
+
+    def remove_due(self, deadline: float) -> list[EntryT]:
+        """Remove and return the entries due before the given time."""
+        removed = []
+        while self._deadlines and self._deadlines[0][0] < deadline:
+            entry = heapq.heappop(self._deadlines)[2]
+            if self.remove(entry):
+                removed.append(entry)
+        return removed
+
+    def count_ahead(
+        self, importance: enums.Importance, workspace: ids.Workspace | None
+    ) -> int:
+        """Return how many waiting calls would start before a new one.
+
+        Inside the class each workspace with waiting calls is taken to start
+        one call for each call of the given workspace.
+        """
+        ahead = 0
+        for other, cls in self._classes.items():
+            if other > importance:
+                ahead += cls.length
+        own_class = self._classes[importance]
+        own = own_class.waiting.get(workspace)
+        own_length = len(own.entries) if own is not None else 0
+        turns = (own_length + 1) * (len(own_class.waiting) + (own is None))
+        return ahead + min(own_class.length, turns - 1)
+
+    def charge_start(self, entry: EntryT) -> None:
+        """Charge the expected slot time of a call that starts."""
+        cls = self._classes[entry.importance]
+        account = self._account(entry)
+        account.running += 1
+        account.tag = max(account.tag, cls.virtual_s - self._credit(account))
+        cls.virtual_s = max(cls.virtual_s, account.tag)
+        self._charge(cls, account, entry, self._cost(account))
+
+    def charge_running(self, entry: EntryT, used_s: float) -> None:
+        """Charge a running call that has used more than was expected."""
+        if used_s <= entry.charged_s:
+            return
+        cls = self._classes[entry.importance]
+        self._charge(cls, self._account(entry), entry, used_s)
+
+    def charge_end(self, entry: EntryT, used_s: float) -> None:
+        """Correct the charge of a call that ended after used_s seconds."""
+        cls = self._classes[entry.importance]
+        account = self._account(entry)
+        account.running -= 1
+        self._charge(cls, account, entry, used_s)
+        self._mean_cost_s += COST_GAIN * (used_s - self._mean_cost_s)
+        if account.cost_s is None:
+            account.cost_s = used_s
+        account.cost_s += COST_GAIN * (used_s - account.cost_s)
+        if len(cls.accounts) > cls.forget_at:
+            self._forget_idle(cls)
+
+    def _account(self, entry: EntryT) -> _Account[EntryT]:
+        cls = self._classes[entry.importance]
+        account = cls.accounts.get(entry.workspace)
+        if account is None:
+            account = _Account(cls.virtual_s)
+            cls.accounts[entry.workspace] = account
+        account.weight = entry.weight
+        return account
+
+    def _cost(self, account: _Account[EntryT]) -> float:
+        if account.cost_s is None:
+            return self._mean_cost_s
+        return account.cost_s
+
+    def _credit(self, account: _Account[EntryT]) -> float:
+        return CREDIT_CALLS * self._cost(account) / account.weight
+
+    def _charge(
+        self,
+        cls: _Class[EntryT],
+        account: _Account[EntryT],
+        entry: EntryT,
+        used_s: float,
+    ) -> None:
+        account.tag += (used_s - entry.charged_s) / account.weight
+        entry.charged_s = used_s
+        debt_s = max(DEBT_S * self.slots, DEBT_CALLS * self._cost(account))
+        account.tag = min(account.tag, cls.virtual_s + debt_s / account.weight)
+
+    def _order(self, account: _Account[EntryT]) -> tuple[float, int]:
+        return account.tag, next(iter(account.entries))
+
+    def _most_over_served(self) -> EntryT:
+        """Return the newest call of the workspace that is furthest ahead.
+
+        Waiting calls count as if they had run, so that a workspace which
+        fills the queue loses its own calls and not those of the others.
+        """
+        for cls in reversed(self._classes.values()):
+            if not cls.waiting:
+                continue
+            account = max(
+                cls.waiting.values(),
+                key=lambda account: (
+                    account.tag
+                    + len(account.entries)
+                    * self._cost(account)
+                    / account.weight
+                ),
+            )
+            return next(reversed(account.entries.values()))
+        raise AssertionError('the queue is empty')
+
+    def _compact(self) -> None:
+        """Drop removed entries from the heap of deadlines."""
+        live = []
+        for item in self._deadlines:
+            entry = item[2]
+            account = self._classes[entry.importance].waiting.get(
+                entry.workspace
+            )
+            if account is not None and entry.sequence in account.entries:
+                live.append(item)
+        heapq.heapify(live)
+        self._deadlines = live
+
+    def _forget_idle(self, cls: _Class[EntryT]) -> None:
+        """Forget accounts without calls and without debt."""
+        cls.accounts = {
+            workspace: account
+            for workspace, account in cls.accounts.items()
+            if account.entries
+            or account.running
+            or account.tag > cls.virtual_s
+        }
+        cls.forget_at = max(MAX_IDLE_ACCOUNTS, 2 * len(cls.accounts))
--- /dev/null
+++ b/tests/state/test_fair_queue.py
@@ -0,0 +1,177 @@
+"""Tests of the fair queue."""
+
+import random
+
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.state import fair_queue
+
+NORMAL = enums.Importance.NORMAL
+
+
+def _entry(
+    workspace: str,
+    *,
+    importance: enums.Importance = NORMAL,
+    weight: float = 1.0,
+    deadline: float = 100.0,
+    queued_at: float = 0.0,
+) -> fair_queue.Entry:
+    return fair_queue.Entry(
+        workspace=ids.Workspace(workspace),
+        weight=weight,
+        importance=importance,
+        deadline=deadline,
+        queued_at=queued_at,
+    )
+
+
+def _queue(max_entries: int = 100) -> fair_queue.FairQueue[fair_queue.Entry]:
+    return fair_queue.FairQueue(max_entries)
+
+
+def _serve(
+    queue: fair_queue.FairQueue[fair_queue.Entry],
+    costs: dict[str, float],
+    weights: dict[str, float],
+    calls: int,
+) -> dict[str, float]:
+    """Serve backlogged workspaces one call at a time; return slot time."""
+    used = dict.fromkeys(costs, 0.0)
+    for name in costs:
+        queue.push(_entry(name, weight=weights[name]))
+    for _ in range(calls):
+        entry = queue.pop()
+        assert entry is not None and entry.workspace is not None
+        name = entry.workspace
+        queue.push(_entry(name, weight=weights[name]))
+        queue.charge_start(entry)
+        queue.charge_end(entry, costs[name])
+        used[name] += costs[name]
+    return used
+
+
+def test_higher_classes_go_first_and_workspaces_keep_order() -> None:
+    """Guards against priority inversion and reordering of one workspace."""
+    queue = _queue()
+    first = _entry('a')
+    second = _entry('a')
+    critical = _entry('a', importance=enums.Importance.CRITICAL)
+    for entry in (first, second, critical):
+        assert queue.push(entry) is None
+    assert [queue.pop() for _ in range(4)] == [critical, first, second, None]
+
+
+def test_shares_follow_slot_time_and_weight() -> None:
+    """Guards against sharing by number of calls instead of slot time."""
+    costs = {'short': 0.01, 'long': 0.1, 'heavy': 0.02}
+    weights = {'short': 1.0, 'long': 1.0, 'heavy': 2.0}
+    used = _serve(_queue(), costs, weights, 4000)
+    unit = sum(used.values()) / 4
+    assert abs(used['short'] / unit - 1) < 0.05
+    assert abs(used['long'] / unit - 1) < 0.05
+    assert abs(used['heavy'] / unit - 2) < 0.1
+
+
+def test_running_work_counts_before_it_ends() -> None:
+    """Guards against a workspace that starts many calls before one ends."""
+    queue = _queue()
+    for name in ('a', 'b'):
+        for _ in range(10):
+            queue.push(_entry(name))
+    started = []
+    for _ in range(10):
+        entry = queue.pop()
+        assert entry is not None
+        queue.charge_start(entry)
+        started.append(entry.workspace)
+    assert started.count(ids.Workspace('a')) == 5
+
+
+def test_idle_workspace_gets_bounded_credit() -> None:
+    """Guards against a long idle workspace that takes all slots for long."""
+    queue = _queue()
+    costs = {'busy': 0.05}
+    _serve(queue, costs, {'busy': 1.0}, 1000)
+    used = _serve(
+        queue, {'busy': 0.05, 'idle': 0.05}, {'busy': 1, 'idle': 1}, 40
+    )
+    assert used['idle'] <= 0.05 * (20 + fair_queue.CREDIT_CALLS + 1)
+
+
+def test_long_calls_of_a_quiet_hour_do_not_shut_out() -> None:
+    """Guards against starvation by an unbounded debt."""
+    queue = _queue()
+    hog = _entry('hog')
+    queue.charge_start(hog)
+    queue.charge_end(hog, 3600.0)
+    for _ in range(200):
+        done = _entry('hog')
+        queue.charge_start(done)
+        queue.charge_end(done, 0.05)
+    used = _serve(
+        queue, {'hog': 0.05, 'other': 0.05}, {'hog': 1, 'other': 1}, 200
+    )
+    assert used['hog'] >= 0.05 * 50
+
+
+def test_full_queue_displaces_lowest_and_most_over_served() -> None:
+    """Guards against loss of important calls or of small workspaces."""
+    queue = _queue(max_entries=4)
+    for _ in range(3):
+        queue.push(_entry('large'))
+    low = _entry('small', importance=enums.Importance.LOW)
+    queue.push(low)
+    assert queue.push(_entry('small')) is low
+    displaced = queue.push(_entry('other'))
+    assert displaced is not None and displaced.workspace == 'large'
+    late = _entry('any', importance=enums.Importance.LOW)
+    assert queue.push(late) is late
+    assert len(queue) == 4
+
+
+def test_removal_keeps_the_count() -> None:
+    """Guards against entries lost or left behind by random operations."""
+    rng = random.Random(7)
+    queue = _queue(max_entries=50)
+    waiting: set[fair_queue.Entry] = set()
+    now = 0.0
+    for _ in range(5000):
+        now += 0.01
+        action = rng.random()
+        gone: list[fair_queue.Entry | None] = []
+        if action < 0.6:
+            entry = _entry(
+                f'w{rng.randrange(5)}',
+                importance=rng.choice(list(enums.Importance)),
+                deadline=now + rng.random(),
+                queued_at=now,
+            )
+            waiting.add(entry)
+            gone = [queue.push(entry)]
+        elif action < 0.8:
+            gone = [queue.pop()]
+        elif action < 0.85 and waiting:
+            entry = rng.choice(sorted(waiting, key=lambda e: e.sequence))
+            assert queue.remove(entry)
+            assert not queue.remove(entry)
+            gone = [entry]
+        elif action < 0.9:
+            gone = [*queue.remove_due(now)]
+            assert all(e is None or e.deadline < now for e in gone)
+        else:
+            gone = [*queue.remove_waiting_since(now - 0.5)]
+        waiting -= {entry for entry in gone if entry is not None}
+        assert len(queue) == len(waiting) <= 50
+    assert set(queue.remove_all()) == waiting
+
+
+def test_many_workspaces_do_not_pile_up() -> None:
+    """Guards against memory that grows with each workspace ever seen."""
+    queue = _queue()
+    for number in range(5000):
+        entry = _entry(f'w{number}')
+        queue.charge_start(entry)
+        queue.charge_end(entry, 0.0)
+    accounts = queue._classes[NORMAL].accounts
+    assert len(accounts) <= fair_queue.MAX_IDLE_ACCOUNTS + 1
