Tell refusals for lack of an upstream apart from load shedding

Cause: refusals with draining or no_upstream carried the mark of load shedding, so the hops above did not try another upstream; a call that runs alone was not ended when its time to stop the others was over. Ruled out: a separate kind of refusal; the mark alone decides.

--- a/sassafraswood/coordination/admission.py
+++ b/sassafraswood/coordination/admission.py
@@ -457,7 +457,10 @@
         ticket.state = TicketState.REFUSED
         now = self._clock.monotonic()
         retry_after_s = None
-        if self._status in SERVING_STATUSES:
+        # Without a serving upstream the refusal says nothing about load, so
+        # another upstream may be tried.
+        is_shed = self._status in SERVING_STATUSES
+        if is_shed:
             # With slots free, a refused call was hopeless by itself.
             if len(self._running) >= self._limit.limit:
                 self._meter.note_shed(ticket.importance, now)
@@ -467,7 +470,7 @@
                 reason=reason,
                 outcome=enums.Outcome.NOT_RUN,
                 retry_after_s=retry_after_s,
-                shed=True,
+                shed=is_shed,
             )
         )
 
--- a/sassafraswood/coordination/serving.py
+++ b/sassafraswood/coordination/serving.py
@@ -227,7 +227,7 @@
             return _unused(_not_run(enums.RefusalReason.OVERLOADED), context)
         outcome = admission_module.ServiceOutcome.CANCELLED
         try:
-            with anyio.fail_after(remaining_s):
+            with anyio.fail_after(self._longest_s(run)):
                 run.is_sent = True
                 answer = await self._upstream.async_send(
                     _with_call_headers(request, token, remaining_s),
@@ -282,6 +282,16 @@
         if run.ticket is not None:
             self._admission.finish(run.ticket, outcome)
 
+    def _longest_s(self, run: _Run) -> float:
+        """Return the seconds that the call may run at the upstream.
+
+        A call that runs alone ends earlier, because it stops the others.
+        """
+        ends_by = run.deadline
+        if run.ticket is not None:
+            ends_by = min(ends_by, run.ticket.ends_by)
+        return ends_by - self._clock.monotonic()
+
     def _max_body_bytes(self, service: ids.ServiceName) -> int:
         entry = self._configuration.document(service)
         if entry is None:
