Count each crash of an upstream once, also after a fast restart

Cause: every call that broke at a crash reported a crash of its own, with fewer calls in flight each time; the last one looked like a lone suspect and would have been quarantined although it was innocent. An upstream that was restarted before the probe came was not seen as crashed at all. Ruled out: a longer wait before the report, which only changes the odds. Conclusion: the lifecycle reports a crash on its change of state, or when another process announces itself.

--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -142,6 +142,8 @@
 AUTHORIZATION_STALE_S: Final = 3.0
 
 # Crashing requests.
+# Calls that broke this long before a crash was noticed belong to it.
+CRASH_WINDOW_S: Final = 5.0
 QUARANTINE_S: Final = 3600.0
 # Longer than a quarantine, so that the first run after it is a lone one.
 SUSPECT_S: Final = 2 * 3600.0
--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -115,13 +115,15 @@
         )
         if isinstance(key, call.Refusal):
             return call.CallResult(result=key, allowance_left=0)
+        arrived_at = self._clock.monotonic()
         refusal = self._check_idempotency_key(incoming)
         if refusal is None:
             refusal = await self._async_take_quota(incoming, key)
         if refusal is not None:
             return call.CallResult(result=refusal, allowance_left=0)
         total = self._retries.total(incoming.entry.document)
-        context = self._new_context(incoming, key, total)
+        waited_s = self._clock.monotonic() - arrived_at
+        context = self._new_context(incoming, key, total, waited_s)
         return await self._async_dispatch(context, incoming.request)
 
     async def async_child_call(
@@ -212,6 +214,7 @@
         incoming: IncomingCall,
         key: records.KeyEntry | None,
         allowance: int,
+        waited_s: float,
     ) -> call.CallContext:
         call_id = self._new_id()
         timeout_s = incoming.route.timeout_s
@@ -224,7 +227,7 @@
             workspace=key.workspace if key else None,
             key_id=key.key_id if key else None,
             importance=incoming.importance,
-            remaining_s=timeout_s,
+            remaining_s=timeout_s - waited_s,
             allowance=allowance,
             depth=1,
             idempotent=incoming.idempotent,
--- a/sassafraswood/coordination/serving.py
+++ b/sassafraswood/coordination/serving.py
@@ -65,11 +65,14 @@
         authorization: authorization.Authorization,
         configuration: configuration_module.Configuration,
         upstream: UpstreamPort,
-        on_crash: Callable[[list[ids.Fingerprint]], None],
-        on_lone_success: Callable[[ids.Fingerprint], None],
         on_unreachable: Callable[[], None],
+        on_lone_success: Callable[[ids.Fingerprint], None],
     ) -> None:
-        """Take the parts that decide about a call."""
+        """Take the parts that decide about a call.
+
+        Args:
+            on_unreachable: Called when the upstream refuses connections.
+        """
         self._clock = clock
         self._admission = admission
         self._quarantine = quarantine
@@ -77,13 +80,16 @@
         self._authorization = authorization
         self._configuration = configuration
         self._upstream = upstream
-        self._on_crash = on_crash
         self._on_lone_success = on_lone_success
         self._on_unreachable = on_unreachable
         self._runs: dict[ids.CallId, _Run] = {}
         self._ended: collections.OrderedDict[
             ids.CallId, tuple[float, enums.CancelState]
         ] = collections.OrderedDict()
+        # Calls whose connection broke, with the time.
+        self._broken: collections.deque[tuple[float, ids.Fingerprint]] = (
+            collections.deque(maxlen=const.MAX_SUSPECTS)
+        )
         self._is_stopping = False
 
     @property
@@ -95,6 +101,25 @@
         """Return the load of the upstream."""
         return self._admission.hint()
 
+    def take_crash_suspects(self) -> list[ids.Fingerprint]:
+        """Return what the upstream ran when it crashed, once per crash.
+
+        These are the calls in flight and those whose connection broke a
+        moment ago. Each call that broke sees the same crash, so asking
+        again gives nothing.
+        """
+        limit = self._clock.monotonic() - const.CRASH_WINDOW_S
+        suspects = [
+            fingerprint for at, fingerprint in self._broken if at >= limit
+        ]
+        suspects += [
+            run.context.fingerprint
+            for run in self._runs.values()
+            if run.is_sent
+        ]
+        self._broken.clear()
+        return suspects
+
     def stop(self) -> None:
         """Refuse new calls; those that wait or run go on."""
         self._is_stopping = True
@@ -267,14 +292,9 @@
         )
         if error.reason not in broken:
             return
-        # The other calls in flight may see the crash a moment later.
-        in_flight = [
-            other.context.fingerprint
-            for other in self._runs.values()
-            if other.is_sent
-        ]
+        self._broken.append((self._clock.monotonic(), run.context.fingerprint))
         if not await self._upstream.async_probe():
-            self._on_crash(in_flight)
+            self._on_unreachable()
 
     def _finish(
         self, run: _Run, outcome: admission_module.ServiceOutcome
--- a/sassafraswood/coordination/upstream_lifecycle.py
+++ b/sassafraswood/coordination/upstream_lifecycle.py
@@ -22,16 +22,20 @@
         admission: admission_module.Admission,
         set_address: Callable[[str], None],
         on_change: Callable[[enums.UpstreamStatus, int], None],
+        on_crash: Callable[[], None],
     ) -> None:
         """Start without an upstream.
 
         Args:
             on_change: Called with each new status and the announced slots.
+            on_crash: Called once for each crash, before the status changes.
         """
         self._clock = clock
         self._admission = admission
         self._set_address = set_address
         self._on_change = on_change
+        self._on_crash = on_crash
+        self._instance = ''
         self._status = enums.UpstreamStatus.ABSENT
         self._slots = 0
         self._cold_since = 0.0
@@ -46,14 +50,25 @@
         """Return the announced slots."""
         return self._slots
 
-    def announce(self, address: str, slots: int) -> None:
+    def announce(self, address: str, slots: int, instance: str) -> None:
         """Take an upstream at host:port that runs slots calls at once.
 
         A repeated announcement of a serving upstream changes its slots only.
+        One of another process means that the former one has ended, which a
+        fast restart hides from probes.
+
+        Args:
+            instance: Names the process of the upstream.
         """
         self._set_address(address)
+        is_restart = instance != self._instance
+        self._instance = instance
         if self._status in admission_module.SERVING_STATUSES:
-            if slots != self._slots:
+            if is_restart:
+                self._on_crash()
+                self._slots = slots
+                self._start_cold()
+            elif slots != self._slots:
                 self._slots = slots
                 self._change(self._status)
             return
@@ -72,6 +87,7 @@
     def note_crash(self) -> None:
         """Take that the upstream refuses connections."""
         if self._status in admission_module.SERVING_STATUSES:
+            self._on_crash()
             self._change(enums.UpstreamStatus.CRASHED)
 
     def note_probe(self, is_accepting: bool) -> None:
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -213,6 +213,7 @@
             admission=self._admission,
             set_address=self._upstream.set_address,
             on_change=self._on_upstream_change,
+            on_crash=self._on_crash,
         )
         self._quarantine = quarantine.Quarantine(
             clock=self._clock, service=self._settings.service
@@ -231,9 +232,8 @@
             authorization=keys,
             configuration=self._configuration,
             upstream=self._upstream,
-            on_crash=self._on_crash,
-            on_lone_success=self._on_lone_success,
             on_unreachable=self._lifecycle.note_crash,
+            on_lone_success=self._on_lone_success,
         )
         self._router = routing.Router(
             clock=self._clock,
@@ -574,10 +574,12 @@
         )
         self._appender.append(records.Announce(member=member))
 
-    def _on_crash(self, in_flight: list[ids.Fingerprint]) -> None:
+    def _on_crash(self) -> None:
         self._metrics.count('upstream.crashes')
-        self._lifecycle.note_crash()
-        report = self._quarantine.note_crash(in_flight)
+        suspects = self._serving.take_crash_suspects()
+        if not suspects:
+            return
+        report = self._quarantine.note_crash(suspects)
         self._spread_fingerprints(report)
         for record in report.quarantined:
             events.log_change(
--- a/sassafraswood/transport/local_app.py
+++ b/sassafraswood/transport/local_app.py
@@ -28,10 +28,13 @@
     Attributes:
         address: host:port of the upstream.
         slots: Requests that it runs at once.
+        instance: Names the process of the upstream, so that a restart is
+            told from a repeated announcement.
     """
 
     address: str
     slots: int
+    instance: str = ''
 
 
 class PublishRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -184,7 +187,9 @@
                     send, 400, 'malformed', 'slots >= 1, address host:port'
                 )
                 return
-            self._lifecycle.announce(announce.address, announce.slots)
+            self._lifecycle.announce(
+                announce.address, announce.slots, announce.instance
+            )
         elif path == '/upstream/drain':
             self._lifecycle.drain()
         elif path == '/upstream/leave':
--- a/sassafraswood/upstream_api.py
+++ b/sassafraswood/upstream_api.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import uuid
 
 import httpcore
 import msgspec
@@ -46,6 +47,7 @@
     def __init__(self, address: str, *, max_connections: int = 512) -> None:
         """Use the daemon whose local_listen is host:port."""
         self._base = f'http://{address}'
+        self._instance = uuid.uuid4().hex
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections
         )
@@ -57,7 +59,8 @@
             DaemonRefusedError: The daemon did not take it.
         """
         await self._async_post(
-            '/upstream/announce', {'address': address, 'slots': slots}
+            '/upstream/announce',
+            {'address': address, 'slots': slots, 'instance': self._instance},
         )
 
     async def async_drain(self) -> None:
