Take "not run" as proved only while the call id is remembered

Cause: a daemon that was paused for longer than the serving daemon keeps call ids would ask about its call and be told "not run" although it had run. Ruled out: keeping call ids for longer; a pause has no bound.

--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -51,6 +51,7 @@
     incarnation: ids.Incarnation | None
     payload: bytes
     done: anyio.Event
+    sent_at: float
     connect_deadline: float
     deadline: float
     result: messages.RunResult | messages.CancelResult | None = None
@@ -223,6 +224,7 @@
             incarnation=peer[1] if peer else None,
             payload=payload,
             done=anyio.Event(),
+            sent_at=now,
             connect_deadline=now + min(const.PEER_CONNECT_S, remaining_s),
             deadline=now + remaining_s + const.CANCEL_QUERY_S,
         )
@@ -390,10 +392,14 @@
             )
             pending.done.set()
             return
-        # Only the process that the call was sent to can prove anything.
+        # Only the process that the call was sent to can prove anything, and
+        # only while it still knows which calls it ran. This daemon may have
+        # been paused for longer.
+        age_s = self._clock.monotonic() - pending.sent_at
         is_proof = (
             message.state is enums.CancelState.NOT_RUN
             and message.incarnation == pending.incarnation
+            and age_s < const.CALL_ID_MEMORY_S
         )
         if is_proof:
             self._fail(pending, exceptions.PeerUnreachableError('not run'))
