Apply the limits of connections and headers from the settings

Cause: two limits were read from the settings but not applied. Ruled out: uvicorn's own limit of concurrency, which answers 503 without a reason and counts requests and connections together. Conclusion: each limit has a refusal reason and a counter of its own.

--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -303,6 +303,7 @@
             tokens=self._tokens,
             count=count,
             max_calls=settings.limits.max_calls,
+            max_header_bytes=settings.limits.max_header_bytes,
         )
         local = local_app.LocalApp(
             callers=self._callers,
@@ -319,11 +320,13 @@
             address=settings.caller_listen,
             application=self._callers.async_serve,
             count=count,
+            max_connections=settings.limits.max_connections,
         )
         self._local_server = http_server.HttpServer(
             address=settings.local_listen,
             application=local.async_serve,
             count=count,
+            max_connections=settings.limits.max_connections,
         )
 
     async def async_run(self) -> None:
--- a/sassafraswood/models/enums.py
+++ b/sassafraswood/models/enums.py
@@ -61,6 +61,7 @@
     # The request itself.
     MALFORMED_REQUEST = 'malformed_request'
     HEADERS_TOO_LARGE = 'headers_too_large'
+    TOO_MANY_CONNECTIONS = 'too_many_connections'
     HEADERS_TIMEOUT = 'headers_timeout'
     BODY_TOO_LARGE = 'body_too_large'
     BODY_TIMEOUT = 'body_timeout'
--- a/sassafraswood/protocol/problems.py
+++ b/sassafraswood/protocol/problems.py
@@ -17,6 +17,7 @@
     _Reason.MALFORMED_REQUEST: 400,
     _Reason.HEADERS_TOO_LARGE: 431,
     _Reason.BODY_TOO_LARGE: 413,
+    _Reason.HEADERS_TIMEOUT: 408,
     _Reason.BODY_TIMEOUT: 408,
     _Reason.INVALID_TIMEOUT: 400,
     _Reason.UNKNOWN_SERVICE: 404,
--- a/sassafraswood/transport/caller_app.py
+++ b/sassafraswood/transport/caller_app.py
@@ -46,6 +46,7 @@
         tokens: call_tokens.CallTokens,
         count: Callable[[str], None],
         max_calls: int,
+        max_header_bytes: int,
     ) -> None:
         """Take the documents and the object that runs calls."""
         self._clock = clock
@@ -54,6 +55,7 @@
         self._tokens = tokens
         self._count = count
         self._max_calls = max_calls
+        self._max_header_bytes = max_header_bytes
         self._active: dict[int, _Active] = {}
 
     @property
@@ -161,7 +163,7 @@
             for name, value in scope['headers']
         ]
         size = sum(len(name) + len(value) for name, value in headers)
-        if size > const.MAX_HEADER_BYTES:
+        if size > self._max_header_bytes:
             return _not_run(enums.RefusalReason.HEADERS_TOO_LARGE)
         try:
             with anyio.fail_after(const.BODY_TIMEOUT_S):
--- a/sassafraswood/transport/http_server.py
+++ b/sassafraswood/transport/http_server.py
@@ -90,14 +90,24 @@
 class _Protocol(httptools_impl.HttpToolsProtocol):
     """Adds time limits and counted refusals to uvicorn's protocol."""
 
-    def __init__(self, count: Count, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, count: Count, max_connections: int, *args: Any, **kwargs: Any
+    ) -> None:
         super().__init__(*args, **kwargs)
         self._count = count
+        self._max_connections = max_connections
         self._header_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
         _detect_silence(transport.get_extra_info('socket'))
+        if len(self.connections) > self._max_connections:
+            refusal = call.Refusal(
+                reason=enums.RefusalReason.TOO_MANY_CONNECTIONS,
+                outcome=enums.Outcome.NOT_RUN,
+            )
+            self._refuse(refusal)
+            return
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -194,7 +204,7 @@
         address: str,
         application: Application,
         count: Count,
-        max_connections: int | None = None,
+        max_connections: int,
     ) -> None:
         """Prepare a server at host:port."""
         host, port = address.rsplit(':', 1)
@@ -202,7 +212,9 @@
             application,
             host=host.strip('[]'),
             port=int(port),
-            http=functools.partial(_Protocol, count),  # type: ignore[arg-type]
+            http=functools.partial(  # type: ignore[arg-type]
+                _Protocol, count, max_connections
+            ),
             loop='none',
             ws='none',
             interface='asgi3',
@@ -215,7 +227,6 @@
             timeout_keep_alive=const.CALLER_KEEP_ALIVE_S,
             backlog=2048,
         )
-        del max_connections
         config.load()
         self._server = _Server(config)
 
--- a/tests/coordination/test_serving.py
+++ b/tests/coordination/test_serving.py
@@ -7,12 +7,12 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
-from sassafraswood import exceptions
 from sassafraswood.coordination import admission
 from sassafraswood.coordination import authorization
 from sassafraswood.coordination import call_tokens
 from sassafraswood.coordination import quarantine
 from sassafraswood.coordination import serving
+from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import enums
 from sassafraswood.models import ids
