Test the first daemon among fakes

Cause: the order of its checks and its use of retries was covered by process runs only. Ruled out: process tests for each reason; they are slow and few. Conclusion: refusals before the quota cost nothing, and a non-idempotent call with unknown outcome is final.

--- /dev/null
+++ b/tests/coordination/test_first_daemon.py
@@ -0,0 +1,345 @@
+"""Tests of calls at the first daemon."""
+
+import random
+
+import pytest
+
+from sassafraswood import clock as clock_module
+from sassafraswood import const
+from sassafraswood.coordination import authorization
+from sassafraswood.coordination import call_tokens
+from sassafraswood.coordination import callee_limit
+from sassafraswood.coordination import first_daemon
+from sassafraswood.coordination import quarantine
+from sassafraswood.coordination import quota_client
+from sassafraswood.coordination import retry
+from sassafraswood import exceptions
+from sassafraswood.models import call
+from sassafraswood.models import document
+from sassafraswood.models import enums
+from sassafraswood.models import ids
+from sassafraswood.models import messages
+from sassafraswood.models import records
+
+SERVICE = ids.ServiceName('orders')
+ANSWER = call.Answer(status=200, headers=[], body=b'whole')
+KEYED = document.RouteSpec(path='/**')
+DOCUMENT = document.ServiceDocument(
+    version=1,
+    service=SERVICE,
+    routes=[KEYED],
+    workspaces={ids.Workspace('w'): document.WorkspaceSpec(rate=9, burst=9)},
+)
+ENTRY = records.DocumentEntry(
+    service=SERVICE,
+    revision=ids.Revision(1),
+    offset=ids.Offset(0),
+    document=DOCUMENT,
+)
+KEY = records.KeyEntry(
+    key_id=ids.KeyId('k'),
+    workspace=ids.Workspace('w'),
+    key_sha256='0' * 64,
+    withdrawn=False,
+)
+
+
+class _Knowledge:
+    """Keys, documents, members and partitions of the test."""
+
+    def __init__(self) -> None:
+        self.key: records.KeyEntry | None = KEY
+        self.stale = False
+        self.owner: ids.DaemonId | None = None
+
+    def find_key(self, presented: str) -> records.KeyEntry | None:
+        del presented
+        return self.key
+
+    def is_key_valid(self, key_id: ids.KeyId) -> bool:
+        del key_id
+        return self.key is not None and not self.key.withdrawn
+
+    def is_stale(self) -> bool:
+        return self.stale
+
+    def document(self, service: str) -> records.DocumentEntry:
+        del service
+        return ENTRY
+
+    def members(self, service: str) -> list[records.Member]:
+        del service
+        return []
+
+    def owner_of(self, context: call.CallContext) -> ids.DaemonId | None:
+        del context
+        return self.owner
+
+
+class _Quota:
+    """A quota that grants or refuses at once."""
+
+    def __init__(self) -> None:
+        self.verdict = quota_client.QuotaVerdict(granted=True)
+        self.taken = 0
+
+    def take(self, *unused: object) -> quota_client.QuotaVerdict:
+        del unused
+        self.taken += 1
+        return self.verdict
+
+
+class _Router:
+    """Names daemons in turn."""
+
+    def choose(
+        self,
+        service: str,
+        importance: enums.Importance,
+        exclude: frozenset[ids.DaemonId],
+    ) -> ids.DaemonId | call.Refusal:
+        del service, importance
+        for name in ('a', 'b', 'c'):
+            if ids.DaemonId(name) not in exclude:
+                return ids.DaemonId(name)
+        return _not_run(enums.RefusalReason.NO_UPSTREAM)
+
+    def note_sent(self, daemon_id: ids.DaemonId) -> None:
+        pass
+
+    def note_result(self, *unused: object) -> None:
+        pass
+
+
+class _Peers:
+    """Daemons that end calls as the test says, in order."""
+
+    def __init__(self) -> None:
+        self.ends: list[call.Result | exceptions.PeerError] = []
+        self.sent: list[tuple[ids.DaemonId, messages.RunCall]] = []
+
+    async def async_run_call(
+        self, daemon_id: ids.DaemonId, message: messages.RunCall
+    ) -> messages.RunResult:
+        self.sent.append((daemon_id, message))
+        end = self.ends.pop(0) if self.ends else ANSWER
+        if isinstance(end, exceptions.PeerError):
+            raise end
+        return messages.RunResult(
+            call_id=message.context.call_id,
+            result=end,
+            allowance_left=message.context.allowance,
+            hint=None,
+        )
+
+
+class _Bench:
+    """A first daemon among fakes."""
+
+    def __init__(self) -> None:
+        self.clock = clock_module.ManualClock()
+        self.knowledge = _Knowledge()
+        self.quota = _Quota()
+        self.peers = _Peers()
+        self.quarantine = quarantine.Quarantine(clock=self.clock)
+        generator = random.Random(1)
+        self.calls = first_daemon.FirstDaemon(
+            clock=self.clock,
+            random=generator,
+            authorization=authorization.Authorization(
+                keys=self.knowledge, freshness=self.knowledge
+            ),
+            quota=self.quota,  # type: ignore[arg-type]
+            quarantine=self.quarantine,
+            router=_Router(),  # type: ignore[arg-type]
+            retries=retry.RetryPolicy(clock=self.clock, random=generator),
+            callees=callee_limit.CalleeLimits(clock=self.clock),
+            configuration=self.knowledge,  # type: ignore[arg-type]
+            membership=self.knowledge,  # type: ignore[arg-type]
+            runs=self.knowledge,  # type: ignore[arg-type]
+            peers=self.peers,
+            count=lambda name: None,
+        )
+
+    async def async_call(
+        self, *, idempotent: bool = True, idempotency_key: str | None = None
+    ) -> call.Result:
+        """Return the end of a call."""
+        result = await self.calls.async_call(
+            _incoming(idempotent, idempotency_key)
+        )
+        return result.result
+
+
+def _incoming(
+    idempotent: bool = True, idempotency_key: str | None = None
+) -> first_daemon.IncomingCall:
+    return first_daemon.IncomingCall(
+        entry=ENTRY,
+        route=KEYED,
+        importance=enums.Importance.NORMAL,
+        idempotent=idempotent,
+        request=call.HttpRequest(
+            method='GET', target='/a', headers=[], body=b''
+        ),
+        key='secret',
+        idempotency_key=idempotency_key,
+    )
+
+
+def _not_run(
+    reason: enums.RefusalReason, *, shed: bool = False
+) -> call.Refusal:
+    return call.Refusal(
+        reason=reason, outcome=enums.Outcome.NOT_RUN, shed=shed
+    )
+
+
+def _reason(result: call.Result) -> enums.RefusalReason:
+    assert isinstance(result, call.Refusal)
+    return result.reason
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Return the only event loop that the product uses."""
+    return 'asyncio'
+
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_refusals_before_the_quota_cost_no_token() -> None:
+    """Guards against callers without a key that use up a quota."""
+    bench = _Bench()
+    bench.knowledge.key = None
+    assert _reason(await bench.async_call()) is (
+        enums.RefusalReason.KEY_UNKNOWN
+    )
+    bench.knowledge.stale = True
+    assert _reason(await bench.async_call()) is (
+        enums.RefusalReason.AUTHORIZATION_STALE
+    )
+    assert bench.quota.taken == 0
+    assert bench.peers.sent == []
+
+
+async def test_refused_quota_reaches_no_daemon() -> None:
+    """Guards against calls above the rate that still use an upstream."""
+    bench = _Bench()
+    bench.quota.verdict = quota_client.QuotaVerdict(
+        granted=False,
+        reason=enums.RefusalReason.RATE_EXCEEDED,
+        retry_after_s=0.5,
+    )
+    result = await bench.async_call()
+    assert _reason(result) is enums.RefusalReason.RATE_EXCEEDED
+    assert bench.peers.sent == []
+
+
+async def test_not_run_is_tried_at_another_daemon() -> None:
+    """Guards against a call that fails although another upstream is fine."""
+    bench = _Bench()
+    bench.peers.ends = [exceptions.PeerUnreachableError('a')]
+    assert await bench.async_call(idempotent=False) == ANSWER
+    assert [daemon_id for daemon_id, _ in bench.peers.sent] == ['a', 'b']
+
+
+async def test_unknown_outcome_of_non_idempotent_call_is_final() -> None:
+    """Guards against a payment that runs twice."""
+    bench = _Bench()
+    bench.peers.ends = [exceptions.PeerSilentError('a')]
+    result = await bench.async_call(idempotent=False)
+    assert _reason(result) is enums.RefusalReason.PEER_SILENT
+    assert len(bench.peers.sent) == 1
+
+
+async def test_attempts_stay_within_the_allowance() -> None:
+    """Guards against retries beyond the allowance of the document."""
+    bench = _Bench()
+    bench.peers.ends = [exceptions.PeerUnreachableError('x')] * 9
+    await bench.async_call()
+    assert len(bench.peers.sent) <= 1 + DOCUMENT.retry_allowance
+
+
+async def test_no_other_upstream_keeps_the_first_refusal() -> None:
+    """Guards against "no upstream" in place of the real reason."""
+    bench = _Bench()
+    reason = enums.RefusalReason.DRAINING
+    bench.peers.ends = [_not_run(reason)] * 9
+    assert _reason(await bench.async_call()) is reason
+
+
+async def test_child_call_returns_its_unused_retries() -> None:
+    """Guards against retries that are lost with each child call."""
+    bench = _Bench()
+    allowance = retry.RetryAllowance(4)
+    parent = call_tokens.TokenEntry(
+        context=_parent(depth=1), remaining_s=2.0, allowance=allowance
+    )
+    result = await bench.calls.async_child_call(_incoming(), parent)
+    assert result.result == ANSWER
+    assert allowance.left == 4
+    context = bench.peers.sent[0][1].context
+    assert context.depth == 2
+    assert context.remaining_s <= 2.0
+    assert bench.quota.taken == 0
+
+
+async def test_child_calls_end_at_the_greatest_depth() -> None:
+    """Guards against services that call each other in a circle."""
+    bench = _Bench()
+    parent = call_tokens.TokenEntry(
+        context=_parent(depth=const.MAX_CALL_DEPTH),
+        remaining_s=2.0,
+        allowance=retry.RetryAllowance(0),
+    )
+    result = await bench.calls.async_child_call(_incoming(), parent)
+    assert _reason(result.result) is enums.RefusalReason.TOO_DEEP
+
+
+async def test_child_call_of_a_withdrawn_key_is_refused() -> None:
+    """Guards against deep work for a key that no longer counts."""
+    bench = _Bench()
+    bench.knowledge.key = None
+    parent = call_tokens.TokenEntry(
+        context=_parent(depth=1),
+        remaining_s=2.0,
+        allowance=retry.RetryAllowance(0),
+    )
+    result = await bench.calls.async_child_call(_incoming(), parent)
+    assert _reason(result.result) is enums.RefusalReason.KEY_WITHDRAWN
+
+
+async def test_idempotency_key_goes_to_its_owner_only() -> None:
+    """Guards against a key that two daemons run."""
+    bench = _Bench()
+    bench.knowledge.owner = ids.DaemonId('owner')
+    result = await bench.async_call(idempotent=False, idempotency_key='x')
+    assert result == ANSWER
+    daemon_id, message = bench.peers.sent[0]
+    assert daemon_id == 'owner' and message.as_owner
+    assert len(bench.peers.sent) == 1
+
+
+async def test_stopping_daemon_takes_no_new_call() -> None:
+    """Guards against calls that a planned stop would cut."""
+    bench = _Bench()
+    bench.calls.stop()
+    assert _reason(await bench.async_call()) is enums.RefusalReason.DRAINING
+
+
+def _parent(depth: int) -> call.CallContext:
+    return call.CallContext(
+        call_id=ids.CallId('parent'),
+        root_id='root',
+        service=ids.ServiceName('front'),
+        workspace=ids.Workspace('w'),
+        key_id=ids.KeyId('k'),
+        importance=enums.Importance.HIGH,
+        remaining_s=5.0,
+        allowance=4,
+        depth=depth,
+        idempotent=True,
+        fingerprint=ids.Fingerprint('f'),
+    )
