--- a/sassafraswood/transport/metrics.py
+++ b/sassafraswood/transport/metrics.py
@@ -17,7 +17,12 @@
         self._client: statsd.StatsClient | None = None
         if address is not None:
             host, port = address.rsplit(':', 1)
-            self._client = statsd.StatsClient(host, int(port), prefix=prefix)
+            self._client = statsd.StatsClient(
+                host.strip('[]'),
+                int(port),
+                prefix=prefix,
+                ipv6=host.startswith('['),
+            )
 
     @property
     def counts(self) -> dict[str, int]:
--- a/sassafraswood/transport/peer_connection.py
+++ b/sassafraswood/transport/peer_connection.py
@@ -120,6 +120,8 @@
         self._unanswered_since: float | None = now
         self._last_ping = now
         socket = self._new_socket()
+        if self._address.startswith('['):
+            socket.set(zmq.IPV6, 1)
         socket.connect(f'tcp://{self._address}')
         self._socket = zmq_socket.WatchedSocket(
             socket,
--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -124,6 +124,8 @@
         router.set(zmq.CURVE_PUBLICKEY, self._keys.public)
         router.set(zmq.CURVE_SECRETKEY, self._keys.secret)
         router.set(zmq.ZAP_DOMAIN, _ZAP_DOMAIN.encode())
+        if self._bind_address.startswith('['):
+            router.set(zmq.IPV6, 1)
         router.bind(f'tcp://{self._bind_address}')
         self._router = zmq_socket.WatchedSocket(
             router, on_message=self._receive_request
@@ -364,7 +366,9 @@
     ) -> None:
         pending = self._pending.get(message.call_id)
         if pending is None or pending.done.is_set():
-            self._count('answers.late')
+            # The answer to a cancellation is expected after the call ended.
+            if isinstance(message, messages.RunResult):
+                self._count('answers.late')
             return
         if isinstance(message, messages.RunResult):
             pending.result = message
