Add the commands for operators

Cause: the program could only run a daemon and print its version; operators had to send HTTP requests by hand.

The bodies of the local HTTP interface move to protocol.operator_api, so that the commands use the same types without the servers.

Conclusion: each command has an example and the exit codes 0 and 2 to 6.

--- /dev/null
+++ b/sassafraswood/cli/check.py
@@ -0,0 +1,89 @@
+"""Commands that check files without a daemon."""
+
+from collections.abc import Callable
+import os
+import pathlib
+from typing import Annotated
+
+import typer
+
+from sassafraswood.cli import files
+from sassafraswood.cli import options
+from sassafraswood.cli import output
+from sassafraswood import exceptions
+from sassafraswood.protocol import documents
+from sassafraswood.protocol import settings as settings_module
+
+app = typer.Typer(
+    no_args_is_help=True,
+    rich_markup_mode=None,
+    help='Check files without a daemon.',
+)
+
+File = Annotated[pathlib.Path, typer.Argument(help='File to check.')]
+
+
+@app.command('settings')
+def check_settings(file: File, as_json: options.Json = False) -> None:
+    """Check a settings file and the secrets that it names.
+
+    Example: sassafraswood check settings settings.json
+    """
+    _check(lambda: load_settings(file), file, as_json)
+
+
+@app.command('document')
+def check_document(file: File, as_json: options.Json = False) -> None:
+    """Check a service document.
+
+    Example: sassafraswood check document van-booking.json
+    """
+    _check(
+        lambda: documents.check_document(files.read_json(file)), file, as_json
+    )
+
+
+def load_settings(path: pathlib.Path) -> settings_module.Settings:
+    """Return the settings in a file, with secrets read.
+
+    Raises:
+        SettingsError: They are wrong.
+        BadInputError: The file is not readable.
+    """
+    return settings_module.load_settings(
+        files.read_text(path),
+        os.environ,
+        lambda place: pathlib.Path(place).read_text(),
+    )
+
+
+def _check(
+    load: Callable[[], object], path: pathlib.Path, as_json: bool
+) -> None:
+    problems: list[exceptions.Problem] = []
+    try:
+        load()
+    except exceptions.InvalidInputError as error:
+        problems = error.problems
+        raise
+    finally:
+        if as_json:
+            _print_problems(problems)
+    if not as_json:
+        output.print_line(f'{path}: valid')
+
+
+def _print_problems(problems: list[exceptions.Problem]) -> None:
+    output.print_json(
+        {
+            'is_valid': not problems,
+            'problems': [
+                {
+                    'path': problem.path,
+                    'found': problem.found,
+                    'allowed': problem.allowed,
+                }
+                for problem in problems
+            ],
+        }
+    )
--- /dev/null
+++ b/sassafraswood/cli/fleet.py
@@ -0,0 +1,94 @@
+"""Commands that show the state of a daemon and of the fleet."""
+
+from typing import Any
+
+from sassafraswood.cli import operator_client
+from sassafraswood.cli import options
+from sassafraswood.cli import output
+
+_MEMBER_COLUMNS = (
+    'daemon_id',
+    'service',
+    'failure_domain',
+    'status',
+    'upstream_status',
+    'slots',
+    'is_silent',
+)
+_DOCUMENT_COLUMNS = ('service', 'revision', 'offset')
+_PARTITION_COLUMNS = ('partition', 'term', 'owner', 'guardian', 'is_held')
+_STATUS_FIELDS = (
+    'version',
+    'next_offset',
+    'is_log_readable',
+    'log_read_age_s',
+    'is_authorization_stale',
+)
+_OWN_FIELDS = ('daemon_id', 'service', 'status', 'upstream_status', 'slots')
+
+
+def status(
+    daemon: options.Daemon,
+    token_file: options.TokenFile = None,
+    as_json: options.Json = False,
+) -> None:
+    """Show the state of one daemon with its counters.
+
+    Example: sassafraswood status --daemon http://10.0.1.17:8081 --json
+    """
+    value = _get(daemon, token_file, 'status')
+    if as_json:
+        output.print_json(value)
+        return
+    own = value.get('member', {})
+    fields = [(name, _cell(own.get(name))) for name in _OWN_FIELDS]
+    fields += [(name, _cell(value.get(name))) for name in _STATUS_FIELDS]
+    output.print_table(('field', 'value'), fields)
+    _print_rows(_DOCUMENT_COLUMNS, value.get('documents', []))
+    _print_rows(_PARTITION_COLUMNS, value.get('partitions', []))
+    counts = sorted(value.get('counts', {}).items())
+    _print_rows(
+        ('counter', 'count'),
+        [{'counter': name, 'count': count} for name, count in counts],
+    )
+
+
+def fleet(
+    daemon: options.Daemon,
+    token_file: options.TokenFile = None,
+    as_json: options.Json = False,
+) -> None:
+    """Show the members and documents that one daemon knows.
+
+    Example: sassafraswood fleet --daemon http://10.0.1.17:8081
+    """
+    value = _get(daemon, token_file, 'fleet')
+    if as_json:
+        output.print_json(value)
+        return
+    _print_rows(_MEMBER_COLUMNS, value.get('members', []))
+    _print_rows(_DOCUMENT_COLUMNS, value.get('documents', []))
+
+
+def _get(daemon: str, token_file: Any, path: str) -> dict[str, Any]:
+    client = operator_client.open_client(daemon, token_file)
+    # Fields of a newer daemon are shown too, so no type is imposed.
+    return client.get(path, dict[str, Any], operator_client.READ_TIMEOUT_S)
+
+
+def _print_rows(columns: tuple[str, ...], rows: list[dict[str, Any]]) -> None:
+    output.print_line('')
+    output.print_table(
+        columns,
+        [[_cell(row.get(column)) for column in columns] for row in rows],
+    )
+
+
+def _cell(value: object) -> str:
+    if value is None:
+        return '-'
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
+    if isinstance(value, float):
+        return f'{value:.2f}'
+    return str(value)
--- a/sassafraswood/cli/main.py
+++ b/sassafraswood/cli/main.py
@@ -1,51 +1,86 @@
 """Command line of sassafraswood."""
 
-import os
-import pathlib
+from collections.abc import Sequence
+import sys
 
 import typer
 
-from sassafraswood import const
-from sassafraswood import daemon
+# typer publishes no common base of its usage errors.
+from typer._click import exceptions as usage_errors
+
+from sassafraswood.cli import check
+from sassafraswood.cli import curve_keys
+from sassafraswood.cli import errors
+from sassafraswood.cli import exit_codes
+from sassafraswood.cli import fleet
+from sassafraswood.cli import key
+from sassafraswood.cli import output
+from sassafraswood.cli import partition
+from sassafraswood.cli import publish
+from sassafraswood.cli import run
+from sassafraswood.cli import schema
+from sassafraswood.cli import version
 from sassafraswood import exceptions
-from sassafraswood.protocol import settings as settings_module
 
-app = typer.Typer(no_args_is_help=True)
+# A formatted traceback would show local variables, which may be secrets.
+app = typer.Typer(
+    no_args_is_help=True,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+)
 
 
 @app.callback()
 def root() -> None:
-    """Overload control layer for service call graphs."""
-
+    """Overload control layer for service call graphs.
 
-@app.command()
-def version() -> None:
-    """Print the version.
+    Exit codes: 0 done, 2 bad input, 3 unavailable, 4 refused, 5 outcome
+    unknown, 6 accepted but not in force everywhere in time.
 
-    Example: sassafraswood version
+    Example: sassafraswood check settings settings.json
     """
-    typer.echo(const.VERSION)
 
 
-@app.command()
-def run(settings: pathlib.Path) -> None:
-    """Run the daemon with a settings file until SIGTERM or SIGINT.
+app.command()(run.run)
+app.add_typer(check.app, name='check')
+app.add_typer(schema.app, name='schema')
+app.command()(publish.publish)
+app.add_typer(key.app, name='key')
+app.add_typer(partition.app, name='partition')
+app.command()(fleet.status)
+app.command()(fleet.fleet)
+app.command()(curve_keys.curve_keys)
+app.command()(version.version)
+
+
+def run_command(arguments: Sequence[str] | None = None) -> int:
+    """Run one command line and return its exit code.
 
-    Example: sassafraswood run settings.json
+    Args:
+        arguments: Without the name of the program; None takes those of the
+            process.
     """
     try:
-        loaded = settings_module.load_settings(
-            settings.read_text(),
-            os.environ,
-            lambda path: pathlib.Path(path).read_text(),
-        )
-    except exceptions.SettingsError as error:
+        code = app(arguments, prog_name='sassafraswood', standalone_mode=False)
+    except errors.CommandError as error:
+        output.print_error(str(error))
+        return error.exit_code
+    except exceptions.InvalidInputError as error:
         for problem in error.problems:
-            typer.echo(str(problem), err=True)
-        raise typer.Exit(2) from error
-    daemon.run(loaded)
+            output.print_error(str(problem))
+        return exit_codes.ExitCode.BAD_INPUT
+    except usage_errors.NoArgsIsHelpError as error:
+        error.show()
+        return exit_codes.ExitCode.BAD_INPUT
+    except usage_errors.ClickException as error:
+        output.print_error(error.format_message())
+        return exit_codes.ExitCode.BAD_INPUT
+    except typer.Abort:
+        output.print_error('aborted')
+        return exit_codes.ExitCode.BAD_INPUT
+    return code if isinstance(code, int) else exit_codes.ExitCode.DONE
 
 
 def main() -> None:
-    """Run the command line."""
-    app()
+    """Run the command line of the process."""
+    sys.exit(run_command())
--- /dev/null
+++ b/sassafraswood/cli/run.py
@@ -0,0 +1,22 @@
+"""Command that runs the daemon."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from sassafraswood.cli import check
+
+
+def run(
+    settings: Annotated[pathlib.Path, typer.Argument(help='Settings file.')],
+) -> None:
+    """Run the daemon with a settings file until SIGTERM or SIGINT.
+
+    Example: sassafraswood run settings.json
+    """
+    loaded = check.load_settings(settings)
+    # Imported here, so that other commands start without the servers.
+    from sassafraswood import daemon
+
+    daemon.run(loaded)
--- a/sassafraswood/transport/local_app.py
+++ b/sassafraswood/transport/local_app.py
@@ -1,20 +1,21 @@
 """HTTP application for the upstream and for operators."""
 
-import hmac
 from collections.abc import Callable
+import hmac
 from typing import Any
 from typing import TypeVar
 
 import msgspec
 
 from sassafraswood import const
-from sassafraswood import exceptions
 from sassafraswood.coordination import publishing
 from sassafraswood.coordination import upstream_lifecycle
+from sassafraswood import exceptions
 from sassafraswood.models import enums
 from sassafraswood.models import ids
 from sassafraswood.models import records
 from sassafraswood.protocol import documents
+from sassafraswood.protocol import operator_api
 from sassafraswood.transport import caller_app
 from sassafraswood.transport import http_server
 
@@ -22,70 +23,6 @@
 _MAX_BODY_BYTES = const.MAX_BODY_BYTES
 
 
-class AnnounceRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of POST /upstream/announce.
-
-    Attributes:
-        address: host:port of the upstream.
-        slots: Requests that it runs at once.
-    """
-
-    address: str
-    slots: int
-
-
-class PublishRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of POST /operator/publish."""
-
-    publication_id: ids.PublicationId
-    replaces: ids.Revision
-    document: dict
-
-
-class GrantRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of POST /operator/keys/grant."""
-
-    publication_id: ids.PublicationId
-    key_id: ids.KeyId
-    workspace: ids.Workspace
-    key_sha256: str
-
-
-class WithdrawRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of POST /operator/keys/withdraw."""
-
-    publication_id: ids.PublicationId
-    key_id: ids.KeyId
-
-
-class ReclaimRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of POST /operator/partition/reclaim."""
-
-    service: ids.ServiceName
-    partition: int
-
-
-class PublicationResult(msgspec.Struct):
-    """Answer to a publication.
-
-    Attributes:
-        offset: First offset that a daemon needs to have folded for the
-            publication to be in force there.
-    """
-
-    status: enums.PublicationStatus
-    revision: int
-    detail: str
-    offset: int
-
-
-class ErrorResult(msgspec.Struct):
-    """Answer to a request that failed."""
-
-    error: str
-    detail: str
-
-
 class LocalApp:
     """Serves `/call`, `/upstream` and `/operator`."""
 
@@ -178,7 +115,7 @@
         self, path: str, body: bytes, send: http_server.Send
     ) -> None:
         if path == '/upstream/announce':
-            announce = _decode(body, AnnounceRequest)
+            announce = _decode(body, operator_api.AnnounceRequest)
             if announce.slots < 1 or ':' not in announce.address:
                 await _async_error(
                     send, 400, 'malformed', 'slots >= 1, address host:port'
@@ -215,7 +152,7 @@
         self, path: str, body: bytes, send: http_server.Send
     ) -> None:
         if path == '/operator/partition/reclaim':
-            request = _decode(body, ReclaimRequest)
+            request = _decode(body, operator_api.ReclaimRequest)
             problem = self._reclaim(request.service, request.partition)
             if problem is not None:
                 await _async_error(send, 409, 'not_reclaimable', problem)
@@ -227,7 +164,7 @@
             await _async_error(send, 404, 'unknown_path', path)
             return
         entry = await self._publisher.async_publish(publication)
-        result = PublicationResult(
+        result = operator_api.PublicationResult(
             status=entry.status,
             revision=entry.revision,
             detail=entry.detail,
@@ -239,7 +176,7 @@
 
 def _publication(path: str, body: bytes) -> publishing.Publication | None:
     if path == '/operator/publish':
-        publish = _decode(body, PublishRequest)
+        publish = _decode(body, operator_api.PublishRequest)
         checked = documents.check_document(publish.document)
         return records.Publish(
             publication_id=publish.publication_id,
@@ -248,7 +185,7 @@
             document=publish.document,
         )
     if path == '/operator/keys/grant':
-        grant = _decode(body, GrantRequest)
+        grant = _decode(body, operator_api.GrantRequest)
         return records.GrantKey(
             publication_id=grant.publication_id,
             key_id=grant.key_id,
@@ -256,7 +193,7 @@
             key_sha256=grant.key_sha256,
         )
     if path == '/operator/keys/withdraw':
-        withdraw = _decode(body, WithdrawRequest)
+        withdraw = _decode(body, operator_api.WithdrawRequest)
         return records.WithdrawKey(
             publication_id=withdraw.publication_id, key_id=withdraw.key_id
         )
@@ -281,4 +218,6 @@
 async def _async_error(
     send: http_server.Send, status: int, error: str, detail: str
 ) -> None:
-    await _async_json(send, status, ErrorResult(error=error, detail=detail))
+    await _async_json(
+        send, status, operator_api.ErrorResult(error=error, detail=detail)
+    )
