Build the program as one file

Cause: the program could only run from its source tree.

Byte code in the archive was tried as well; shiv leaves it out, and Python writes it at the first start.

--- /dev/null
+++ b/lab/check_build.py
@@ -0,0 +1,189 @@
+"""Checks the built file: help, settings, and a daemon without a log."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import zmq
+
+from lab import fleet
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_FILE = _ROOT / 'dist' / 'sassafraswood'
+_SECRETS = ('operator_token', 'curve_secret_key', 'curve_public_key')
+_COMMAND_TIMEOUT_S = 60.0
+_START_TIMEOUT_S = 30.0
+_STOP_TIMEOUT_S = 60.0
+
+
+class CheckError(Exception):
+    """The built file does not do what it should."""
+
+
+def main() -> None:
+    """Run all checks and print one line for each."""
+    with tempfile.TemporaryDirectory(prefix='sassafraswood-') as name:
+        folder = pathlib.Path(name)
+        environment = _environment(folder)
+        _check_start(folder, environment)
+        settings = _write_settings(folder)
+        _run(folder, environment, 'check', 'settings', str(settings))
+        print('check settings: done')
+        _check_daemon(folder, environment, settings)
+
+
+def _environment(folder: pathlib.Path) -> dict[str, str]:
+    """Return an environment without the source tree."""
+    public, secret = zmq.curve_keypair()
+    return {
+        'PATH': os.environ['PATH'],
+        'SHIV_ROOT': str(folder / 'unpacked'),
+        'SASSAFRASWOOD_OPERATOR_TOKEN': fleet.OPERATOR_TOKEN,
+        'SASSAFRASWOOD_CURVE_PUBLIC_KEY': public.decode(),
+        'SASSAFRASWOOD_CURVE_SECRET_KEY': secret.decode(),
+    }
+
+
+def _check_start(folder: pathlib.Path, environment: dict[str, str]) -> None:
+    print(f'size: {_FILE.stat().st_size} bytes')
+    for name in ('first', 'second', 'third'):
+        started_at = time.monotonic()
+        _run(folder, environment, '--help')
+        elapsed_s = time.monotonic() - started_at
+        print(f'--help, {name} start: {elapsed_s:.2f} s')
+    unpacked = sum(
+        path.stat().st_size
+        for path in (folder / 'unpacked').rglob('*')
+        if path.is_file()
+    )
+    print(f'unpacked: {unpacked} bytes')
+
+
+def _write_settings(folder: pathlib.Path) -> pathlib.Path:
+    """Write the documented settings with secrets from the environment."""
+    settings = _example()
+    path = folder / 'example.json'
+    path.write_text(json.dumps(settings))
+    return path
+
+
+def _example() -> dict[str, Any]:
+    text = (_ROOT / 'docs' / 'settings.example.json').read_text()
+    settings = json.loads(text)
+    for name in _SECRETS:
+        settings[name] = {'env': f'SASSAFRASWOOD_{name.upper()}'}
+    return settings
+
+
+def _check_daemon(
+    folder: pathlib.Path, environment: dict[str, str], example: pathlib.Path
+) -> None:
+    """Start a daemon while the log is down, ask it, and stop it."""
+    ports = fleet.free_ports(4)
+    caller, local, peer, log = (f'127.0.0.1:{port}' for port in ports)
+    settings = json.loads(example.read_text()) | {
+        'caller_listen': caller,
+        'local_listen': local,
+        'peer_listen': peer,
+        'advertised_http_address': caller,
+        'advertised_peer_address': peer,
+        'log': {'url': f'http://{log}', 'stream': 'sassafraswood'},
+        'peers': [],
+        'statsd': None,
+    }
+    path = folder / 'daemon.json'
+    path.write_text(json.dumps(settings))
+    output = folder / 'daemon.log'
+    with output.open('wb') as file:
+        process = subprocess.Popen(
+            [_FILE, 'run', path],
+            cwd=folder,
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=file,
+            stderr=file,
+        )
+    try:
+        _check_running(process, local)
+        started_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        code = process.wait(_STOP_TIMEOUT_S)
+        elapsed_s = time.monotonic() - started_at
+        if code != 0:
+            raise CheckError(f'exit code {code} after SIGTERM')
+        print(f'daemon: stopped with 0 after {elapsed_s:.1f} s')
+    except (CheckError, subprocess.TimeoutExpired) as error:
+        text = output.read_text(errors='replace')[-2000:]
+        raise CheckError(f'{error}\n{text}') from error
+    finally:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+
+
+def _check_running(process: subprocess.Popen, local: str) -> None:
+    status = _wait_status(process, local)
+    if status['is_log_readable']:
+        raise CheckError('the daemon reads a log that is not there')
+    children = [
+        child
+        for path in pathlib.Path(f'/proc/{process.pid}/task').glob(
+            '*/children'
+        )
+        for child in path.read_text().split()
+    ]
+    if children:
+        raise CheckError(f'the daemon started processes: {children}')
+    print('daemon: serves without a log, started no process')
+
+
+def _wait_status(process: subprocess.Popen, local: str) -> dict[str, Any]:
+    deadline = time.monotonic() + _START_TIMEOUT_S
+    while True:
+        if process.poll() is not None:
+            raise CheckError(f'the daemon ended with {process.returncode}')
+        try:
+            code, value = fleet.http_json(
+                'GET',
+                f'http://{local}/operator/status',
+                token=fleet.OPERATOR_TOKEN,
+            )
+        except OSError as error:
+            if time.monotonic() > deadline:
+                raise CheckError(f'no status: {error}') from error
+            time.sleep(0.1)
+            continue
+        if code != 200:
+            raise CheckError(f'status answered {code}: {value}')
+        return value
+
+
+def _run(
+    folder: pathlib.Path, environment: dict[str, str], *arguments: str
+) -> None:
+    result = subprocess.run(
+        [_FILE, *arguments],
+        cwd=folder,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=_COMMAND_TIMEOUT_S,
+        check=False,
+    )
+    if result.returncode != 0:
+        raise CheckError(
+            f'{arguments}: exit code {result.returncode}\n{result.stderr}'
+        )
+
+
+if __name__ == '__main__':
+    try:
+        main()
+    except CheckError as failure:
+        sys.exit(f'failed: {failure}')
