Give a path as text to copyfile

Cause: mypy does not take the type that importlib.metadata returns.

Ruled out: ignoring the error; the text is the same path.

Conclusion: no change of behaviour.

--- a/lab/site_tree.py
+++ b/lab/site_tree.py
@@ -70,7 +70,7 @@
             continue
         place = folder / path
         place.parent.mkdir(parents=True, exist_ok=True)
-        shutil.copyfile(distribution.locate_file(path), place)
+        shutil.copyfile(str(distribution.locate_file(path)), place)
 
 
 def _is_unused(path: pathlib.PurePath) -> bool:
