--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -1,16 +1,15 @@
 """Takes a call from its arrival at the first daemon to its end."""
 
+from collections.abc import Callable
 import dataclasses
 import random as random_module
 import typing
-from collections.abc import Callable
 
 import anyio
 import msgspec
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
-from sassafraswood import exceptions
 from sassafraswood.coordination import authorization
 from sassafraswood.coordination import call_tokens
 from sassafraswood.coordination import callee_limit
@@ -21,6 +20,7 @@
 from sassafraswood.coordination import quota_client
 from sassafraswood.coordination import retry
 from sassafraswood.coordination import routing
+from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import document
 from sassafraswood.models import enums
@@ -115,13 +115,15 @@
         )
         if isinstance(key, call.Refusal):
             return call.CallResult(result=key, allowance_left=0)
+        arrived_at = self._clock.monotonic()
         refusal = self._check_idempotency_key(incoming)
         if refusal is None:
             refusal = await self._async_take_quota(incoming, key)
         if refusal is not None:
             return call.CallResult(result=refusal, allowance_left=0)
-        total = incoming.entry.document.retry_allowance
-        context = self._new_context(incoming, key, total)
+        total = self._retries.total(incoming.entry.document)
+        waited_s = self._clock.monotonic() - arrived_at
+        context = self._new_context(incoming, key, total, waited_s)
         return await self._async_dispatch(context, incoming.request)
 
     async def async_child_call(
@@ -212,6 +214,7 @@
         incoming: IncomingCall,
         key: records.KeyEntry | None,
         allowance: int,
+        waited_s: float,
     ) -> call.CallContext:
         call_id = self._new_id()
         timeout_s = incoming.route.timeout_s
@@ -224,7 +227,7 @@
             workspace=key.workspace if key else None,
             key_id=key.key_id if key else None,
             importance=incoming.importance,
-            remaining_s=timeout_s,
+            remaining_s=timeout_s - waited_s,
             allowance=allowance,
             depth=1,
             idempotent=incoming.idempotent,
@@ -321,15 +324,21 @@
         allowance = retry.RetryAllowance(context.allowance)
         tried: set[ids.DaemonId] = set()
         attempt = 0
+        result: call.Result | None = None
         self._retries.note_call(context.service)
         while True:
             attempt += 1
             remaining_s = deadline - self._clock.monotonic()
+            earlier = result
             result = await self._async_routed(
                 context, request, allowance, remaining_s, tried
             )
             if isinstance(result, call.Answer):
                 break
+            if earlier is not None and len(tried) < attempt:
+                # No other upstream was left; the earlier end says more.
+                result = earlier
+                break
             decision = self._retries.decide(
                 service=context.service,
                 refusal=result,
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -1,12 +1,12 @@
 """Composition root of the daemon."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import random as random_module
 import secrets
 import signal
 import time
-from collections.abc import Awaitable
-from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -16,6 +16,7 @@
 from sassafraswood import const
 from sassafraswood.coordination import admission
 from sassafraswood.coordination import authorization
+from sassafraswood.coordination import baseline
 from sassafraswood.coordination import call_tokens
 from sassafraswood.coordination import callee_limit
 from sassafraswood.coordination import configuration
@@ -85,6 +86,7 @@
         """Build the parts; nothing runs or listens yet."""
         self._settings = settings
         self._clock = clock_module.SystemClock()
+        self._is_baseline = settings.control is enums.ControlMode.BASELINE
         random = random_module.Random(secrets.randbits(64))
         statsd = settings.statsd
         self._metrics = metrics.Metrics(
@@ -186,13 +188,7 @@
             leases=self._leases,
             configuration=self._configuration,
         )
-        self._quota = quota_client.QuotaClient(
-            clock=self._clock,
-            random=random,
-            outbox=self._outbox,
-            own=self._own,
-            configuration=self._configuration,
-        )
+        self._quota = self._new_quota(random)
         self._snapshots = snapshot_duty.SnapshotDuty(
             clock=self._clock,
             own=self._own.daemon_id,
@@ -211,12 +207,13 @@
     def _build_calls(
         self, random: random_module.Random, count: Callable[[str], None]
     ) -> None:
-        self._admission = admission.Admission(clock=self._clock, random=random)
+        self._admission = self._new_admission(random)
         self._lifecycle = upstream_lifecycle.UpstreamLifecycle(
             clock=self._clock,
             admission=self._admission,
             set_address=self._upstream.set_address,
             on_change=self._on_upstream_change,
+            on_crash=self._on_crash,
         )
         self._quarantine = quarantine.Quarantine(
             clock=self._clock, service=self._settings.service
@@ -235,9 +232,8 @@
             authorization=keys,
             configuration=self._configuration,
             upstream=self._upstream,
-            on_crash=self._on_crash,
-            on_lone_success=self._on_lone_success,
             on_unreachable=self._lifecycle.note_crash,
+            on_lone_success=self._on_lone_success,
         )
         self._router = routing.Router(
             clock=self._clock,
@@ -259,7 +255,7 @@
             quota=self._quota,
             quarantine=self._quarantine,
             router=self._router,
-            retries=retry.RetryPolicy(clock=self._clock, random=random),
+            retries=self._new_retries(random),
             callees=callee_limit.CalleeLimits(clock=self._clock),
             configuration=self._configuration,
             membership=self._membership,
@@ -269,6 +265,35 @@
         )
         self._port.set_first(self._calls)
 
+    def _new_quota(
+        self, random: random_module.Random
+    ) -> quota_client.QuotaClient:
+        if self._is_baseline:
+            return baseline.DaemonQuota(
+                clock=self._clock, documents=self._configuration.document
+            )
+        return quota_client.QuotaClient(
+            clock=self._clock,
+            random=random,
+            outbox=self._outbox,
+            own=self._own,
+            configuration=self._configuration,
+        )
+
+    def _new_admission(
+        self, random: random_module.Random
+    ) -> admission.Admission:
+        if self._is_baseline:
+            return baseline.UnboundedAdmission(
+                clock=self._clock, random=random
+            )
+        return admission.Admission(clock=self._clock, random=random)
+
+    def _new_retries(self, random: random_module.Random) -> retry.RetryPolicy:
+        if self._is_baseline:
+            return baseline.HopRetries(clock=self._clock, random=random)
+        return retry.RetryPolicy(clock=self._clock, random=random)
+
     def _build_servers(self, count: Callable[[str], None]) -> None:
         settings = self._settings
         self._callers = caller_app.CallerApp(
@@ -332,8 +357,9 @@
         tasks.start_soon(self._appender.async_run)
         tasks.start_soon(self._callers.async_watch)
         tasks.start_soon(_async_every, 0.25, self._mesh.tick)
-        tasks.start_soon(_async_every, 0.2, self._leases.tick)
+        tasks.start_soon(_async_every, 0.2, self._tick_partitions)
         tasks.start_soon(_async_every, 0.1, self._hand_overs.tick)
+        tasks.start_soon(_async_every, 0.1, self._probe_peers)
         tasks.start_soon(self._async_fast_ticks)
         tasks.start_soon(_async_every, 1.0, self._tick_second)
         tasks.start_soon(self._async_tend_upstream)
@@ -423,11 +449,20 @@
     async def _async_tend_upstream(self) -> None:
         while True:
             await anyio.sleep(1.0)
-            await self._upstream.async_retire_idle()
+            self._upstream.retire_idle()
             if self._lifecycle.status is enums.UpstreamStatus.CRASHED:
                 is_accepting = await self._upstream.async_probe()
                 self._lifecycle.note_probe(is_accepting)
 
+    def _tick_partitions(self) -> None:
+        self._leases.tick()
+        for partition in range(const.PARTITIONS_PER_SERVICE):
+            self._quota_owner.refresh(self._settings.service, partition)
+
+    def _probe_peers(self) -> None:
+        for daemon_id in self._router.probes_due():
+            self._mesh.probe(daemon_id)
+
     def _contact_seeds(self) -> None:
         """Ask the peers of the settings while few members are known."""
         known = {
@@ -539,10 +574,12 @@
         )
         self._appender.append(records.Announce(member=member))
 
-    def _on_crash(self, in_flight: list[ids.Fingerprint]) -> None:
+    def _on_crash(self) -> None:
         self._metrics.count('upstream.crashes')
-        self._lifecycle.note_crash()
-        report = self._quarantine.note_crash(in_flight)
+        suspects = self._serving.take_crash_suspects()
+        if not suspects:
+            return
+        report = self._quarantine.note_crash(suspects)
         self._spread_fingerprints(report)
         for record in report.quarantined:
             events.log_change(
--- a/sassafraswood/protocol/operator_api.py
+++ b/sassafraswood/protocol/operator_api.py
@@ -12,10 +12,13 @@
     Attributes:
         address: host:port of the upstream.
         slots: Requests that it runs at once.
+        instance: Names the process of the upstream, so that a restart is
+            told from a repeated announcement.
     """
 
     address: str
     slots: int
+    instance: str = ''
 
 
 class PublishRequest(msgspec.Struct, forbid_unknown_fields=True):
--- a/sassafraswood/transport/local_app.py
+++ b/sassafraswood/transport/local_app.py
@@ -121,7 +121,9 @@
                     send, 400, 'malformed', 'slots >= 1, address host:port'
                 )
                 return
-            self._lifecycle.announce(announce.address, announce.slots)
+            self._lifecycle.announce(
+                announce.address, announce.slots, announce.instance
+            )
         elif path == '/upstream/drain':
             self._lifecycle.drain()
         elif path == '/upstream/leave':
--- a/sassafraswood/transport/peer_connection.py
+++ b/sassafraswood/transport/peer_connection.py
@@ -48,6 +48,8 @@
         self._peer: tuple[ids.DaemonId, ids.Incarnation] | None = None
         self.last_used = clock.monotonic()
         self.carried_call_at: float | None = None
+        # Time of the first heartbeat since the peer was heard.
+        self._unanswered_since: float | None = None
         self._open()
 
     @property
@@ -106,7 +108,23 @@
         if now - self.last_used >= const.HEARTBEAT_IDLE_S and not is_busy:
             return
         if now - self._last_ping >= const.HEARTBEAT_INTERVAL_S:
-            self._ping()
+            self.ping()
+
+    def ping(self) -> None:
+        """Send a heartbeat if the connection is established."""
+        now = self._clock.monotonic()
+        self._last_ping = now
+        if not self._is_greeted:
+            return
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+        self._sequence += 1
+        ping = messages.Ping(
+            sequence=self._sequence,
+            daemon_id=self._own.daemon_id,
+            incarnation=self._own.incarnation,
+        )
+        self._socket.send([codec.encode_message(ping)])
 
     def close(self) -> None:
         """Close the socket."""
@@ -117,7 +135,7 @@
         self._is_greeted = False
         self._is_ready = False
         # A connection that is never established counts as silent, too.
-        self._unanswered_since: float | None = now
+        self._unanswered_since = now
         self._last_ping = now
         socket = self._new_socket()
         if self._address.startswith('['):
@@ -138,7 +156,7 @@
         if self._is_greeted:
             return
         self._is_greeted = True
-        self._ping()
+        self.ping()
 
     def _become_ready(self) -> None:
         if self._is_ready:
@@ -150,21 +168,6 @@
             if expires > now:
                 self._socket.send([payload])
 
-    def _ping(self) -> None:
-        now = self._clock.monotonic()
-        self._last_ping = now
-        if not self._is_greeted:
-            return
-        if self._unanswered_since is None:
-            self._unanswered_since = now
-        self._sequence += 1
-        ping = messages.Ping(
-            sequence=self._sequence,
-            daemon_id=self._own.daemon_id,
-            incarnation=self._own.incarnation,
-        )
-        self._socket.send([codec.encode_message(ping)])
-
     def _receive(self, frames: list[bytes]) -> None:
         self._unanswered_since = None
         try:
