--- a/sassafraswood/cli/fleet.py
+++ b/sassafraswood/cli/fleet.py
@@ -44,8 +44,11 @@
     fields = [(name, _cell(own.get(name))) for name in _OWN_FIELDS]
     fields += [(name, _cell(value.get(name))) for name in _STATUS_FIELDS]
     output.print_table(('field', 'value'), fields)
+    output.print_line('')
     _print_rows(_DOCUMENT_COLUMNS, value.get('documents', []))
+    output.print_line('')
     _print_rows(_PARTITION_COLUMNS, value.get('partitions', []))
+    output.print_line('')
     counts = sorted(value.get('counts', {}).items())
     _print_rows(
         ('counter', 'count'),
@@ -67,6 +70,7 @@
         output.print_json(value)
         return
     _print_rows(_MEMBER_COLUMNS, value.get('members', []))
+    output.print_line('')
     _print_rows(_DOCUMENT_COLUMNS, value.get('documents', []))
 
 
@@ -77,7 +81,6 @@
 
 
 def _print_rows(columns: tuple[str, ...], rows: list[dict[str, Any]]) -> None:
-    output.print_line('')
     output.print_table(
         columns,
         [[_cell(row.get(column)) for column in columns] for row in rows],
--- a/sassafraswood/cli/publication.py
+++ b/sassafraswood/cli/publication.py
@@ -108,7 +108,10 @@
     if options.as_json:
         output.print_json(report)
         return
-    text = f'{report.status}: revision {report.revision}'
+    text = report.status
+    # Only documents have revisions, which begin with 1.
+    if report.revision:
+        text += f', revision {report.revision}'
     if report.in_force:
         text += ', in force on all daemons'
     output.print_line(f'{text} (publication {report.publication_id})')
