--- a/tests/coordination/test_first_daemon.py
+++ b/tests/coordination/test_first_daemon.py
@@ -200,12 +200,6 @@
     return result.reason
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    """Return the only event loop that the product uses."""
-    return 'asyncio'
-
-
 pytestmark = pytest.mark.anyio
 
 
--- a/tests/coordination/test_serving.py
+++ b/tests/coordination/test_serving.py
@@ -133,12 +133,6 @@
         await anyio.lowlevel.checkpoint()
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    """Return the only event loop that the product uses."""
-    return 'asyncio'
-
-
 pytestmark = pytest.mark.anyio
 
 
