Wait for runs of owned idempotency keys before a planned stop

Cause: a run whose caller had left, or that an upstream elsewhere served, was not counted as a call in flight, so a planned stop could cut it. Ruled out: cancelling such runs; a repeat is to get their answer. Conclusion: the owner counts its runs and the stop waits for them.

--- a/sassafraswood/coordination/idempotent_runs.py
+++ b/sassafraswood/coordination/idempotent_runs.py
@@ -55,6 +55,12 @@
         self._owner = owner
         self._partitions = partitions
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of runs that have not ended."""
+        return self._in_flight
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Run further calls in a task group."""
@@ -97,6 +103,7 @@
             )
         if verdict.action is idempotency.IdempotencyAction.RUN:
             assert self._tasks is not None
+            self._in_flight += 1
             self._tasks.start_soon(
                 self._async_run, context, request, attempts, finish
             )
@@ -119,6 +126,7 @@
             ended = await attempts(context, request)
             result = ended.result
         finally:
+            self._in_flight -= 1
             assert context.idempotency_key is not None
             self._owner.finish(
                 service=context.service,
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -413,7 +413,7 @@
             # Callers and peers that have not heard yet are still served.
             await anyio.sleep(const.LEAVE_NOTICE_S)
             self._calls.stop()
-            while self._callers.in_flight or self._serving.in_flight:
+            while self._has_calls():
                 await anyio.sleep(0.02)
             with anyio.move_on_after(const.HAND_OVER_TIMEOUT_S * 2):
                 while not self._leases.is_released:
@@ -429,6 +429,13 @@
         self._membership.update_own(status=enums.MemberStatus.LEFT)
         await anyio.sleep(0.1)
 
+    def _has_calls(self) -> bool:
+        return bool(
+            self._callers.in_flight
+            or self._serving.in_flight
+            or self._runs.in_flight
+        )
+
     # Timers.
 
     async def _async_fast_ticks(self) -> None:
