Take records with integers beyond 64 bits for no records

Cause: JSON carries larger integers than MessagePack; such a record ended the fold with an overflow where entries of equal rank are compared, and could not be passed on to peers. Ruled out: comparing entries as JSON; the record would still not reach the peers that cannot read the log. Conclusion: all daemons skip such a record in the same way.

--- a/sassafraswood/protocol/codec.py
+++ b/sassafraswood/protocol/codec.py
@@ -51,9 +51,13 @@
         DecodeError: The text is no record, or one of a newer version.
     """
     try:
-        return _record_decoder.decode(body)
+        record = _record_decoder.decode(body)
+        # JSON may carry integers that MessagePack cannot, and a record that
+        # cannot be passed on to peers would not be folded by all daemons.
+        _message_encoder.encode(record)
     except _DECODE_ERRORS as error:
         raise exceptions.DecodeError(f'not a record: {error}') from error
+    return record
 
 
 def encode_entries(entries: list[records.LogEntry]) -> bytes:
