Say "not run" only if no attempt may have run

Cause: an idempotent call whose first attempt ended unknown and whose retry was not run was answered as not run. Ruled out: no retry after an unknown outcome; idempotent calls may be run again. Conclusion: the outcome covers all attempts of the call.

--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -324,6 +324,7 @@
         allowance = retry.RetryAllowance(context.allowance)
         tried: set[ids.DaemonId] = set()
         attempt = 0
+        may_have_run = False
         result: call.Result | None = None
         self._retries.note_call(context.service)
         while True:
@@ -349,8 +350,14 @@
             )
             if decision is None or not allowance.spend():
                 break
+            may_have_run |= result.outcome is enums.Outcome.UNKNOWN
             self._count(f'retried.{decision.reason.value}')
             await anyio.sleep(decision.delay_s)
+        if isinstance(result, call.Refusal) and may_have_run:
+            # Only the last attempt was not run.
+            result = msgspec.structs.replace(
+                result, outcome=enums.Outcome.UNKNOWN
+            )
         return call.CallResult(result=result, allowance_left=allowance.left)
 
     async def _async_routed(
--- a/tests/coordination/test_first_daemon.py
+++ b/tests/coordination/test_first_daemon.py
@@ -248,6 +248,20 @@
     assert len(bench.peers.sent) == 1
 
 
+async def test_not_run_covers_all_attempts() -> None:
+    """Guards against "not run" when only the last attempt was not run."""
+    bench = _Bench()
+    bench.peers.ends = [
+        exceptions.PeerSilentError('a'),
+        _not_run(enums.RefusalReason.DRAINING),
+        _not_run(enums.RefusalReason.DRAINING),
+    ]
+    result = await bench.async_call()
+    assert isinstance(result, call.Refusal)
+    assert len(bench.peers.sent) > 1
+    assert result.outcome is enums.Outcome.UNKNOWN
+
+
 async def test_attempts_stay_within_the_allowance() -> None:
     """Guards against retries beyond the allowance of the document."""
     bench = _Bench()
