--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios on the decision objects in virtual time."""
--- /dev/null
+++ b/tests/decisions/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the scenarios, one module per subject."""
--- /dev/null
+++ b/tests/decisions/steps/load.py
@@ -0,0 +1,358 @@
+"""Steps about load on one upstream and on a slow callee."""
+
+import dataclasses
+
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from lab import admission_sim
+from sassafraswood.models import enums
+from tests.coordination import test_callee_limit
+
+_SERVICE_S = 0.05
+_WORKSPACES = 8
+_SEED = 23
+_CALLEE_RATE = 200.0
+_CALLEE_SERVICE_S = 0.02
+_CALLEE_SLOTS = 600
+# Calls from before a slowdown was measured leave within this time.
+_CALLEE_SETTLE_S = 8.0
+
+
+@dataclasses.dataclass
+class Callee:
+    """Calls to a slow service from one daemon.
+
+    Attributes:
+        load: The calls.
+        largest: The most calls in flight since the slowdown was measured.
+        refused: Calls refused since then.
+    """
+
+    load: test_callee_limit.Load
+    largest: int = 0
+    refused: int = 0
+    calls: int = 0
+
+
+@pytest.fixture
+def simulation() -> admission_sim.Simulation:
+    """Return an upstream like one of the service status."""
+    return admission_sim.Simulation(seed=_SEED, real_slots=45)
+
+
+@pytest_bdd.given(
+    parsers.parse('an upstream with {slots:d} slots'),
+    target_fixture='simulation',
+)
+def start_upstream(slots: int) -> admission_sim.Simulation:
+    """Start a cold upstream."""
+    return admission_sim.Simulation(seed=_SEED, real_slots=slots)
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        'an upstream with {slots:d} slots that sheds load and announces '
+        '{announced:d}'
+    ),
+    target_fixture='simulation',
+)
+def start_boastful(slots: int, announced: int) -> admission_sim.Simulation:
+    """Start a cold upstream that announces more slots than it has."""
+    return admission_sim.Simulation(
+        seed=_SEED, real_slots=slots, announced_slots=announced, sheds=True
+    )
+
+
+@pytest_bdd.given(
+    parsers.parse('an upstream with {slots:d} slots without this layer'),
+    target_fixture='simulation',
+)
+def start_baseline(slots: int) -> admission_sim.Simulation:
+    """Start the baseline: first in, first out."""
+    return admission_sim.Simulation(
+        seed=_SEED, real_slots=slots, is_baseline=True
+    )
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        'callers that retry hard and send {load:g} times its capacity'
+    )
+)
+def add_load(simulation: admission_sim.Simulation, load: float) -> None:
+    """Add equal workspaces."""
+    _add_workspaces(simulation, ((0.0, load),))
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        'callers that retry hard and send {usual:g} times its capacity, and '
+        '{surge:g} times from second {begin:d} to second {end:d}'
+    )
+)
+def add_surge(
+    simulation: admission_sim.Simulation,
+    usual: float,
+    surge: float,
+    begin: int,
+    end: int,
+) -> None:
+    """Add equal workspaces with a surge."""
+    _add_workspaces(simulation, ((0.0, usual), (begin, surge), (end, usual)))
+
+
+def _add_workspaces(
+    simulation: admission_sim.Simulation,
+    rates: tuple[tuple[float, float], ...],
+) -> None:
+    unit = simulation.real_slots / _SERVICE_S / _WORKSPACES
+    for number in range(_WORKSPACES):
+        simulation.add(
+            admission_sim.Flow(
+                workspace=f'w{number}',
+                rates=tuple((since, load * unit) for since, load in rates),
+                service_s=_SERVICE_S,
+            )
+        )
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        '{load:g} times its capacity, of which one workspace sends ten times '
+        'as much as each of 7 others'
+    )
+)
+def add_large_workspace(
+    simulation: admission_sim.Simulation, load: float
+) -> None:
+    """Add one large workspace and 7 small ones."""
+    unit = load * simulation.real_slots / _SERVICE_S / 17
+    for number in range(_WORKSPACES):
+        simulation.add(
+            admission_sim.Flow(
+                workspace=f'w{number}',
+                rates=((0, unit * (10 if number == 0 else 1)),),
+                service_s=_SERVICE_S,
+            )
+        )
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        'from second {begin:d} to second {end:d}, {load:g} times its '
+        'capacity in equal parts of critical, high, normal and low requests'
+    )
+)
+def add_classes(
+    simulation: admission_sim.Simulation, begin: int, end: int, load: float
+) -> None:
+    """Add a workspace per class."""
+    unit = simulation.real_slots / _SERVICE_S
+    for importance in enums.Importance:
+        simulation.add(
+            admission_sim.Flow(
+                workspace=importance.name,
+                rates=(
+                    (begin, load / 4 * unit),
+                    (end, 0.05 * unit),
+                ),
+                service_s=_SERVICE_S,
+                importance=importance,
+            )
+        )
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        'its calls take {factor:g} times as long from second {begin:d} to '
+        'second {end:d}'
+    )
+)
+def slow_down(
+    simulation: admission_sim.Simulation, factor: float, begin: int, end: int
+) -> None:
+    """Slow the upstream down for a time."""
+    simulation.at(begin, lambda: simulation.set_slowdown(factor))
+    simulation.at(end, lambda: simulation.set_slowdown(1.0))
+
+
+@pytest_bdd.when(parsers.parse('{seconds:d} seconds pass at the upstream'))
+def run(simulation: admission_sim.Simulation, seconds: int) -> None:
+    """Run the simulation."""
+    simulation.run(seconds)
+
+
+@pytest_bdd.then(
+    parsers.parse(
+        'goodput from second {begin:d} to second {end:d} is at least '
+        '{share:g} of capacity'
+    )
+)
+def check_goodput(
+    simulation: admission_sim.Simulation, begin: int, end: int, share: float
+) -> None:
+    """Check the work of whole requests."""
+    goodput = simulation.goodput(begin, end)
+    print(f'goodput {goodput:.3f}')
+    assert goodput >= share
+
+
+@pytest_bdd.then(
+    parsers.parse(
+        'goodput from second {begin:d} to second {end:d} is below {share:g} '
+        'of capacity'
+    )
+)
+def check_collapse(
+    simulation: admission_sim.Simulation, begin: int, end: int, share: float
+) -> None:
+    """Check that the baseline collapses, so that the load is hard enough."""
+    goodput = simulation.goodput(begin, end)
+    print(f'goodput {goodput:.3f}')
+    assert goodput < share
+
+
+@pytest_bdd.then(
+    parsers.parse(
+        'the worst-served workspace gets at least {share:g} of its fair '
+        'share from second {begin:d} to second {end:d}'
+    )
+)
+def check_fair_share(
+    simulation: admission_sim.Simulation, share: float, begin: int, end: int
+) -> None:
+    """Check slot time against equal max-min shares."""
+    worst = simulation.worst_share(begin, end)
+    print(f'worst share {worst:.3f}')
+    assert worst >= share
+
+
+@pytest_bdd.then(
+    parsers.parse('more than {percent:d}% of critical requests are served')
+)
+def check_critical(simulation: admission_sim.Simulation, percent: int) -> None:
+    """Check the class that is shed last."""
+    assert _served(simulation)[enums.Importance.CRITICAL] > percent / 100
+
+
+@pytest_bdd.then('a class is served better the more important it is')
+def check_order(simulation: admission_sim.Simulation) -> None:
+    """Check the order of the classes."""
+    served = _served(simulation)
+    assert sorted(served, key=lambda name: served[name]) == list(
+        enums.Importance
+    )
+
+
+def _served(
+    simulation: admission_sim.Simulation,
+) -> dict[enums.Importance, float]:
+    served = {
+        importance: simulation.good_by_class[importance]
+        / simulation.sent_by_class[importance]
+        for importance in enums.Importance
+    }
+    print({name.name: round(share, 3) for name, share in served.items()})
+    return served
+
+
+@pytest_bdd.then('every request was either started or refused, and only once')
+def check_one_end(simulation: admission_sim.Simulation) -> None:
+    """Check all tries; one may wait in the queue at the end."""
+    assert simulation.admission is not None
+    waiting = [
+        request for request in simulation.tries if not request.callbacks
+    ]
+    assert len(waiting) == simulation.admission.queued
+    assert max(request.callbacks for request in simulation.tries) == 1
+
+
+@pytest_bdd.then('no request that was refused as not run had been started')
+def check_refused(simulation: admission_sim.Simulation) -> None:
+    """Check that refusals and starts make up the ends of all tries."""
+    refused = sum(
+        count
+        for reason, count in simulation.reasons.items()
+        if reason not in ('timed_out', 'upstream_shed')
+    )
+    started = [r for r in simulation.tries if r.started_at > 0.0]
+    print(f'{refused} refused, {len(started)} started')
+    assert refused > 0
+    assert refused == sum(
+        request.is_over and not request.started_at
+        for request in simulation.tries
+    )
+
+
+@pytest_bdd.then(parsers.parse('at most {percent:d}% of requests time out'))
+def check_timeouts(simulation: admission_sim.Simulation, percent: int) -> None:
+    """Check that admitted work finishes within its deadline."""
+    late = simulation.reasons['timed_out']
+    started = sum(r.started_at > 0.0 for r in simulation.tries)
+    print(f'{late} of {started} timed out')
+    assert late <= percent / 100 * started
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        'a daemon that sends {rate:d} calls per second to a service with '
+        '{slots:d} slots, each 20 ms long'
+    ),
+    target_fixture='callee',
+)
+def start_callee(rate: int, slots: int) -> Callee:
+    """Let the daemon learn the usual number of calls in flight."""
+    assert (rate, slots) == (_CALLEE_RATE, _CALLEE_SLOTS)
+    callee = Callee(test_callee_limit.Load())
+    _call(callee, 20.0, rate, _CALLEE_SERVICE_S)
+    return callee
+
+
+@pytest_bdd.when(
+    parsers.parse(
+        'the service takes {service_s:g} s for each call and the calls per '
+        'second rise to {rate:d}'
+    )
+)
+def slow_callee(callee: Callee, service_s: float, rate: int) -> None:
+    """Slow the service down while demand surges."""
+    _call(callee, _CALLEE_SETTLE_S, rate, service_s)
+    _call(callee, 30.0, rate, service_s)
+
+
+@pytest_bdd.when('the service is as fast as before for 60 seconds')
+def speed_callee_up(callee: Callee) -> None:
+    """End the slowdown."""
+    _call(callee, 50.0, _CALLEE_RATE, _CALLEE_SERVICE_S)
+    _call(callee, 10.0, _CALLEE_RATE, _CALLEE_SERVICE_S)
+
+
+def _call(
+    callee: Callee, seconds: float, rate: float, service_s: float
+) -> None:
+    callee.calls, callee.refused, callee.largest = callee.load.run(
+        seconds, rate=rate, service_s=service_s, slots=_CALLEE_SLOTS
+    )
+    print(f'{callee.largest} in flight, {callee.refused}/{callee.calls}')
+
+
+@pytest_bdd.then(
+    parsers.parse('at most {count:d} calls to the service are in flight')
+)
+def check_in_flight(callee: Callee, count: int) -> None:
+    """Check how many slots of the caller's upstream the callee holds."""
+    assert callee.largest <= count
+
+
+@pytest_bdd.then('some calls to the service are refused')
+def check_some_refused(callee: Callee) -> None:
+    """Check that the limit acts."""
+    assert callee.refused > 0
+
+
+@pytest_bdd.then('no call to the service is refused')
+def check_none_refused(callee: Callee) -> None:
+    """Check that the limit is lifted."""
+    assert callee.refused == 0
--- /dev/null
+++ b/tests/decisions/test_answers.py
@@ -0,0 +1,5 @@
+"""Scenarios of answers."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios('features/answers.feature')
--- /dev/null
+++ b/tests/decisions/test_configuration.py
@@ -0,0 +1,5 @@
+"""Scenarios of configuration."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios('features/configuration.feature')
--- /dev/null
+++ b/tests/decisions/test_idempotency.py
@@ -0,0 +1,5 @@
+"""Scenarios of idempotency."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios('features/idempotency.feature')
--- /dev/null
+++ b/tests/decisions/test_leaving.py
@@ -0,0 +1,5 @@
+"""Scenarios of leaving."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios('features/leaving.feature')
--- /dev/null
+++ b/tests/decisions/test_paused_holders.py
@@ -0,0 +1,5 @@
+"""Scenarios of paused holders."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios('features/paused_holders.feature')
--- /dev/null
+++ b/tests/decisions/test_slow_service.py
@@ -0,0 +1,5 @@
+"""Scenarios of slow service."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios('features/slow_service.feature')
--- /dev/null
+++ b/tests/decisions/test_withdrawal_while_connected.py
@@ -0,0 +1,5 @@
+"""Scenarios of withdrawal while connected."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios('features/withdrawal_while_connected.feature')
