--- a/tests/decisions/features/slow_service.feature
+++ b/tests/decisions/features/slow_service.feature
@@ -35,7 +35,7 @@
   Scenario: A slow callee holds few slots of the services above it
     Given a daemon that sends 200 calls per second to a service with 600 slots, each 20 ms long
     When the service takes 4 s for each call and the calls per second rise to 400
-    Then at most 30 calls to the service are in flight
+    Then at most 15 calls to the service are in flight
     And some calls to the service are refused
 
   Scenario: The limit is lifted after the slowdown
