--- a/tests/decisions/features/slow_service.feature
+++ b/tests/decisions/features/slow_service.feature
@@ -26,12 +26,17 @@
     When 16 seconds pass at the upstream
     Then goodput from second 10 to second 16 is at least 0.95 of capacity
 
-  Scenario: An upstream that sheds load announces too many slots during overload
-    Given an upstream with 15 slots that sheds load and announces 30
+  Scenario Outline: An upstream that sheds load announces too many slots during overload
+    Given an upstream with <slots> slots that sheds load and announces <announced>
     And callers that retry hard and send 2 times its capacity
     When 12 seconds pass at the upstream
     Then goodput from second 5 to second 12 is at least 0.95 of capacity
 
+    Examples:
+      | slots | announced |
+      | 15    | 30        |
+      | 45    | 90        |
+
   Scenario: A slow callee holds few slots of the services above it
     Given a daemon that sends 200 calls per second to a service with 600 slots, each 20 ms long
     When the service takes 4 s for each call and the calls per second rise to 400
