--- a/lab/upstream.py
+++ b/lab/upstream.py
@@ -5,6 +5,7 @@
 told to be slow, to lie about its slots or to crash.
 """
 
+from collections.abc import Awaitable
 import os
 import random
 import time
@@ -20,6 +21,7 @@
 from sassafraswood import upstream_api
 
 MAX_RECORDED_REQUESTS = 200_000
+_DEADLINE_MARGIN_S = 0.05
 
 
 class Behaviour(msgspec.Struct, kw_only=True):
@@ -31,6 +33,8 @@
         slots: Requests that run at once.
         excess: What happens above the slots: wait, or shed.
         child: Target of a call to another service for each request.
+        cancellable: Whether a request ends when its connection is closed or
+            its time is over, waiting or not.
     """
 
     service_s: float = 0.005
@@ -38,6 +42,7 @@
     slots: int = 16
     excess: str = 'wait'
     child: str | None = None
+    cancellable: bool = False
 
 
 class SeenRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -89,11 +94,51 @@
             return
         self._in_flight += 1
         try:
-            async with self._slots:
-                await self._async_run(scope, path, body, token, send)
+            if self._behaviour.cancellable:
+                timeout_ms = headers.get(const.HEADER_TIMEOUT_MS)
+                await self._async_cancellable(
+                    receive,
+                    int(timeout_ms) / 1000 if timeout_ms else None,
+                    self._async_in_slot(scope, path, body, token, send),
+                )
+            else:
+                await self._async_in_slot(scope, path, body, token, send)
         finally:
             self._in_flight -= 1
 
+    async def _async_in_slot(
+        self,
+        scope: asgi.Scope,
+        path: str,
+        body: bytes,
+        token: str,
+        send: asgi.Send,
+    ) -> None:
+        async with self._slots:
+            await self._async_run(scope, path, body, token, send)
+
+    async def _async_cancellable(
+        self,
+        receive: asgi.Receive,
+        timeout_s: float | None,
+        run: Awaitable[None],
+    ) -> None:
+        """Run until the daemon closes the connection or time is over."""
+        # The daemon's own timer ends first, so that it does not take the end
+        # of the request for an answer.
+        margin_s = _DEADLINE_MARGIN_S
+        with anyio.move_on_after(timeout_s and timeout_s + margin_s):
+            async with anyio.create_task_group() as tasks:
+
+                async def async_watch() -> None:
+                    message = await receive()
+                    if message['type'] == 'http.disconnect':
+                        tasks.cancel_scope.cancel()
+
+                tasks.start_soon(async_watch)
+                await run
+                tasks.cancel_scope.cancel()
+
     def _record(self, scope: asgi.Scope, is_shed: bool) -> dict[str, str]:
         headers = [
             (name.decode('latin-1'), value.decode('latin-1'))
@@ -154,8 +199,10 @@
         self, path: str, body: bytes, send: asgi.Send
     ) -> None:
         if path == '/_lab/behaviour':
-            self._behaviour = msgspec.json.decode(body, type=Behaviour)
-            self._slots = anyio.Semaphore(self._behaviour.slots)
+            behaviour = msgspec.json.decode(body, type=Behaviour)
+            if behaviour.slots != self._behaviour.slots:
+                self._slots = anyio.Semaphore(behaviour.slots)
+            self._behaviour = behaviour
             await asgi.async_send_json(send, 200, {})
             return
         if path == '/_lab/requests':
