Let more important calls go beyond the callee limit

Cause: the limit per callee took no notice of importance. In the surge less important calls held it, and critical calls were refused as callee_busy.

Limits set in documents still hold for all classes alike.

--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -189,6 +189,10 @@
 # Fewer calls say too little about the usual service time.
 CALLEE_MIN_SAMPLES: Final = 20
 CALLEE_USUAL_GAIN: Final = 0.1
+# Derived limit of each class, low to critical, over that of low calls. With
+# one limit for all classes, less important calls held it at twice the
+# capacity and a tenth of the critical calls was refused.
+CALLEE_CLASS_FACTORS: Final = (1.0, 1.25, 1.75, 2.25)
 # A service time that has doubled for good counts as usual after about
 # 4 minutes (ln 2 / 0.003).
 CALLEE_USUAL_DRIFT_PER_S: Final = 0.003
--- a/sassafraswood/coordination/callee_limit.py
+++ b/sassafraswood/coordination/callee_limit.py
@@ -4,6 +4,7 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
+from sassafraswood.models import enums
 from sassafraswood.models import ids
 
 
@@ -60,6 +61,11 @@
     smoothed over samples of at least 20 calls while the callee was not
     slow. The usual W drifts up by 0.3% per second while the measured W is
     above it, so that a lasting change is accepted in the end.
+
+    The limits above are those of low calls. More important calls may go
+    beyond them by CALLEE_CLASS_FACTORS, so that less important ones that hold
+    the limit do not keep them out. The limit of a document is the same for
+    all classes.
     """
 
     def __init__(self, *, clock: clock_module.Clock) -> None:
@@ -68,7 +74,12 @@
         self._callees: dict[ids.ServiceName, _Callee] = {}
 
     def acquire(
-        self, service: ids.ServiceName, *, limit: int | None, total_slots: int
+        self,
+        service: ids.ServiceName,
+        *,
+        limit: int | None,
+        total_slots: int,
+        importance: enums.Importance = enums.Importance.LOW,
     ) -> bool:
         """Count a call in, or return False if the callee holds its limit.
 
@@ -76,6 +87,7 @@
             service: The callee.
             limit: Limit of the document in calls; None derives it.
             total_slots: Slots of all upstreams of the callee.
+            importance: Importance of the call.
         """
         now = self._clock.monotonic()
         callee = self._callees.get(service)
@@ -83,7 +95,12 @@
             callee = _Callee(window_start=now, updated_at=now)
             self._callees[service] = callee
         _advance(callee, now)
-        if callee.in_flight >= _find_limit(callee, limit, total_slots):
+        allowed = _find_limit(callee, limit, total_slots)
+        if limit is None or allowed < _find_ceiling(limit, total_slots):
+            allowed = int(allowed * const.CALLEE_CLASS_FACTORS[importance])
+        if limit is not None:
+            allowed = min(allowed, max(1, limit))
+        if callee.in_flight >= allowed:
             return False
         callee.in_flight += 1
         callee.started += 1
--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -376,7 +376,7 @@
         )
         if isinstance(choice, call.Refusal):
             return choice
-        if not self._acquire_callee(context.service):
+        if not self._acquire_callee(context.service, context.importance):
             return call.Refusal(
                 reason=enums.RefusalReason.CALLEE_BUSY,
                 outcome=enums.Outcome.NOT_RUN,
@@ -402,7 +402,9 @@
             self._callees.release(context.service)
         return ended.result
 
-    def _acquire_callee(self, service: ids.ServiceName) -> bool:
+    def _acquire_callee(
+        self, service: ids.ServiceName, importance: enums.Importance
+    ) -> bool:
         total_slots = sum(
             member.slots for member in self._membership.members(service)
         )
@@ -410,6 +412,7 @@
             service,
             limit=self._caller_limit(service),
             total_slots=total_slots,
+            importance=importance,
         )
 
     def _caller_limit(self, service: ids.ServiceName) -> int | None:
--- a/tests/coordination/test_callee_limit.py
+++ b/tests/coordination/test_callee_limit.py
@@ -6,6 +6,7 @@
 from sassafraswood import clock
 from sassafraswood import const
 from sassafraswood.coordination import callee_limit
+from sassafraswood.models import enums
 from sassafraswood.models import ids
 
 SERVICE = ids.ServiceName('ordering')
@@ -141,3 +142,31 @@
     load.run(20.0, rate=8.0, service_s=20.0)
     current = load.limits.current_limit(SERVICE, limit=None, total_slots=600)
     assert current == const.CALLEE_MIN_LIMIT
+
+
+def test_more_important_calls_go_beyond_held_limit() -> None:
+    """Guards against low calls that hold the limit and shut out critical."""
+    limits = callee_limit.CalleeLimits(clock=clock.ManualClock())
+    taken = []
+    for importance in enums.Importance:
+        count = 0
+        while limits.acquire(
+            SERVICE, limit=None, total_slots=12, importance=importance
+        ):
+            count += 1
+        taken.append(count)
+    assert taken == [12, 3, 6, 6]
+
+
+def test_limit_of_document_holds_for_critical_calls() -> None:
+    """Guards against importance that overrides the limit of a document."""
+    limits = callee_limit.CalleeLimits(clock=clock.ManualClock())
+    taken = 0
+    while limits.acquire(
+        SERVICE,
+        limit=10,
+        total_slots=12,
+        importance=enums.Importance.CRITICAL,
+    ):
+        taken += 1
+    assert taken == 10
