Give the deepest and the side service capacities of their own

With 75 calls/s for each, the slots of the deepest service took 0.16 s per call, and the processor time of the daemons on a busy machine was a noticeable part of that; those of the side service took 0.9 s of the 2 s timeout. 60 and 100 calls/s bring both closer to each other.

--- a/lab/overload.py
+++ b/lab/overload.py
@@ -127,7 +127,10 @@
                 number=number,
                 seed=self._seed,
                 start_unix_s=self._start_unix_s,
-                rate=overload_plan.CAPACITY_PER_BOTTLENECK / count,
+                rates={
+                    name: capacity / count
+                    for name, capacity in overload_plan.CAPACITIES.items()
+                },
                 addresses=[
                     daemon.caller for daemon in self._fleet.daemons.values()
                 ],
@@ -285,6 +288,14 @@
         ('goodput / capacity in the surge', _3(figures.goodput_of_capacity)),
         ('  of the chain', _3(bottlenecks['chain'])),
         ('  of the side service', _3(bottlenecks['side'])),
+        (
+            '  seen by the deepest service / capacity',
+            _3(figures.seen_of_capacity['chain']),
+        ),
+        (
+            '  seen by the side service / capacity',
+            _3(figures.seen_of_capacity['side']),
+        ),
         (
             '  timeout counted from first attempt',
             _3(figures.prompt_goodput_of_capacity),
@@ -352,10 +363,10 @@
         f'surge at {overload_plan.SURGE_LOAD:g} x capacity, bottom slowed '
         f'down {results[0].slowdown:g} times, seed {results[0].seed}'
     )
-    print(f'{"":36}' + ''.join(f'{name:>32}' for name in names))
+    print(f'{"":42}' + ''.join(f'{name:>32}' for name in names))
     for position, (label, _) in enumerate(columns[0]):
         values = [column[position][1] for column in columns]
-        print(f'{label:36}' + ''.join(f'{value:>32}' for value in values))
+        print(f'{label:42}' + ''.join(f'{value:>32}' for value in values))
     for figures in results:
         print(f'goodput / capacity by half second, {figures.control}:')
         print(_line(figures.goodput_by_half_second))
--- a/lab/overload_figures.py
+++ b/lab/overload_figures.py
@@ -48,7 +48,11 @@
 
     Attributes:
         goodput_of_capacity: In the surge, over the calls that could run.
-        goodput_by_half_second: As above, from the start of the warm-up.
+        seen_of_capacity: Requests that reached the upstreams of a bottleneck
+            in the surge over those that they could run. Above the goodput,
+            runs were wasted; below 1, slots were idle or held too long.
+        goodput_by_half_second: As goodput_of_capacity, from the start of the
+            warm-up.
         prompt_goodput_of_capacity: As goodput_of_capacity, but the timeout
             counts from the first attempt, so that an answer to a later one
             may be late.
@@ -75,6 +79,7 @@
     goodput_of_capacity: float
     prompt_goodput_of_capacity: float
     goodput_by_bottleneck: dict[str, float]
+    seen_of_capacity: dict[str, float]
     goodput_by_half_second: list[float]
     answered_by_half_second: list[float]
     recovery_s: float | None
@@ -145,6 +150,7 @@
             name: _goodput(originals, _is_of(name)) / capacities[name]
             for name in capacities
         },
+        seen_of_capacity=_seen_of_capacity(recording),
         goodput_by_half_second=_goodput_by_bin(recording),
         answered_by_half_second=answered,
         recovery_s=_recovery_s(answered),
@@ -235,6 +241,22 @@
     return count / overload_plan.SURGE_S
 
 
+def _seen_of_capacity(recording: Recording) -> dict[str, float]:
+    services = {
+        'chain': recording.deployment.bottom.name,
+        'side': recording.deployment.side.name,
+    }
+    capacities = _capacities(recording)
+    return {
+        name: sum(
+            _in_surge(item['at'] - recording.start_unix_s)
+            for item in recording.seen[service]
+        )
+        / (capacities[name] * overload_plan.SURGE_S)
+        for name, service in services.items()
+    }
+
+
 def _bins() -> int:
     return int(overload_plan.total_s() / BIN_S)
 
--- a/lab/overload_plan.py
+++ b/lab/overload_plan.py
@@ -25,7 +25,9 @@
     ('small-5', 0.05, 1.0),
     ('small-6', 0.05, 1.0),
 )
-CAPACITY_PER_BOTTLENECK: Final = 75.0
+# Calls per second of the deepest service and of the side service. With more,
+# the processor time of the daemons takes a noticeable part of a slot's time.
+CAPACITIES: Final = {'chain': 60.0, 'side': 100.0}
 TIMEOUT_S: Final = 2.0
 MAX_ATTEMPTS: Final = 5
 RESEND_MAX_S: Final = 0.008
@@ -111,10 +113,11 @@
     services = []
     for position, (service, upstreams, real_slots) in enumerate(sizes):
         slots = max(1, round(real_slots / scale))
-        is_bottleneck = position >= len(sizes) - 2
         service_s = _PASS_ON_S
-        if is_bottleneck:
-            service_s = upstreams * slots / CAPACITY_PER_BOTTLENECK
+        if position == len(sizes) - 2:
+            service_s = upstreams * slots / CAPACITIES['chain']
+        elif position == len(sizes) - 1:
+            service_s = upstreams * slots / CAPACITIES['side']
         services.append(
             ServicePlan(
                 name=service,
@@ -163,7 +166,7 @@
 
     Attributes:
         start_unix_s: When the warm-up begins.
-        rate: Original calls per second of this process at load 1, for each
+        rates: Original calls per second of this process at load 1, by
             bottleneck.
         targets: Services along each kind of call.
     """
@@ -171,7 +174,7 @@
     number: int
     seed: int
     start_unix_s: float
-    rate: float
+    rates: dict[str, float]
     addresses: list[str]
     targets: dict[str, list[str]]
 
@@ -241,10 +244,10 @@
     shares = [share for _, share, _ in WORKSPACES]
     chain = [kind for kind in plan.targets if kind != 'side']
     result: list[Original] = []
-    for bottleneck in ('chain', 'side'):
+    for bottleneck, rate in plan.rates.items():
         moment_s = 0.0
         while True:
-            moment_s += rng.expovariate(plan.rate * load_at(moment_s))
+            moment_s += rng.expovariate(rate * load_at(moment_s))
             if moment_s >= total_s():
                 break
             kind = 'side' if bottleneck == 'side' else rng.choice(chain)
@@ -281,7 +284,7 @@
 
 def rate_of(share: float) -> float:
     """Return the rate of a workspace, enough for all its attempts."""
-    calls = SURGE_LOAD * CAPACITY_PER_BOTTLENECK * share
+    calls = SURGE_LOAD * max(CAPACITIES.values()) * share
     return 1.5 * MAX_ATTEMPTS * calls
 
 
