Turn the limits per callee off in the baseline

Cause: the baseline is meant to run with control off, but it used the limits per callee of the product.

--- a/sassafraswood/coordination/baseline.py
+++ b/sassafraswood/coordination/baseline.py
@@ -1,7 +1,8 @@
 """The comparison that the project keeps: daemons with control off.
 
-There is no admission control, each hop retries by itself, and rates are
-counted by each daemon alone. It is chosen by the setting `control` and is
+There is no admission control and no limit per callee besides that of the
+document, each hop retries by itself, and rates are counted by each daemon
+alone. It is chosen by the setting `control` and is
 meant for measurements only.
 """
 
@@ -11,6 +12,7 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import admission
+from sassafraswood.coordination import callee_limit
 from sassafraswood.coordination import quota_client
 from sassafraswood.coordination import retry
 from sassafraswood.models import call
@@ -97,6 +99,28 @@
         """Do nothing."""
 
 
+class DocumentCalleeLimits(callee_limit.CalleeLimits):
+    """Bounds calls to a callee by the limit of its document only."""
+
+    def acquire(
+        self,
+        service: ids.ServiceName,
+        *,
+        limit: int | None,
+        total_slots: int,
+        importance: enums.Importance = enums.Importance.LOW,
+    ) -> bool:
+        """Count a call in, or return False at the limit of the document."""
+        if limit is None:
+            return True
+        return super().acquire(
+            service,
+            limit=limit,
+            total_slots=total_slots,
+            importance=importance,
+        )
+
+
 class HopRetries(retry.RetryPolicy):
     """Retries each failure twice, at each hop and at once."""
 
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -256,7 +256,7 @@
             quarantine=self._quarantine,
             router=self._router,
             retries=self._new_retries(random),
-            callees=callee_limit.CalleeLimits(clock=self._clock),
+            callees=self._new_callees(),
             configuration=self._configuration,
             membership=self._membership,
             runs=self._runs,
@@ -289,6 +289,11 @@
             )
         return admission.Admission(clock=self._clock, random=random)
 
+    def _new_callees(self) -> callee_limit.CalleeLimits:
+        if self._is_baseline:
+            return baseline.DocumentCalleeLimits(clock=self._clock)
+        return callee_limit.CalleeLimits(clock=self._clock)
+
     def _new_retries(self, random: random_module.Random) -> retry.RetryPolicy:
         if self._is_baseline:
             return baseline.HopRetries(clock=self._clock, random=random)
