Do not avoid a daemon because a caller left

Cause: when a call was cancelled because its caller had left, the first daemon reported the end of the attempt to the router without a result, which the router takes for a silent connection. It then avoided a healthy daemon for 0.1 to 3 s. With callers that give up at a timeout this shows as no_upstream. Ruled out: crashed upstreams, as no attempt ended as upstream_unreachable or upstream_broke.

--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -449,6 +449,13 @@
                 reason=enums.RefusalReason.PEER_SILENT,
                 outcome=enums.Outcome.UNKNOWN,
             )
+        except anyio.get_cancelled_exc_class():
+            # The caller left, which says nothing about the other daemon.
+            result = call.Refusal(
+                reason=enums.RefusalReason.CANCELLED,
+                outcome=enums.Outcome.UNKNOWN,
+            )
+            raise
         finally:
             self._router.note_result(daemon_id, result, hint)
         return call.CallResult(result=result, allowance_left=left)
