--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -200,6 +200,29 @@
             limit_s,
         )
 
+    def wait_for_upstream(self, daemon_id: str) -> None:
+        """Wait until a daemon takes its upstream for serving."""
+
+        def is_serving() -> bool:
+            try:
+                member = self.fleet.status(daemon_id)['member']
+            except OSError:
+                return False
+            return member['upstream_status'] in ('cold', 'ready')
+
+        self.wait_for(is_serving, f'{daemon_id} serves')
+
+    def revisions(self, daemon_id: str) -> dict[str, tuple[int, int]]:
+        """Return revision and offset of the documents at a daemon."""
+        try:
+            entries = self.fleet.status(daemon_id)['documents']
+        except OSError:
+            return {}
+        return {
+            entry['service']: (entry['revision'], entry['offset'])
+            for entry in entries
+        }
+
     def living(self) -> list[str]:
         """Return the daemons whose processes run."""
         return [
