Add scenarios of quota, graceful stop, HTTP and two failures at once

Calls prefer the failure domain of their first daemon, so the scenarios of failing VMs place all daemons in one; before, the upstreams that failed saw no call and the checks were empty.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 pytest_plugins = [
     'tests.scenarios.steps.call_steps',
     'tests.scenarios.steps.fleet_steps',
+    'tests.scenarios.steps.http_steps',
     'tests.scenarios.steps.operator_steps',
 ]
 
--- a/tests/scenarios/steps/fleet_steps.py
+++ b/tests/scenarios/steps/fleet_steps.py
@@ -22,6 +22,21 @@
     world.add_service(service, daemons)
 
 
+@given(
+    sentences.sentence(
+        'the service "{service:Name}" with {daemons:d} daemons in one failure '
+        'domain'
+    )
+)
+def _service_in_one_domain(world: World, service: str, daemons: int) -> None:
+    world.add_service(service, daemons, 'domain-1')
+
+
+@given('calls are never retried')
+def _no_retries(world: World) -> None:
+    world.retry_allowance = 0
+
+
 @given(sentences.sentence('the service "{service:Name}" with 1 daemon'))
 def _service_of_one(world: World, service: str) -> None:
     world.add_service(service, 1)
@@ -142,6 +157,15 @@
     world.fleet.set_log_faults()
 
 
+@when(
+    sentences.sentence(
+        'the upstream of "{daemon:Name}" takes {seconds:g} s for each call'
+    )
+)
+def _slow_upstream(world: World, daemon: str, seconds: float) -> None:
+    world.fleet.set_behaviour(daemon, service_s=seconds, slots=32)
+
+
 @when(sentences.sentence('the VM of "{daemon:Name}" is lost'))
 def _lose_vm(world: World, daemon: str) -> None:
     world.fleet.signal_upstream(daemon, signal.SIGKILL)
--- /dev/null
+++ b/tests/scenarios/test_combinations.py
@@ -0,0 +1,5 @@
+"""Scenarios of features/combinations.feature."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios('features/combinations.feature')
