Do not retry a call whose upstream may have crashed

Cause: an idempotent call that crashed its upstream was retried within some 20 ms at the next one, before the daemon there heard that the request is a suspect. One request of a caller crashed 3 upstreams; at most 2 are allowed. Ruled out: a lost report. The same request sent again is refused as quarantined by all daemons. Conclusion: idempotent calls in flight beside a crash are answered as unknown instead of being retried. Callers may send them again.

--- a/sassafraswood/coordination/first_daemon.py
+++ b/sassafraswood/coordination/first_daemon.py
@@ -334,7 +334,7 @@
             result = await self._async_routed(
                 context, request, allowance, remaining_s, tried
             )
-            if isinstance(result, call.Answer):
+            if isinstance(result, call.Answer) or _may_crash(result):
                 break
             if earlier is not None and len(tried) < attempt:
                 # No other upstream was left; the earlier end says more.
@@ -470,6 +470,18 @@
     )
 
 
+def _may_crash(refusal: call.Refusal) -> bool:
+    """Return whether a request may have crashed the upstream that ran it.
+
+    A retry would reach the next upstream before its daemon hears that the
+    request is a suspect, and so crash it outside of a lone run.
+    """
+    return refusal.outcome is enums.Outcome.UNKNOWN and refusal.reason in (
+        enums.RefusalReason.UPSTREAM_BROKE,
+        enums.RefusalReason.ANSWER_TRUNCATED,
+    )
+
+
 def _is_owner_missing(result: call.Result) -> bool:
     if not isinstance(result, call.Refusal):
         return False
