Notice a crash whose listener closes last

Cause: after a broken connection the daemon probes whether the upstream still accepts connections. A process that ends closes its sockets one by one; a probe between them was accepted, so the crash was not noted, its request did not become a suspect, and a third upstream crashed. A probe 0.1 s later was refused. Ruled out: a report that arrives late; the crashes are 0.5 s apart. Conclusion: probe again after 0.02 s and 0.1 s, also when the caller leaves.

--- a/sassafraswood/coordination/serving.py
+++ b/sassafraswood/coordination/serving.py
@@ -21,6 +21,10 @@
 from sassafraswood.models import ids
 from sassafraswood.models import messages
 
+# A process that ends closes its sockets one after the other, so its listener
+# may accept connections for some milliseconds after the others are closed.
+_CRASH_PROBE_DELAYS_S: typing.Final = (0.0, 0.02, 0.1)
+
 
 class UpstreamPort(typing.Protocol):
     """The upstream beside this daemon."""
@@ -293,8 +297,18 @@
         if error.reason not in broken:
             return
         self._broken.append((self._clock.monotonic(), run.context.fingerprint))
-        if not await self._upstream.async_probe():
-            self._on_unreachable()
+        # A caller that leaves now must not keep the crash from being noted.
+        with anyio.CancelScope(shield=True):
+            if await self._async_is_gone():
+                self._on_unreachable()
+
+    async def _async_is_gone(self) -> bool:
+        """Return whether the upstream stops accepting connections."""
+        for delay_s in _CRASH_PROBE_DELAYS_S:
+            await anyio.sleep(delay_s)
+            if not await self._upstream.async_probe():
+                return True
+        return False
 
     def _finish(
         self, run: _Run, outcome: admission_module.ServiceOutcome
