--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
-"""Lets the run pass over exactly the tests that KNOWN-RED.txt lists."""
+"""Fixtures of all tests, and the tests that KNOWN-RED.txt lists."""
 
 import pathlib
+import typing
 
 import pytest
 
@@ -14,6 +15,12 @@
 ]
 
 
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, typing.Any]]:
+    """Run asynchronous tests on the loop that the daemon uses."""
+    return 'asyncio', {'use_uvloop': True}
+
+
 def _known_red() -> set[str]:
     """Return the node ids after "test:" in KNOWN-RED.txt."""
     if not _LIST.exists():
