Forget the headers of the last answer before the next request

Cause: a connection that broke before the first byte of an answer reported answer_truncated if an earlier answer on it had headers. In the scenario crashing_request about half of the crashes were reported in that way. Ruled out: a half answer; the upstream ends before it sends one. Conclusion: the connection is reset when a request is sent, not only when an answer begins. The outcome was and is unknown in both cases.

--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -69,6 +69,9 @@
         self._method = request.method
         self._max_body_bytes = max_body_bytes
         self._is_reusable = False
+        # A break before the first byte must not count as a truncated answer
+        # because of the answer before it on this connection.
+        self._reset()
         self._done = asyncio.get_running_loop().create_future()
         self._transport.write(self._encode(request))
         return await self._done
