Count control messages and bytes by kind

The mesh now counts messages and encoded bytes by tag and direction, the log client its HTTP requests, and the status page shows both. The counts are not sent to statsd: they would be about 40 more counters a second per daemon.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -118,8 +118,14 @@
 class Fleet:
     """Processes of one experiment; use it as a context manager."""
 
-    def __init__(self, specs: list[DaemonSpec]) -> None:
+    def __init__(
+        self,
+        specs: list[DaemonSpec],
+        *,
+        start_timeout_s: float = START_TIMEOUT_S,
+    ) -> None:
         """Choose addresses; nothing is started yet."""
+        self._start_timeout_s = start_timeout_s
         self._directory = tempfile.TemporaryDirectory(prefix='sassafraswood-')
         self._path = pathlib.Path(self._directory.name)
         public, secret = zmq.curve_keypair()
@@ -254,7 +260,7 @@
             for daemon_id, daemon in self.daemons.items()
             if daemon.spec.has_upstream
         }
-        deadline = time.monotonic() + START_TIMEOUT_S
+        deadline = time.monotonic() + self._start_timeout_s
         for daemon_id in self.daemons:
             while not self._sees(daemon_id, expected):
                 if time.monotonic() > deadline:
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -55,6 +55,7 @@
 from sassafraswood.transport import peer_dispatch
 from sassafraswood.transport import peer_mesh
 from sassafraswood.transport import status
+from sassafraswood.transport import traffic
 from sassafraswood.transport import upstream_client
 
 
@@ -93,6 +94,7 @@
             address=statsd.address if statsd else None,
             prefix=statsd.prefix if statsd else 'sassafraswood',
         )
+        self._traffic = traffic.Traffic()
         count = self._metrics.count
         self._own = records.Holder(
             daemon_id=settings.daemon_id,
@@ -121,7 +123,9 @@
     def _build_transports(self, count: Callable[[str], None]) -> None:
         settings = self._settings
         self._log = log_client.LogClient(
-            url=settings.log.url, stream=settings.log.stream
+            url=settings.log.url,
+            stream=settings.log.stream,
+            traffic=self._traffic,
         )
         self._mesh = peer_mesh.PeerMesh(
             clock=self._clock,
@@ -133,6 +137,7 @@
             bind_address=settings.peer_listen,
             address_of=self._address_of,
             count=count,
+            traffic=self._traffic,
         )
         self._outbox = _LoopOutbox(self._own.daemon_id, self._mesh)
         self._upstream = upstream_client.UpstreamClient(clock=self._clock)
@@ -634,6 +639,7 @@
             leases=self._leases,
             admission=self._admission,
             counts=self._metrics.counts,
+            traffic=self._traffic.counts,
             is_log_readable=self._follower.is_readable,
         )
 
--- a/sassafraswood/transport/log_client.py
+++ b/sassafraswood/transport/log_client.py
@@ -11,6 +11,7 @@
 from sassafraswood import exceptions
 from sassafraswood.models import ids
 from sassafraswood.models import records
+from sassafraswood.transport import traffic as traffic_module
 
 _T = TypeVar('_T')
 
@@ -32,9 +33,12 @@
 class LogClient:
     """Appends to and reads from one stream over HTTP."""
 
-    def __init__(self, *, url: str, stream: str) -> None:
+    def __init__(
+        self, *, url: str, stream: str, traffic: traffic_module.Traffic
+    ) -> None:
         """Use the stream of the log service at the base URL."""
         self._target = f'{url.rstrip("/")}/streams/{stream}'
+        self._traffic = traffic
         self._pool = self._new_pool()
 
     async def async_append(self, body: bytes) -> ids.Offset:
@@ -119,13 +123,15 @@
         }
         try:
             with anyio.fail_after(timeout_s + 1.0):
-                return await self._pool.request(
+                answer = await self._pool.request(
                     method,
                     target,
                     headers={'content-type': 'application/json'},
                     content=body,
                     extensions={'timeout': timeouts},
                 )
+                self._note_traffic(method, target, body, answer)
+                return answer
         except (httpcore.TimeoutException, TimeoutError):
             # The connection may have gone silent; a new one may work.
             old = self._pool
@@ -134,6 +140,23 @@
                 await old.aclose()
             raise
 
+    def _note_traffic(
+        self, method: str, target: str, body: bytes, answer: httpcore.Response
+    ) -> None:
+        kind = 'log_append' if method == 'POST' else 'log_read'
+        # Method, target, version and line end, then the headers host,
+        # content-type and content-length or transfer-encoding.
+        request_bytes = len(method) + len(target) + 120 + len(body)
+        self._traffic.note(traffic_module.SENT, kind, request_bytes)
+        header_bytes = sum(
+            # A colon, a space and the end of the line.
+            len(name) + len(value) + 4
+            for name, value in answer.headers
+        )
+        # The status line and the empty line after the headers.
+        response_bytes = 19 + header_bytes + len(answer.content)
+        self._traffic.note(traffic_module.RECEIVED, kind, response_bytes)
+
     def _new_pool(self) -> httpcore.AsyncConnectionPool:
         return httpcore.AsyncConnectionPool(
             max_connections=4,
--- a/sassafraswood/transport/peer_connection.py
+++ b/sassafraswood/transport/peer_connection.py
@@ -11,6 +11,7 @@
 from sassafraswood.models import messages
 from sassafraswood.models import records
 from sassafraswood.protocol import codec
+from sassafraswood.transport import traffic as traffic_module
 from sassafraswood.transport import zmq_socket
 
 SocketFactory = Callable[[], zmq.Socket]
@@ -34,6 +35,7 @@
         on_message: MessageHandler,
         on_malformed: Callable[[], None],
         on_replaced: Callable[['PeerConnection'], None],
+        traffic: traffic_module.Traffic,
     ) -> None:
         """Connect to host:port."""
         self._address = address
@@ -43,6 +45,7 @@
         self._on_message = on_message
         self._on_malformed = on_malformed
         self._on_replaced = on_replaced
+        self._traffic = traffic
         self._waiting: list[tuple[float, bytes]] = []
         self._sequence = 0
         self._peer: tuple[ids.DaemonId, ids.Incarnation] | None = None
@@ -124,7 +127,9 @@
             daemon_id=self._own.daemon_id,
             incarnation=self._own.incarnation,
         )
-        self._socket.send([codec.encode_message(ping)])
+        payload = codec.encode_message(ping)
+        self._traffic.note_message(traffic_module.SENT, ping, len(payload))
+        self._socket.send([payload])
 
     def close(self) -> None:
         """Close the socket."""
@@ -175,6 +180,9 @@
         except exceptions.DecodeError:
             self._on_malformed()
             return
+        self._traffic.note_message(
+            traffic_module.RECEIVED, message, len(frames[-1])
+        )
         if isinstance(message, messages.Pong):
             self._peer = (message.daemon_id, message.incarnation)
             self._become_ready()
--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -16,6 +16,7 @@
 from sassafraswood.models import records
 from sassafraswood.protocol import codec
 from sassafraswood.transport import peer_connection
+from sassafraswood.transport import traffic as traffic_module
 from sassafraswood.transport import zmq_socket
 
 # The domain of the authentication protocol (ZAP, RFC 27).
@@ -75,6 +76,7 @@
         bind_address: str,
         address_of: AddressLookup,
         count: Callable[[str], None],
+        traffic: traffic_module.Traffic,
     ) -> None:
         """Prepare the sockets; call start on the running loop."""
         self._clock = clock
@@ -83,6 +85,7 @@
         self._bind_address = bind_address
         self._address_of = address_of
         self._count = count
+        self._traffic = traffic
         self._connections: dict[str, peer_connection.PeerConnection] = {}
         self._pending: dict[ids.CallId, _PendingCall] = {}
         self._senders: dict[bytes, tuple[ids.DaemonId, float]] = {}
@@ -151,7 +154,7 @@
     def send_to_address(self, address: str, message: messages.Message) -> None:
         """Send a message to the peer at host:port, best effort."""
         connection = self._connect(address)
-        if not connection.send(codec.encode_message(message)):
+        if not connection.send(self._encode(message)):
             self._count('peer.dropped')
 
     def probe(self, daemon_id: ids.DaemonId) -> None:
@@ -178,7 +181,7 @@
         call_id = message.context.call_id
         connection = self._connect_to(daemon_id)
         connection.carried_call_at = self._clock.monotonic()
-        payload = codec.encode_message(message)
+        payload = self._encode(message)
         pending = self._begin(
             call_id, connection, payload, message.context.remaining_s
         )
@@ -257,7 +260,7 @@
         pending.is_query = True
         pending.deadline = self._clock.monotonic() + const.CANCEL_QUERY_S
         message = messages.CancelCall(call_id=call_id)
-        pending.connection.send(codec.encode_message(message))
+        pending.connection.send(self._encode(message))
 
     def _fail(
         self, pending: _PendingCall, error: exceptions.PeerError
@@ -274,7 +277,12 @@
         if connection.withdraw(payload):
             return
         message = messages.CancelCall(call_id=call_id)
-        connection.send(codec.encode_message(message))
+        connection.send(self._encode(message))
+
+    def _encode(self, message: messages.Message) -> bytes:
+        payload = codec.encode_message(message)
+        self._traffic.note_message(traffic_module.SENT, message, len(payload))
+        return payload
 
     def _connect_to(
         self, daemon_id: ids.DaemonId
@@ -295,8 +303,10 @@
                 on_message=self._receive_reply,
                 on_malformed=self._count_malformed,
                 on_replaced=self._connection_replaced,
+                traffic=self._traffic,
             )
             self._connections[address] = connection
+            self._count('peer.opened')
         return connection
 
     def _new_dealer(self) -> zmq.Socket:
@@ -324,11 +334,14 @@
         except exceptions.DecodeError:
             self._count_malformed()
             return
+        self._traffic.note_message(
+            traffic_module.RECEIVED, message, len(frames[-1])
+        )
 
         def reply(answer: messages.Message) -> None:
             if self._router is None:
                 return
-            payload = codec.encode_message(answer)
+            payload = self._encode(answer)
             if not self._router.send([identity, payload]):
                 self._count('peer.dropped')
 
--- a/sassafraswood/transport/status.py
+++ b/sassafraswood/transport/status.py
@@ -12,6 +12,7 @@
 from sassafraswood.models import ids
 from sassafraswood.models import messages
 from sassafraswood.models import records
+from sassafraswood.transport import traffic as traffic_module
 
 
 class DocumentStatus(msgspec.Struct, kw_only=True):
@@ -49,6 +50,7 @@
     documents: list[DocumentStatus]
     partitions: list[PartitionStatus]
     counts: dict[str, int]
+    traffic: dict[str, traffic_module.TrafficCount]
 
 
 class MemberView(msgspec.Struct, kw_only=True):
@@ -78,6 +80,7 @@
     leases: partition_lease.PartitionLeases,
     admission: admission_module.Admission,
     counts: dict[str, int],
+    traffic: dict[str, traffic_module.TrafficCount],
     is_log_readable: bool,
 ) -> DaemonStatus:
     """Return the state of this daemon."""
@@ -92,6 +95,7 @@
         documents=_documents(configuration),
         partitions=_partitions(own.service, configuration, leases),
         counts=counts,
+        traffic=traffic,
     )
 
 
