--- a/lab/configuration_cost.py
+++ b/lab/configuration_cost.py
@@ -48,7 +48,8 @@
     )
 
 
-def _records() -> list[records.Record]:
+def log_records() -> list[records.Record]:
+    """Return a log of the size planned for two years."""
     log: list[records.Record] = []
     for revision in range(_REVISIONS):
         for service in range(_SERVICES):
@@ -107,7 +108,7 @@
         records.LogEntry(
             offset=ids.Offset(offset), body=codec.encode_record(record)
         )
-        for offset, record in enumerate(_records())
+        for offset, record in enumerate(log_records())
     ]
     folded = _new()
     started = time.perf_counter()
