--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -30,11 +30,23 @@
     'workspaces': (capacity_idle.measure_workspaces, 'workspaces'),
     'calls': (capacity_calls.measure_calls, 'calls_per_s'),
     'open_calls': (capacity_calls.measure_open_calls, 'calls_per_s'),
+    'limits': (capacity_calls.measure_limits, 'limits'),
     'depth': (capacity_calls.measure_depth, 'hops'),
 }
 DEFAULT_DIRECTORY: typing.Final = pathlib.Path('docs/capacity')
 
 
+_PLOTTED: typing.Final = {
+    'fleet': ('cpu_percent', 'wire_bytes_per_s'),
+    'documents': ('private_mb',),
+    'workspaces': ('private_mb',),
+    'calls': ('first_cpu_ms_per_s', 'quota_bytes_per_s'),
+    'open_calls': ('first_cpu_ms_per_s',),
+    'limits': ('first_cpu_ms_per_s', 'quota_bytes_per_s'),
+    'depth': ('cpu_ms_per_call', 'p50_ms'),
+}
+
+
 def fits(
     points: list[capacity_fleet.Point], x_name: str
 ) -> dict[str, line_fit.Fit]:
@@ -93,16 +105,6 @@
         (directory / f'{slope}_{y_name}.svg').write_text(plot)
 
 
-_PLOTTED: typing.Final = {
-    'fleet': ('cpu_percent', 'wire_bytes_per_s'),
-    'documents': ('private_mb',),
-    'workspaces': ('private_mb',),
-    'calls': ('first_cpu_ms_per_s', 'quota_bytes_per_s'),
-    'open_calls': ('first_cpu_ms_per_s',),
-    'depth': ('cpu_ms_per_call', 'p50_ms'),
-}
-
-
 def main(
     quick: bool = False,
     json_file: typing.Annotated[
--- a/lab/capacity_calls.py
+++ b/lab/capacity_calls.py
@@ -1,5 +1,7 @@
 """Capacity slopes of daemons that carry calls."""
 
+from collections.abc import Iterator
+import contextlib
 import statistics
 import time
 import typing
@@ -19,6 +21,8 @@
 # 42,000 calls/s over 92 services and 8 workspaces at 0.8 of the rate.
 _RATE: typing.Final = 70.0
 _MAX_HOPS: typing.Final = 6
+_LIMITS_OF_SERVICE: typing.Final = (1, 4, 12, 32)
+_LIMITS_CALLS_PER_S: typing.Final = 40.0
 _DEPTH_CALLS_PER_S: typing.Final = 10.0
 _QUOTA: typing.Final = ('quota_request', 'quota_grant')
 _CALLS: typing.Final = ('run_call', 'run_result')
@@ -65,6 +69,11 @@
         reason = reply.reason or f'status {reply.status}'
         self.refused[reason] = self.refused.get(reason, 0) + 1
 
+    async def async_close(self) -> None:
+        """Close the connections, which end with their event loop."""
+        for caller in self._callers:
+            await caller.async_close()
+
     def latency_ms(self, percentile: float) -> float:
         """Return a percentile of the latencies."""
         return self.latency_us.get_value_at_percentile(percentile) / 1e3
@@ -80,13 +89,39 @@
     return _measure_rates(quick, '/open/item')
 
 
+def measure_limits(quick: bool) -> list[Point]:
+    """Return points by the number of limits that calls use in turn."""
+    window_s = 5.0 if quick else 18.0
+    most = max(_LIMITS_OF_SERVICE)
+    points = []
+    with _started(most) as running:
+        for count in _LIMITS_OF_SERVICE:
+            load = _load(running, count, '/item')
+            point = anyio.run(
+                _async_rate, running, load, _LIMITS_CALLS_PER_S, window_s
+            )
+            points.append({'limits': float(count * _SERVICES), **point})
+    return points
+
+
 def _measure_rates(quick: bool, path: str) -> list[Point]:
-    services = [f'service-{number}' for number in range(_SERVICES)]
+    window_s = 5.0 if quick else 18.0
+    with _started(_WORKSPACES) as running:
+        load = _load(running, _WORKSPACES, path)
+        return [
+            anyio.run(_async_rate, running, load, rate, window_s)
+            for rate in (5.0, 20.0, 40.0, 56.0)
+        ]
+
+
+@contextlib.contextmanager
+def _started(workspaces: int) -> Iterator[fleet.Fleet]:
+    services = _services()
     specs = [_first_spec()] + [
         _serving_spec(service, number)
         for number, service in enumerate(services)
     ]
-    names = capacity_fleet.workspaces(_WORKSPACES)
+    names = capacity_fleet.workspaces(workspaces)
     log = [
         capacity_fleet.publish(
             service, workspaces=names, rate=_RATE, burst=_RATE
@@ -95,55 +130,61 @@
     ]
     grants = [capacity_fleet.grant(name) for name in names]
     with capacity_fleet.started(specs, [*log, *grants]) as running:
-        load = _Load(
-            [
-                client.Caller(running.daemons[_FIRST].caller, key=name)
-                for name in names
-            ],
-            [f'/{service}{path}' for service in services],
-        )
-        return anyio.run(_async_rates, running, load, quick)
+        yield running
 
 
-async def _async_rates(
-    running: fleet.Fleet, load: _Load, quick: bool
-) -> list[Point]:
-    window_s = 5.0 if quick else 18.0
-    points = []
-    for rate in (5.0, 20.0, 40.0, 56.0):
-        await load.async_run(rate, 2.0)
-        meter = capacity_fleet.Meter(running, list(running.daemons))
-        first_meter = capacity_fleet.Meter(running, [_FIRST])
-        calls = await load.async_run(rate, window_s)
-        first = first_meter.finish()
-        usage = meter.finish()
-        serving_s = [
-            cpu_s for name, cpu_s in usage.cpu_s.items() if name != _FIRST
-        ]
-        quota_messages, quota_bytes = first.rate(*_QUOTA)
-        # Calls of one round trip, each counted where it is sent and received.
-        _, call_bytes = first.rate(*_CALLS)
-        points.append(
-            {
-                'calls_per_s': rate,
-                'calls': float(calls),
-                'refused': float(sum(load.refused.values())),
-                'first_cpu_ms_per_s': first.cpu_share * 1e3,
-                'serving_cpu_ms_per_s': sum(serving_s) / usage.window_s * 1e3,
-                'quota_messages_per_s': quota_messages,
-                'quota_bytes_per_s': quota_bytes,
-                'quota_bytes_per_call': quota_bytes * first.window_s / calls,
-                'call_bytes_per_s': call_bytes,
-                'heartbeat_bytes_per_s': first.rate('ping', 'pong')[1],
-                'p50_ms': load.latency_ms(50),
-                'p99_ms': load.latency_ms(99),
-                'first_private_mb': first.private_mb,
-                'machine_busy': usage.machine_busy,
-            }
-        )
-        if load.refused:
-            print(f'refused at {rate:g} calls/s: {load.refused}')
-    return points
+def _services() -> list[str]:
+    return [f'service-{number}' for number in range(_SERVICES)]
+
+
+def _load(running: fleet.Fleet, workspaces: int, path: str) -> _Load:
+    return _Load(
+        [
+            client.Caller(running.daemons[_FIRST].caller, key=name)
+            for name in capacity_fleet.workspaces(workspaces)
+        ],
+        [f'/{service}{path}' for service in _services()],
+    )
+
+
+async def _async_rate(
+    running: fleet.Fleet, load: _Load, rate: float, window_s: float
+) -> Point:
+    # Demand estimates and connections of earlier points end meanwhile.
+    await load.async_run(rate, 3.0)
+    meter = capacity_fleet.Meter(running, list(running.daemons))
+    calls = await load.async_run(rate, window_s)
+    usage = meter.finish()
+    await load.async_close()
+    if load.refused:
+        print(f'refused at {rate:g} calls/s: {load.refused}')
+    return _rate_point(usage, load, rate, calls)
+
+
+def _rate_point(
+    usage: capacity_fleet.Usage, load: _Load, rate: float, calls: int
+) -> Point:
+    first_s = usage.cpu_s[_FIRST]
+    serving_s = sum(usage.cpu_s.values()) - first_s
+    quota_messages, quota_bytes = usage.rate_of(_FIRST, *_QUOTA)
+    _, call_bytes = usage.rate_of(_FIRST, *_CALLS)
+    _, heartbeat_bytes = usage.rate_of(_FIRST, 'ping', 'pong')
+    return {
+        'calls_per_s': rate,
+        'calls': float(calls),
+        'refused': float(sum(load.refused.values())),
+        'first_cpu_ms_per_s': first_s / usage.window_s * 1e3,
+        'serving_cpu_ms_per_s': serving_s / usage.window_s * 1e3,
+        'quota_messages_per_s': quota_messages,
+        'quota_bytes_per_s': quota_bytes,
+        'quota_bytes_per_call': quota_bytes * usage.window_s / calls,
+        'call_bytes_per_s': call_bytes,
+        'heartbeat_bytes_per_s': heartbeat_bytes,
+        'p50_ms': load.latency_ms(50),
+        'p99_ms': load.latency_ms(99),
+        'private_mb': usage.private_mb,
+        'machine_busy': usage.machine_busy,
+    }
 
 
 def measure_depth(quick: bool) -> list[Point]:
--- a/lab/capacity_fleet.py
+++ b/lab/capacity_fleet.py
@@ -35,6 +35,7 @@
         window_s: Length of the window for processor time.
         cpu_s: Processor time of each daemon.
         traffic: Messages/s and bytes/s by 'direction.kind'.
+        traffic_of: The same of each daemon.
         opened_per_s: Peer connections opened per second.
         machine_busy: Share of all processors that was busy, by anyone.
     """
@@ -45,6 +46,7 @@
     private_mb: float
     connections: float
     traffic: dict[str, tuple[float, float]]
+    traffic_of: dict[str, dict[str, tuple[float, float]]]
     opened_per_s: float
     machine_busy: float
 
@@ -55,12 +57,11 @@
 
     def rate(self, *kinds: str) -> tuple[float, float]:
         """Return messages/s and bytes/s, sent and received, of kinds."""
-        pairs = [
-            self.traffic.get(f'{direction}.{kind}', (0.0, 0.0))
-            for direction in ('sent', 'received')
-            for kind in kinds
-        ]
-        return sum(p[0] for p in pairs), sum(p[1] for p in pairs)
+        return _sum_rates(self.traffic, kinds)
+
+    def rate_of(self, name: str, *kinds: str) -> tuple[float, float]:
+        """Return the same of one daemon."""
+        return _sum_rates(self.traffic_of[name], kinds)
 
     def kinds(self) -> list[str]:
         """Return all kinds of messages."""
@@ -235,6 +236,7 @@
                 process_cost.tcp_connections(pid) for pid in pids
             ),
             traffic=traffic,
+            traffic_of=dict(zip(self._names, rates, strict=True)),
             opened_per_s=opened,
             machine_busy=(busy - self._machine[0])
             / max(total - self._machine[1], 1e-9),
@@ -278,6 +280,17 @@
     return rates
 
 
+def _sum_rates(
+    traffic: dict[str, tuple[float, float]], kinds: Iterable[str]
+) -> tuple[float, float]:
+    pairs = [
+        traffic.get(f'{direction}.{kind}', (0.0, 0.0))
+        for direction in ('sent', 'received')
+        for kind in kinds
+    ]
+    return sum(p[0] for p in pairs), sum(p[1] for p in pairs)
+
+
 def _mean_mb(read: typing.Callable[[int], int], pids: Iterable[int]) -> float:
     return statistics.fmean(read(pid) for pid in pids) / 1e6
 
