--- a/lab/capacity_idle.py
+++ b/lab/capacity_idle.py
@@ -135,13 +135,7 @@
         time.sleep(5.0 if quick else 12.0)
         usage = meter.finish()
         tail = running.status(names[0])['next_offset']
-        started = time.monotonic()
-        running.start_daemon(last)
-        capacity_fleet.wait_for_offset(running, last, tail)
-        joined_s = time.monotonic() - started
-        process = running.daemons[last].process
-        assert process is not None
-        joined_cpu_s = process_cost.cpu_s(process.pid)
+        start = _start_point(running, last, tail)
     return {
         'documents': float(count),
         'routes': 20.0 * count,
@@ -149,9 +143,57 @@
         'cpu_percent': usage.cpu_share * 100,
         'resident_mb': usage.resident_mb,
         'private_mb': usage.private_mb,
-        'start_to_tail_s': joined_s,
-        'start_to_tail_cpu_s': joined_cpu_s,
         'machine_busy': usage.machine_busy,
+        **start,
+    }
+
+
+def measure_snapshots(quick: bool) -> list[Point]:
+    """Return points by the snapshots in the part of the log that is kept.
+
+    Each is a snapshot of the log of lab.configuration_cost. A daemon that
+    starts reads all of them before it reaches the tail.
+    """
+    del quick
+    folded = configuration.Configuration(
+        decode=codec.decode_record,
+        check_document=documents.check_document,
+        partitions=partitions.PartitionTable(),
+    )
+    for offset, record in enumerate(configuration_cost.log_records()):
+        folded.apply(
+            records.LogEntry(
+                offset=ids.Offset(offset), body=codec.encode_record(record)
+            )
+        )
+    snapshot = folded.snapshot()
+    points = []
+    for count in (1, 12, 24, 48):
+        running = fleet.Fleet(specs(1, 1))
+        try:
+            running.start_log()
+            tail = capacity_fleet.append(running, [snapshot] * count)
+            point = _start_point(running, 'daemon-0', tail)
+        finally:
+            running.stop()
+        points.append({'snapshots': float(count), **point})
+    return points
+
+
+def _start_point(running: fleet.Fleet, name: str, tail: int) -> Point:
+    """Start a daemon and return what it takes to reach the tail."""
+    started = time.monotonic()
+    running.start_daemon(name)
+    capacity_fleet.wait_for_offset(running, name, tail)
+    joined_s = time.monotonic() - started
+    process = running.daemons[name].process
+    assert process is not None
+    traffic = running.status(name)['traffic']
+    return {
+        'start_to_tail_s': joined_s,
+        'start_to_tail_cpu_s': process_cost.cpu_s(process.pid),
+        'start_resident_mb': process_cost.resident_bytes(process.pid) / 1e6,
+        'start_read_mb': traffic['received.log_read']['bytes'] / 1e6,
     }
 
 
