--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -26,6 +26,7 @@
     dict[str, tuple[Callable[[bool], list[capacity_fleet.Point]], str]]
 ] = {
     'fleet': (capacity_idle.measure_fleet, 'daemons'),
+    'rollout': (capacity_idle.measure_rollout, 'daemons'),
     'documents': (capacity_idle.measure_documents, 'documents'),
     'workspaces': (capacity_idle.measure_workspaces, 'workspaces'),
     'snapshots': (capacity_idle.measure_snapshots, 'snapshots'),
--- a/lab/capacity_idle.py
+++ b/lab/capacity_idle.py
@@ -1,5 +1,7 @@
 """Capacity slopes of daemons without calls."""
 
+import json
+import statistics
 import time
 import typing
 
@@ -197,6 +199,46 @@
     }
 
 
+def measure_rollout(quick: bool) -> list[Point]:
+    """Return points by daemons: seconds until a revision is in force.
+
+    The time runs from the append, which an operator's tool would do, to the
+    log line of each daemon; all clocks are that of this machine.
+    """
+    points = []
+    for count in (3, 5, 8, 12) if quick else (3, 8, 16, 32):
+        with capacity_fleet.started(specs(count, 2)) as running:
+            times: list[float] = []
+            for number in range(5):
+                log = [capacity_fleet.publish(f'rolled-out-{number}')]
+                appended_at = time.time()
+                capacity_fleet.append(running, log)
+                time.sleep(2.5)
+                times += _in_force_after(running, number, appended_at)
+        points.append(
+            {
+                'daemons': float(count),
+                'seen': len(times) / 5,
+                'mean_ms': statistics.fmean(times) * 1e3,
+                'last_ms': max(times) * 1e3,
+                'load': capacity_fleet.load_average(),
+            }
+        )
+    return points
+
+
+def _in_force_after(
+    running: fleet.Fleet, number: int, appended_at: float
+) -> list[float]:
+    times = []
+    for name in running.daemons:
+        for line in running.output(name).splitlines():
+            if f'"rolled-out-{number}"' in line:
+                event = json.loads(line)
+                times.append(event['timestamp'] - appended_at)
+    return times
+
+
 def measure_workspaces(quick: bool) -> list[Point]:
     """Return points by the number of workspaces in each of 20 documents."""
     points = []
--- a/lab/gossip.py
+++ b/lab/gossip.py
@@ -74,23 +74,38 @@
         self,
         own: records.Member,
         known: Iterable[records.Member] = (),
+        log_state: Callable[[], membership.LogState] | None = None,
     ) -> membership.Membership:
-        """Start a daemon that knows some members."""
+        """Start a daemon that knows some members.
+
+        Args:
+            own: Its entry.
+            known: Members that it knows from the start.
+            log_state: What its digests tell about the log; by default, a
+                read that is log_read_age_s old.
+        """
         daemon = membership.Membership(
             clock=self.clock,
             random=random.Random(self._random.random()),
             outbox=_Outbox(self, own.daemon_id),
             own=own,
-            log_state=lambda: membership.LogState(
-                log_read_age_s=self.log_read_age_s
+            log_state=log_state
+            or (
+                lambda: membership.LogState(log_read_age_s=self.log_read_age_s)
             ),
         )
         daemon.merge([m for m in known if m.daemon_id != own.daemon_id])
         self.daemons[own.daemon_id] = daemon
         self.sent_bytes[own.daemon_id] = 0
-        self._at(self._random.random(), lambda: self._tick(daemon))
+        self.at(self._random.random(), lambda: self._tick(daemon))
         return daemon
 
+    def at(self, delay: float, action: Callable[[], None]) -> None:
+        """Do something after a delay in seconds."""
+        self._count += 1
+        at = self.clock.monotonic() + delay
+        heapq.heappush(self._queue, (at, self._count, action))
+
     def run(self, seconds: float) -> None:
         """Let virtual time pass."""
         end = self.clock.monotonic() + seconds
@@ -112,17 +127,12 @@
         data = codec.encode_message(message)
         self.sent_bytes[sender] += len(data)
         if not self.is_cut(sender, receiver):
-            self._at(_LATENCY_S, lambda: self._deliver(sender, receiver, data))
-
-    def _at(self, delay: float, action: Callable[[], None]) -> None:
-        self._count += 1
-        at = self.clock.monotonic() + delay
-        heapq.heappush(self._queue, (at, self._count, action))
+            self.at(_LATENCY_S, lambda: self._deliver(sender, receiver, data))
 
     def _tick(self, daemon: membership.Membership) -> None:
         if self.daemons.get(daemon.own.daemon_id) is daemon:
             daemon.tick()
-            self._at(const.GOSSIP_INTERVAL_S, lambda: self._tick(daemon))
+            self.at(const.GOSSIP_INTERVAL_S, lambda: self._tick(daemon))
 
     def _deliver(
         self, sender: ids.DaemonId, receiver: ids.DaemonId, data: bytes
@@ -132,8 +142,28 @@
             return
         message = codec.decode_message(data)
         if isinstance(message, messages.Digest):
-            daemon.on_digest(message)
+            asked_at = daemon.on_digest(message)
+            self.on_digest(sender, receiver, message, asked_at)
         elif isinstance(message, messages.MembersDelta):
             daemon.on_members_delta(message, sender)
         elif isinstance(message, messages.Leaving):
             daemon.on_leaving(message)
+        else:
+            self.on_other(sender, receiver, message)
+
+    def on_digest(
+        self,
+        sender: ids.DaemonId,
+        receiver: ids.DaemonId,
+        message: messages.Digest,
+        asked_at: float | None,
+    ) -> None:
+        """Take what a digest tells beside members; does nothing here."""
+
+    def on_other(
+        self,
+        sender: ids.DaemonId,
+        receiver: ids.DaemonId,
+        message: messages.Message,
+    ) -> None:
+        """Take a message that is not about members; does nothing here."""
