Answer gossip on the connection of the question and tick quota on its time

Cause: answers to digests left on a second connection with heartbeats and a handshake of its own, and the quota was ticked every 10 ms while its class asks for 20 ms. Ruled out: longer-lived gossip connections, which would grow with the fleet. Conclusion: a question of gossip costs one connection instead of two.

--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -449,6 +449,7 @@
     # Timers.
 
     async def _async_fast_ticks(self) -> None:
+        quota_ticked_at = self._clock.monotonic()
         while True:
             if self._serving.in_flight:
                 await anyio.sleep(const.ADMISSION_TICK_S)
@@ -458,7 +459,10 @@
             else:
                 # An idle daemon would spend its budget on waking up.
                 await anyio.sleep(const.IDLE_TICK_S)
-            if self._quota.is_active:
+            now = self._clock.monotonic()
+            is_due = now - quota_ticked_at >= const.QUOTA_TICK_S
+            if is_due and self._quota.is_active:
+                quota_ticked_at = now
                 self._quota.tick()
 
     def _tick_second(self) -> None:
--- a/sassafraswood/transport/peer_mesh.py
+++ b/sassafraswood/transport/peer_mesh.py
@@ -26,6 +26,14 @@
 # Senders that were not heard for this long are forgotten.
 _SENDER_MEMORY_S = 60.0
 
+# Answers that expect no reply themselves.
+_ANSWERS = (
+    messages.Digest,
+    messages.MembersDelta,
+    messages.FingerprintReport,
+    messages.GuardPromise,
+)
+
 Reply = Callable[[messages.Message], None]
 RequestHandler = Callable[[messages.Message, ids.DaemonId, Reply], None]
 ReplyHandler = Callable[[messages.Message, ids.DaemonId], None]
@@ -88,6 +96,7 @@
         self._traffic = traffic
         self._connections: dict[str, peer_connection.PeerConnection] = {}
         self._pending: dict[ids.CallId, _PendingCall] = {}
+        self._identities: dict[ids.DaemonId, bytes] = {}
         self._senders: dict[bytes, tuple[ids.DaemonId, float]] = {}
         self._on_request: RequestHandler | None = None
         self._on_reply: ReplyHandler | None = None
@@ -147,6 +156,8 @@
 
     def send(self, daemon_id: ids.DaemonId, message: messages.Message) -> None:
         """Send a message, best effort."""
+        if self._send_back(daemon_id, message):
+            return
         address = self._address_of(daemon_id)
         if address is not None:
             self.send_to_address(address, message)
@@ -358,15 +369,41 @@
         if isinstance(message, messages.Ping):
             now = self._clock.monotonic()
             self._senders[identity] = (message.daemon_id, now)
+            self._identities[message.daemon_id] = identity
             return message.daemon_id
         known = self._senders.get(identity)
         return known[0] if known is not None else None
 
+    def _send_back(
+        self, daemon_id: ids.DaemonId, message: messages.Message
+    ) -> bool:
+        """Answer on the connection of the peer; return whether that is done.
+
+        Without it each question of gossip would open a second connection.
+        """
+        if not isinstance(message, _ANSWERS) or self._router is None:
+            return False
+        identity = self._identities.get(daemon_id)
+        if identity is None or identity not in self._senders:
+            return False
+        heard_at = self._senders[identity][1]
+        if self._clock.monotonic() - heard_at > const.PEER_SILENT_S:
+            return False
+        payload = codec.encode_message(message)
+        self._traffic.note_message(traffic_module.SENT, message, len(payload))
+        return self._router.send([identity, payload])
+
     def _forget_senders(self, now: float) -> None:
         limit = now - _SENDER_MEMORY_S
         for identity, (_, heard_at) in list(self._senders.items()):
             if heard_at < limit:
                 del self._senders[identity]
+                self._forget_identity(identity)
+
+    def _forget_identity(self, identity: bytes) -> None:
+        for daemon_id, known in list(self._identities.items()):
+            if known == identity:
+                del self._identities[daemon_id]
 
     def _receive_reply(
         self,
