--- a/sassafraswood/coordination/log_follower.py
+++ b/sassafraswood/coordination/log_follower.py
@@ -70,11 +70,8 @@
         """Follow the log until cancelled."""
         while True:
             try:
-                await self._async_read()
+                await self._async_follow()
                 self._set_readable(True)
-            except exceptions.LogRetentionError as error:
-                self._set_readable(True)
-                await self._async_skip(ids.Offset(error.first))
             except exceptions.LogError:
                 self._set_readable(False)
                 await anyio.sleep(const.LOG_RETRY_S)
@@ -93,6 +90,12 @@
         if self._configuration.apply_snapshot(snapshot):
             self._on_change(snapshot)
 
+    async def _async_follow(self) -> None:
+        try:
+            await self._async_read()
+        except exceptions.LogRetentionError as error:
+            await self._async_skip(ids.Offset(error.first))
+
     async def _async_read(self) -> None:
         started_at = self._clock.monotonic()
         entries, tail = await self._log.async_read(
--- a/sassafraswood/transport/http_server.py
+++ b/sassafraswood/transport/http_server.py
@@ -7,7 +7,6 @@
 from collections.abc import MutableMapping
 import contextlib
 import functools
-import socket
 from typing import Any
 
 import anyio
@@ -18,6 +17,7 @@
 from sassafraswood.models import call
 from sassafraswood.models import enums
 from sassafraswood.protocol import problems
+from sassafraswood.transport import tcp
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -100,7 +100,7 @@
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
-        _detect_silence(transport.get_extra_info('socket'))
+        tcp.detect_silence(transport.get_extra_info('socket'))
         if len(self.connections) > self._max_connections:
             refusal = call.Refusal(
                 reason=enums.RefusalReason.TOO_MANY_CONNECTIONS,
@@ -168,25 +168,6 @@
         self.transport.close()
 
 
-def _detect_silence(connection: Any) -> None:
-    """Let the kernel close connections whose other end has vanished."""
-    if connection is None or connection.family == socket.AF_UNIX:
-        return
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(const.PEER_SILENT_S * 1000),
-        ),
-    )
-    for level, option, value in options:
-        connection.setsockopt(level, option, value)
-
-
 class _Server(uvicorn.Server):
     """A server whose signals the composition root handles."""
 
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -6,23 +6,11 @@
 
 import httptools
 
-from sassafraswood import const
 from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import enums
+from sassafraswood.transport import tcp
 
-_SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-    (
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        int(const.PEER_SILENT_S * 1000),
-    ),
-)
 # Methods whose requests carry no body unless one was given (RFC 9110).
 _BODILESS_METHODS = frozenset({'GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE'})
 
@@ -88,8 +76,8 @@
         """Take the established connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
         connection = transport.get_extra_info('socket')
-        for level, option, value in _SOCKET_OPTIONS:
-            connection.setsockopt(level, option, value)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tcp.detect_silence(connection)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the answer."""
