--- a/sassafraswood/cli/main.py
+++ b/sassafraswood/cli/main.py
@@ -19,6 +19,7 @@
 from sassafraswood.cli import publish
 from sassafraswood.cli import run
 from sassafraswood.cli import schema
+from sassafraswood.cli import sidecar
 from sassafraswood.cli import version
 from sassafraswood import exceptions
 
@@ -42,6 +43,7 @@
 
 
 app.command()(run.run)
+app.command()(sidecar.sidecar)
 app.add_typer(check.app, name='check')
 app.add_typer(schema.app, name='schema')
 app.command()(publish.publish)
--- /dev/null
+++ b/sassafraswood/platform/reports.py
@@ -0,0 +1,96 @@
+"""Reports of upstreams about their state."""
+
+from typing import Final
+import urllib.parse
+
+import msgspec
+
+from sassafraswood import exceptions
+from sassafraswood.models import enums
+from sassafraswood.models import fleet
+from sassafraswood.models import ids
+from sassafraswood.platform import settings
+
+REPORT_CALL: Final = 'instances.heartbeat'
+LEAVE_CALL: Final = 'instances.deregister'
+_STATUSES: Final = {
+    'ready': enums.UpstreamStatus.READY,
+    'draining': enums.UpstreamStatus.DRAINING,
+}
+
+
+class _Report(msgspec.Struct, rename='kebab', frozen=True):
+    service: str
+    address: str
+    slots: int
+    state: str
+    sequence: int
+    # How much longer the upstream is slow after its start.
+    cold_left_s: float = 0.0
+    born: int | None = None
+
+
+class _Leave(msgspec.Struct, rename='kebab', frozen=True):
+    born: int | None = None
+
+
+_decoder = msgspec.json.Decoder(_Report)
+_leave_decoder = msgspec.json.Decoder(_Leave)
+
+
+def parse_target(target: bytes) -> tuple[str, str]:
+    """Return the call and the upstream's id that a request target names.
+
+    Raises:
+        DecodeError: The target is no call of an upstream.
+    """
+    parts = urllib.parse.urlsplit(target.decode('latin-1'))
+    query = urllib.parse.parse_qs(parts.query)
+    calls = query.get('call', [])
+    instances = query.get('of', [])
+    if parts.path != '/rpc' or len(calls) != 1 or len(instances) != 1:
+        raise exceptions.DecodeError(f'target {target!r}')
+    return calls[0], instances[0]
+
+
+def decode(instance_id: str, body: bytes) -> fleet.UpstreamReport:
+    """Return a report.
+
+    Raises:
+        DecodeError: The body is no report.
+    """
+    try:
+        wire = _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise exceptions.DecodeError(str(error)) from error
+    status = _STATUSES.get(wire.state)
+    address = settings.parse_address(wire.address)
+    if status is None or address is None or wire.slots < 1:
+        raise exceptions.DecodeError(
+            f'state {wire.state!r}, address {wire.address!r}, '
+            f'slots {wire.slots}'
+        )
+    return fleet.UpstreamReport(
+        instance_id=instance_id,
+        service=ids.ServiceName(wire.service),
+        address=address,
+        born=wire.born,
+        sequence=wire.sequence,
+        slots=wire.slots,
+        status=status,
+        cold_left_s=max(0.0, wire.cold_left_s),
+    )
+
+
+def decode_leave(body: bytes) -> int | None:
+    """Return the start of the upstream that leaves, if it says one.
+
+    Raises:
+        DecodeError: The body is no such call.
+    """
+    if not body:
+        return None
+    try:
+        return _leave_decoder.decode(body).born
+    except msgspec.MsgspecError as error:
+        raise exceptions.DecodeError(str(error)) from error
--- /dev/null
+++ b/sassafraswood/platform/rules.py
@@ -0,0 +1,152 @@
+"""The operator's configuration."""
+
+from typing import Annotated
+
+import msgspec
+
+from sassafraswood import exceptions
+from sassafraswood.models import ids
+from sassafraswood.models import traffic
+
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _Wire(msgspec.Struct, rename='kebab', frozen=True, kw_only=True):
+    """Base of the tables; unknown fields are ignored."""
+
+
+class _Destination(_Wire, frozen=True, kw_only=True):
+    service: str
+    weight: _NotNegative
+
+
+class _Route(_Wire, frozen=True, kw_only=True):
+    host: str
+    path_prefix: str
+    # Says only whether a request may run more than once.
+    kind: str
+    timeout_s: _Positive
+    latency_target_s: _NotNegative = 0.0
+    # 0 is the highest.
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Destination] | None = None
+    # Counts upstreams, the first one included.
+    max_attempts: int = 1
+    anonymous: bool = False
+
+
+class _Service(_Wire, frozen=True, kw_only=True):
+    health_path: str = '/health'
+    max_conns: int = 0
+
+
+class _Limits(_Wire, frozen=True, kw_only=True):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 1 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class _Tenant(_Wire, frozen=True, kw_only=True):
+    api_keys: list[str]
+    priority: int | None = None
+    rate_per_s: _NotNegative = 0.0
+    burst: _NotNegative = 0.0
+
+
+class _Configuration(_Wire, frozen=True, kw_only=True):
+    version: str
+    routes: dict[str, _Route]
+    services: dict[str, _Service]
+    limits: _Limits
+    tenants: dict[str, _Tenant] = {}
+
+
+_decoder = msgspec.json.Decoder(_Configuration)
+
+
+def parse_version(text: str) -> int:
+    """Return the number of a version such as r12.
+
+    Raises:
+        DecodeError: The text is no version.
+    """
+    if not text.startswith('r') or not text[1:].isdecimal():
+        raise exceptions.DecodeError(f'version {text!r}')
+    return int(text[1:])
+
+
+def decode(document: bytes) -> traffic.TrafficRules:
+    """Return the rules of a configuration.
+
+    Raises:
+        DecodeError: The document is no configuration.
+    """
+    try:
+        wire = _decoder.decode(document)
+    except msgspec.MsgspecError as error:
+        raise exceptions.DecodeError(str(error)) from error
+    workspaces = {
+        ids.Workspace(name): traffic.WorkspaceRules(
+            name=ids.Workspace(name),
+            rank=tenant.priority,
+            rate_per_s=tenant.rate_per_s,
+            burst=tenant.burst,
+        )
+        for name, tenant in wire.tenants.items()
+    }
+    return traffic.TrafficRules(
+        version=parse_version(wire.version),
+        routes=tuple(
+            _route(name, route) for name, route in wire.routes.items()
+        ),
+        services={
+            ids.ServiceName(name): traffic.ServiceRules(
+                health_path=service.health_path,
+                max_connections=service.max_conns,
+            )
+            for name, service in wire.services.items()
+        },
+        workspaces=workspaces,
+        workspaces_by_key={
+            key.encode(): workspaces[ids.Workspace(name)]
+            for name, tenant in wire.tenants.items()
+            for key in tenant.api_keys
+        },
+        limits=traffic.ClientLimits(
+            max_header_bytes=wire.limits.max_header_bytes,
+            max_body_bytes=wire.limits.max_body_bytes,
+            header_timeout_s=wire.limits.header_timeout_s,
+            idle_timeout_s=wire.limits.idle_timeout_s,
+        ),
+    )
+
+
+def _route(name: str, route: _Route) -> traffic.Route:
+    split = route.traffic_split or []
+    if route.service is not None:
+        split = [_Destination(service=route.service, weight=1.0)]
+    if not sum(part.weight for part in split) > 0:
+        raise exceptions.DecodeError(f'route {name} names no service')
+    if not route.path_prefix.startswith('/'):
+        raise exceptions.DecodeError(f'prefix {route.path_prefix!r}')
+    return traffic.Route(
+        name=name,
+        host=route.host,
+        prefix=route.path_prefix,
+        destinations=tuple(
+            traffic.Destination(
+                service=ids.ServiceName(part.service), weight=part.weight
+            )
+            for part in split
+        ),
+        # A kind that is not known counts as one that must not be repeated.
+        is_idempotent=route.kind == 'safe',
+        timeout_s=route.timeout_s,
+        target_s=route.latency_target_s or route.timeout_s,
+        max_upstreams=max(1, route.max_attempts),
+        rank=route.priority,
+        is_open=route.anonymous,
+    )
--- /dev/null
+++ b/sassafraswood/protocol/frames.py
@@ -0,0 +1,230 @@
+"""Messages between daemons that carry calls, and their framing.
+
+A frame is a length of four bytes, big-endian, and a msgpack message.
+"""
+
+import struct
+from typing import Final
+
+import msgspec
+
+from sassafraswood import exceptions
+
+# A body of the largest size that a daemon holds and its header fields.
+MAX_FRAME_BYTES: Final = 72 * 1024 * 1024
+_LENGTH: Final = struct.Struct('>I')
+
+
+class Frame(msgspec.Struct, array_like=True, gc=False):
+    """Base of all messages."""
+
+
+class Hello(Frame, tag=0):
+    """First message of the end that opened a connection."""
+
+    daemon_id: str
+    started_at: int
+
+
+class Run(Frame, tag=1):
+    """Asks the daemon beside an upstream to run a call.
+
+    Attributes:
+        head: Request line and header fields, without those that the daemon
+            beside the upstream sets.
+        time_left_s: Time until the answer is of no use, in seconds.
+        target_s: Time within which an answer has its full value, in seconds.
+        is_inner: Whether an upstream made the call while it runs another.
+    """
+
+    call_id: int
+    head: bytes
+    body: bytes
+    attempt_id: bytes
+    time_left_s: float
+    target_s: float
+    rank: int
+    workspace: str
+    route: str
+    is_idempotent: bool
+    is_inner: bool
+
+
+class Answer(Frame, tag=2):
+    """Whole answer of the upstream.
+
+    Attributes:
+        head: Header fields without those of one connection.
+        load: Calls that run and wait relative to what the daemon allows.
+    """
+
+    call_id: int
+    status: int
+    head: bytes
+    body: bytes
+    load: float
+
+
+class Refused(Frame, tag=3):
+    """The call has not run and will not run there.
+
+    Attributes:
+        is_local: Whether another upstream may take the call.
+    """
+
+    call_id: int
+    reason: str
+    is_local: bool
+    load: float
+
+
+class Failed(Frame, tag=4):
+    """The call may have run, and its answer is lost."""
+
+    call_id: int
+    reason: str
+    load: float
+
+
+class Cancel(Frame, tag=5):
+    """Nobody waits for the answer of a call."""
+
+    call_id: int
+
+
+class Ping(Frame, tag=6):
+    """Asks for the state of a daemon."""
+
+    sequence: int
+
+
+class Pong(Frame, tag=7):
+    """State of a daemon at the time of its answer.
+
+    Attributes:
+        rules_age_s: Time since which its rules are known to be the newest;
+            negative if that is not known.
+        members_end: Offset after the newest record of a member that it has.
+        members_age_s: Like rules_age_s, for the records of members.
+        is_serving: Whether its upstream takes calls.
+    """
+
+    sequence: int
+    rules_version: int
+    rules_age_s: float
+    members_end: int
+    members_age_s: float
+    is_serving: bool
+    load: float
+
+
+class FetchRules(Frame, tag=8):
+    """Asks for the rules."""
+
+
+class RulesDocument(Frame, tag=9):
+    """The rules as the operator wrote them."""
+
+    version: int
+    document: bytes
+
+
+class FetchMembers(Frame, tag=10):
+    """Asks for the records of members."""
+
+
+class MembersDocument(Frame, tag=11):
+    """The records of members up to an offset."""
+
+    end: int
+    rows: list[tuple[str, bytes]]
+
+
+class Borrow(Frame, tag=12):
+    """Asks for tokens of the limit of a workspace."""
+
+    request_id: int
+    workspace: str
+    tokens: float
+
+
+class Lend(Frame, tag=13):
+    """Moves tokens to the daemon that asked."""
+
+    request_id: int
+    workspace: str
+    tokens: float
+
+
+class Status(Frame, tag=14):
+    """The upstream of the sender takes calls from now on, or does not."""
+
+    is_serving: bool
+    load: float
+
+
+AnyFrame = (
+    Hello
+    | Run
+    | Answer
+    | Refused
+    | Failed
+    | Cancel
+    | Ping
+    | Pong
+    | FetchRules
+    | RulesDocument
+    | FetchMembers
+    | MembersDocument
+    | Borrow
+    | Lend
+    | Status
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[AnyFrame] = msgspec.msgpack.Decoder(AnyFrame)
+
+
+def encode(frame: AnyFrame) -> bytes:
+    """Return the bytes of a frame."""
+    payload = _encoder.encode(frame)
+    return _LENGTH.pack(len(payload)) + payload
+
+
+class FrameReader:
+    """Cuts a stream into messages."""
+
+    def __init__(self) -> None:
+        """Start at the beginning of a frame."""
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[AnyFrame]:
+        """Return the messages that are complete.
+
+        Raises:
+            DecodeError: The bytes are no frames; the stream cannot go on.
+        """
+        buffer = self._buffer
+        buffer += data
+        size = len(buffer)
+        start = 0
+        messages = []
+        while size - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(buffer, start)
+            if length > MAX_FRAME_BYTES:
+                raise exceptions.DecodeError(f'frame of {length} bytes')
+            end = start + _LENGTH.size + length
+            if end > size:
+                break
+            try:
+                messages.append(
+                    _decoder.decode(
+                        memoryview(buffer)[start + _LENGTH.size : end]
+                    )
+                )
+            except msgspec.MsgspecError as error:
+                raise exceptions.DecodeError(str(error)) from error
+            start = end
+        if start:
+            del buffer[:start]
+        return messages
--- /dev/null
+++ b/sassafraswood/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon on a platform that keeps all lasting state in its store."""
--- /dev/null
+++ b/sassafraswood/sidecar/__main__.py
@@ -0,0 +1,26 @@
+"""Entry point of python -m sassafraswood.sidecar.
+
+Starts faster than the command line, which loads every command.
+"""
+
+import sys
+
+from sassafraswood import exceptions
+from sassafraswood.platform import settings
+from sassafraswood.sidecar import process
+
+
+def main() -> int:
+    """Run the daemon; return the exit code."""
+    try:
+        loaded = settings.load(settings.path_from_environment())
+    except exceptions.SettingsError as error:
+        for problem in error.problems:
+            sys.stderr.write(f'{problem}\n')
+        return 2
+    process.run(loaded)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/sassafraswood/sidecar/caller_side.py
@@ -0,0 +1,591 @@
+"""Takes requests of callers and of the own upstream."""
+
+from collections.abc import Callable
+import itertools
+import random as random_module
+from typing import Final
+
+from sassafraswood import clock as clock_module
+from sassafraswood.coordination import quota_shares
+from sassafraswood.coordination import store_knowledge
+from sassafraswood.coordination import upstream_choice
+from sassafraswood.models import enums
+from sassafraswood.models import fields
+from sassafraswood.models import fleet
+from sassafraswood.models import ids
+from sassafraswood.models import traffic
+from sassafraswood.protocol import frames
+from sassafraswood.sidecar import measures
+from sassafraswood.sidecar import peers as peers_module
+from sassafraswood.sidecar import upstream_side
+from sassafraswood.state import retry_budget
+from sassafraswood.state import route_index
+from sassafraswood.transport import ingress
+from sassafraswood.transport import json_log
+
+# Longest wait for borrowed tokens in seconds; an exchange between failure
+# domains takes about 2 ms.
+BORROW_WAIT_S: Final = 0.05
+# After this many empty answers in a row a workspace is refused at once for
+# a moment, so that a flood does not become a flood of messages.
+EMPTY_LOANS: Final = 3
+EMPTY_MEMORY_S: Final = 0.05
+# Daemons that are asked in turn when one refuses at once.
+MAX_REFUSALS: Final = 3
+# Repeats of one service are a part of what all levels of a call graph may
+# repeat together; four levels with callers of their own.
+RETRY_LEVELS: Final = 4.0
+# A retry needs this share of the latency target or it comes too late.
+RETRY_TIME_SHARE: Final = 0.1
+# Retry-After as a share of the latency target, and its random part; the
+# caller then is still in time for its first answer.
+COMEBACK_SHARE: Final = 0.25
+COMEBACK_JITTER: Final = 0.3
+# Callers wait at most a third of the time they have left.
+COMEBACK_LEFT_SHARE: Final = 0.3
+COMEBACK_MIN_S: Final = 0.05
+DEFAULT_TIME_S: Final = 30.0
+
+
+class CallerCall:
+    """One request and what was done for it."""
+
+    __slots__ = (
+        'aim_s',
+        'budget_s',
+        'call_id',
+        'cancel',
+        'candidate',
+        'deadline',
+        'expires_at',
+        'is_inner',
+        'is_repeat',
+        'rank',
+        'refusals',
+        'request',
+        'route',
+        'sent_at',
+        'sends',
+        'service',
+        'tried',
+        'workspace',
+    )
+
+    def __init__(
+        self,
+        request: ingress.IngressRequest,
+        route: traffic.Route,
+        service: ids.ServiceName,
+    ) -> None:
+        """Start before the first send."""
+        self.request = request
+        self.route = route
+        self.service = service
+        self.workspace = ids.Workspace('')
+        self.rank = route.rank
+        self.is_inner = False
+        self.deadline = 0.0
+        self.expires_at = 0.0
+        self.aim_s = route.target_s
+        self.call_id = 0
+        self.candidate: upstream_choice.Candidate | None = None
+        self.cancel: Callable[[], None] | None = None
+        self.sent_at = 0.0
+        self.sends = 0
+        self.refusals = 0
+        self.tried: list[ids.DaemonId] = []
+
+
+class _Split:
+    """Deals the requests of a route to its services by weight."""
+
+    def __init__(self, route: traffic.Route) -> None:
+        self._parts = route.destinations
+        self._total = sum(part.weight for part in self._parts)
+        self._credit = [0.0] * len(self._parts)
+
+    def next(self) -> ids.ServiceName:
+        """Return the service of the next request (smooth round robin)."""
+        if len(self._parts) == 1:
+            return self._parts[0].service
+        best = 0
+        for index, part in enumerate(self._parts):
+            self._credit[index] += part.weight
+            if self._credit[index] > self._credit[best]:
+                best = index
+        self._credit[best] -= self._total
+        return self._parts[best].service
+
+
+class CallerSide:
+    """Answers each request once, whatever happens to its call."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        random: random_module.Random,
+        own: fleet.Member,
+        names: fields.FieldNames,
+        knowledge: store_knowledge.StoreKnowledge,
+        shares: quota_shares.QuotaShares,
+        choice: upstream_choice.UpstreamChoice,
+        log: json_log.JsonLog,
+        metrics: measures.Measures,
+        revoke_s: float,
+        retry_ratio: float,
+        retry_slack: float,
+    ) -> None:
+        """Take the parts and the bounds of the fleet."""
+        self._clock = clock
+        self._random = random
+        self._own = own
+        self._names = names
+        self._knowledge = knowledge
+        self._shares = shares
+        self._choice = choice
+        self._log = log
+        self._metrics = metrics
+        self._revoke_s = revoke_s
+        self._retry_ratio = retry_ratio / RETRY_LEVELS
+        self._retry_slack = retry_slack / RETRY_LEVELS
+        self._peers: peers_module.Peers | None = None
+        self._rules: traffic.TrafficRules | None = None
+        self._index = route_index.RouteIndex([])
+        self._splits: dict[str, _Split] = {}
+        self._budget = retry_budget.RetryBudgetTable(reserve=1.0)
+        self._call_ids = itertools.count(1)
+        self._active: dict[int, CallerCall] = {}
+        self._borrowing: dict[
+            ids.Workspace, list[tuple[float, CallerCall]]
+        ] = {}
+        self._empty_until: dict[ids.Workspace, float] = {}
+        self._empty_count: dict[ids.Workspace, int] = {}
+
+    @property
+    def active_count(self) -> int:
+        """Return the number of requests without an answer."""
+        return len(self._active)
+
+    def attach(self, peers: peers_module.Peers) -> None:
+        """Take the connections to other daemons."""
+        self._peers = peers
+
+    def set_rules(self, rules: traffic.TrafficRules) -> None:
+        """Take new rules; calls under way keep those that they began with."""
+        self._rules = rules
+        self._index = route_index.RouteIndex(rules.routes)
+        self._splits = {route.name: _Split(route) for route in rules.routes}
+
+    def set_member_count(self, count: int) -> None:
+        """Take how many daemons share the retry budget."""
+        reserve = max(1.0, self._retry_slack / max(1, count))
+        self._budget = retry_budget.RetryBudgetTable(reserve=reserve)
+
+    # Requests.
+
+    def handle(self, request: ingress.IngressRequest) -> None:
+        """Take a whole request."""
+        rules = self._rules
+        if rules is None or self._peers is None:
+            self._turn_away(request, 503, 'no_rules', retry_after_s=0.5)
+            return
+        path = request.target.partition(b'?')[0]
+        route = self._index.find(request.host, path)
+        if route is None:
+            self._turn_away(request, 404, 'unknown_route')
+            return
+        call = CallerCall(request, route, self._splits[route.name].next())
+        if not self._identify(call, rules):
+            return
+        self._set_times(call)
+        self._active[id(call)] = call
+        request.context = call
+        self._budget.deposit(
+            call.service, self._retry_ratio, self._clock.monotonic()
+        )
+        if call.workspace and not self._shares.take(call.workspace):
+            self._borrow(call)
+            return
+        self._send(call)
+
+    def abandon(self, request: ingress.IngressRequest) -> None:
+        """Give up the call of a client that has left."""
+        call = request.context
+        if call is None or id(call) not in self._active:
+            return
+        del self._active[id(call)]
+        self._metrics.count('abandoned', call.service, 'client_left')
+        if call.cancel is not None:
+            call.cancel()
+
+    def tick(self) -> None:
+        """Answer requests whose time is over."""
+        now = self._clock.monotonic()
+        for call in list(self._active.values()):
+            if call.expires_at <= now and id(call) in self._active:
+                self._expire(call)
+        for workspace, waiting in list(self._borrowing.items()):
+            late = [call for until, call in waiting if until <= now]
+            if late:
+                self._borrowing[workspace] = [
+                    item for item in waiting if item[0] > now
+                ]
+                for call in late:
+                    self._refuse_quota(call)
+
+    def _identify(self, call: CallerCall, rules: traffic.TrafficRules) -> bool:
+        """Find the workspace; return False if the request is answered."""
+        request = call.request
+        if not rules.needs_keys:
+            return True
+        workspace = (
+            None
+            if request.key is None
+            else rules.workspaces_by_key.get(request.key)
+        )
+        if call.route.is_open and workspace is None:
+            call.is_inner = request.connection.peer == self._own.address[0]
+            return True
+        if not self._knowledge.may_accept_keys(self._revoke_s):
+            self._turn_away(
+                request,
+                503,
+                enums.RefusalReason.AUTHORIZATION_STALE.value,
+                retry_after_s=0.5,
+                rules_age_s=round(self._knowledge.rules_age_s, 3),
+            )
+            return False
+        if workspace is None:
+            reason = (
+                enums.RefusalReason.KEY_MISSING
+                if request.key is None
+                else enums.RefusalReason.KEY_UNKNOWN
+            )
+            self._turn_away(request, 401, reason.value)
+            return False
+        call.workspace = workspace.name
+        if workspace.rank is not None:
+            call.rank = workspace.rank
+        return True
+
+    def _set_times(self, call: CallerCall) -> None:
+        now = self._clock.monotonic()
+        text = call.request.deadline_ms
+        time_s = DEFAULT_TIME_S
+        if text.isdigit():
+            time_s = int(text) / 1000.0
+        call.deadline = now + time_s
+        call.expires_at = now + min(time_s, call.route.timeout_s)
+        call.aim_s = min(call.route.target_s, call.route.timeout_s, time_s)
+
+    # Quota.
+
+    def _borrow(self, call: CallerCall) -> None:
+        """Wait for tokens of another daemon."""
+        workspace = call.workspace
+        now = self._clock.monotonic()
+        if now < self._empty_until.get(workspace, 0.0):
+            self._refuse_quota(call)
+            return
+        if not self._knowledge.may_accept_keys(self._revoke_s):
+            self._refuse_quota(call)
+            return
+        waiting = self._borrowing.setdefault(workspace, [])
+        waiting.append((now + BORROW_WAIT_S, call))
+        if len(waiting) > 1:
+            return
+        self._ask_lender(workspace)
+
+    def _ask_lender(self, workspace: ids.Workspace) -> None:
+        tokens = max(
+            self._shares.wanted(workspace),
+            float(len(self._borrowing.get(workspace, []))),
+        )
+        message = frames.Borrow(
+            request_id=0, workspace=workspace, tokens=tokens
+        )
+        for daemon_id in self._shares.lenders(workspace):
+            if self._peers is not None and self._peers.send(
+                daemon_id, message
+            ):
+                return
+        self._end_borrowing(workspace)
+
+    def take_loan(self, loan: frames.Lend) -> None:
+        """Take the answer of a lender and go on with calls that wait."""
+        workspace = ids.Workspace(loan.workspace)
+        self._shares.receive(workspace, loan.tokens)
+        if loan.tokens > 0.0:
+            self._empty_count[workspace] = 0
+        waiting = self._borrowing.get(workspace, [])
+        while waiting and self._shares.take_again(workspace):
+            _, call = waiting.pop(0)
+            if id(call) in self._active:
+                self._send(call)
+        if not waiting:
+            return
+        if loan.tokens > 0.0:
+            self._ask_lender(workspace)
+            return
+        empty = self._empty_count.get(workspace, 0) + 1
+        self._empty_count[workspace] = empty
+        if empty >= EMPTY_LOANS:
+            self._end_borrowing(workspace)
+            return
+        self._ask_lender(workspace)
+
+    def _end_borrowing(self, workspace: ids.Workspace) -> None:
+        now = self._clock.monotonic()
+        self._empty_until[workspace] = now + EMPTY_MEMORY_S
+        self._empty_count[workspace] = 0
+        for _, call in self._borrowing.pop(workspace, []):
+            self._refuse_quota(call)
+
+    def _refuse_quota(self, call: CallerCall) -> None:
+        self._refuse(call, 429, enums.RefusalReason.RATE_EXCEEDED.value)
+
+    # Sends.
+
+    def _send(self, call: CallerCall) -> None:
+        assert self._peers is not None
+        candidates = self._peers.candidates(call.service)
+        candidate = self._choice.pick(candidates, call.tried)
+        if candidate is None:
+            self._refuse(call, 503, enums.RefusalReason.NO_UPSTREAM.value)
+            return
+        now = self._clock.monotonic()
+        left_s = call.expires_at - now
+        if left_s <= 0.0:
+            self._expire(call)
+            return
+        call.call_id = next(self._call_ids)
+        call.candidate = candidate
+        call.sent_at = now
+        call.sends += 1
+        call.tried.append(candidate.member.daemon_id)
+        candidate.outstanding += 1
+        request = call.request
+        run = frames.Run(
+            call_id=call.call_id,
+            head=self._head(call),
+            body=request.body,
+            attempt_id=request.attempt_id,
+            time_left_s=left_s,
+            target_s=call.aim_s,
+            rank=call.rank,
+            workspace=call.workspace,
+            route=call.route.name,
+            is_idempotent=call.route.is_idempotent,
+            is_inner=call.is_inner,
+        )
+        call.cancel = None
+        cancel = self._peers.start_call(
+            candidate,
+            run,
+            lambda reply: self._take_reply(call, candidate, reply),
+        )
+        if id(call) in self._active and call.call_id == run.call_id:
+            call.cancel = lambda: self._cancel(call, candidate, cancel)
+
+    def _head(self, call: CallerCall) -> bytes:
+        request = call.request
+        names = self._names
+        workspace = (
+            b'%b: %b\r\n' % (names.workspace, call.workspace.encode())
+            if call.workspace
+            else b''
+        )
+        return b'%b %b HTTP/1.1\r\n%b%b: %b\r\n%b' % (
+            request.method,
+            request.target,
+            request.head,
+            names.caller_service,
+            self._own.service.encode(),
+            workspace,
+        )
+
+    def _cancel(
+        self,
+        call: CallerCall,
+        candidate: upstream_choice.Candidate,
+        cancel: Callable[[], None],
+    ) -> None:
+        call.cancel = None
+        candidate.outstanding -= 1
+        cancel()
+
+    # Replies.
+
+    def _take_reply(
+        self,
+        call: CallerCall,
+        candidate: upstream_choice.Candidate,
+        reply: upstream_side.Reply | None,
+    ) -> None:
+        candidate.outstanding -= 1
+        call.cancel = None
+        if id(call) not in self._active:
+            return
+        now = self._clock.monotonic()
+        if reply is None:
+            candidate.note_failure(now)
+            self._take_failure(call, 'peer_lost')
+            return
+        candidate.note_load(reply.load)
+        if isinstance(reply, frames.Answer):
+            candidate.note_answer(now - call.sent_at, now)
+            self._answer(call, reply, now)
+        elif isinstance(reply, frames.Refused):
+            self._take_refusal(call, candidate, reply)
+        else:
+            candidate.note_failure(now)
+            self._take_failure(call, reply.reason)
+
+    def _answer(
+        self, call: CallerCall, answer: frames.Answer, now: float
+    ) -> None:
+        del self._active[id(call)]
+        elapsed_s = now - call.request.received_at
+        self._metrics.observe(call.service, answer.status, elapsed_s)
+        if answer.status >= 500:
+            self._log.decision(
+                'upstream_error',
+                request=call.request.attempt_id.decode('latin-1'),
+                route=call.route.name,
+                status=answer.status,
+                inner=call.is_inner,
+                took_s=round(now - call.sent_at, 4),
+                sends=call.sends,
+            )
+        call.request.reply(answer.status, answer.head, answer.body)
+
+    def _take_refusal(
+        self,
+        call: CallerCall,
+        candidate: upstream_choice.Candidate,
+        refusal: frames.Refused,
+    ) -> None:
+        call.refusals += 1
+        call.sends -= 1
+        if refusal.is_local:
+            candidate.note_failure(self._clock.monotonic())
+        if refusal.is_local and call.refusals < MAX_REFUSALS:
+            self._send(call)
+            return
+        self._refuse(call, 503, refusal.reason)
+
+    def _take_failure(self, call: CallerCall, reason: str) -> None:
+        """Repeat a call that may have run, if that is allowed."""
+        if not call.route.is_idempotent:
+            self._fail(call, 502, reason)
+            return
+        now = self._clock.monotonic()
+        left_s = call.expires_at - now
+        if (
+            call.sends >= call.route.max_upstreams
+            or left_s < RETRY_TIME_SHARE * call.aim_s
+        ):
+            self._fail(call, 502, reason)
+            return
+        if not self._budget.withdraw(call.service, now):
+            self._metrics.count('not_repeated', call.service, 'budget')
+            self._fail(call, 502, reason)
+            return
+        self._metrics.count('repeated', call.service, reason)
+        self._log.decision(
+            'repeated',
+            request=call.request.attempt_id.decode('latin-1'),
+            route=call.route.name,
+            reason=reason,
+            tried=list(call.tried),
+            left_s=round(left_s, 3),
+        )
+        self._send(call)
+
+    def _expire(self, call: CallerCall) -> None:
+        cancel = call.cancel
+        if cancel is not None:
+            cancel()
+        if call.candidate is not None:
+            call.candidate.note_failure(self._clock.monotonic())
+        self._fail(call, 504, 'timeout')
+
+    # Answers of this daemon.
+
+    def _comeback_s(self, call: CallerCall) -> float:
+        """Return when the client may come back, in seconds."""
+        share = COMEBACK_SHARE + COMEBACK_JITTER * self._random.random()
+        left_s = call.deadline - self._clock.monotonic()
+        return max(
+            COMEBACK_MIN_S,
+            min(share * call.aim_s, COMEBACK_LEFT_SHARE * left_s),
+        )
+
+    def _refuse(self, call: CallerCall, status: int, reason: str) -> None:
+        """Tell that the request has not run."""
+        if call.sends > 0:
+            # An earlier send may have run, so the promise would be false.
+            self._fail(call, 502, reason)
+            return
+        if self._active.pop(id(call), None) is None:
+            return
+        comeback_s = self._comeback_s(call)
+        self._metrics.count('refused', call.service, reason)
+        self._log.decision(
+            'refused',
+            request=call.request.attempt_id.decode('latin-1'),
+            route=call.route.name,
+            workspace=call.workspace,
+            status=status,
+            reason=reason,
+            inner=call.is_inner,
+            tried=list(call.tried),
+            retry_after_s=round(comeback_s, 3),
+            rules_version=self._knowledge.rules_version,
+        )
+        call.request.reply(status, b'Retry-After: %.3f\r\n' % comeback_s)
+
+    def _fail(self, call: CallerCall, status: int, reason: str) -> None:
+        """Tell that the request may have run."""
+        if self._active.pop(id(call), None) is None:
+            return
+        self._metrics.count('failed', call.service, reason)
+        self._log.decision(
+            'failed',
+            request=call.request.attempt_id.decode('latin-1'),
+            route=call.route.name,
+            workspace=call.workspace,
+            status=status,
+            reason=reason,
+            inner=call.is_inner,
+            tried=list(call.tried),
+            waited_s=round(
+                self._clock.monotonic() - call.sent_at if call.sent_at else 0,
+                4,
+            ),
+        )
+        call.request.reply(status)
+
+    def _turn_away(
+        self,
+        request: ingress.IngressRequest,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+        **inputs: float,
+    ) -> None:
+        """Answer a request that got no call."""
+        self._metrics.count('refused', self._own.service, reason)
+        self._log.decision(
+            'turned_away',
+            request=request.attempt_id.decode('latin-1'),
+            status=status,
+            reason=reason,
+            rules_version=self._knowledge.rules_version,
+            **inputs,
+        )
+        head = b''
+        if retry_after_s is not None:
+            head = b'Retry-After: %.3f\r\n' % retry_after_s
+        request.reply(status, head)
--- /dev/null
+++ b/sassafraswood/sidecar/process.py
@@ -0,0 +1,303 @@
+"""Composition root of the daemon on the platform, and its life."""
+
+import asyncio
+import contextlib
+import random as random_module
+import signal
+from typing import Final
+
+import uvloop
+
+from sassafraswood import clock as clock_module
+from sassafraswood import const
+from sassafraswood.coordination import quota_shares
+from sassafraswood.coordination import store_knowledge
+from sassafraswood.coordination import upstream_choice
+from sassafraswood.coordination import upstream_gate
+from sassafraswood.coordination import upstream_registry
+from sassafraswood import exceptions
+from sassafraswood.models import fleet
+from sassafraswood.models import ids
+from sassafraswood.models import traffic
+from sassafraswood.platform import headers
+from sassafraswood.platform import settings as settings_module
+from sassafraswood.platform import store as store_module
+from sassafraswood.protocol import frames
+from sassafraswood.sidecar import caller_side
+from sassafraswood.sidecar import follower
+from sassafraswood.sidecar import local_servers
+from sassafraswood.sidecar import measures
+from sassafraswood.sidecar import peers
+from sassafraswood.sidecar import upstream_side
+from sassafraswood.transport import exchange
+from sassafraswood.transport import ingress
+from sassafraswood.transport import json_log
+
+TICK_S: Final = 0.025
+SLOW_TICK_S: Final = 0.5
+# Reports may be missed twice before an upstream counts as gone.
+SILENT_REPORTS: Final = 3.2
+# After the signal to end, callers need two missed readiness checks, one a
+# second, and their last requests before nothing new is accepted.
+LINGER_S: Final = 3.0
+# Kept from the time until the process is killed, in seconds.
+GRACE_MARGIN_S: Final = 0.7
+METRICS_PORT: Final = 9464
+
+
+class Daemon:
+    """All parts of one process."""
+
+    def __init__(self, settings: settings_module.PlatformSettings) -> None:
+        """Wire the parts."""
+        self.settings = settings
+        bounds = settings.bounds
+        self._clock = clock_module.SystemClock()
+        self._log = json_log.JsonLog(settings.daemon_id)
+        self._metrics = measures.Measures()
+        random = random_module.Random()
+        names = headers.NAMES
+        own = fleet.Member(
+            daemon_id=settings.daemon_id,
+            address=settings.peer_address,
+            failure_domain=settings.failure_domain,
+            service=settings.service,
+        )
+        self._knowledge = store_knowledge.StoreKnowledge(self._clock)
+        self._registry = upstream_registry.UpstreamRegistry(
+            clock=self._clock,
+            service=settings.service,
+            address=settings.upstream_address,
+            silence_s=SILENT_REPORTS * settings.report_interval_s,
+        )
+        self._pool = exchange.ExchangePool(
+            settings.upstream_address,
+            exchange.noted_fields(names),
+            names.attempt_id,
+        )
+        self._upstream = upstream_side.UpstreamSide(
+            clock=self._clock,
+            gate=upstream_gate.UpstreamGate(self._clock),
+            registry=self._registry,
+            pool=self._pool,
+            names=names,
+            log=self._log,
+            on_serving=self._on_serving,
+        )
+        self._shares = quota_shares.QuotaShares(
+            clock=self._clock,
+            random=random,
+            daemon_id=settings.daemon_id,
+            slack=bounds.quota_slack,
+        )
+        self._callers = caller_side.CallerSide(
+            clock=self._clock,
+            random=random,
+            own=own,
+            names=names,
+            knowledge=self._knowledge,
+            shares=self._shares,
+            choice=upstream_choice.UpstreamChoice(
+                clock=self._clock,
+                random=random,
+                domain=settings.failure_domain,
+            ),
+            log=self._log,
+            metrics=self._metrics,
+            revoke_s=bounds.revoke_s,
+            retry_ratio=bounds.retry_ratio,
+            retry_slack=bounds.retry_slack,
+        )
+        self._store = store_module.StoreClient(settings.store_address)
+        self._follower = follower.Follower(
+            clock=self._clock,
+            random=random,
+            own=own,
+            store=self._store,
+            knowledge=self._knowledge,
+            log=self._log,
+            on_rules=self._on_rules,
+            on_members=self._on_members,
+            on_registered=self._on_registered,
+            on_news=self._on_news,
+            is_reachable=lambda daemon_id: self._peers.is_reachable(daemon_id),
+        )
+        self._peers = peers.Peers(
+            clock=self._clock,
+            own=own,
+            upstream=self._upstream,
+            knowledge=self._knowledge,
+            store=self._follower,
+            log=self._log,
+            on_lend=self._callers.take_loan,
+            on_borrow=self._lend,
+            on_vouched=lambda: None,
+        )
+        self._callers.attach(self._peers)
+        self._entry = ingress.IngressServer(self._callers, names)
+        self._reports = ingress.IngressServer(
+            local_servers.ReportHandler(
+                self._registry, self._log, self._upstream.refresh
+            ),
+            names,
+        )
+        self._ready = ingress.IngressServer(
+            local_servers.ReadyHandler(self._is_ready), names
+        )
+        self._exposition = ingress.IngressServer(
+            local_servers.MetricsHandler(self._metrics, self._set_gauges),
+            names,
+        )
+        self._has_rules = False
+        self._is_stopping = False
+        self._stop_requested = asyncio.Event()
+
+    async def async_run(self) -> None:
+        """Serve until the signal to end and all calls have ended."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        settings = self.settings
+        self._log.change(
+            'started', version=const.VERSION, service=settings.service
+        )
+        await self._reports.async_listen(settings.report_address)
+        await self._peers.async_listen()
+        await self._entry.async_listen(settings.caller_address)
+        await self._ready.async_listen(settings.ready_address)
+        with contextlib.suppress(OSError):
+            # The daemon serves without its metrics too.
+            await self._exposition.async_listen(
+                (settings.caller_address[0], METRICS_PORT)
+            )
+        self._follower.start()
+        self._log.flush()
+        ticker = loop.create_task(self._async_tick())
+        await self._stop_requested.wait()
+        await self._async_stop()
+        ticker.cancel()
+        self._log.change('stopped', open_requests=self._callers.active_count)
+        self._log.flush()
+
+    async def _async_tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        slow_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._upstream.tick()
+            self._callers.tick()
+            self._peers.tick()
+            now = loop.time()
+            if now >= slow_at:
+                slow_at = now + SLOW_TICK_S
+                self._log.flush()
+                if not self._is_stopping:
+                    self._entry.sweep(now)
+
+    async def _async_stop(self) -> None:
+        """Refuse new calls, answer what was taken, and end."""
+        loop = asyncio.get_running_loop()
+        self._is_stopping = True
+        started_at = loop.time()
+        end_at = started_at + self.settings.bounds.grace_s - GRACE_MARGIN_S
+        self._log.change(
+            'stopping',
+            open_requests=self._callers.active_count,
+            running=len(self._upstream.running),
+        )
+        self._upstream.stop()
+        while loop.time() < end_at:
+            has_lingered = loop.time() - started_at >= LINGER_S
+            if has_lingered and not self._entry.is_closing:
+                self._entry.is_closing = True
+                self._entry.stop_listening()
+                self._entry.close_idle()
+            if (
+                has_lingered
+                and not self._callers.active_count
+                and not self._upstream.running
+            ):
+                break
+            await asyncio.sleep(TICK_S)
+        self._follower.stop()
+        self._peers.close()
+
+    def _reload(self) -> None:
+        """Check the settings file that has changed."""
+        try:
+            settings = settings_module.load(
+                settings_module.path_from_environment()
+            )
+        except exceptions.SettingsError as error:
+            self._log.change('settings_rejected', error=str(error))
+            return
+        changed = settings != self.settings
+        self._log.change('settings_read', changed=changed)
+
+    # What the parts tell each other.
+
+    def _is_ready(self) -> bool:
+        return self._has_rules and not self._is_stopping
+
+    def _on_rules(self, rules: traffic.TrafficRules) -> None:
+        self._has_rules = True
+        self._entry.limits = rules.limits
+        self._callers.set_rules(rules)
+        self._shares.set_workspaces(rules.workspaces)
+
+    def _on_members(self, members: list[fleet.Member]) -> None:
+        self._peers.set_members(members)
+        self._shares.set_members(member.daemon_id for member in members)
+        self._callers.set_member_count(len(members))
+
+    def _on_registered(self, was_member: bool) -> None:
+        """Begin to spend once every daemon must know of this one.
+
+        A daemon that was a member before it started held the same part, and
+        its former process has ended; a fleet that starts for the first time
+        has spent nothing.
+        """
+        at = self._clock.monotonic()
+        if not was_member and not self.settings.is_first_start:
+            at += self.settings.bounds.revoke_s
+        self._shares.spend_from(at)
+
+    def _on_news(self) -> None:
+        self._peers.announce()
+
+    def _on_serving(self, is_serving: bool) -> None:
+        self._peers.set_serving(is_serving)
+
+    def _lend(self, message: frames.Borrow) -> frames.Lend:
+        tokens = 0.0
+        if self._knowledge.may_spend_share(self.settings.bounds.revoke_s):
+            tokens = self._shares.lend(
+                ids.Workspace(message.workspace), message.tokens
+            )
+        return frames.Lend(
+            request_id=message.request_id,
+            workspace=message.workspace,
+            tokens=tokens,
+        )
+
+    def _set_gauges(self) -> None:
+        metrics = self._metrics
+        metrics.gauge('open_requests', self._callers.active_count)
+        metrics.gauge('upstream_running', len(self._upstream.running))
+        metrics.gauge('upstream_load', self._upstream.load)
+        metrics.gauge('upstream_connects', self._pool.connects)
+        metrics.gauge('peers_reachable', self._peers.open_count)
+        metrics.gauge('store_calls', self._store.calls)
+        metrics.gauge('rules_version', self._knowledge.rules_version)
+        metrics.gauge('rules_age_seconds', self._knowledge.rules_age_s)
+
+
+async def _async_main(settings: settings_module.PlatformSettings) -> None:
+    await Daemon(settings).async_run()
+
+
+def run(settings: settings_module.PlatformSettings) -> None:
+    """Run the daemon until the signal to end."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_async_main(settings))
--- /dev/null
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -0,0 +1,270 @@
+"""Runs calls at the upstream beside this daemon."""
+
+from collections.abc import Callable
+from typing import Final
+
+from sassafraswood import clock as clock_module
+from sassafraswood.coordination import upstream_gate
+from sassafraswood.coordination import upstream_registry
+from sassafraswood.models import enums
+from sassafraswood.models import fields
+from sassafraswood.models import ids
+from sassafraswood.protocol import frames
+from sassafraswood.transport import exchange
+from sassafraswood.transport import json_log
+
+Reply = frames.Answer | frames.Refused | frames.Failed
+Deliver = Callable[[Reply], None]
+
+# Statuses that promise that a request has not run.
+_MISDIRECTED: Final = 421
+
+
+class UpstreamCall(upstream_gate.GateCall):
+    """A call of any daemon to this upstream."""
+
+    run: frames.Run
+    deliver: Deliver
+    running: exchange.Exchange | None = None
+    is_abandoned = False
+
+
+class UpstreamSide:
+    """The only process that sends requests to the upstream."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        gate: upstream_gate.UpstreamGate,
+        registry: upstream_registry.UpstreamRegistry,
+        pool: exchange.ExchangePool,
+        names: fields.FieldNames,
+        log: json_log.JsonLog,
+        on_serving: Callable[[bool], None],
+    ) -> None:
+        """Take the parts; on_serving is called with each change."""
+        self._clock = clock
+        self._gate = gate
+        self._registry = registry
+        self._pool = pool
+        self._names = names
+        self._log = log
+        self._on_serving = on_serving
+        self._is_stopping = False
+        self.running: set[UpstreamCall] = set()
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether calls are taken."""
+        return self._gate.is_serving
+
+    @property
+    def load(self) -> float:
+        """Return the load of the upstream."""
+        return self._gate.load
+
+    def refresh(self) -> None:
+        """Apply the state of the registry."""
+        status = self._registry.status
+        report = self._registry.report
+        if (
+            report is not None
+            and status is enums.UpstreamStatus.READY
+            and not self._is_stopping
+        ):
+            was_serving = self._gate.is_serving
+            self._gate.set_upstream(report.slots)
+            if not was_serving:
+                self._note(True, status, report.instance_id)
+            return
+        if self._gate.is_serving:
+            draining = status is not enums.UpstreamStatus.CRASHED
+            self._gate.stop(
+                enums.RefusalReason.DRAINING
+                if draining
+                else enums.RefusalReason.NO_UPSTREAM
+            )
+            self._pool.close_idle()
+            instance = '' if report is None else report.instance_id
+            self._note(False, status, instance)
+
+    def stop(self) -> None:
+        """Take no more calls; running ones go on."""
+        self._is_stopping = True
+        self.refresh()
+
+    def tick(self) -> None:
+        """Let time pass in the gate and end calls past their deadline."""
+        self.refresh()
+        self._gate.tick()
+        now = self._clock.monotonic()
+        for call in list(self.running):
+            # Requests that may run once are left to the upstream, which
+            # stops at the deadline that it was given.
+            if call.deadline + 0.5 <= now or (
+                call.run.is_idempotent and call.deadline <= now
+            ):
+                self._break_off(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
+
+    def submit(self, run: frames.Run, deliver: Deliver) -> UpstreamCall:
+        """Run, queue or refuse a call."""
+        now = self._clock.monotonic()
+        call = UpstreamCall(
+            route=run.route,
+            workspace=ids.Workspace(run.workspace),
+            rank=run.rank,
+            is_inner=run.is_inner,
+            target_s=run.target_s,
+            deadline=now + run.time_left_s,
+            now=now,
+            start=lambda: self._start(call),
+            refuse=lambda reason: self._refuse(call, reason),
+        )
+        call.run = run
+        call.deliver = deliver
+        self._gate.submit(call)
+        return call
+
+    def cancel(self, call: UpstreamCall) -> None:
+        """Give up a call that nobody waits for."""
+        if call.state is upstream_gate.CallState.WAITING:
+            self._gate.cancel(call)
+            return
+        call.is_abandoned = True
+        if call.run.is_idempotent and call in self.running:
+            self._end(call)
+            if call.running is not None:
+                call.running.cancel()
+
+    def _start(self, call: UpstreamCall) -> None:
+        report = self._registry.report
+        run = call.run
+        if report is None:
+            self.running.add(call)
+            self._end(call)
+            self._refuse(call, enums.RefusalReason.NO_UPSTREAM)
+            return
+        left_ms = int(1000 * (call.deadline - self._clock.monotonic()))
+        has_length = run.body or not run.head.startswith(
+            (b'GET ', b'HEAD ', b'DELETE ')
+        )
+        payload = b'%b%b: %d\r\n%b: %b\r\n%b\r\n%b' % (
+            run.head,
+            self._names.deadline_ms,
+            max(1, left_ms),
+            self._names.expected_instance,
+            report.instance_id.encode(),
+            b'content-length: %d\r\n' % len(run.body) if has_length else b'',
+            run.body,
+        )
+        self.running.add(call)
+        call.running = self._pool.start(
+            payload,
+            run.attempt_id or None,
+            lambda outcome: self._finish(call, outcome, report.instance_id),
+        )
+
+    def _finish(
+        self, call: UpstreamCall, outcome: exchange.Outcome, instance: str
+    ) -> None:
+        if call not in self.running:
+            return
+        self._end(call)
+        if isinstance(outcome, exchange.Response):
+            self._answer(call, outcome, instance)
+            return
+        if outcome is exchange.FailureKind.CONNECT:
+            self._refuse(call, enums.RefusalReason.UPSTREAM_UNREACHABLE)
+            return
+        self._fail(call, outcome.value)
+
+    def _answer(
+        self, call: UpstreamCall, response: exchange.Response, instance: str
+    ) -> None:
+        names = self._names
+        run = call.run
+        if names.not_run in response.fields:
+            self._refuse(call, enums.RefusalReason.UPSTREAM_SHED)
+            return
+        if response.status == _MISDIRECTED:
+            self._registry.forget(instance)
+            self.refresh()
+            self._refuse(call, enums.RefusalReason.NO_UPSTREAM)
+            return
+        is_own = names.seal in response.fields
+        if not is_own or b'content-encoding' in response.fields:
+            self._fail(call, 'answer_without_seal')
+            return
+        call.deliver(
+            frames.Answer(
+                call_id=run.call_id,
+                status=response.status,
+                head=response.head,
+                body=response.body,
+                load=self._gate.load_of(call),
+            )
+        )
+
+    def _break_off(
+        self, call: UpstreamCall, reason: enums.RefusalReason
+    ) -> None:
+        self._end(call)
+        if call.running is not None:
+            call.running.cancel()
+        self._fail(call, reason.value)
+
+    def _end(self, call: UpstreamCall) -> None:
+        self.running.discard(call)
+        self._gate.finish(call)
+
+    def _refuse(self, call: UpstreamCall, reason: enums.RefusalReason) -> None:
+        self._log.decision(
+            'upstream_refused',
+            attempt=call.run.attempt_id.decode('latin-1'),
+            route=call.run.route,
+            reason=reason.value,
+            waited_s=round(self._clock.monotonic() - call.queued_at, 4),
+            in_flight=self._gate.in_flight,
+            waiting=self._gate.waiting,
+        )
+        is_local = reason not in (
+            enums.RefusalReason.OVERLOADED,
+            enums.RefusalReason.DEADLINE_UNREACHABLE,
+        )
+        call.deliver(
+            frames.Refused(
+                call_id=call.run.call_id,
+                reason=reason.value,
+                is_local=is_local,
+                load=self._gate.load_of(call),
+            )
+        )
+
+    def _fail(self, call: UpstreamCall, reason: str) -> None:
+        self._log.decision(
+            'upstream_failed',
+            attempt=call.run.attempt_id.decode('latin-1'),
+            route=call.run.route,
+            reason=reason,
+            ran_s=round(self._clock.monotonic() - call.started_at, 4),
+        )
+        call.deliver(
+            frames.Failed(
+                call_id=call.run.call_id,
+                reason=reason,
+                load=self._gate.load_of(call),
+            )
+        )
+
+    def _note(
+        self, is_serving: bool, status: enums.UpstreamStatus, instance: str
+    ) -> None:
+        self._log.change(
+            'upstream_state',
+            serving=is_serving,
+            status=status.value,
+            instance=instance,
+            stopping=self._is_stopping,
+        )
+        self._on_serving(is_serving)
--- a/sassafraswood/state/fair_queue.py
+++ b/sassafraswood/state/fair_queue.py
@@ -103,6 +103,16 @@
         """Return the number of waiting calls."""
         return self._length
 
+    @property
+    def oldest_at(self) -> float | None:
+        """Return when the call that waits longest was queued, if any."""
+        times = [
+            next(iter(account.entries.values())).queued_at
+            for cls in self._classes.values()
+            for account in cls.waiting.values()
+        ]
+        return min(times) if times else None
+
     def push(self, entry: EntryT) -> EntryT | None:
         """Add the entry; return the entry displaced, if any.
 
--- /dev/null
+++ b/sassafraswood/transport/exchange.py
@@ -0,0 +1,417 @@
+"""Client connections of HTTP/1.1 that carry one exchange at a time."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import enum
+import socket
+import time
+import typing
+from typing import Final
+
+import httptools
+
+from sassafraswood.models import fields
+from sassafraswood.transport import tcp
+
+# Fields of one connection (RFC 9110, section 7.6.1) and the length, which
+# the next sender states anew.
+CONNECTION_FIELDS: Final = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+    }
+)
+# Answers above this are broken off; several must fit into memory.
+MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+# Idle connections without a stated timeout are not used again after this
+# time in seconds; below the usual timeouts of servers.
+IDLE_DEFAULT_S: Final = 4.0
+# Share of a stated idle timeout after which the server may be closing.
+IDLE_SHARE: Final = 0.7
+# A new connection that takes longer in seconds counts as refused.
+CONNECT_TIMEOUT_S: Final = 1.0
+
+
+class FailureKind(enum.StrEnum):
+    """How an exchange failed."""
+
+    # Nothing was sent.
+    CONNECT = 'connect_failed'
+    # The connection ended before the answer began.
+    BROKEN = 'connection_broken'
+    # The answer began and is not whole.
+    TRUNCATED = 'answer_truncated'
+    # The bytes are no answer.
+    MALFORMED = 'answer_malformed'
+    TOO_LARGE = 'answer_too_large'
+    CANCELLED = 'cancelled'
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Response:
+    """A whole answer.
+
+    Attributes:
+        head: Header fields without those of one connection.
+        fields: Values of the fields that the reader asked for.
+    """
+
+    status: int
+    head: bytes
+    fields: dict[bytes, bytes]
+    body: bytes
+
+
+Outcome = Response | FailureKind
+
+
+class ExchangeConnection(asyncio.Protocol):
+    """Sends one request at a time and reads its whole answer.
+
+    An answer that carries the id of another request is dropped: servers
+    may answer twice, and the second answer can arrive where the next one is
+    expected.
+    """
+
+    def __init__(
+        self, noted: frozenset[bytes], id_field: bytes | None = None
+    ) -> None:
+        """Take the fields to note and the field that carries the id."""
+        self._noted = noted
+        self._id_field = id_field
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._on_done: Callable[[Outcome], None] | None = None
+        self._request_id: bytes | None = None
+        self._result: Outcome | None = None
+        self._is_closed = False
+        self._is_dirty = False
+        self._has_ended = False
+        self._idle_s = IDLE_DEFAULT_S
+        self.idle_since = 0.0
+        self._may_reuse = True
+        self._reset()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent now."""
+        return (
+            not self._is_closed
+            and self._may_reuse
+            and self._on_done is None
+            and time.monotonic() - self.idle_since < self._idle_s
+        )
+
+    def start(
+        self,
+        payload: bytes,
+        request_id: bytes | None,
+        on_done: Callable[[Outcome], None],
+    ) -> None:
+        """Send a request; on_done is called once."""
+        if self._is_closed or self._transport is None:
+            on_done(FailureKind.CONNECT)
+            return
+        self._on_done = on_done
+        self._request_id = request_id
+        self._result = None
+        self._reset()
+        self._transport.write(payload)
+
+    def cancel(self) -> None:
+        """Break the exchange off without a call of on_done."""
+        self._on_done = None
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Callbacks of the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the established connection."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        connection = transport.get_extra_info('socket')
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tcp.detect_silence(connection)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the answer."""
+        if self._on_done is None:
+            # Bytes after a whole answer belong to no request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if self._result is None:
+                self._fail(FailureKind.MALFORMED)
+                return
+            self._is_dirty = True
+        if self._result is not None:
+            self._finish()
+
+    def eof_received(self) -> bool:
+        """End an answer whose length is the end of its connection."""
+        if self._on_done is not None and self._is_unframed_body():
+            self._may_reuse = False
+            self._complete()
+            if self._result is not None:
+                self._finish()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End an exchange whose answer is not whole."""
+        del exc
+        self._is_closed = True
+        if self._on_done is None:
+            return
+        self._fail(
+            FailureKind.TRUNCATED if self._has_begun else FailureKind.BROKEN
+        )
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        if self._result is not None:
+            self._is_dirty = True
+            return
+        self._reset()
+        self._has_begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field."""
+        if self._result is not None:
+            return
+        lower = name.lower()
+        if lower in self._noted:
+            self._fields[lower] = value
+        if lower in CONNECTION_FIELDS:
+            self._take_connection_field(lower, value)
+            return
+        self._head.append(b'%b: %b\r\n' % (name, value))
+
+    def on_headers_complete(self) -> None:
+        """Note that the header is whole."""
+        self._has_header = True
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if self._result is not None:
+            return
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            self._fail(FailureKind.TOO_LARGE)
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Take a whole answer."""
+        if self._result is not None or self._on_done is None:
+            return
+        if self._parser.get_status_code() < 200:
+            return
+        if not self._parser.should_keep_alive():
+            self._may_reuse = False
+        self._complete()
+
+    def _take_connection_field(self, name: bytes, value: bytes) -> None:
+        if name in (b'content-length', b'transfer-encoding'):
+            self._is_framed = True
+        elif name == b'connection' and b'close' in value.lower():
+            self._may_reuse = False
+        elif name == b'keep-alive':
+            self._idle_s = _idle_timeout(value)
+
+    def _is_unframed_body(self) -> bool:
+        return (
+            self._has_header and not self._is_framed and self._result is None
+        )
+
+    def _complete(self) -> None:
+        if self._id_field is not None and self._request_id is not None:
+            if self._fields.get(self._id_field) != self._request_id:
+                self._has_begun = False
+                self._has_header = False
+                return
+        self._result = Response(
+            status=self._parser.get_status_code(),
+            head=b''.join(self._head),
+            fields=self._fields,
+            body=b''.join(self._body),
+        )
+
+    def _finish(self) -> None:
+        on_done, result = self._on_done, self._result
+        self._on_done = None
+        self.idle_since = time.monotonic()
+        if self._is_dirty or not self._may_reuse:
+            self.close()
+        if on_done is not None and result is not None:
+            on_done(result)
+
+    def _fail(self, kind: FailureKind) -> None:
+        on_done = self._on_done
+        self._on_done = None
+        if not self._is_closed:
+            self.close()
+        if on_done is not None:
+            on_done(kind)
+
+    def _reset(self) -> None:
+        self._head: list[bytes] = []
+        self._fields: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._size = 0
+        self._is_framed = False
+        self._has_begun = False
+        self._has_header = False
+
+
+def _idle_timeout(value: bytes) -> float:
+    """Return for how long a connection may idle, in seconds."""
+    for part in value.split(b','):
+        name, _, number = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and number.isdigit():
+            return IDLE_SHARE * int(number)
+    return IDLE_DEFAULT_S
+
+
+class Exchange:
+    """An exchange that may still be waiting for its connection."""
+
+    __slots__ = ('_connection', '_is_cancelled')
+
+    def __init__(self) -> None:
+        """Wait for a connection."""
+        self._connection: ExchangeConnection | None = None
+        self._is_cancelled = False
+
+    @property
+    def is_cancelled(self) -> bool:
+        """Return whether the exchange was broken off."""
+        return self._is_cancelled
+
+    def attach(self, connection: ExchangeConnection) -> None:
+        """Take the connection that carries the exchange."""
+        self._connection = connection
+
+    def cancel(self) -> None:
+        """Break the exchange off and close its connection."""
+        self._is_cancelled = True
+        if self._connection is not None:
+            self._connection.cancel()
+
+
+class ExchangePool:
+    """Connections to one server."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        noted: frozenset[bytes],
+        id_field: bytes | None = None,
+    ) -> None:
+        """Take the server's address and what to note of its answers."""
+        self._address = address
+        self._noted = noted
+        self._id_field = id_field
+        self._idle: collections.deque[ExchangeConnection] = collections.deque()
+        self._connecting: set[asyncio.Task[None]] = set()
+        self.connects = 0
+
+    def start(
+        self,
+        payload: bytes,
+        request_id: bytes | None,
+        on_done: Callable[[Outcome], None],
+    ) -> Exchange:
+        """Send a request on a free or new connection."""
+        exchange = Exchange()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                self._send(connection, exchange, payload, request_id, on_done)
+                return exchange
+            connection.close()
+        task = asyncio.get_running_loop().create_task(
+            self._async_connect(exchange, payload, request_id, on_done)
+        )
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+        return exchange
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no exchange."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _send(
+        self,
+        connection: ExchangeConnection,
+        exchange: Exchange,
+        payload: bytes,
+        request_id: bytes | None,
+        on_done: Callable[[Outcome], None],
+    ) -> None:
+        exchange.attach(connection)
+
+        def done(outcome: Outcome) -> None:
+            if connection.is_reusable:
+                self._idle.append(connection)
+            on_done(outcome)
+
+        connection.start(payload, request_id, done)
+
+    async def _async_connect(
+        self,
+        exchange: Exchange,
+        payload: bytes,
+        request_id: bytes | None,
+        on_done: Callable[[Outcome], None],
+    ) -> None:
+        self.connects += 1
+        loop = asyncio.get_running_loop()
+        host, port = self._address
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: ExchangeConnection(self._noted, self._id_field),
+                    host,
+                    port,
+                )
+        except OSError:
+            # TimeoutError is an OSError.
+            if not exchange.is_cancelled:
+                on_done(FailureKind.CONNECT)
+            return
+        if exchange.is_cancelled:
+            connection.close()
+            return
+        self._send(connection, exchange, payload, request_id, on_done)
+
+
+def noted_fields(names: fields.FieldNames) -> frozenset[bytes]:
+    """Return the fields of an upstream's answer that decide something."""
+    return frozenset(
+        {
+            names.attempt_id,
+            names.seal,
+            names.not_run,
+            names.instance_id,
+            b'content-encoding',
+            b'retry-after',
+        }
+    )
--- /dev/null
+++ b/sassafraswood/transport/frame_link.py
@@ -0,0 +1,74 @@
+"""Connections between daemons that carry frames."""
+
+import asyncio
+from collections.abc import Callable
+import socket
+import typing
+
+from sassafraswood import exceptions
+from sassafraswood.protocol import frames
+from sassafraswood.transport import tcp
+
+
+class FrameConnection(asyncio.Protocol):
+    """One connection; both ends send messages at any time."""
+
+    def __init__(
+        self,
+        on_message: Callable[['FrameConnection', frames.AnyFrame], None],
+        on_open: Callable[['FrameConnection'], None],
+        on_lost: Callable[['FrameConnection', str], None],
+    ) -> None:
+        """Take what is called for each message and at both ends."""
+        self._on_message = on_message
+        self._on_open = on_open
+        self._on_lost = on_lost
+        self._reader = frames.FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._reason = 'closed by peer'
+        self.heard_at = 0.0
+        self._loop = asyncio.get_running_loop()
+        self.daemon_id: str | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether messages can be sent."""
+        return self._transport is not None
+
+    def send(self, message: frames.AnyFrame) -> None:
+        """Send a message; does nothing on a closed connection."""
+        if self._transport is not None:
+            self._transport.write(frames.encode(message))
+
+    def close(self, reason: str) -> None:
+        """Close at once."""
+        self._reason = reason
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the established connection."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        connection = transport.get_extra_info('socket')
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tcp.detect_silence(connection)
+        self.heard_at = self._loop.time()
+        self._on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Take messages."""
+        self.heard_at = self._loop.time()
+        try:
+            messages = self._reader.feed(data)
+        except exceptions.DecodeError as error:
+            self.close(f'no frames: {error}')
+            return
+        for message in messages:
+            self._on_message(self, message)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell that no message will come."""
+        self._transport = None
+        if exc is not None:
+            self._reason = str(exc)
+        self._on_lost(self, self._reason)
