Check who answers at an address, and limit entries only while services below are loaded

The latency limit cut routes on noise of few calls and on upstreams that are merely slower. Ruled out: stale heartbeats; the calls were sent to the right address. Conclusion: both ends name themselves, each call names its service, and the load of deeper services travels up with the answers.

--- a/sassafraswood/coordination/latency_limit.py
+++ b/sassafraswood/coordination/latency_limit.py
@@ -19,8 +19,12 @@
 # the work is taken over within minutes.
 BASELINE_RISE_PER_S: Final = 0.01
 WINDOW_S: Final = 0.1
-MIN_COMPLETIONS: Final = 4
+# With service times that vary by a third, the mean of ten calls is known to
+# a tenth.
+MIN_COMPLETIONS: Final = 10
 MAX_WINDOW_S: Final = 1.0
+# Load of the services below from which on calls wait for each other.
+PRESSED_LOAD: Final = 1.0
 # One cut at most halves the limit, and one step of growth is a tenth, so
 # that a wrong cut is made good within ten windows.
 MAX_CUT: Final = 0.5
@@ -84,12 +88,14 @@
         self._in_flight -= 1
         self._completions += 1
 
-    def update(self, now: float, target_s: float) -> None:
+    def update(self, now: float, target_s: float, deep_load: float) -> None:
         """Adapt the limit if a window has ended.
 
         Args:
             now: Monotonic time in seconds.
             target_s: Latency in seconds above which the limit is cut.
+            deep_load: Load of the services below; without load there, fewer
+                calls would not be faster.
         """
         elapsed_s = now - self._window_at
         if elapsed_s < WINDOW_S:
@@ -99,21 +105,28 @@
         self._advance(now)
         if self._busy_s > 0.0:
             latency_s = self._busy_s / max(1, self._completions)
-            self._adapt(now, elapsed_s, latency_s, target_s)
+            self._adapt(
+                now, elapsed_s, latency_s, target_s, deep_load > PRESSED_LOAD
+            )
         self._window_at = now
         self._busy_s = 0.0
         self._completions = 0
         self._peak = self._in_flight
 
     def _adapt(
-        self, now: float, elapsed_s: float, latency_s: float, target_s: float
+        self,
+        now: float,
+        elapsed_s: float,
+        latency_s: float,
+        target_s: float,
+        is_pressed: bool,
     ) -> None:
         allowed_s = target_s
         if self._baseline_s is not None:
             allowed_s = max(target_s, BASELINE_FACTOR * self._baseline_s)
         if self._completions >= MIN_COMPLETIONS:
             self._update_baseline(latency_s, elapsed_s)
-        if latency_s > allowed_s:
+        if is_pressed and latency_s > allowed_s:
             # A cut shows after the calls in flight have ended.
             if now - self._cut_at < latency_s:
                 return
@@ -121,7 +134,7 @@
             used = min(self._limit, max(1.0, float(self._peak)))
             cut = max(MAX_CUT, allowed_s / latency_s)
             self._limit = max(MIN_LIMIT, used * cut)
-        elif self._peak >= USED_SHARE * self._limit:
+        elif not is_pressed or self._peak >= USED_SHARE * self._limit:
             grown = self._limit + max(1.0, GROWTH * self._limit)
             self._limit = min(float(self._capacity), grown)
 
--- a/sassafraswood/coordination/quota_shares.py
+++ b/sassafraswood/coordination/quota_shares.py
@@ -23,6 +23,7 @@
 # Share of the tolerated excess that is handed out; the rest covers calls
 # that reach their upstream later than others admitted after them.
 SLACK_SHARE: Final = 0.6
+TOLERANCE_SHARE: Final = 0.8
 # Borrowed tokens lapse after this time in seconds.
 LOAN_S: Final = 0.5
 # A borrower asks for what it needs in this time, in seconds.
@@ -72,12 +73,22 @@
         random: random_module.Random,
         daemon_id: ids.DaemonId,
         slack: float,
+        tolerance: float,
     ) -> None:
-        """Take the excess of one limit that is tolerated in a window."""
+        """Take the excess of one limit that is tolerated in a window.
+
+        Args:
+            clock: Counts time while the VM is suspended.
+            random: Orders lenders.
+            daemon_id: This daemon.
+            slack: Requests.
+            tolerance: Share of rate and burst.
+        """
         self._clock = clock
         self._random = random
         self._daemon_id = daemon_id
-        self._slack = slack
+        self._extra = SLACK_SHARE * slack
+        self._factor = 1.0 + TOLERANCE_SHARE * tolerance
         self._workspaces: dict[ids.Workspace, traffic.WorkspaceRules] = {}
         self._members: list[ids.DaemonId] = []
         self._holders: dict[ids.Workspace, list[ids.DaemonId]] = {}
@@ -201,7 +212,7 @@
     def _choose_holders(
         self, rules: traffic.WorkspaceRules
     ) -> list[ids.DaemonId]:
-        tokens = rules.burst + SLACK_SHARE * self._slack
+        tokens = self._factor * rules.burst + self._extra
         count = min(
             MAX_HOLDERS,
             len(self._members),
@@ -223,6 +234,6 @@
             part.rate = 0.0
             part.depth = 0.0
             return
-        tokens = rules.burst + SLACK_SHARE * self._slack
-        part.rate = rules.rate_per_s / len(holders)
+        tokens = self._factor * rules.burst + self._extra
+        part.rate = self._factor * rules.rate_per_s / len(holders)
         part.depth = tokens / len(holders)
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import latency_limit
 from sassafraswood.models import enums
 from sassafraswood.models import ids
@@ -100,9 +101,12 @@
     target.
     """
 
-    def __init__(self, clock: clock_module.Clock) -> None:
-        """Start without an upstream."""
+    def __init__(
+        self, clock: clock_module.Clock, below: deep_load.DeepLoad
+    ) -> None:
+        """Start without an upstream; below is what it calls."""
         self._clock = clock
+        self._below = below
         self._capacity = 0
         self._is_serving = False
         self._in_flight = 0
@@ -195,7 +199,7 @@
             route = self._routes[call.route]
             route.limit.note_end(now)
             route.queue.charge_end(call, now - call.started_at)
-            route.limit.update(now, route.target_s)
+            route.limit.update(now, route.target_s, self._below.load(now))
         self._pump()
 
     def cancel(self, call: GateCall) -> None:
@@ -218,7 +222,7 @@
             self._waiting -= 1
             self._refuse(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
         for route in self._routes.values():
-            route.limit.update(now, route.target_s)
+            route.limit.update(now, route.target_s, self._below.load(now))
             if not len(route.queue):
                 continue
             late = route.queue.remove_waiting_since(now - route.wait_s)
--- a/sassafraswood/platform/settings.py
+++ b/sassafraswood/platform/settings.py
@@ -26,6 +26,7 @@
         retry_slack: Repeated arrivals of all daemons beyond the ratio.
         retry_window_s: Window of both.
         quota_window_s: Window in which a quota counts.
+        quota_tolerance: Share of rate and burst that may come on top.
         quota_slack: Requests beyond rate and burst that a window may hold.
     """
 
@@ -37,6 +38,7 @@
     retry_slack: float = 48.0
     retry_window_s: float = 10.0
     quota_window_s: float = 5.0
+    quota_tolerance: float = 0.1
     quota_slack: float = 20.0
 
 
@@ -79,6 +81,7 @@
     'retry-budget-slack': 'retry_slack',
     'budget-window-s': 'retry_window_s',
     'quota-window-s': 'quota_window_s',
+    'quota-tolerance': 'quota_tolerance',
     'quota-slack': 'quota_slack',
 }
 
--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -68,33 +68,37 @@
         self.calls = 0
 
     async def async_newest(self, topic: str) -> Page:
-        """Return the newest record of each key.
+        """Return the newest record of each key, in the order of writing.
 
         Raises:
             LogUnavailableError: The store did not answer.
             DecodeError: Its answer cannot be read.
         """
-        records: list[StoredRecord] = []
+        items: list[_NewestItem] = []
         query = {'topic': topic, 'part': '0'}
         first_end: int | None = None
         while True:
             response = await self._async_call('GET', '/log-newest', query)
             try:
                 newest = _newest_decoder.decode(response.body)
-                records += [
-                    StoredRecord(
-                        key=item.key, value=base64.b64decode(item.value)
-                    )
-                    for item in newest.items
-                ]
-            except (msgspec.MsgspecError, ValueError) as error:
+            except msgspec.MsgspecError as error:
                 raise exceptions.DecodeError(str(error)) from error
+            items += newest.items
             # Pages are no snapshot: what changes meanwhile is read again.
             if first_end is None:
                 first_end = newest.end
             if not newest.more or not newest.items:
-                return Page(records=records, next_offset=first_end)
+                break
             query['after'] = newest.items[-1].key
+        items.sort(key=lambda item: item.offset)
+        try:
+            records = [
+                StoredRecord(key=item.key, value=base64.b64decode(item.value))
+                for item in items
+            ]
+        except ValueError as error:
+            raise exceptions.DecodeError(str(error)) from error
+        return Page(records=records, next_offset=first_end)
 
     async def async_read(self, topic: str, start: int, wait_s: float) -> Page:
         """Return the records from an offset, as soon as there are any.
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -20,7 +20,11 @@
 
 
 class Hello(Frame, tag=0):
-    """First message of the end that opened a connection."""
+    """First message of both ends of a connection.
+
+    Attributes:
+        started_at: Unix time of the start in microseconds.
+    """
 
     daemon_id: str
     started_at: int
@@ -30,6 +34,7 @@
     """Asks the daemon beside an upstream to run a call.
 
     Attributes:
+        service: Service that is to run the call.
         head: Request line and header fields, without those that the daemon
             beside the upstream sets.
         time_left_s: Time until the answer is of no use, in seconds.
@@ -38,6 +43,7 @@
     """
 
     call_id: int
+    service: str
     head: bytes
     body: bytes
     attempt_id: bytes
@@ -56,6 +62,8 @@
     Attributes:
         head: Header fields without those of one connection.
         load: Calls that run and wait relative to what the daemon allows.
+        deep_load: The highest of its load and those of the services that
+            its upstream calls.
     """
 
     call_id: int
@@ -63,6 +71,7 @@
     head: bytes
     body: bytes
     load: float
+    deep_load: float
 
 
 class Refused(Frame, tag=3):
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
@@ -130,6 +131,7 @@
         knowledge: store_knowledge.StoreKnowledge,
         shares: quota_shares.QuotaShares,
         choice: upstream_choice.UpstreamChoice,
+        below: deep_load.DeepLoad,
         log: json_log.JsonLog,
         metrics: measures.Measures,
         revoke_s: float,
@@ -144,6 +146,7 @@
         self._knowledge = knowledge
         self._shares = shares
         self._choice = choice
+        self._below = below
         self._log = log
         self._metrics = metrics
         self._revoke_s = revoke_s
@@ -368,6 +371,7 @@
         request = call.request
         run = frames.Run(
             call_id=call.call_id,
+            service=call.service,
             head=self._head(call),
             body=request.body,
             attempt_id=request.attempt_id,
@@ -435,8 +439,12 @@
         candidate.note_load(reply.load)
         if isinstance(reply, frames.Answer):
             candidate.note_answer(now - call.sent_at, now)
+            if call.is_inner:
+                self._below.note(reply.deep_load, now)
             self._answer(call, reply, now)
         elif isinstance(reply, frames.Refused):
+            if call.is_inner:
+                self._below.note(deep_load.REFUSED_LOAD, now)
             self._take_refusal(call, candidate, reply)
         else:
             candidate.note_failure(now)
--- a/sassafraswood/sidecar/follower.py
+++ b/sassafraswood/sidecar/follower.py
@@ -257,10 +257,10 @@
         if page.next_offset < self._knowledge.members_end:
             return
         for record in page.records:
+            # The newest record of an address stands last.
+            self._rows.pop(record.key, None)
             if record.value:
                 self._rows[record.key] = record.value
-            else:
-                self._rows.pop(record.key, None)
         waited_s = 0.0 if page.records else wait_s
         self._knowledge.note_members(page.next_offset, started_at + waited_s)
         if not self._is_registered or page.records:
@@ -288,12 +288,14 @@
         self._on_registered(False)
 
     def _publish_members(self) -> None:
-        members = []
+        by_address: dict[tuple[str, int], fleet.Member] = {}
         for key, value in self._rows.items():
             try:
-                members.append(member_records.decode(key, value))
+                member = member_records.decode(key, value)
+                by_address[member.address] = member
             except exceptions.DecodeError as error:
                 self._log.change('member_rejected', key=key, error=str(error))
+        members = list(by_address.values())
         self._members = members
         self._log.change(
             'members', count=len(members), end=self._knowledge.members_end
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -296,11 +296,7 @@
             return
         peer.connection = connection
         connection.daemon_id = peer.member.daemon_id
-        connection.send(
-            frames.Hello(
-                daemon_id=self._own.daemon_id, started_at=self._started_at
-            )
-        )
+        connection.send(self._hello())
         self._ping(peer, self._clock.monotonic())
 
     def _on_lost(
@@ -345,6 +341,7 @@
 
     def _on_accepted(self, connection: frame_link.FrameConnection) -> None:
         self._accepted.add(connection)
+        connection.send(self._hello())
 
     def _on_accepted_lost(
         self, connection: frame_link.FrameConnection, reason: str
@@ -385,11 +382,7 @@
         message: frames.AnyFrame,
     ) -> None:
         if isinstance(message, frames.Hello):
-            connection.daemon_id = message.daemon_id
-            peer = self._peers.get(ids.DaemonId(message.daemon_id))
-            if peer is not None and peer.connection is None:
-                # It lives, so a pause after failed tries is of no use.
-                peer.connect_at = 0.0
+            self._take_hello(connection, message)
         elif isinstance(message, frames.Status):
             peer = self._peer_of(connection)
             if peer is not None:
@@ -410,6 +403,24 @@
         elif isinstance(message, frames.MembersDocument):
             self._store.take_members(message)
 
+    def _hello(self) -> frames.Hello:
+        return frames.Hello(
+            daemon_id=self._own.daemon_id, started_at=self._started_at
+        )
+
+    def _take_hello(
+        self, connection: frame_link.FrameConnection, hello: frames.Hello
+    ) -> None:
+        if connection not in self._accepted:
+            if connection.daemon_id != hello.daemon_id:
+                connection.close(f'address is of {hello.daemon_id} now')
+            return
+        connection.daemon_id = hello.daemon_id
+        peer = self._peers.get(ids.DaemonId(hello.daemon_id))
+        if peer is not None and peer.connection is None:
+            # It lives, so a pause after failed tries is of no use.
+            peer.connect_at = 0.0
+
     def _peer_of(self, connection: frame_link.FrameConnection) -> Peer | None:
         peer = self._peers.get(ids.DaemonId(connection.daemon_id or ''))
         if peer is None or peer.connection is not connection:
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -10,6 +10,7 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
+from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
@@ -75,12 +76,15 @@
             exchange.noted_fields(names),
             names.attempt_id,
         )
+        below = deep_load.DeepLoad()
         self._upstream = upstream_side.UpstreamSide(
             clock=self._clock,
-            gate=upstream_gate.UpstreamGate(self._clock),
+            gate=upstream_gate.UpstreamGate(self._clock, below),
             registry=self._registry,
             pool=self._pool,
             names=names,
+            service=settings.service,
+            below=below,
             log=self._log,
             on_serving=self._on_serving,
         )
@@ -89,6 +93,7 @@
             random=random,
             daemon_id=settings.daemon_id,
             slack=bounds.quota_slack,
+            tolerance=bounds.quota_tolerance,
         )
         self._callers = caller_side.CallerSide(
             clock=self._clock,
@@ -102,6 +107,7 @@
                 random=random,
                 domain=settings.failure_domain,
             ),
+            below=below,
             log=self._log,
             metrics=self._metrics,
             revoke_s=bounds.revoke_s,
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_registry
 from sassafraswood.models import enums
@@ -40,6 +41,8 @@
         registry: upstream_registry.UpstreamRegistry,
         pool: exchange.ExchangePool,
         names: fields.FieldNames,
+        service: ids.ServiceName,
+        below: deep_load.DeepLoad,
         log: json_log.JsonLog,
         on_serving: Callable[[bool], None],
     ) -> None:
@@ -49,6 +52,8 @@
         self._registry = registry
         self._pool = pool
         self._names = names
+        self._service = service
+        self._below = below
         self._log = log
         self._on_serving = on_serving
         self._is_stopping = False
@@ -123,6 +128,11 @@
         )
         call.run = run
         call.deliver = deliver
+        if run.service != self._service:
+            # An address can pass to a VM of another service.
+            call.state = upstream_gate.CallState.ENDED
+            self._refuse(call, enums.RefusalReason.UNKNOWN_SERVICE)
+            return call
         self._gate.submit(call)
         return call
 
@@ -203,6 +213,9 @@
                 head=response.head,
                 body=response.body,
                 load=self._gate.load_of(call),
+                deep_load=max(
+                    self._gate.load, self._below.load(self._clock.monotonic())
+                ),
             )
         )
 
