Limit call trees by the load below them, in the order of importance

Cause: at 1.7 times the usual traffic the deepest service was full, and the limit on latency throttled leaf routes, cut late and treated an invoice and a status check of the same workspace alike; wasted work and inverted kinds followed. Ruled out: too few slots (16 of 17 in use), zone preference (queues were even after the change of the choice), starts of daemons. Conclusion: a call and the run that made it share a deadline, so that importance and load travel along the tree without a header.

--- a/sassafraswood/coordination/deep_load.py
+++ b/sassafraswood/coordination/deep_load.py
@@ -3,11 +3,15 @@
 import math
 from typing import Final
 
-# An answer's weight; about twenty answers decide, so that one busy upstream
-# of several does not.
-GAIN: Final = 0.05
+# Time constant of the mean in seconds; three levels of a call graph then lag
+# by less than the time of a usual call tree. Weights by time make it the same
+# for few and for many calls.
+MEAN_S: Final = 0.1
 # Without answers for this time in seconds nothing is known.
 LIFETIME_S: Final = 1.0
+# What is left of a load after each hop, so that it dies out where services
+# call each other in a circle.
+HOP_SHARE: Final = 0.95
 # Load that a refused call stands for; it found no room in a full queue.
 REFUSED_LOAD: Final = 2.0
 
@@ -26,9 +30,8 @@
 
     def note(self, load: float, now: float) -> None:
         """Take the load that one call met."""
-        if now - self._noted_at > LIFETIME_S:
-            self._load = 0.0
-        self._load += GAIN * (load - self._load)
+        gain = 1.0 - math.exp((self._noted_at - now) / MEAN_S)
+        self._load += gain * (load - self._load)
         self._noted_at = now
 
     def load(self, now: float) -> float:
--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -15,6 +15,8 @@
 NEAR_LATENCY: Final = 2.0
 # Weight of load above the share in the score of a daemon.
 LOAD_WEIGHT: Final = 4.0
+# Where all are compared, load above 1 counts with this power.
+LOAD_POWER: Final = 2.0
 # Of a large service only this many daemons are compared, chosen at random,
 # so that daemons with the same knowledge do not all pick the same one.
 MAX_COMPARED: Final = 8
@@ -112,7 +114,25 @@
             and self._latency(chosen, now, best_s) <= NEAR_LATENCY * best_s
         ):
             return chosen
-        return self._least(usable, now, best_s)
+        return self._draw(usable, now, best_s)
+
+    def _draw(
+        self, candidates: list[Candidate], now: float, best_s: float
+    ) -> Candidate:
+        """Draw one; equally slow upstreams get equal parts.
+
+        A fixed order would send all daemons with the same knowledge to the
+        same upstream until they hear of its load.
+        """
+        weights = [
+            1.0
+            / (
+                max(1e-4, self._latency(item, now, best_s))
+                * max(1.0, item.load) ** LOAD_POWER
+            )
+            for item in candidates
+        ]
+        return self._random.choices(candidates, weights)[0]
 
     def _least(
         self, candidates: list[Candidate], now: float, best_s: float
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -7,17 +7,20 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import deep_load
-from sassafraswood.coordination import latency_limit
+from sassafraswood.coordination import tree_limit
 from sassafraswood.models import enums
 from sassafraswood.models import ids
 from sassafraswood.state import fair_queue
 
 # Upstreams work slower when nearly all of their slots are in use.
 SLOT_SHARE: Final = 0.95
-# Calls of running calls wait this long, in seconds, before new calls of
-# callers that came at the same time; a call graph of four levels then still
-# meets the usual targets of a second and more.
-INNER_LEAD_S: Final = 0.1
+# Calls of running calls wait up to this long, in seconds, before a new call
+# that came at the same time and may not wait at all; a call graph of four
+# levels then still meets the usual targets of a second and more.
+INNER_WAIT_S: Final = 0.1
+INNER_WAIT_IMPORTANT_S: Final = 0.03
+# The more urgent half of all kinds.
+IMPORTANT_URGENCY: Final = 0.5
 # Share of the latency target that a new call may wait; an early refusal
 # lets the caller come back in time.
 WAIT_SHARE: Final = 0.125
@@ -37,6 +40,7 @@
     """A call that asks to run.
 
     Attributes:
+        urgency: From 0 to 1; the lowest is refused first.
         is_inner: Whether an upstream made it while it runs another call.
         target_s: Time within which the answer has its full value.
         start: Called when the call is to be sent to the upstream.
@@ -48,7 +52,7 @@
         *,
         route: str,
         workspace: ids.Workspace | None,
-        rank: int,
+        urgency: float,
         is_inner: bool,
         target_s: float,
         deadline: float,
@@ -65,7 +69,9 @@
             queued_at=now,
         )
         self.route = route
-        self.rank = rank
+        self.urgency = urgency
+        # Calls of one kind share a queue and a limit.
+        self.kind = (route, urgency)
         self.is_inner = is_inner
         self.target_s = target_s
         self.start = start
@@ -82,14 +88,13 @@
 class _RouteState:
     """Calls of callers on one route."""
 
-    def __init__(self, capacity: int, now: float) -> None:
+    def __init__(self, capacity: int, urgency: float, now: float) -> None:
         self.queue: fair_queue.FairQueue[GateCall] = fair_queue.FairQueue(
             MAX_WAITING
         )
-        self.limit = latency_limit.LatencyLimit(capacity=capacity, now=now)
-        self.target_s = 0.0
+        self.limit = tree_limit.TreeLimit(capacity=capacity, now=now)
+        self.urgency = urgency
         self.wait_s = 0.0
-        self.oldest_at = 0.0
 
 
 class UpstreamGate:
@@ -110,8 +115,12 @@
         self._capacity = 0
         self._is_serving = False
         self._in_flight = 0
+        # Calls of important trees, and those of all others.
+        self._inner_important: collections.deque[GateCall] = (
+            collections.deque()
+        )
         self._inner: collections.deque[GateCall] = collections.deque()
-        self._routes: dict[str, _RouteState] = {}
+        self._routes: dict[tuple[str, float], _RouteState] = {}
         self._waiting = 0
 
     @property
@@ -134,10 +143,23 @@
         """Return the calls that run and wait relative to the capacity."""
         return (self._in_flight + self._waiting) / max(1, self._capacity)
 
+    @property
+    def capacity(self) -> int:
+        """Return how many calls may run."""
+        return self._capacity
+
+    def route_limits(self) -> dict[str, float]:
+        """Return the limits below the capacity by route."""
+        return {
+            f'{name}/{urgency:.2f}': round(route.limit.limit, 1)
+            for (name, urgency), route in self._routes.items()
+            if route.limit.limit < self._capacity
+        }
+
     def load_of(self, call: GateCall) -> float:
         """Return the load that another call of its kind would meet."""
         load = self.load
-        route = None if call.is_inner else self._routes.get(call.route)
+        route = None if call.is_inner else self._routes.get(call.kind)
         if route is None:
             return load
         calls = route.limit.in_flight + len(route.queue)
@@ -154,7 +176,8 @@
     def stop(self, reason: enums.RefusalReason) -> None:
         """Start no more calls; those that wait are refused."""
         self._is_serving = False
-        waiting = list(self._inner)
+        waiting = [*self._inner_important, *self._inner]
+        self._inner_important.clear()
         self._inner.clear()
         for route in self._routes.values():
             waiting += route.queue.remove_all()
@@ -168,10 +191,10 @@
             self._refuse(call, enums.RefusalReason.NO_UPSTREAM)
             return
         if call.is_inner:
-            if self._in_flight < self._capacity and not self._inner:
+            if self._in_flight < self._capacity:
                 self._start(call)
                 return
-            self._inner.append(call)
+            self._queue_of(call).append(call)
             self._waiting += 1
             return
         route = self._route(call)
@@ -196,10 +219,10 @@
         self._in_flight -= 1
         if not call.is_inner:
             now = self._clock.monotonic()
-            route = self._routes[call.route]
-            route.limit.note_end(now)
+            route = self._routes[call.kind]
+            route.limit.note_end()
             route.queue.charge_end(call, now - call.started_at)
-            route.limit.update(now, route.target_s, self._below.load(now))
+            route.limit.update(now, route.urgency, self._below.load(now))
         self._pump()
 
     def cancel(self, call: GateCall) -> None:
@@ -209,20 +232,29 @@
         call.state = CallState.ENDED
         self._waiting -= 1
         if call.is_inner:
-            self._inner.remove(call)
+            self._queue_of(call).remove(call)
         else:
-            self._routes[call.route].queue.remove(call)
+            self._routes[call.kind].queue.remove(call)
+
+    def note_inner_call(self, parent: GateCall) -> None:
+        """Count a call that the upstream made while it ran another one."""
+        if not parent.is_inner and parent.state is CallState.RUNNING:
+            self._routes[parent.kind].limit.note_call()
 
     def tick(self) -> None:
         """Refuse calls that waited too long and adapt the limits."""
         now = self._clock.monotonic()
-        due = [call for call in self._inner if call.deadline <= now]
+        due = [
+            call
+            for call in (*self._inner_important, *self._inner)
+            if call.deadline <= now
+        ]
         for call in due:
-            self._inner.remove(call)
+            self._queue_of(call).remove(call)
             self._waiting -= 1
             self._refuse(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
         for route in self._routes.values():
-            route.limit.update(now, route.target_s, self._below.load(now))
+            route.limit.update(now, route.urgency, self._below.load(now))
             if not len(route.queue):
                 continue
             late = route.queue.remove_waiting_since(now - route.wait_s)
@@ -233,7 +265,7 @@
         self._pump()
 
     def _route(self, call: GateCall) -> _RouteState:
-        route = self._routes.get(call.route)
+        route = self._routes.get(call.kind)
         if route is None:
             now = self._clock.monotonic()
             if len(self._routes) >= MAX_ROUTES:
@@ -242,11 +274,8 @@
                     for name, state in self._routes.items()
                     if state.limit.in_flight or len(state.queue)
                 }
-            route = _RouteState(self._capacity, now)
-            self._routes[call.route] = route
-        route.target_s = latency_limit.latency_target_s(
-            call.target_s, call.rank
-        )
+            route = _RouteState(self._capacity, call.urgency, now)
+            self._routes[call.kind] = route
         route.wait_s = call.wait_s
         return route
 
@@ -266,9 +295,17 @@
     def _pop(self) -> GateCall | None:
         """Take the call whose allowed wait ends first."""
         best: _RouteState | None = None
-        urgency = (
-            self._inner[0].queued_at + INNER_LEAD_S if self._inner else None
-        )
+        inner: collections.deque[GateCall] | None = None
+        urgency: float | None = None
+        for queue, wait_s in (
+            (self._inner_important, INNER_WAIT_IMPORTANT_S),
+            (self._inner, INNER_WAIT_S),
+        ):
+            if queue and (
+                urgency is None or queue[0].queued_at + wait_s < urgency
+            ):
+                urgency = queue[0].queued_at + wait_s
+                inner = queue
         for route in self._routes.values():
             oldest_at = route.queue.oldest_at
             if oldest_at is None or not route.limit.has_room:
@@ -279,7 +316,12 @@
                 best = route
         if best is not None:
             return best.queue.pop()
-        return self._inner.popleft() if self._inner else None
+        return inner.popleft() if inner else None
+
+    def _queue_of(self, call: GateCall) -> collections.deque[GateCall]:
+        if call.urgency >= IMPORTANT_URGENCY:
+            return self._inner_important
+        return self._inner
 
     def _start(self, call: GateCall) -> None:
         now = self._clock.monotonic()
@@ -287,8 +329,8 @@
         call.started_at = now
         self._in_flight += 1
         if not call.is_inner:
-            route = self._routes[call.route]
-            route.limit.note_start(now)
+            route = self._routes[call.kind]
+            route.limit.note_start()
             route.queue.charge_start(call)
         call.start()
 
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -39,6 +39,7 @@
             beside the upstream sets.
         time_left_s: Time until the answer is of no use, in seconds.
         target_s: Time within which an answer has its full value, in seconds.
+        urgency: From 0 to 1; under load the lowest is refused first.
         is_inner: Whether an upstream made the call while it runs another.
     """
 
@@ -49,7 +50,7 @@
     attempt_id: bytes
     time_left_s: float
     target_s: float
-    rank: int
+    urgency: float
     workspace: str
     route: str
     is_idempotent: bool
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -46,6 +46,8 @@
 COMEBACK_LEFT_SHARE: Final = 0.3
 COMEBACK_MIN_S: Final = 0.05
 DEFAULT_TIME_S: Final = 30.0
+# Of calls whose importance is not known.
+DEFAULT_URGENCY: Final = 0.5
 
 
 class CallerCall:
@@ -53,15 +55,13 @@
 
     __slots__ = (
         'aim_s',
-        'budget_s',
         'call_id',
         'cancel',
         'candidate',
         'deadline',
         'expires_at',
         'is_inner',
-        'is_repeat',
-        'rank',
+        'parent',
         'refusals',
         'request',
         'route',
@@ -69,6 +69,7 @@
         'sends',
         'service',
         'tried',
+        'urgency',
         'workspace',
     )
 
@@ -83,8 +84,9 @@
         self.route = route
         self.service = service
         self.workspace = ids.Workspace('')
-        self.rank = route.rank
+        self.urgency = DEFAULT_URGENCY
         self.is_inner = False
+        self.parent = b''
         self.deadline = 0.0
         self.expires_at = 0.0
         self.aim_s = route.target_s
@@ -118,6 +120,31 @@
         return self._parts[best].service
 
 
+def _order(
+    route: traffic.Route, workspace: traffic.WorkspaceRules
+) -> tuple[int, int]:
+    """Return the order of importance; the rank of a workspace goes first."""
+    rank = route.rank if workspace.rank is None else workspace.rank
+    return rank, route.rank
+
+
+def _urgencies(rules: traffic.TrafficRules) -> dict[tuple[int, int], float]:
+    """Return the place of each order between 0, the last, and 1."""
+    orders = sorted(
+        {
+            _order(route, workspace)
+            for route in rules.routes
+            if not route.is_open
+            for workspace in rules.workspaces.values()
+        },
+        reverse=True,
+    )
+    last = max(1, len(orders) - 1)
+    return {
+        order: round(index / last, 2) for index, order in enumerate(orders)
+    }
+
+
 class CallerSide:
     """Answers each request once, whatever happens to its call."""
 
@@ -131,6 +158,7 @@
         knowledge: store_knowledge.StoreKnowledge,
         shares: quota_shares.QuotaShares,
         choice: upstream_choice.UpstreamChoice,
+        upstream: upstream_side.UpstreamSide,
         below: deep_load.DeepLoad,
         log: json_log.JsonLog,
         metrics: measures.Measures,
@@ -146,6 +174,7 @@
         self._knowledge = knowledge
         self._shares = shares
         self._choice = choice
+        self._upstream = upstream
         self._below = below
         self._log = log
         self._metrics = metrics
@@ -156,6 +185,7 @@
         self._rules: traffic.TrafficRules | None = None
         self._index = route_index.RouteIndex([])
         self._splits: dict[str, _Split] = {}
+        self._urgency: dict[tuple[int, int], float] = {}
         self._budget = retry_budget.RetryBudgetTable(reserve=1.0)
         self._call_ids = itertools.count(1)
         self._active: dict[int, CallerCall] = {}
@@ -179,6 +209,7 @@
         self._rules = rules
         self._index = route_index.RouteIndex(rules.routes)
         self._splits = {route.name: _Split(route) for route in rules.routes}
+        self._urgency = _urgencies(rules)
 
     def set_member_count(self, count: int) -> None:
         """Take how many daemons share the retry budget."""
@@ -202,6 +233,8 @@
         if not self._identify(call, rules):
             return
         self._set_times(call)
+        if call.is_inner:
+            self._inherit(call)
         self._active[id(call)] = call
         request.context = call
         self._budget.deposit(
@@ -268,8 +301,9 @@
             self._turn_away(request, 401, reason.value)
             return False
         call.workspace = workspace.name
-        if workspace.rank is not None:
-            call.rank = workspace.rank
+        call.urgency = self._urgency.get(
+            _order(call.route, workspace), DEFAULT_URGENCY
+        )
         return True
 
     def _set_times(self, call: CallerCall) -> None:
@@ -282,6 +316,15 @@
         call.expires_at = now + min(time_s, call.route.timeout_s)
         call.aim_s = min(call.route.target_s, call.route.timeout_s, time_s)
 
+    def _inherit(self, call: CallerCall) -> None:
+        """Take the importance of the call that the upstream runs."""
+        parent = self._upstream.find_parent(call.deadline)
+        if parent is None:
+            return
+        self._upstream.note_inner_call(parent)
+        call.urgency = parent.urgency
+        call.parent = parent.run.attempt_id
+
     # Quota.
 
     def _borrow(self, call: CallerCall) -> None:
@@ -377,7 +420,7 @@
             attempt_id=request.attempt_id,
             time_left_s=left_s,
             target_s=call.aim_s,
-            rank=call.rank,
+            urgency=call.urgency,
             workspace=call.workspace,
             route=call.route.name,
             is_idempotent=call.route.is_idempotent,
@@ -439,11 +482,11 @@
         candidate.note_load(reply.load)
         if isinstance(reply, frames.Answer):
             candidate.note_answer(now - call.sent_at, now)
-            if call.is_inner:
+            if call.parent:
                 self._below.note(reply.deep_load, now)
             self._answer(call, reply, now)
         elif isinstance(reply, frames.Refused):
-            if call.is_inner:
+            if call.parent:
                 self._below.note(deep_load.REFUSED_LOAD, now)
             self._take_refusal(call, candidate, reply)
         else:
@@ -463,6 +506,7 @@
                 route=call.route.name,
                 status=answer.status,
                 inner=call.is_inner,
+                parent=call.parent.decode('latin-1'),
                 took_s=round(now - call.sent_at, 4),
                 sends=call.sends,
             )
@@ -548,6 +592,7 @@
             status=status,
             reason=reason,
             inner=call.is_inner,
+            parent=call.parent.decode('latin-1'),
             tried=list(call.tried),
             retry_after_s=round(comeback_s, 3),
             rules_version=self._knowledge.rules_version,
@@ -567,6 +612,7 @@
             status=status,
             reason=reason,
             inner=call.is_inner,
+            parent=call.parent.decode('latin-1'),
             tried=list(call.tried),
             waited_s=round(
                 self._clock.monotonic() - call.sent_at if call.sent_at else 0,
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -107,6 +107,7 @@
                 random=random,
                 domain=settings.failure_domain,
             ),
+            upstream=self._upstream,
             below=below,
             log=self._log,
             metrics=self._metrics,
@@ -197,6 +198,7 @@
             now = loop.time()
             if now >= slow_at:
                 slow_at = now + SLOW_TICK_S
+                self._upstream.log_load()
                 self._log.flush()
                 if not self._is_stopping:
                     self._entry.sweep(now)
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -17,8 +17,11 @@
 Reply = frames.Answer | frames.Refused | frames.Failed
 Deliver = Callable[[Reply], None]
 
-# Statuses that promise that a request has not run.
+# The upstream at the address is not the one that was meant.
 _MISDIRECTED: Final = 421
+# Differences in milliseconds between the deadlines of a call and of one that
+# it made, the likeliest first: both are sent as whole milliseconds.
+PARENT_TICKS: Final = (0, -1, 1, -2)
 
 
 class UpstreamCall(upstream_gate.GateCall):
@@ -58,6 +61,7 @@
         self._on_serving = on_serving
         self._is_stopping = False
         self.running: set[UpstreamCall] = set()
+        self._by_deadline: dict[int, UpstreamCall] = {}
 
     @property
     def is_serving(self) -> bool:
@@ -69,6 +73,19 @@
         """Return the load of the upstream."""
         return self._gate.load
 
+    def log_load(self) -> None:
+        """Log what runs and waits."""
+        if not self._gate.in_flight and not self._gate.waiting:
+            return
+        self._log.change(
+            'load',
+            in_flight=self._gate.in_flight,
+            waiting=self._gate.waiting,
+            capacity=self._gate.capacity,
+            below=round(self._below.load(self._clock.monotonic()), 2),
+            limits=self._gate.route_limits(),
+        )
+
     def refresh(self) -> None:
         """Apply the state of the registry."""
         status = self._registry.status
@@ -118,7 +135,7 @@
         call = UpstreamCall(
             route=run.route,
             workspace=ids.Workspace(run.workspace),
-            rank=run.rank,
+            urgency=run.urgency,
             is_inner=run.is_inner,
             target_s=run.target_s,
             deadline=now + run.time_left_s,
@@ -136,6 +153,26 @@
         self._gate.submit(call)
         return call
 
+    def find_parent(self, deadline: float) -> UpstreamCall | None:
+        """Return the running call whose upstream made a call, if known.
+
+        Calls that an upstream makes expire with the call that it runs, so
+        that equal deadlines tell which one it is.
+
+        Args:
+            deadline: Monotonic time in seconds of the call that was made.
+        """
+        tick = int(1000.0 * deadline)
+        for near in PARENT_TICKS:
+            parent = self._by_deadline.get(tick + near)
+            if parent is not None:
+                return parent
+        return None
+
+    def note_inner_call(self, parent: UpstreamCall) -> None:
+        """Count a call that the upstream made while it ran another one."""
+        self._gate.note_inner_call(parent)
+
     def cancel(self, call: UpstreamCall) -> None:
         """Give up a call that nobody waits for."""
         if call.state is upstream_gate.CallState.WAITING:
@@ -169,6 +206,7 @@
             run.body,
         )
         self.running.add(call)
+        self._by_deadline[int(1000.0 * call.deadline)] = call
         call.running = self._pool.start(
             payload,
             run.attempt_id or None,
@@ -214,7 +252,9 @@
                 body=response.body,
                 load=self._gate.load_of(call),
                 deep_load=max(
-                    self._gate.load, self._below.load(self._clock.monotonic())
+                    self._gate.load,
+                    deep_load.HOP_SHARE
+                    * self._below.load(self._clock.monotonic()),
                 ),
             )
         )
@@ -229,6 +269,9 @@
 
     def _end(self, call: UpstreamCall) -> None:
         self.running.discard(call)
+        tick = int(1000.0 * call.deadline)
+        if self._by_deadline.get(tick) is call:
+            del self._by_deadline[tick]
         self._gate.finish(call)
 
     def _refuse(self, call: UpstreamCall, reason: enums.RefusalReason) -> None:
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -96,7 +96,7 @@
             'attempt_id': b'abc',
             'time_left_s': 2.0,
             'target_s': 1.0,
-            'rank': 0,
+            'urgency': 1.0,
             'workspace': 'blue-reef',
             'route': 'a',
             'is_idempotent': False,
