Learn which routes make calls from deadlines, with chance taken off

Ruled out: the load that travels up (3.5 at the entries, as at the deepest service), ranks (kit orders were refused at every rank). Conclusion: matches are counted against matches at shifted deadlines, runs that alone outlast a call are taken as its origin, and requests of callers on the same VM do not echo the load of other services.

--- a/sassafraswood/coordination/tree_limit.py
+++ b/sassafraswood/coordination/tree_limit.py
@@ -13,8 +13,8 @@
 # the slots as a queue keeps them in use when arrivals vary.
 PRESSED_LOAD: Final = 1.2
 PRESSED_RANGE: Final = 1.0
-# Below this load the slots of the services below are not all in use.
-CALM_LOAD: Final = 0.9
+# Up to this load, a fifth of the slots below free, the limit grows fastest.
+CALM_LOAD: Final = 0.8
 # Share of the slots that a route starts with; calls of a whole burst would
 # reach the services below before their load is known.
 START_SHARE: Final = 0.25
@@ -25,17 +25,11 @@
 MAX_CUT: Final = 0.35
 # Growth of one update as a share of the capacity: equal steps and cuts in
 # proportion bring the limits of several upstreams to the same share (Chiu and
-# Jain, 1989). The whole range takes 25 s, or 4 s while there is no queue.
+# Jain, 1989). The whole range takes 25 s, or 4 s while there are free slots.
 GROWTH_SHARE: Final = 0.004
 GROWTH_SHARE_CALM: Final = 0.025
 USED_SHARE: Final = 0.8
 MIN_LIMIT: Final = 1.0
-# Calls for each run above which a route counts as one that makes calls; a
-# call is now and then taken for one of another run.
-CALLS_THRESHOLD: Final = 0.3
-MIN_CALLS: Final = 3.0
-# After this many runs both counts are halved, so that changes show.
-MEMORY_RUNS: Final = 100.0
 
 
 class TreeLimit:
@@ -49,18 +43,11 @@
         self._peak = 0
         self._updated_at = now
         self._cut_at = -math.inf
-        self._runs = 0.0
-        self._calls = 0.0
-
-    @property
-    def makes_calls(self) -> bool:
-        """Return whether runs of the route make calls of their own."""
-        return self._calls >= max(MIN_CALLS, CALLS_THRESHOLD * self._runs)
 
     @property
     def limit(self) -> float:
         """Return how many calls may be in flight."""
-        return self._limit if self.makes_calls else float(self._capacity)
+        return self._limit
 
     @property
     def in_flight(self) -> int:
@@ -70,7 +57,7 @@
     @property
     def has_room(self) -> bool:
         """Return whether another call may start."""
-        return self._in_flight < max(1, int(self.limit))
+        return self._in_flight < max(1, int(self._limit))
 
     def set_capacity(self, capacity: int) -> None:
         """Take a new capacity of the upstream."""
@@ -82,14 +69,6 @@
         """Count a call that starts."""
         self._in_flight += 1
         self._peak = max(self._peak, self._in_flight)
-        self._runs += 1.0
-        if self._runs > MEMORY_RUNS:
-            self._runs /= 2.0
-            self._calls /= 2.0
-
-    def note_call(self) -> None:
-        """Count a call that a run made."""
-        self._calls += 1.0
 
     def note_end(self) -> None:
         """Count a call that ended."""
@@ -113,8 +92,10 @@
         if deep_load > pressed:
             self._cut(now, peak, pressed / deep_load)
         elif peak >= USED_SHARE * (self._limit - 1.0):
-            is_calm = deep_load < CALM_LOAD
-            share = GROWTH_SHARE_CALM if is_calm else GROWTH_SHARE
+            room = (pressed - deep_load) / (pressed - CALM_LOAD)
+            share = GROWTH_SHARE + min(1.0, room) * (
+                GROWTH_SHARE_CALM - GROWTH_SHARE
+            )
             grown = self._limit + share * self._capacity
             self._limit = min(float(self._capacity), grown)
 
--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -17,6 +17,10 @@
 LOAD_WEIGHT: Final = 4.0
 # Where all are compared, load above 1 counts with this power.
 LOAD_POWER: Final = 2.0
+# Upstreams of a service differ in speed by up to three times; one that is
+# slower than that gets only enough calls to show when it has recovered.
+SLOW_LATENCY: Final = 3.5
+PROBE_SHARE: Final = 0.1
 # Of a large service only this many daemons are compared, chosen at random,
 # so that daemons with the same knowledge do not all pick the same one.
 MAX_COMPARED: Final = 8
@@ -124,16 +128,23 @@
         A fixed order would send all daemons with the same knowledge to the
         same upstream until they hear of its load.
         """
-        weights = [
-            1.0
-            / (
-                max(1e-4, self._latency(item, now, best_s))
-                * max(1.0, item.load) ** LOAD_POWER
-            )
-            for item in candidates
-        ]
+        weights = [self._weight(item, now, best_s) for item in candidates]
         return self._random.choices(candidates, weights)[0]
 
+    def _weight(
+        self, candidate: Candidate, now: float, best_s: float
+    ) -> float:
+        latency_s = max(1e-4, self._latency(candidate, now, best_s))
+        weight = 1.0 / (
+            latency_s
+            * max(1.0, candidate.load) ** LOAD_POWER
+            # Grows before the first slow answer is there.
+            * (1.0 + candidate.outstanding)
+        )
+        if latency_s > SLOW_LATENCY * best_s:
+            return PROBE_SHARE * weight
+        return weight
+
     def _least(
         self, candidates: list[Candidate], now: float, best_s: float
     ) -> Candidate | None:
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import call_tree
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import tree_limit
 from sassafraswood.models import enums
@@ -20,7 +21,7 @@
 INNER_WAIT_S: Final = 0.1
 INNER_WAIT_IMPORTANT_S: Final = 0.03
 # The more urgent half of all kinds.
-IMPORTANT_URGENCY: Final = 0.5
+IMPORTANT_URGENCY: Final = 0.6
 # Share of the latency target that a new call may wait; an early refusal
 # lets the caller come back in time.
 WAIT_SHARE: Final = 0.125
@@ -54,6 +55,7 @@
         workspace: ids.Workspace | None,
         urgency: float,
         is_inner: bool,
+        attempt_id: bytes,
         target_s: float,
         deadline: float,
         now: float,
@@ -73,6 +75,7 @@
         # Calls of one kind share a queue and a limit.
         self.kind = (route, urgency)
         self.is_inner = is_inner
+        self.attempt_id = attempt_id
         self.target_s = target_s
         self.start = start
         self.refuse = refuse
@@ -112,6 +115,7 @@
         """Start without an upstream; below is what it calls."""
         self._clock = clock
         self._below = below
+        self.tree: call_tree.CallTree[GateCall] = call_tree.CallTree()
         self._capacity = 0
         self._is_serving = False
         self._in_flight = 0
@@ -154,6 +158,7 @@
             f'{name}/{urgency:.2f}': round(route.limit.limit, 1)
             for (name, urgency), route in self._routes.items()
             if route.limit.limit < self._capacity
+            and self.tree.makes_calls(name)
         }
 
     def load_of(self, call: GateCall) -> float:
@@ -162,6 +167,8 @@
         route = None if call.is_inner else self._routes.get(call.kind)
         if route is None:
             return load
+        if not self.tree.makes_calls(call.route):
+            return load
         calls = route.limit.in_flight + len(route.queue)
         return max(load, calls / max(1.0, route.limit.limit))
 
@@ -200,7 +207,7 @@
         route = self._route(call)
         if (
             self._in_flight < self._capacity
-            and route.limit.has_room
+            and self._has_room(call.route, route)
             and not len(route.queue)
         ):
             self._start(call)
@@ -217,6 +224,7 @@
             return
         call.state = CallState.ENDED
         self._in_flight -= 1
+        self.tree.end(call)
         if not call.is_inner:
             now = self._clock.monotonic()
             route = self._routes[call.kind]
@@ -236,11 +244,6 @@
         else:
             self._routes[call.kind].queue.remove(call)
 
-    def note_inner_call(self, parent: GateCall) -> None:
-        """Count a call that the upstream made while it ran another one."""
-        if not parent.is_inner and parent.state is CallState.RUNNING:
-            self._routes[parent.kind].limit.note_call()
-
     def tick(self) -> None:
         """Refuse calls that waited too long and adapt the limits."""
         now = self._clock.monotonic()
@@ -306,9 +309,9 @@
             ):
                 urgency = queue[0].queued_at + wait_s
                 inner = queue
-        for route in self._routes.values():
+        for kind, route in self._routes.items():
             oldest_at = route.queue.oldest_at
-            if oldest_at is None or not route.limit.has_room:
+            if oldest_at is None or not self._has_room(kind[0], route):
                 continue
             due = oldest_at + route.wait_s
             if urgency is None or due < urgency:
@@ -318,6 +321,9 @@
             return best.queue.pop()
         return inner.popleft() if inner else None
 
+    def _has_room(self, name: str, route: _RouteState) -> bool:
+        return route.limit.has_room or not self.tree.makes_calls(name)
+
     def _queue_of(self, call: GateCall) -> collections.deque[GateCall]:
         if call.urgency >= IMPORTANT_URGENCY:
             return self._inner_important
@@ -328,6 +334,7 @@
         call.state = CallState.RUNNING
         call.started_at = now
         self._in_flight += 1
+        self.tree.start(call)
         if not call.is_inner:
             route = self._routes[call.kind]
             route.limit.note_start()
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -61,6 +61,7 @@
         'deadline',
         'expires_at',
         'is_inner',
+        'loads_below',
         'parent',
         'refusals',
         'request',
@@ -87,6 +88,8 @@
         self.urgency = DEFAULT_URGENCY
         self.is_inner = False
         self.parent = b''
+        # Whether the load that the call meets is below the own upstream.
+        self.loads_below = False
         self.deadline = 0.0
         self.expires_at = 0.0
         self.aim_s = route.target_s
@@ -318,12 +321,11 @@
 
     def _inherit(self, call: CallerCall) -> None:
         """Take the importance of the call that the upstream runs."""
-        parent = self._upstream.find_parent(call.deadline)
-        if parent is None:
-            return
-        self._upstream.note_inner_call(parent)
-        call.urgency = parent.urgency
-        call.parent = parent.run.attempt_id
+        parent = self._upstream.note_inner_call(call.deadline)
+        call.loads_below = self._upstream.makes_calls
+        if parent is not None:
+            call.urgency = parent.urgency
+            call.parent = parent.attempt_id
 
     # Quota.
 
@@ -482,11 +484,11 @@
         candidate.note_load(reply.load)
         if isinstance(reply, frames.Answer):
             candidate.note_answer(now - call.sent_at, now)
-            if call.parent:
+            if call.loads_below:
                 self._below.note(reply.deep_load, now)
             self._answer(call, reply, now)
         elif isinstance(reply, frames.Refused):
-            if call.parent:
+            if call.loads_below:
                 self._below.note(deep_load.REFUSED_LOAD, now)
             self._take_refusal(call, candidate, reply)
         else:
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -19,9 +19,6 @@
 
 # The upstream at the address is not the one that was meant.
 _MISDIRECTED: Final = 421
-# Differences in milliseconds between the deadlines of a call and of one that
-# it made, the likeliest first: both are sent as whole milliseconds.
-PARENT_TICKS: Final = (0, -1, 1, -2)
 
 
 class UpstreamCall(upstream_gate.GateCall):
@@ -61,7 +58,6 @@
         self._on_serving = on_serving
         self._is_stopping = False
         self.running: set[UpstreamCall] = set()
-        self._by_deadline: dict[int, UpstreamCall] = {}
 
     @property
     def is_serving(self) -> bool:
@@ -136,6 +132,7 @@
             route=run.route,
             workspace=ids.Workspace(run.workspace),
             urgency=run.urgency,
+            attempt_id=run.attempt_id,
             is_inner=run.is_inner,
             target_s=run.target_s,
             deadline=now + run.time_left_s,
@@ -153,25 +150,16 @@
         self._gate.submit(call)
         return call
 
-    def find_parent(self, deadline: float) -> UpstreamCall | None:
-        """Return the running call whose upstream made a call, if known.
-
-        Calls that an upstream makes expire with the call that it runs, so
-        that equal deadlines tell which one it is.
-
-        Args:
-            deadline: Monotonic time in seconds of the call that was made.
-        """
-        tick = int(1000.0 * deadline)
-        for near in PARENT_TICKS:
-            parent = self._by_deadline.get(tick + near)
-            if parent is not None:
-                return parent
-        return None
+    @property
+    def makes_calls(self) -> bool:
+        """Return whether the upstream makes calls of its own."""
+        return self._gate.tree.is_calling
 
-    def note_inner_call(self, parent: UpstreamCall) -> None:
-        """Count a call that the upstream made while it ran another one."""
-        self._gate.note_inner_call(parent)
+    def note_inner_call(
+        self, deadline: float
+    ) -> upstream_gate.GateCall | None:
+        """Count a call that the upstream made; return its run, if known."""
+        return self._gate.tree.note_call(deadline)
 
     def cancel(self, call: UpstreamCall) -> None:
         """Give up a call that nobody waits for."""
@@ -206,7 +194,6 @@
             run.body,
         )
         self.running.add(call)
-        self._by_deadline[int(1000.0 * call.deadline)] = call
         call.running = self._pool.start(
             payload,
             run.attempt_id or None,
@@ -269,9 +256,6 @@
 
     def _end(self, call: UpstreamCall) -> None:
         self.running.discard(call)
-        tick = int(1000.0 * call.deadline)
-        if self._by_deadline.get(tick) is call:
-            del self._by_deadline[tick]
         self._gate.finish(call)
 
     def _refuse(self, call: UpstreamCall, reason: enums.RefusalReason) -> None:
