--- /dev/null
+++ b/tests/platform/test_reports.py
@@ -0,0 +1,71 @@
+"""Tests of the reports of upstreams."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from sassafraswood import exceptions
+from sassafraswood.models import enums
+from sassafraswood.platform import reports
+
+REPORT = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'west-a',
+    'version': 'v1',
+    'slots': 185,
+    'state': 'ready',
+    'cold-left-s': 0.5,
+    'sequence': 4,
+    'born': 1700000000000,
+}
+
+
+def test_report_is_decoded() -> None:
+    """Fields have the product's names."""
+    report = reports.decode('i-1', json.dumps(REPORT).encode())
+    assert report.address == ('10.128.0.9', 8080)
+    assert report.status is enums.UpstreamStatus.READY
+    assert report.born == 1700000000000
+
+
+def test_target_names_call_and_instance() -> None:
+    """Both stand in the query."""
+    target = b'/rpc?call=instances.heartbeat&of=i-7f3a91c2'
+    assert reports.parse_target(target) == (
+        'instances.heartbeat',
+        'i-7f3a91c2',
+    )
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'gone'},
+        {'address': 'nowhere'},
+        {'slots': 0},
+        {'slots': '185'},
+        {'sequence': None},
+        {'born': 1.5},
+    ],
+)
+def test_report_of_another_writer_is_rejected(changes) -> None:
+    """Fields of another type name no upstream."""
+    with pytest.raises(exceptions.DecodeError):
+        reports.decode('i-1', json.dumps(REPORT | changes).encode())
+
+
+@given(strategies.binary(max_size=200))
+def test_any_bytes_are_rejected(data: bytes) -> None:
+    """Bytes that are no report raise the error of the module only."""
+    with pytest.raises(exceptions.DecodeError):
+        reports.decode('i-1', data)
+
+
+@given(strategies.binary(max_size=80))
+def test_any_target_is_rejected(target: bytes) -> None:
+    """A target that is no call raises the error of the module only."""
+    with pytest.raises(exceptions.DecodeError):
+        reports.parse_target(target)
