--- a/sassafraswood/cli/check.py
+++ b/sassafraswood/cli/check.py
@@ -11,6 +11,7 @@
 from sassafraswood.cli import options
 from sassafraswood.cli import output
 from sassafraswood import exceptions
+from sassafraswood.platform import settings as platform_settings
 from sassafraswood.protocol import documents
 from sassafraswood.protocol import settings as settings_module
 
@@ -32,6 +33,17 @@
     _check(lambda: load_settings(file), file, as_json)
 
 
+@app.command('platform-settings')
+def check_platform_settings(file: File, as_json: options.Json = False) -> None:
+    """Check a settings file of the platform.
+
+    Example: sassafraswood check platform-settings boot.toml
+    """
+    _check(
+        lambda: platform_settings.parse(files.read_text(file)), file, as_json
+    )
+
+
 @app.command('document')
 def check_document(file: File, as_json: options.Json = False) -> None:
     """Check a service document.
--- a/sassafraswood/cli/main.py
+++ b/sassafraswood/cli/main.py
@@ -12,6 +12,7 @@
 from sassafraswood.cli import curve_keys
 from sassafraswood.cli import errors
 from sassafraswood.cli import exit_codes
+from sassafraswood.cli import explain
 from sassafraswood.cli import fleet
 from sassafraswood.cli import key
 from sassafraswood.cli import output
@@ -44,6 +45,7 @@
 
 app.command()(run.run)
 app.command()(sidecar.sidecar)
+app.command()(explain.explain)
 app.add_typer(check.app, name='check')
 app.add_typer(schema.app, name='schema')
 app.command()(publish.publish)
