--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -232,8 +232,19 @@
             ):
                 break
             await asyncio.sleep(TICK_S)
+        self.close()
+
+    def close(self) -> None:
+        """Close connections and accept no more of them."""
         self._follower.stop()
         self._peers.close()
+        for server in (
+            self._entry,
+            self._reports,
+            self._ready,
+            self._exposition,
+        ):
+            server.stop_listening()
 
     def _reload(self) -> None:
         """Check the settings file that has changed."""
--- /dev/null
+++ b/tests/sidecar/test_whole_path.py
@@ -0,0 +1,266 @@
+"""Tests of daemons on loopback with stand-ins of store and upstreams."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import json
+import socket
+
+import httpcore
+
+from lab import platform_store
+from lab import platform_upstream
+from sassafraswood.platform import settings
+from sassafraswood.sidecar import process
+
+RULES = {
+    'version': 'r1',
+    'routes': {
+        'status': {
+            'host': 'shop.example',
+            'path-prefix': '/status/',
+            'kind': 'safe',
+            'timeout-s': 1,
+            'latency-target-s': 1,
+            'priority': 1,
+            'service': 'status',
+            'max-attempts': 2,
+        },
+        'pay': {
+            'host': 'shop.example',
+            'path-prefix': '/pay/',
+            'kind': 'unsafe',
+            'timeout-s': 1,
+            'latency-target-s': 1,
+            'priority': 0,
+            'service': 'billing',
+            'max-attempts': 2,
+        },
+    },
+    'services': {'status': {}, 'billing': {}},
+    'limits': {
+        'max-header-bytes': 8000,
+        'max-body-bytes': 1000,
+        'header-timeout-s': 3,
+        'idle-timeout-s': 15,
+    },
+    'tenants': {'blue': {'api-keys': ['k1'], 'rate-per-s': 50, 'burst': 50}},
+}
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for item in sockets:
+            item.bind(('127.0.0.1', 0))
+        return [item.getsockname()[1] for item in sockets]
+
+
+class Fleet:
+    """One daemon beside an upstream of each of two services."""
+
+    def __init__(self) -> None:
+        """Start without processes."""
+        self.store = platform_store.PlatformStore()
+        self.upstreams: dict[str, platform_upstream.PlatformUpstream] = {}
+        self.daemons: dict[str, process.Daemon] = {}
+        self.tasks: dict[str, asyncio.Task] = {}
+
+    async def async_start(self) -> None:
+        """Start everything and wait until calls reach both services."""
+        store_address = await self.store.async_start()
+        self.publish(RULES)
+        for service in ('status', 'billing'):
+            ports = free_ports(5)
+            upstream = platform_upstream.PlatformUpstream(
+                f'i-{service}', service
+            )
+            await upstream.async_start(ports[4])
+            self.upstreams[service] = upstream
+            daemon = process.Daemon(
+                settings.PlatformSettings(
+                    daemon_id=f'd-{service}',
+                    failure_domain='a',
+                    service=service,
+                    caller_address=('127.0.0.1', ports[0]),
+                    peer_address=('127.0.0.1', ports[1]),
+                    ready_address=('127.0.0.1', ports[2]),
+                    report_address=('127.0.0.1', ports[3]),
+                    upstream_address=('127.0.0.1', ports[4]),
+                    store_address=store_address,
+                    is_first_start=True,
+                    report_interval_s=60.0,
+                    bounds=settings.Bounds(revoke_s=2.0),
+                )
+            )
+            self.daemons[service] = daemon
+            self.tasks[service] = asyncio.create_task(daemon.async_run())
+        await asyncio.sleep(0.3)
+        for service in self.daemons:
+            assert await self.async_report(service) == 200
+        for service in self.daemons:
+            await self.async_wait(service, 'status')
+            await self.async_wait(service, 'billing')
+        for upstream in self.upstreams.values():
+            upstream.seen.clear()
+
+    async def async_report(self, service: str, state: str = 'ready') -> int:
+        """Let an upstream report."""
+        port = self.daemons[service].settings.report_address[1]
+        return await self.upstreams[service].async_report(port, state)
+
+    def publish(self, rules: dict) -> None:
+        """Write rules as the operator."""
+        self.store.put('keyed.op', 'config', json.dumps(rules).encode())
+
+    async def async_wait(self, at: str, service: str) -> None:
+        """Wait until a daemon reaches a service."""
+        path = '/status/1' if service == 'status' else '/pay/1'
+        for _ in range(100):
+            if (await self.async_request(at, path)).status == 200:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f'{at} does not reach {service}')
+
+    async def async_request(
+        self, at: str, path: str, key: str = 'k1', method: str = 'GET'
+    ) -> httpcore.Response:
+        """Send a request to a daemon."""
+        host, port = self.daemons[at].settings.caller_address
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request(
+                method,
+                f'http://{host}:{port}{path}',
+                headers={
+                    'Host': 'shop.example',
+                    'X-Attempt-Id': 'a1',
+                    'X-Deadline-Ms': '1500',
+                    'X-Tenant': 'forged',
+                    'Authorization': f'Token {key}',
+                },
+                content=b'hello' if method == 'POST' else None,
+            )
+
+    async def async_stop(self) -> None:
+        """End all tasks."""
+        self.store.stop()
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        for daemon in self.daemons.values():
+            daemon.close()
+        for upstream in self.upstreams.values():
+            upstream.stop()
+
+
+@contextlib.asynccontextmanager
+async def running() -> AsyncIterator[Fleet]:
+    """Run a fleet."""
+    fleet = Fleet()
+    try:
+        await fleet.async_start()
+        yield fleet
+    finally:
+        await fleet.async_stop()
+
+
+async def async_test_path() -> None:
+    """Run a call over two daemons."""
+    async with running() as fleet:
+        response = await fleet.async_request('status', '/pay/7', method='POST')
+        assert (response.status, response.content) == (
+            200,
+            b'i-billing hello',
+        )
+        (head,) = fleet.upstreams['billing'].seen
+        assert 'X-Tenant' not in head and 'x-tenant: blue' in head
+        assert 'x-caller-service: status' in head
+        assert 'x-expected-instance: i-billing' in head
+        assert 'Token' not in head
+        assert (await fleet.async_request('status', '/other/')).status == 404
+        wrong = await fleet.async_request('status', '/pay/7', key='k2')
+        assert wrong.status == 401
+
+
+async def async_test_withdrawal() -> None:
+    """Withdraw a key while the store answers, and while it does not."""
+    async with running() as fleet:
+        rules = RULES | {'version': 'r2'}
+        rules['tenants'] = {'blue': {'api-keys': ['k2']}}
+        fleet.publish(rules)
+        await asyncio.sleep(1.0)
+        for service in fleet.daemons:
+            old = await fleet.async_request(service, '/status/1')
+            new = await fleet.async_request(service, '/status/1', key='k2')
+            assert (old.status, new.status) == (401, 200)
+        fleet.store.is_down = True
+        await asyncio.sleep(2.0)
+        late = await fleet.async_request('status', '/status/1', key='k2')
+        assert late.status == 503
+        fleet.store.is_down = False
+        await asyncio.sleep(2.5)
+        back = await fleet.async_request('status', '/status/1', key='k2')
+        assert back.status == 200
+
+
+async def async_test_lost_answer() -> None:
+    """Lose the answer of a request that may run once."""
+    async with running() as fleet:
+        billing = fleet.upstreams['billing']
+        billing.loses_answers = True
+        response = await fleet.async_request('status', '/pay/7', method='POST')
+        assert response.status == 502
+        assert len(billing.seen) == 1
+
+
+async def async_test_leaving() -> None:
+    """Let an upstream leave while a request runs."""
+    async with running() as fleet:
+        billing = fleet.upstreams['billing']
+        billing.delay_s = 0.5
+        running_call = asyncio.create_task(
+            fleet.async_request('status', '/pay/7', method='POST')
+        )
+        await asyncio.sleep(0.2)
+        assert await fleet.async_report('billing', 'draining') == 200
+        refused = await fleet.async_request('status', '/pay/8', method='POST')
+        assert refused.status == 503
+        assert float(dict(refused.headers)[b'Retry-After']) > 0
+        assert (await running_call).status == 200
+        assert len(billing.seen) == 1
+
+
+async def async_test_history_gone() -> None:
+    """Follow the store after it has dropped its history."""
+    async with running() as fleet:
+        fleet.store.forget_history('keyed.op')
+        fleet.publish(RULES | {'version': 'r9', 'routes': {}})
+        await asyncio.sleep(1.5)
+        gone = await fleet.async_request('billing', '/status/1')
+        assert gone.status == 404
+
+
+def test_call_over_two_daemons() -> None:
+    """The upstream sees what it may see, and no key."""
+    asyncio.run(async_test_path())
+
+
+def test_withdrawn_key_stops_with_and_without_the_store() -> None:
+    """A daemon that cannot tell whether a key still holds refuses it."""
+    asyncio.run(async_test_withdrawal())
+
+
+def test_lost_answer_is_not_sent_again() -> None:
+    """The request may have run."""
+    asyncio.run(async_test_lost_answer())
+
+
+def test_leaving_upstream_finishes_what_runs() -> None:
+    """New requests are refused as not run."""
+    asyncio.run(async_test_leaving())
+
+
+def test_rules_are_followed_past_the_history() -> None:
+    """The newest record of each key is read instead."""
+    asyncio.run(async_test_history_gone())
