--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 import itertools
 import random as random_module
-from typing import Final
+from typing import Any, Final
 
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import quota_shares
+from sassafraswood.coordination import route_order
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.models import enums
@@ -103,52 +104,6 @@
         self.tried: list[ids.DaemonId] = []
 
 
-class _Split:
-    """Deals the requests of a route to its services by weight."""
-
-    def __init__(self, route: traffic.Route) -> None:
-        self._parts = route.destinations
-        self._total = sum(part.weight for part in self._parts)
-        self._credit = [0.0] * len(self._parts)
-
-    def next(self) -> ids.ServiceName:
-        """Return the service of the next request (smooth round robin)."""
-        if len(self._parts) == 1:
-            return self._parts[0].service
-        best = 0
-        for index, part in enumerate(self._parts):
-            self._credit[index] += part.weight
-            if self._credit[index] > self._credit[best]:
-                best = index
-        self._credit[best] -= self._total
-        return self._parts[best].service
-
-
-def _order(
-    route: traffic.Route, workspace: traffic.WorkspaceRules
-) -> tuple[int, int]:
-    """Return the order of importance; the rank of a workspace goes first."""
-    rank = route.rank if workspace.rank is None else workspace.rank
-    return rank, route.rank
-
-
-def _urgencies(rules: traffic.TrafficRules) -> dict[tuple[int, int], float]:
-    """Return the place of each order between 0, the last, and 1."""
-    orders = sorted(
-        {
-            _order(route, workspace)
-            for route in rules.routes
-            if not route.is_open
-            for workspace in rules.workspaces.values()
-        },
-        reverse=True,
-    )
-    last = max(1, len(orders) - 1)
-    return {
-        order: round(index / last, 2) for index, order in enumerate(orders)
-    }
-
-
 class CallerSide:
     """Answers each request once, whatever happens to its call."""
 
@@ -190,7 +145,7 @@
         self._peers: peers_module.Peers | None = None
         self._rules: traffic.TrafficRules | None = None
         self._index = route_index.RouteIndex([])
-        self._splits: dict[str, _Split] = {}
+        self._splits: dict[str, route_order.RouteSplit] = {}
         self._urgency: dict[tuple[int, int], float] = {}
         self._budget = retry_budget.RetryBudgetTable(reserve=1.0)
         self._call_ids = itertools.count(1)
@@ -214,8 +169,10 @@
         """Take new rules; calls under way keep those that they began with."""
         self._rules = rules
         self._index = route_index.RouteIndex(rules.routes)
-        self._splits = {route.name: _Split(route) for route in rules.routes}
-        self._urgency = _urgencies(rules)
+        self._splits = {
+            route.name: route_order.RouteSplit(route) for route in rules.routes
+        }
+        self._urgency = route_order.urgencies(rules)
 
     def set_member_count(self, count: int) -> None:
         """Take how many daemons share the retry budget."""
@@ -308,7 +265,7 @@
             return False
         call.workspace = workspace.name
         call.urgency = self._urgency.get(
-            _order(call.route, workspace), DEFAULT_URGENCY
+            route_order.order(call.route, workspace), DEFAULT_URGENCY
         )
         return True
 
@@ -594,14 +551,7 @@
         self._metrics.count('refused', call.service, reason)
         self._log.decision(
             'refused',
-            request=call.request.attempt_id.decode('latin-1'),
-            route=call.route.name,
-            workspace=call.workspace,
-            status=status,
-            reason=reason,
-            inner=call.is_inner,
-            parent=call.parent.decode('latin-1'),
-            tried=list(call.tried),
+            **_description(call, status, reason),
             retry_after_s=round(comeback_s, 3),
             rules_version=self._knowledge.rules_version,
         )
@@ -612,20 +562,13 @@
         if self._active.pop(id(call), None) is None:
             return
         self._metrics.count('failed', call.service, reason)
+        waited_s = 0.0
+        if call.sent_at:
+            waited_s = self._clock.monotonic() - call.sent_at
         self._log.decision(
             'failed',
-            request=call.request.attempt_id.decode('latin-1'),
-            route=call.route.name,
-            workspace=call.workspace,
-            status=status,
-            reason=reason,
-            inner=call.is_inner,
-            parent=call.parent.decode('latin-1'),
-            tried=list(call.tried),
-            waited_s=round(
-                self._clock.monotonic() - call.sent_at if call.sent_at else 0,
-                4,
-            ),
+            **_description(call, status, reason),
+            waited_s=round(waited_s, 4),
         )
         call.request.reply(status)
 
@@ -651,3 +594,17 @@
         if retry_after_s is not None:
             head = b'Retry-After: %.3f\r\n' % retry_after_s
         request.reply(status, head)
+
+
+def _description(call: CallerCall, status: int, reason: str) -> dict[str, Any]:
+    """Return what log lines about the end of a call have in common."""
+    return {
+        'request': call.request.attempt_id.decode('latin-1'),
+        'route': call.route.name,
+        'workspace': call.workspace,
+        'status': status,
+        'reason': reason,
+        'inner': call.is_inner,
+        'parent': call.parent.decode('latin-1'),
+        'tried': list(call.tried),
+    }
