--- a/sassafraswood/coordination/store_knowledge.py
+++ b/sassafraswood/coordination/store_knowledge.py
@@ -36,23 +36,21 @@
         return self._clock.monotonic() - self._members_as_of
 
     def note_rules(self, version: int, as_of: float) -> None:
-        """Take that a version was the newest at a time."""
+        """Take that a version was the newest at a time.
+
+        A newer version holds all that was known before, so that its age is
+        never more than that of the version it replaces.
+        """
         if version < self.rules_version:
             return
-        if version > self.rules_version:
-            self.rules_version = version
-            self._rules_as_of = as_of
-            return
+        self.rules_version = version
         self._rules_as_of = max(self._rules_as_of, as_of)
 
     def note_members(self, end: int, as_of: float) -> None:
         """Take that there was no record behind an offset at a time."""
         if end < self.members_end:
             return
-        if end > self.members_end:
-            self.members_end = end
-            self._members_as_of = as_of
-            return
+        self.members_end = end
         self._members_as_of = max(self._members_as_of, as_of)
 
     def may_accept_keys(self, revoke_s: float) -> bool:
