Remove a constant, a field and a message id that nothing reads

Cause: a read of the whole change found them unused. No change of behaviour; lint, types and the tests of the sidecar, frames, exchanges, quota and choice pass (38).

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -41,7 +41,6 @@
         self.is_serving = False
         self.outstanding = 0
         self.load = 0.0
-        self.outstanding_at_load = 0
         self.latency_s: float | None = None
         self.latency_at = 0.0
         self.failures = 0
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -153,7 +153,6 @@
 class Borrow(Frame, tag=12):
     """Asks for tokens of the limit of a workspace."""
 
-    request_id: int
     workspace: str
     tokens: float
 
@@ -161,7 +160,6 @@
 class Lend(Frame, tag=13):
     """Moves tokens to the daemon that asked."""
 
-    request_id: int
     workspace: str
     tokens: float
 
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -313,9 +313,7 @@
             self._shares.wanted(workspace),
             float(len(self._borrowing.get(workspace, []))),
         )
-        message = frames.Borrow(
-            request_id=0, workspace=workspace, tokens=tokens
-        )
+        message = frames.Borrow(workspace=workspace, tokens=tokens)
         for daemon_id in self._shares.lenders(workspace):
             if self._peers is not None and self._peers.send(
                 daemon_id, message
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -299,7 +299,6 @@
                 ids.Workspace(message.workspace), message.tokens
             )
         return frames.Lend(
-            request_id=message.request_id,
             workspace=message.workspace,
             tokens=tokens,
         )
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -15,7 +15,6 @@
 
 # Requests that a client may send ahead on one connection.
 MAX_PIPELINED: Final = 16
-SWEEP_S: Final = 1.0
 LISTEN_BACKLOG: Final = 1024
 _STATUS_LINES: Final = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
