Keep the leave of an upstream in the store until the next process knows it

Cause: a daemon that restarted took the first report of its upstream. A report that was delayed from before the leave could open the gate again, though the former process had acknowledged the leave. Ruled out: a leave kept in the record of the member (each leave would be fetched by all daemons); waiting for two reports only (1.5 s without the upstream after each restart). The new tests fail without the read (the delayed report was taken) and pass with it. One more store call for each leave and each restart.

--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -1,16 +1,25 @@
 """The upstream beside a daemon, from its own reports."""
 
+from collections.abc import Iterable
+from typing import Final
+
 from sassafraswood import clock as clock_module
 from sassafraswood.models import enums
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 
+# Reports that are delivered late arrive together; a live upstream sends its
+# next one after an interval of one second or more.
+CONFIRM_S: Final = 0.7
+
 
 class UpstreamRegistry:
     """Orders the reports of one address.
 
     A report may be old: delayed on its way, or of a process that has ended
-    and whose address another one uses now.
+    and whose address another one uses now. A daemon that has restarted does
+    not know which upstreams have left. Until it is told, an upstream counts
+    as ready only once a second report shows that it is alive.
     """
 
     def __init__(
@@ -20,15 +29,27 @@
         service: ids.ServiceName,
         address: tuple[str, int],
         silence_s: float,
+        knows_leaves: bool,
     ) -> None:
-        """Take whose reports count and after which silence it is gone."""
+        """Take whose reports count.
+
+        Args:
+            clock: Dates reports.
+            service: Service of the upstream.
+            address: Address of the upstream.
+            silence_s: Time without a report after which it is gone.
+            knows_leaves: Whether no upstream can have left before.
+        """
         self._clock = clock
         self._service = service
         self._address = address
         self._silence_s = silence_s
+        self._knows_leaves = knows_leaves
+        self._unconfirmed: fleet.UpstreamReport | None = None
+        self._unconfirmed_at = 0.0
         self._report: fleet.UpstreamReport | None = None
         self._heard_at = 0.0
-        self._left: set[tuple[str, int | None]] = set()
+        self._left: set[fleet.UpstreamLeave] = set()
 
     @property
     def report(self) -> fleet.UpstreamReport | None:
@@ -44,31 +65,46 @@
             return enums.UpstreamStatus.CRASHED
         return self._report.status
 
+    def note_leaves(self, leaves: Iterable[fleet.UpstreamLeave]) -> None:
+        """Take the upstreams that left before this process started."""
+        self._left.update(leaves)
+        self._knows_leaves = True
+        unconfirmed, self._unconfirmed = self._unconfirmed, None
+        if unconfirmed is not None:
+            self.apply(unconfirmed)
+        report = self._report
+        if report is not None and _leave_of(report) in self._left:
+            self._report = None
+
     def apply(self, report: fleet.UpstreamReport) -> bool:
         """Take a report; return whether it is news of this upstream."""
         if report.service != self._service or report.address != self._address:
             return False
-        if (report.instance_id, report.born) in self._left:
+        if _leave_of(report) in self._left:
             return False
         if not self._is_newer(report):
             return False
+        if not self._is_confirmed(report):
+            return True
         self._report = report
         self._heard_at = self._clock.monotonic()
         return True
 
-    def leave(self, instance_id: str, born: int | None) -> None:
-        """Take that the upstream leaves for good; it gets no more calls."""
-        report = self._report
+    def leave(self, instance_id: str, born: int | None) -> fleet.UpstreamLeave:
+        """Take that the upstream leaves for good; it gets no more calls.
+
+        Returns:
+            The leave with the start of the upstream, if it is known.
+        """
+        report = self._report or self._unconfirmed
         if born is None and report is not None:
             if report.instance_id == instance_id:
                 born = report.born
-        self._left.add((instance_id, born))
-        if (
-            report is not None
-            and report.instance_id == instance_id
-            and report.born == born
-        ):
+        leave = fleet.UpstreamLeave(instance_id=instance_id, born=born)
+        self._left.add(leave)
+        if self._report is not None and _leave_of(self._report) == leave:
             self._report = None
+        return leave
 
     def forget(self, instance_id: str) -> None:
         """Take that another process answers at the address."""
@@ -76,9 +112,27 @@
             self._report is not None
             and self._report.instance_id == instance_id
         ):
-            self._left.add((instance_id, self._report.born))
+            self._left.add(_leave_of(self._report))
             self._report = None
 
+    def _is_confirmed(self, report: fleet.UpstreamReport) -> bool:
+        """Return whether a report shows what its sender is now."""
+        if self._knows_leaves:
+            return True
+        if report.status is not enums.UpstreamStatus.READY:
+            return True
+        now = self._clock.monotonic()
+        first = self._unconfirmed
+        if (
+            first is None
+            or _leave_of(first) != _leave_of(report)
+            or first.sequence >= report.sequence
+        ):
+            self._unconfirmed = report
+            self._unconfirmed_at = now
+            return False
+        return now - self._unconfirmed_at >= CONFIRM_S
+
     def _is_newer(self, report: fleet.UpstreamReport) -> bool:
         current = self._report
         if current is None:
@@ -89,3 +143,9 @@
         if report.instance_id == current.instance_id:
             return report.sequence > current.sequence
         return True
+
+
+def _leave_of(report: fleet.UpstreamReport) -> fleet.UpstreamLeave:
+    return fleet.UpstreamLeave(
+        instance_id=report.instance_id, born=report.born
+    )
--- a/sassafraswood/models/fleet.py
+++ b/sassafraswood/models/fleet.py
@@ -20,6 +20,18 @@
     service: ids.ServiceName
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamLeave:
+    """An upstream that has said that it leaves.
+
+    Attributes:
+        born: Unix time of its start in milliseconds; None if it said none.
+    """
+
+    instance_id: str
+    born: int | None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamReport:
     """What an upstream says of itself.
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -4,7 +4,10 @@
 
 from sassafraswood.coordination import upstream_registry
 from sassafraswood import exceptions
+from sassafraswood.models import enums
+from sassafraswood.models import fleet
 from sassafraswood.platform import reports
+from sassafraswood.sidecar import leave_log
 from sassafraswood.sidecar import measures
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
@@ -56,11 +59,13 @@
     def __init__(
         self,
         registry: upstream_registry.UpstreamRegistry,
+        leaves: leave_log.LeaveLog,
         log: json_log.JsonLog,
         on_change: Callable[[], None],
     ) -> None:
         """Take the registry and what is called after a report."""
         self._registry = registry
+        self._leaves = leaves
         self._log = log
         self._on_change = on_change
 
@@ -72,25 +77,35 @@
         try:
             call, instance_id = reports.parse_target(request.target)
             if call == reports.REPORT_CALL:
-                self._report(instance_id, request.body)
+                leave = self._report(instance_id, request.body)
             elif call == reports.LEAVE_CALL:
-                self._leave(instance_id, request.body)
+                leave = self._leave(instance_id, request.body)
             else:
                 raise exceptions.DecodeError(f'call {call!r}')
         except exceptions.DecodeError as error:
             self._log.decision('report_rejected', error=str(error))
             request.reply(400)
             return
-        request.reply(200, JSON_HEAD, b'{}')
+        if leave is None:
+            _acknowledge(request)
+            return
+        self._leaves.record(leave, lambda: _acknowledge(request))
 
     def abandon(self, request: ingress.IngressRequest) -> None:
         """Do nothing; every request is answered at once."""
 
-    def _report(self, instance_id: str, body: bytes) -> None:
+    def _report(
+        self, instance_id: str, body: bytes
+    ) -> fleet.UpstreamLeave | None:
+        """Return the leave if the upstream says that it leaves."""
         report = reports.decode(instance_id, body)
         if self._registry.apply(report):
             self._on_change()
-            return
+            if report.status is enums.UpstreamStatus.DRAINING:
+                return fleet.UpstreamLeave(
+                    instance_id=instance_id, born=report.born
+                )
+            return None
         self._log.decision(
             'report_ignored',
             instance=instance_id,
@@ -98,9 +113,15 @@
             sequence=report.sequence,
             service=report.service,
         )
+        return None
 
-    def _leave(self, instance_id: str, body: bytes) -> None:
+    def _leave(self, instance_id: str, body: bytes) -> fleet.UpstreamLeave:
         born = reports.decode_leave(body)
-        self._registry.leave(instance_id, born)
+        leave = self._registry.leave(instance_id, born)
         self._log.change('upstream_leaves', instance=instance_id, born=born)
         self._on_change()
+        return leave
+
+
+def _acknowledge(request: ingress.IngressRequest) -> None:
+    request.reply(200, JSON_HEAD, b'{}')
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -26,6 +26,7 @@
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import follower
+from sassafraswood.sidecar import leave_log
 from sassafraswood.sidecar import local_servers
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import peers
@@ -74,6 +75,7 @@
             service=settings.service,
             address=settings.upstream_address,
             silence_s=SILENT_REPORTS * settings.report_interval_s,
+            knows_leaves=settings.is_first_start,
         )
         self._pool = exchange.ExchangePool(
             settings.upstream_address,
@@ -121,6 +123,14 @@
             retry_slack=bounds.retry_slack,
         )
         self._store = store_module.StoreClient(settings.store_address)
+        self._leaves = leave_log.LeaveLog(
+            daemon_id=settings.daemon_id,
+            random=random,
+            registry=self._registry,
+            store=self._store,
+            log=self._log,
+            on_loaded=self._upstream.refresh,
+        )
         self._follower = follower.Follower(
             clock=self._clock,
             random=random,
@@ -148,7 +158,10 @@
         self._entry = ingress.IngressServer(self._callers, names)
         self._reports = ingress.IngressServer(
             local_servers.ReportHandler(
-                self._registry, self._log, self._upstream.refresh
+                self._registry,
+                self._leaves,
+                self._log,
+                self._upstream.refresh,
             ),
             names,
         )
@@ -182,6 +195,7 @@
             await self._exposition.async_listen(
                 (settings.caller_address[0], METRICS_PORT)
             )
+        self._leaves.start(is_first_start=settings.is_first_start)
         self._follower.start()
         self._log.flush()
         ticker = loop.create_task(self._async_tick())
@@ -237,6 +251,7 @@
     def close(self) -> None:
         """Close connections and accept no more of them."""
         self._follower.stop()
+        self._leaves.stop()
         self._peers.close()
         for server in (
             self._entry,
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -10,13 +10,16 @@
 ADDRESS = ('10.0.0.1', 9000)
 
 
-def make_registry(now: clock.ManualClock | None = None):
+def make_registry(
+    now: clock.ManualClock | None = None, *, knows_leaves: bool = True
+):
     """Return a registry that waits 5 s for reports."""
     return upstream_registry.UpstreamRegistry(
         clock=now or clock.ManualClock(),
         service=SERVICE,
         address=ADDRESS,
         silence_s=5.0,
+        knows_leaves=knows_leaves,
     )
 
 
@@ -86,3 +89,40 @@
     registry.apply(make_report())
     now.advance(6.0)
     assert registry.status is enums.UpstreamStatus.CRASHED
+
+
+def test_single_report_after_a_restart_may_be_old() -> None:
+    """An upstream that left before the restart sends no second one."""
+    now = clock.ManualClock()
+    registry = make_registry(now, knows_leaves=False)
+    registry.apply(make_report())
+    assert registry.status is enums.UpstreamStatus.ABSENT
+    registry.apply(make_report(sequence=6))
+    assert registry.status is enums.UpstreamStatus.ABSENT
+    now.advance(1.5)
+    registry.apply(make_report(sequence=7))
+    assert registry.status is enums.UpstreamStatus.READY
+
+
+def test_leave_before_the_restart_binds() -> None:
+    """The next process ignores reports from before the leave."""
+    registry = make_registry(knows_leaves=False)
+    registry.apply(make_report())
+    registry.note_leaves([fleet.UpstreamLeave(instance_id='i1', born=100)])
+    assert registry.status is enums.UpstreamStatus.ABSENT
+    assert not registry.apply(make_report(sequence=6))
+
+
+def test_known_leaves_confirm_the_first_report() -> None:
+    """Nothing else needs to be waited for."""
+    registry = make_registry(knows_leaves=False)
+    registry.apply(make_report())
+    registry.note_leaves([])
+    assert registry.status is enums.UpstreamStatus.READY
+
+
+def test_draining_report_counts_without_confirmation() -> None:
+    """It keeps the gate closed, whatever was before."""
+    registry = make_registry(knows_leaves=False)
+    registry.apply(make_report(status=enums.UpstreamStatus.DRAINING))
+    assert registry.status is enums.UpstreamStatus.DRAINING
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -54,7 +54,11 @@
         self.pool = FakePool()
         self.replies = []
         self.registry = upstream_registry.UpstreamRegistry(
-            clock=self.clock, service=SERVICE, address=ADDRESS, silence_s=5.0
+            clock=self.clock,
+            service=SERVICE,
+            address=ADDRESS,
+            silence_s=5.0,
+            knows_leaves=True,
         )
         below = deep_load.DeepLoad()
         self.log_file = open(tmp_path / 'log', 'wb')
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import json
 import socket
+import time
 
 import httpcore
 
@@ -105,6 +107,22 @@
         for upstream in self.upstreams.values():
             upstream.seen.clear()
 
+    async def async_restart(self, service: str) -> None:
+        """End a daemon and start its next process."""
+        task = self.tasks[service]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.daemons[service].close()
+        await asyncio.sleep(0.1)
+        daemon = process.Daemon(
+            dataclasses.replace(
+                self.daemons[service].settings, is_first_start=False
+            )
+        )
+        self.daemons[service] = daemon
+        self.tasks[service] = asyncio.create_task(daemon.async_run())
+        await asyncio.sleep(0.5)
+
     async def async_report(self, service: str, state: str = 'ready') -> int:
         """Let an upstream report."""
         port = self.daemons[service].settings.report_address[1]
@@ -231,6 +249,29 @@
         assert len(billing.seen) == 1
 
 
+async def async_test_leave_and_restart() -> None:
+    """Deliver a report from before the leave to the next process."""
+    async with running() as fleet:
+        assert await fleet.async_report('billing', 'draining') == 200
+        await fleet.async_restart('billing')
+        assert await fleet.async_report('billing') == 200
+        await asyncio.sleep(0.2)
+        refused = await fleet.async_request('status', '/pay/8', method='POST')
+        assert refused.status == 503
+        assert not fleet.upstreams['billing'].seen
+
+
+async def async_test_leave_without_store() -> None:
+    """Acknowledge a leave while the store does not answer."""
+    async with running() as fleet:
+        fleet.store.is_down = True
+        started_at = time.monotonic()
+        assert await fleet.async_report('billing', 'draining') == 200
+        assert time.monotonic() - started_at < 1.0
+        refused = await fleet.async_request('status', '/pay/8', method='POST')
+        assert refused.status == 503
+
+
 async def async_test_history_gone() -> None:
     """Follow the store after it has dropped its history."""
     async with running() as fleet:
@@ -261,6 +302,16 @@
     asyncio.run(async_test_leaving())
 
 
+def test_leave_binds_the_next_process() -> None:
+    """A restarted daemon does not take a report from before the leave."""
+    asyncio.run(async_test_leave_and_restart())
+
+
+def test_leave_is_acknowledged_without_the_store() -> None:
+    """The upstream waits one second at most."""
+    asyncio.run(async_test_leave_without_store())
+
+
 def test_rules_are_followed_past_the_history() -> None:
     """The newest record of each key is read instead."""
     asyncio.run(async_test_history_gone())
