Take changed bounds from the settings file without a restart

Cause: after SIGHUP the file was checked and logged, not applied. The retry budget was made anew with each change of the members, which gave each daemon a new reserve. Ruled out: taking changed addresses, which are in use; they are named in the log line as needing a restart. A metrics address in use is logged.

--- a/sassafraswood/coordination/quota_shares.py
+++ b/sassafraswood/coordination/quota_shares.py
@@ -86,13 +86,20 @@
         self._clock = clock
         self._random = random
         self._daemon_id = daemon_id
-        self._extra = SLACK_SHARE * slack
-        self._factor = 1.0 + TOLERANCE_SHARE * tolerance
+        self._extra = 0.0
+        self._factor = 1.0
         self._workspaces: dict[ids.Workspace, traffic.WorkspaceRules] = {}
         self._members: list[ids.DaemonId] = []
         self._holders: dict[ids.Workspace, list[ids.DaemonId]] = {}
         self._parts: dict[ids.Workspace, _Part] = {}
         self._spends_from = float('inf')
+        self.set_excess(slack=slack, tolerance=tolerance)
+
+    def set_excess(self, *, slack: float, tolerance: float) -> None:
+        """Take another excess of one limit that is tolerated."""
+        self._extra = SLACK_SHARE * slack
+        self._factor = 1.0 + TOLERANCE_SHARE * tolerance
+        self._divide()
 
     def set_workspaces(
         self, workspaces: dict[ids.Workspace, traffic.WorkspaceRules]
--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -43,7 +43,7 @@
         self._clock = clock
         self._service = service
         self._address = address
-        self._silence_s = silence_s
+        self.silence_s = silence_s
         self._knows_leaves = knows_leaves
         self._unconfirmed: fleet.UpstreamReport | None = None
         self._unconfirmed_at = 0.0
@@ -61,7 +61,7 @@
         """Return the state of the upstream now."""
         if self._report is None:
             return enums.UpstreamStatus.ABSENT
-        if self._clock.monotonic() - self._heard_at > self._silence_s:
+        if self._clock.monotonic() - self._heard_at > self.silence_s:
             return enums.UpstreamStatus.CRASHED
         return self._report.status
 
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -138,10 +138,10 @@
         self._below = below
         self._log = log
         self._metrics = metrics
-        self._revoke_s = revoke_s
         self._members_s = members_s
-        self._retry_ratio = retry_ratio / RETRY_LEVELS
-        self._retry_slack = retry_slack / RETRY_LEVELS
+        self._retry_ratio = 0.0
+        self._retry_slack = 0.0
+        self._member_count = 1
         self._peers: peers_module.Peers | None = None
         self._rules: traffic.TrafficRules | None = None
         self._index = route_index.RouteIndex([])
@@ -155,6 +155,11 @@
         ] = {}
         self._empty_until: dict[ids.Workspace, float] = {}
         self._empty_count: dict[ids.Workspace, int] = {}
+        self.set_bounds(
+            revoke_s=revoke_s,
+            retry_ratio=retry_ratio,
+            retry_slack=retry_slack,
+        )
 
     @property
     def active_count(self) -> int:
@@ -176,8 +181,19 @@
 
     def set_member_count(self, count: int) -> None:
         """Take how many daemons share the retry budget."""
-        reserve = max(1.0, self._retry_slack / max(1, count))
-        self._budget = retry_budget.RetryBudgetTable(reserve=reserve)
+        self._member_count = max(1, count)
+        self._budget.set_reserve(
+            max(1.0, self._retry_slack / self._member_count)
+        )
+
+    def set_bounds(
+        self, *, revoke_s: float, retry_ratio: float, retry_slack: float
+    ) -> None:
+        """Take other bounds of the fleet."""
+        self._revoke_s = revoke_s
+        self._retry_ratio = retry_ratio / RETRY_LEVELS
+        self._retry_slack = retry_slack / RETRY_LEVELS
+        self.set_member_count(self._member_count)
 
     # Requests.
 
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -1,7 +1,7 @@
 """Composition root of the daemon on the platform, and its life."""
 
 import asyncio
-import contextlib
+import dataclasses
 import random as random_module
 import signal
 from typing import Final
@@ -45,6 +45,8 @@
 # Kept from the time until the process is killed, in seconds.
 GRACE_MARGIN_S: Final = 0.7
 METRICS_PORT: Final = 9464
+# Settings that a running process takes from a changed file.
+RELOADED_SETTINGS: Final = ('bounds', 'report_interval_s')
 # Age of the knowledge of members, in seconds, above which a daemon spends no
 # part of a limit, and the wait of a new member; longer than a slow store and
 # two readers that fail need.
@@ -54,12 +56,17 @@
 class Daemon:
     """All parts of one process."""
 
-    def __init__(self, settings: settings_module.PlatformSettings) -> None:
+    def __init__(
+        self,
+        settings: settings_module.PlatformSettings,
+        *,
+        log_descriptor: int = 1,
+    ) -> None:
         """Wire the parts."""
         self.settings = settings
         bounds = settings.bounds
         self._clock = clock_module.SystemClock()
-        self._log = json_log.JsonLog(settings.daemon_id)
+        self._log = json_log.JsonLog(settings.daemon_id, log_descriptor)
         self._metrics = measures.Measures()
         random = random_module.Random()
         names = headers.NAMES
@@ -181,7 +188,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         settings = self.settings
         self._log.change(
             'started', version=const.VERSION, service=settings.service
@@ -190,11 +197,13 @@
         await self._peers.async_listen()
         await self._entry.async_listen(settings.caller_address)
         await self._ready.async_listen(settings.ready_address)
-        with contextlib.suppress(OSError):
-            # The daemon serves without its metrics too.
+        try:
             await self._exposition.async_listen(
                 (settings.caller_address[0], METRICS_PORT)
             )
+        except OSError as error:
+            # The daemon serves without its metrics too.
+            self._log.change('metrics_unavailable', error=str(error))
         self._leaves.start(is_first_start=settings.is_first_start)
         self._follower.start()
         self._log.flush()
@@ -248,6 +257,36 @@
             await asyncio.sleep(TICK_S)
         self.close()
 
+    def reload(self) -> None:
+        """Take the settings file that has changed.
+
+        Addresses and names are those of the process and stay.
+        """
+        try:
+            settings = settings_module.load(
+                settings_module.path_from_environment()
+            )
+        except exceptions.SettingsError as error:
+            self._log.change('settings_rejected', error=str(error))
+            return
+        current = self.settings
+        kept = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if field.name not in RELOADED_SETTINGS
+            and getattr(settings, field.name) != getattr(current, field.name)
+        ]
+        self.settings = dataclasses.replace(
+            current,
+            **{name: getattr(settings, name) for name in RELOADED_SETTINGS},
+        )
+        self._apply_bounds()
+        self._log.change(
+            'settings_read',
+            changed=self.settings != current,
+            needs_restart=kept,
+        )
+
     def close(self) -> None:
         """Close connections and accept no more of them."""
         self._follower.stop()
@@ -260,18 +299,21 @@
             self._exposition,
         ):
             server.stop_listening()
+        self._log.flush()
 
-    def _reload(self) -> None:
-        """Check the settings file that has changed."""
-        try:
-            settings = settings_module.load(
-                settings_module.path_from_environment()
-            )
-        except exceptions.SettingsError as error:
-            self._log.change('settings_rejected', error=str(error))
-            return
-        changed = settings != self.settings
-        self._log.change('settings_read', changed=changed)
+    def _apply_bounds(self) -> None:
+        bounds = self.settings.bounds
+        self._registry.silence_s = (
+            SILENT_REPORTS * self.settings.report_interval_s
+        )
+        self._callers.set_bounds(
+            revoke_s=bounds.key_age_s,
+            retry_ratio=bounds.retry_ratio,
+            retry_slack=bounds.retry_slack,
+        )
+        self._shares.set_excess(
+            slack=bounds.quota_slack, tolerance=bounds.quota_tolerance
+        )
 
     # What the parts tell each other.
 
--- /dev/null
+++ b/tests/sidecar/test_reload.py
@@ -0,0 +1,73 @@
+"""Tests of settings that change while a daemon runs."""
+
+import asyncio
+import json
+import os
+
+from sassafraswood.platform import settings as settings_module
+from sassafraswood.sidecar import process
+
+TEXT = """
+node = "d1"
+zone = "a"
+service = "status"
+app-addr = "127.0.0.1:8547"
+heartbeat-interval-s = 1.5
+bounds = ["revoke-s=5","grace-s=6"]
+[listen]
+inbound = "127.0.0.1:8543"
+outbound = "127.0.0.1:8548"
+ready = "127.0.0.1:8546"
+control = "127.0.0.1:8540"
+[platform]
+address = "127.0.0.1:8545"
+"""
+
+
+def reload(tmp_path, monkeypatch, text: str) -> tuple[process.Daemon, list]:
+    """Return a daemon after a changed file, and the events it logged."""
+    path = tmp_path / 'boot.toml'
+    path.write_text(TEXT)
+    monkeypatch.setenv(settings_module.PATH_VARIABLE, str(path))
+    reader, writer = os.pipe()
+
+    async def async_main() -> process.Daemon:
+        daemon = process.Daemon(
+            settings_module.load(path), log_descriptor=writer
+        )
+        path.write_text(text)
+        daemon.reload()
+        daemon.close()
+        return daemon
+
+    daemon = asyncio.run(async_main())
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        return daemon, [json.loads(line) for line in lines]
+
+
+def test_bounds_are_taken(tmp_path, monkeypatch) -> None:
+    """They hold without a restart."""
+    text = TEXT.replace('grace-s=6', 'grace-s=9')
+    daemon, events = reload(tmp_path, monkeypatch, text)
+    assert daemon.settings.bounds.grace_s == 9.0
+    assert events[-1]['event'] == 'settings_read'
+    assert events[-1]['changed'] is True
+    assert events[-1]['needs_restart'] == []
+
+
+def test_addresses_stay(tmp_path, monkeypatch) -> None:
+    """Those of a running process are in use."""
+    text = TEXT.replace('127.0.0.1:8548', '127.0.0.1:9548')
+    daemon, events = reload(tmp_path, monkeypatch, text)
+    assert daemon.settings.caller_address[1] == 8548
+    assert events[-1]['needs_restart'] == ['caller_address']
+
+
+def test_wrong_file_changes_nothing(tmp_path, monkeypatch) -> None:
+    """The settings in force stay, with a line that says what is wrong."""
+    text = TEXT.replace('node = "d1"', 'node = 7')
+    daemon, events = reload(tmp_path, monkeypatch, text)
+    assert daemon.settings.daemon_id == 'd1'
+    assert events[-1]['event'] == 'settings_rejected'
+    assert 'node' in events[-1]['error']
