Connect daemons to those they need, and pass on only new records of members

Ruled out: the path of a call (flat profile, no function above 5%). Now a daemon asks 4 daemons, or 7 of the reading group, for the state of the store, and connects to at most 12 daemons of each service that it calls, half of them in its own failure domain, with the first call, which waits for the connection. Lenders that are connected are asked first. Reading is taken over within the group by what its daemons say, not by whether they are reachable. A failing store is asked less often by daemons that do not read for others. The stand-in of the store held back new calls only while it was down, and let running reads end; the test of withdrawn keys without the store needs both.

--- a/lab/platform_store.py
+++ b/lab/platform_store.py
@@ -13,7 +13,8 @@
     """Keyed topics with one partition each, kept in memory.
 
     Attributes:
-        is_down: Whether calls are left without an answer.
+        is_down: Whether calls are left without an answer, also those that
+            were accepted before.
         calls: Number of calls so far.
     """
 
@@ -72,6 +73,8 @@
                 while self.is_down:
                     await asyncio.sleep(0.05)
                 status, answer = await self._async_answer(method, target, body)
+                while self.is_down:
+                    await asyncio.sleep(0.05)
                 writer.write(
                     f'HTTP/1.1 {status} X\r\n'
                     f'Content-Length: {len(answer)}\r\n\r\n'.encode()
--- a/sassafraswood/platform/settings.py
+++ b/sassafraswood/platform/settings.py
@@ -21,6 +21,7 @@
         revoke_s: A withdrawn key stops working within this time.
         applies_revocation_everywhere: Whether that holds for daemons that
             cannot reach the store too.
+        apply_s: New rules are in force within this time.
         grace_s: Time from the signal to end until the process is killed.
         retry_ratio: Repeated arrivals relative to requests.
         retry_slack: Repeated arrivals of all daemons beyond the ratio.
@@ -30,6 +31,7 @@
 
     revoke_s: float = 5.0
     applies_revocation_everywhere: bool = True
+    apply_s: float = 2.0
     grace_s: float = 6.0
     retry_ratio: float = 0.2
     retry_slack: float = 48.0
@@ -76,6 +78,7 @@
 _BOUND_NAMES: Final = {
     'revoke-s': 'revoke_s',
     'strict-revoke': 'applies_revocation_everywhere',
+    'config-apply-s': 'apply_s',
     'grace-s': 'grace_s',
     'retry-budget-ratio': 'retry_ratio',
     'retry-budget-slack': 'retry_slack',
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -117,6 +117,7 @@
         members_end: Offset after the newest record of a member that it has.
         members_age_s: Like rules_age_s, for the records of members.
         is_serving: Whether its upstream takes calls.
+        reads_store: Whether it reads the store itself, and gets answers.
     """
 
     sequence: int
@@ -126,6 +127,7 @@
     members_age_s: float
     is_serving: bool
     load: float
+    reads_store: bool
 
 
 class FetchRules(Frame, tag=8):
@@ -140,12 +142,22 @@
 
 
 class FetchMembers(Frame, tag=10):
-    """Asks for the records of members."""
+    """Asks for the records of members from an offset; -1 asks for all."""
+
+    start: int
 
 
 class MembersDocument(Frame, tag=11):
-    """The records of members up to an offset."""
+    """The records of members between two offsets, the newest last.
+
+    Attributes:
+        start: Offset of the first record; -1 if the newest record of each
+            member follows.
+        end: Offset after the last record.
+        rows: Name and value; without a value the member is gone.
+    """
 
+    start: int
     end: int
     rows: list[tuple[str, bytes]]
 
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 import itertools
 import random as random_module
-from typing import Any, Final
+from typing import Final
 
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import deep_load
@@ -17,22 +17,16 @@
 from sassafraswood.models import ids
 from sassafraswood.models import traffic
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import caller_call
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import peers as peers_module
+from sassafraswood.sidecar import quota_wait
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.state import retry_budget
 from sassafraswood.state import route_index
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
 
-# Longest wait for borrowed tokens in seconds; an exchange between failure
-# domains takes about 2 ms.
-BORROW_WAIT_S: Final = 0.05
-# After this many empty answers in a row a workspace is refused at once for
-# a moment, so that a flood does not become a flood of messages. At 0.6 of a
-# rate of two a second, three answers were empty for 3 in 1,000 requests.
-EMPTY_LOANS: Final = 6
-EMPTY_MEMORY_S: Final = 0.05
 # Daemons that are asked in turn when one refuses at once.
 MAX_REFUSALS: Final = 3
 # Repeats of one service are a part of what all levels of a call graph may
@@ -40,6 +34,9 @@
 RETRY_LEVELS: Final = 4.0
 # A retry needs this share of the latency target or it comes too late.
 RETRY_TIME_SHARE: Final = 0.1
+# Share of the latency target that a call may wait for the first connection to
+# a service; a refusal after it still lets the caller come back in time.
+CONNECT_WAIT_SHARE: Final = 0.125
 # Retry-After as a share of the latency target, and its random part; the
 # caller then is still in time for its first answer.
 COMEBACK_SHARE: Final = 0.25
@@ -48,60 +45,6 @@
 COMEBACK_LEFT_SHARE: Final = 0.3
 COMEBACK_MIN_S: Final = 0.05
 DEFAULT_TIME_S: Final = 30.0
-# Of calls whose importance is not known.
-DEFAULT_URGENCY: Final = 0.5
-
-
-class CallerCall:
-    """One request and what was done for it."""
-
-    __slots__ = (
-        'aim_s',
-        'call_id',
-        'cancel',
-        'candidate',
-        'deadline',
-        'expires_at',
-        'is_inner',
-        'loads_below',
-        'parent',
-        'refusals',
-        'request',
-        'route',
-        'sent_at',
-        'sends',
-        'service',
-        'tried',
-        'urgency',
-        'workspace',
-    )
-
-    def __init__(
-        self,
-        request: ingress.IngressRequest,
-        route: traffic.Route,
-        service: ids.ServiceName,
-    ) -> None:
-        """Start before the first send."""
-        self.request = request
-        self.route = route
-        self.service = service
-        self.workspace = ids.Workspace('')
-        self.urgency = DEFAULT_URGENCY
-        self.is_inner = False
-        self.parent = b''
-        # Whether the load that the call meets is below the own upstream.
-        self.loads_below = False
-        self.deadline = 0.0
-        self.expires_at = 0.0
-        self.aim_s = route.target_s
-        self.call_id = 0
-        self.candidate: upstream_choice.Candidate | None = None
-        self.cancel: Callable[[], None] | None = None
-        self.sent_at = 0.0
-        self.sends = 0
-        self.refusals = 0
-        self.tried: list[ids.DaemonId] = []
 
 
 class CallerSide:
@@ -132,13 +75,11 @@
         self._own = own
         self._names = names
         self._knowledge = knowledge
-        self._shares = shares
         self._choice = choice
         self._upstream = upstream
         self._below = below
         self._log = log
         self._metrics = metrics
-        self._members_s = members_s
         self._retry_ratio = 0.0
         self._retry_slack = 0.0
         self._member_count = 1
@@ -149,12 +90,19 @@
         self._urgency: dict[tuple[int, int], float] = {}
         self._budget = retry_budget.RetryBudgetTable(reserve=1.0)
         self._call_ids = itertools.count(1)
-        self._active: dict[int, CallerCall] = {}
-        self._borrowing: dict[
-            ids.Workspace, list[tuple[float, CallerCall]]
+        self._active: dict[int, caller_call.CallerCall] = {}
+        # Calls until when they wait for the first connection to a service.
+        self._parked: dict[
+            ids.ServiceName, list[tuple[float, caller_call.CallerCall]]
         ] = {}
-        self._empty_until: dict[ids.Workspace, float] = {}
-        self._empty_count: dict[ids.Workspace, int] = {}
+        self._quota = quota_wait.QuotaWaits(
+            clock=clock,
+            shares=shares,
+            knowledge=knowledge,
+            members_s=members_s,
+            on_taken=self._send_if_active,
+            on_refused=self._refuse_quota,
+        )
         self.set_bounds(
             revoke_s=revoke_s,
             retry_ratio=retry_ratio,
@@ -169,6 +117,7 @@
     def attach(self, peers: peers_module.Peers) -> None:
         """Take the connections to other daemons."""
         self._peers = peers
+        self._quota.attach(peers)
 
     def set_rules(self, rules: traffic.TrafficRules) -> None:
         """Take new rules; calls under way keep those that they began with."""
@@ -208,7 +157,9 @@
         if route is None:
             self._turn_away(request, 404, 'unknown_route')
             return
-        call = CallerCall(request, route, self._splits[route.name].next())
+        call = caller_call.CallerCall(
+            request, route, self._splits[route.name].next()
+        )
         if not self._identify(call, rules):
             return
         self._set_times(call)
@@ -219,8 +170,8 @@
         self._budget.deposit(
             call.service, self._retry_ratio, self._clock.monotonic()
         )
-        if call.workspace and not self._take_token(call.workspace):
-            self._borrow(call)
+        if call.workspace and not self._quota.take(call.workspace):
+            self._quota.wait(call)
             return
         self._send(call)
 
@@ -240,16 +191,19 @@
         for call in list(self._active.values()):
             if call.expires_at <= now and id(call) in self._active:
                 self._expire(call)
-        for workspace, waiting in list(self._borrowing.items()):
-            late = [call for until, call in waiting if until <= now]
+        self._quota.tick(now)
+        for service, parked in list(self._parked.items()):
+            late = [call for until, call in parked if until <= now]
             if late:
-                self._borrowing[workspace] = [
-                    item for item in waiting if item[0] > now
+                self._parked[service] = [
+                    item for item in parked if item[0] > now
                 ]
                 for call in late:
-                    self._refuse_quota(call)
+                    self._refuse_unavailable(call)
 
-    def _identify(self, call: CallerCall, rules: traffic.TrafficRules) -> bool:
+    def _identify(
+        self, call: caller_call.CallerCall, rules: traffic.TrafficRules
+    ) -> bool:
         """Find the workspace; return False if the request is answered."""
         request = call.request
         if not rules.needs_keys:
@@ -281,12 +235,14 @@
             return False
         call.workspace = workspace.name
         call.urgency = self._urgency.get(
-            route_order.order(call.route, workspace), DEFAULT_URGENCY
+            route_order.order(call.route, workspace),
+            caller_call.DEFAULT_URGENCY,
         )
         return True
 
-    def _set_times(self, call: CallerCall) -> None:
+    def _set_times(self, call: caller_call.CallerCall) -> None:
         now = self._clock.monotonic()
+        call.started_at = now
         text = call.request.deadline_ms
         time_s = DEFAULT_TIME_S
         if text.isdigit():
@@ -295,7 +251,7 @@
         call.expires_at = now + min(time_s, call.route.timeout_s)
         call.aim_s = min(call.route.target_s, call.route.timeout_s, time_s)
 
-    def _inherit(self, call: CallerCall) -> None:
+    def _inherit(self, call: caller_call.CallerCall) -> None:
         """Take the importance of the call that the upstream runs."""
         parent = self._upstream.note_inner_call(call.deadline)
         call.loads_below = self._upstream.makes_calls
@@ -303,81 +259,43 @@
             call.urgency = parent.urgency
             call.parent = parent.attempt_id
 
-    # Quota.
-
-    def _take_token(self, workspace: ids.Workspace) -> bool:
-        """Take a token of the own part, while all members are known."""
-        if not self._knowledge.may_spend_share(self._members_s):
-            return not self._shares.is_limited(workspace)
-        return self._shares.take(workspace)
-
-    def _borrow(self, call: CallerCall) -> None:
-        """Wait for tokens of another daemon."""
-        workspace = call.workspace
-        now = self._clock.monotonic()
-        if now < self._empty_until.get(workspace, 0.0):
-            self._refuse_quota(call)
-            return
-        waiting = self._borrowing.setdefault(workspace, [])
-        waiting.append((now + BORROW_WAIT_S, call))
-        if len(waiting) > 1:
-            return
-        self._ask_lender(workspace)
+    def take_loan(self, loan: frames.Lend) -> None:
+        """Take the answer of a lender."""
+        self._quota.take_loan(loan)
 
-    def _ask_lender(self, workspace: ids.Workspace) -> None:
-        tokens = max(
-            self._shares.wanted(workspace),
-            float(len(self._borrowing.get(workspace, []))),
-        )
-        message = frames.Borrow(workspace=workspace, tokens=tokens)
-        for daemon_id in self._shares.lenders(workspace):
-            if self._peers is not None and self._peers.send(
-                daemon_id, message
-            ):
-                return
-        self._end_borrowing(workspace)
+    def resume(self, service: ids.ServiceName) -> None:
+        """Go on with calls that wait for a connection to a service."""
+        for _, call in self._parked.pop(service, []):
+            self._send_if_active(call)
 
-    def take_loan(self, loan: frames.Lend) -> None:
-        """Take the answer of a lender and go on with calls that wait."""
-        workspace = ids.Workspace(loan.workspace)
-        self._shares.receive(workspace, loan.tokens)
-        if loan.tokens > 0.0:
-            self._empty_count[workspace] = 0
-        waiting = self._borrowing.get(workspace, [])
-        while waiting and self._shares.take_again(workspace):
-            _, call = waiting.pop(0)
-            if id(call) in self._active:
-                self._send(call)
-        if not waiting:
-            return
-        if loan.tokens > 0.0:
-            self._ask_lender(workspace)
-            return
-        empty = self._empty_count.get(workspace, 0) + 1
-        self._empty_count[workspace] = empty
-        if empty >= EMPTY_LOANS:
-            self._end_borrowing(workspace)
-            return
-        self._ask_lender(workspace)
+    # Sends.
 
-    def _end_borrowing(self, workspace: ids.Workspace) -> None:
-        now = self._clock.monotonic()
-        self._empty_until[workspace] = now + EMPTY_MEMORY_S
-        self._empty_count[workspace] = 0
-        for _, call in self._borrowing.pop(workspace, []):
-            self._refuse_quota(call)
+    def _send_if_active(self, call: caller_call.CallerCall) -> None:
+        if id(call) in self._active:
+            self._send(call)
 
-    def _refuse_quota(self, call: CallerCall) -> None:
+    def _refuse_quota(self, call: caller_call.CallerCall) -> None:
         self._refuse(call, 429, enums.RefusalReason.RATE_EXCEEDED.value)
 
-    # Sends.
+    def _refuse_unavailable(self, call: caller_call.CallerCall) -> None:
+        self._refuse(call, 503, enums.RefusalReason.NO_UPSTREAM.value)
 
-    def _send(self, call: CallerCall) -> None:
+    def _park(self, call: caller_call.CallerCall) -> None:
+        """Wait for the first connection to the service, if one is made."""
+        assert self._peers is not None
+        until = call.started_at + CONNECT_WAIT_SHARE * call.aim_s
+        now = self._clock.monotonic()
+        if now >= until or not self._peers.is_connecting(call.service):
+            self._refuse_unavailable(call)
+            return
+        self._parked.setdefault(call.service, []).append((until, call))
+
+    def _send(self, call: caller_call.CallerCall) -> None:
         assert self._peers is not None
         candidates = self._peers.candidates(call.service)
         candidate = self._choice.pick(candidates, call.tried)
         if candidate is None:
-            self._refuse(call, 503, enums.RefusalReason.NO_UPSTREAM.value)
+            self._park(call)
             return
         now = self._clock.monotonic()
         left_s = call.expires_at - now
@@ -414,7 +332,7 @@
         if id(call) in self._active and call.call_id == run.call_id:
             call.cancel = lambda: self._cancel(call, candidate, cancel)
 
-    def _head(self, call: CallerCall) -> bytes:
+    def _head(self, call: caller_call.CallerCall) -> bytes:
         request = call.request
         names = self._names
         workspace = (
@@ -433,7 +351,7 @@
 
     def _cancel(
         self,
-        call: CallerCall,
+        call: caller_call.CallerCall,
         candidate: upstream_choice.Candidate,
         cancel: Callable[[], None],
     ) -> None:
@@ -445,7 +363,7 @@
 
     def _take_reply(
         self,
-        call: CallerCall,
+        call: caller_call.CallerCall,
         candidate: upstream_choice.Candidate,
         reply: upstream_side.Reply | None,
     ) -> None:
@@ -473,7 +391,7 @@
             self._take_failure(call, reply.reason)
 
     def _answer(
-        self, call: CallerCall, answer: frames.Answer, now: float
+        self, call: caller_call.CallerCall, answer: frames.Answer, now: float
     ) -> None:
         del self._active[id(call)]
         elapsed_s = now - call.request.received_at
@@ -493,7 +411,7 @@
 
     def _take_refusal(
         self,
-        call: CallerCall,
+        call: caller_call.CallerCall,
         candidate: upstream_choice.Candidate,
         refusal: frames.Refused,
     ) -> None:
@@ -506,7 +424,7 @@
             return
         self._refuse(call, 503, refusal.reason)
 
-    def _take_failure(self, call: CallerCall, reason: str) -> None:
+    def _take_failure(self, call: caller_call.CallerCall, reason: str) -> None:
         """Repeat a call that may have run, if that is allowed."""
         if not call.route.is_idempotent:
             self._fail(call, 502, reason)
@@ -534,7 +452,7 @@
         )
         self._send(call)
 
-    def _expire(self, call: CallerCall) -> None:
+    def _expire(self, call: caller_call.CallerCall) -> None:
         cancel = call.cancel
         if cancel is not None:
             cancel()
@@ -544,7 +462,7 @@
 
     # Answers of this daemon.
 
-    def _comeback_s(self, call: CallerCall) -> float:
+    def _comeback_s(self, call: caller_call.CallerCall) -> float:
         """Return when the client may come back, in seconds."""
         share = COMEBACK_SHARE + COMEBACK_JITTER * self._random.random()
         left_s = call.deadline - self._clock.monotonic()
@@ -553,7 +471,9 @@
             min(share * call.aim_s, COMEBACK_LEFT_SHARE * left_s),
         )
 
-    def _refuse(self, call: CallerCall, status: int, reason: str) -> None:
+    def _refuse(
+        self, call: caller_call.CallerCall, status: int, reason: str
+    ) -> None:
         """Tell that the request has not run."""
         if call.sends > 0:
             # An earlier send may have run, so the promise would be false.
@@ -565,13 +485,15 @@
         self._metrics.count('refused', call.service, reason)
         self._log.decision(
             'refused',
-            **_description(call, status, reason),
+            **call.describe(status, reason),
             retry_after_s=round(comeback_s, 3),
             rules_version=self._knowledge.rules_version,
         )
         call.request.reply(status, b'Retry-After: %.3f\r\n' % comeback_s)
 
-    def _fail(self, call: CallerCall, status: int, reason: str) -> None:
+    def _fail(
+        self, call: caller_call.CallerCall, status: int, reason: str
+    ) -> None:
         """Tell that the request may have run."""
         if self._active.pop(id(call), None) is None:
             return
@@ -581,7 +503,7 @@
             waited_s = self._clock.monotonic() - call.sent_at
         self._log.decision(
             'failed',
-            **_description(call, status, reason),
+            **call.describe(status, reason),
             waited_s=round(waited_s, 4),
         )
         call.request.reply(status)
@@ -608,17 +530,3 @@
         if retry_after_s is not None:
             head = b'Retry-After: %.3f\r\n' % retry_after_s
         request.reply(status, head)
-
-
-def _description(call: CallerCall, status: int, reason: str) -> dict[str, Any]:
-    """Return what log lines about the end of a call have in common."""
-    return {
-        'request': call.request.attempt_id.decode('latin-1'),
-        'route': call.route.name,
-        'workspace': call.workspace,
-        'status': status,
-        'reason': reason,
-        'inner': call.is_inner,
-        'parent': call.parent.decode('latin-1'),
-        'tried': list(call.tried),
-    }
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -1,4 +1,4 @@
-"""Connections to the other daemons of a fleet."""
+"""Connections to other daemons and the messages on them."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -6,34 +6,44 @@
 import zlib
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
 from sassafraswood import exceptions
+from sassafraswood.models import enums
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import peer_link
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.transport import frame_link
 from sassafraswood.transport import json_log
 
-# A third of the time in which rules have to be in force.
-PING_S: Final = 0.4
-# Three pings without an answer and the longest delay of a slow VM.
-SILENT_S: Final = 1.6
-CONNECT_TIMEOUT_S: Final = 1.0
-# First and longest pause between tries to connect, in seconds.
-RECONNECT_S: Final = 0.1
-RECONNECT_MAX_S: Final = 1.6
+# Pause between reviews of all connections in seconds; a quarter of the
+# shortest time between pings.
+REVIEW_S: Final = 0.1
+# A daemon that was not called for this time, in seconds, is disconnected.
+UNUSED_S: Final = 60.0
+# Accepted connections without a message for this time, in seconds, are
+# closed; the other end sends a ping four times as often.
+ACCEPTED_SILENT_S: Final = 6.4
+# A document that was asked for is not asked for again for this time, in
+# seconds; a large one takes about 0.1 s between failure domains.
+FETCH_S: Final = 0.5
 
 
 class StoreState(Protocol):
     """Documents of the store that daemons pass on to each other."""
 
+    @property
+    def reads_store(self) -> bool:
+        """Return whether this daemon reads the store with success."""
+
     def rules_document(self) -> frames.RulesDocument | None:
         """Return the rules in force."""
 
-    def members_document(self) -> frames.MembersDocument:
-        """Return the records of members."""
+    def members_document(self, start: int) -> frames.MembersDocument:
+        """Return the records of members from an offset."""
 
     def take_rules(self, document: frames.RulesDocument) -> None:
         """Take rules of a peer."""
@@ -42,50 +52,50 @@
         """Take records of members of a peer."""
 
 
-class Peer:
-    """Another daemon."""
-
-    def __init__(self, member: fleet.Member) -> None:
-        """Start without a connection."""
-        self.member = member
-        self.candidate = upstream_choice.Candidate(member)
-        self.connection: frame_link.FrameConnection | None = None
-        self.is_connecting = False
-        self.connect_at = 0.0
-        self.pause_s = RECONNECT_S
-        self.pinged: dict[int, float] = {}
-        # Calls that wait for an answer of this daemon.
-        self.calls: dict[
-            int, Callable[[upstream_side.Reply | None], None]
-        ] = {}
-
-
 class Peers:
-    """Keeps one connection to each daemon and takes calls of theirs."""
+    """Connects to the daemons that are of use and takes calls of theirs."""
 
     def __init__(
         self,
         *,
         clock: clock_module.Clock,
         own: fleet.Member,
+        plan: peer_plan.PeerPlan,
         upstream: upstream_side.UpstreamSide,
         knowledge: store_knowledge.StoreKnowledge,
         store: StoreState,
         log: json_log.JsonLog,
+        on_reached: Callable[[ids.ServiceName], None],
         on_lend: Callable[[frames.Lend], None],
         on_borrow: Callable[[frames.Borrow], frames.Lend],
     ) -> None:
-        """Take this daemon's record and what messages are handed to."""
+        """Take this daemon's record and what messages are handed to.
+
+        Args:
+            clock: Counts time while the VM is suspended.
+            own: This daemon's record.
+            plan: Tells which daemons to connect to.
+            upstream: Runs calls at the own upstream.
+            knowledge: Ages of what is known of the store.
+            store: Documents of the store.
+            log: Log lines.
+            on_reached: Called when a daemon of a service takes calls.
+            on_lend: Called with the answer of a lender.
+            on_borrow: Answers a borrower.
+        """
         self._clock = clock
         self._own = own
+        self._plan = plan
         self._upstream = upstream
         self._knowledge = knowledge
         self._store = store
         self._log = log
+        self._on_reached = on_reached
         self._on_lend = on_lend
         self._on_borrow = on_borrow
         self._started_at = int(clock.wall() * 1e6)
-        self._peers: dict[ids.DaemonId, Peer] = {}
+        self._members: dict[ids.DaemonId, fleet.Member] = {}
+        self._links: dict[ids.DaemonId, peer_link.PeerLink] = {}
         self._accepted: set[frame_link.FrameConnection] = set()
         self._running: dict[
             tuple[frame_link.FrameConnection, int],
@@ -93,56 +103,78 @@
         ] = {}
         self._own_candidate = upstream_choice.Candidate(own)
         self._own_candidate.is_reachable = True
-        self._by_service: dict[
+        # Services that are called, and since when they were not.
+        self._called_at: dict[ids.ServiceName, float] = {}
+        self._by_service: dict[ids.ServiceName, list[peer_link.PeerLink]] = {}
+        self._candidates: dict[
             ids.ServiceName, list[upstream_choice.Candidate]
         ] = {}
-        self._sequence = 0
-        self._pinged_at = 0.0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._reviewed_at = 0.0
+        self._fetched_at: dict[tuple[str, int], float] = {}
         self._server: asyncio.Server | None = None
-        self._index()
 
     @property
     def open_count(self) -> int:
         """Return the number of daemons that can be reached."""
         return sum(
-            peer.candidate.is_reachable for peer in self._peers.values()
+            link.candidate.is_reachable for link in self._links.values()
         )
 
+    @property
+    def accepted_count(self) -> int:
+        """Return the number of connections of other daemons."""
+        return len(self._accepted)
+
     def candidates(
         self, service: ids.ServiceName
     ) -> list[upstream_choice.Candidate]:
-        """Return the daemons beside the upstreams of a service."""
-        return self._by_service.get(service, [])
+        """Return daemons beside upstreams of a service that is called."""
+        now = self._clock.monotonic()
+        is_new = service not in self._called_at
+        self._called_at[service] = now
+        if is_new:
+            self._review(now)
+        return self._candidates.get(service, [])
+
+    def is_connecting(self, service: ids.ServiceName) -> bool:
+        """Return whether the first connections for a service are made."""
+        return not self._members or any(
+            link.is_starting for link in self._by_service.get(service, [])
+        )
 
     def is_reachable(self, daemon_id: ids.DaemonId) -> bool:
         """Return whether messages to a daemon can be sent."""
-        peer = self._peers.get(daemon_id)
-        return peer is not None and peer.candidate.is_reachable
+        link = self._links.get(daemon_id)
+        return link is not None and link.candidate.is_reachable
+
+    def reads_store(self, daemon_id: ids.DaemonId) -> bool:
+        """Return whether a daemon says that it reads the store."""
+        link = self._links.get(daemon_id)
+        return link is not None and link.reads_store
 
     def set_members(self, members: Iterable[fleet.Member]) -> None:
-        """Take all daemons; connections to those that are new are made."""
-        known = {
+        """Take all daemons; connections to those that are gone end."""
+        self._members = {
             member.daemon_id: member
             for member in members
             if member.daemon_id != self._own.daemon_id
         }
-        for daemon_id, peer in list(self._peers.items()):
-            if known.get(daemon_id) != peer.member:
-                del self._peers[daemon_id]
-                self._drop(peer, 'no member any more')
-        for daemon_id, member in known.items():
-            if daemon_id not in self._peers:
-                self._peers[daemon_id] = Peer(member)
-        self._index()
-        self._connect_due()
+        self._plan.set_members(self._members.values())
+        for daemon_id, link in list(self._links.items()):
+            if self._members.get(daemon_id) != link.member:
+                del self._links[daemon_id]
+                link.close('no member any more')
+        self._review(self._clock.monotonic())
 
     def set_serving(self, is_serving: bool) -> None:
         """Tell all daemons whether this one takes calls."""
         self._own_candidate.is_serving = is_serving
+        self._own_candidate.note_load(self._upstream.load)
         status = frames.Status(is_serving=is_serving, load=self._upstream.load)
         for connection in self._accepted:
             connection.send(status)
+        if is_serving:
+            self._on_reached(self._own.service)
 
     def announce(self) -> None:
         """Tell all daemons which state of the store this one knows."""
@@ -154,7 +186,7 @@
         self,
         candidate: upstream_choice.Candidate,
         run: frames.Run,
-        on_reply: Callable[[upstream_side.Reply | None], None],
+        on_reply: peer_link.OnReply,
     ) -> Callable[[], None]:
         """Send a call; on_reply gets None if the daemon was lost.
 
@@ -164,34 +196,36 @@
         if candidate is self._own_candidate:
             call = self._upstream.submit(run, on_reply)
             return lambda: self._upstream.cancel(call)
-        peer = self._peers.get(candidate.member.daemon_id)
-        if peer is None or peer.connection is None:
+        link = self._links.get(candidate.member.daemon_id)
+        if link is None or not link.is_open:
             on_reply(
                 frames.Refused(
                     call_id=run.call_id,
-                    reason='peer_unreachable',
+                    reason=enums.RefusalReason.PEER_UNREACHABLE.value,
                     is_local=True,
                     load=0.0,
                 )
             )
             return lambda: None
-        peer.calls[run.call_id] = on_reply
-        peer.connection.send(run)
-
-        def cancel() -> None:
-            if peer.calls.pop(run.call_id, None) is not None:
-                if peer.connection is not None:
-                    peer.connection.send(frames.Cancel(call_id=run.call_id))
-
-        return cancel
+        link.wanted_at = self._clock.monotonic()
+        link.start_call(run, on_reply)
+        return lambda: link.cancel_call(run.call_id)
 
     def send(self, daemon_id: ids.DaemonId, message: frames.AnyFrame) -> bool:
         """Send a message; return False if the daemon is not reachable."""
-        peer = self._peers.get(daemon_id)
-        if peer is None or peer.connection is None:
+        link = self._links.get(daemon_id)
+        if link is None:
             return False
-        peer.connection.send(message)
-        return True
+        link.wanted_at = self._clock.monotonic()
+        return link.send(message)
+
+    def connect(self, daemon_id: ids.DaemonId) -> None:
+        """Connect to a daemon because messages to it will follow."""
+        now = self._clock.monotonic()
+        self._want(daemon_id, now)
+        link = self._links.get(daemon_id)
+        if link is not None:
+            link.tick(now)
 
     async def async_listen(self) -> None:
         """Take connections of other daemons from now on."""
@@ -208,132 +242,84 @@
         )
 
     def tick(self) -> None:
-        """Ping daemons, drop silent ones and connect to others."""
+        """Connect, ping and drop silent connections."""
         now = self._clock.monotonic()
-        loop_now = asyncio.get_running_loop().time()
-        for peer in list(self._peers.values()):
-            connection = peer.connection
-            if connection is None:
-                continue
-            if loop_now - connection.heard_at > SILENT_S:
-                connection.close('silent')
+        if now - self._reviewed_at < REVIEW_S:
+            return
+        self._review(now)
         for connection in list(self._accepted):
-            if loop_now - connection.heard_at > 4 * SILENT_S:
+            if connection.silent_s > ACCEPTED_SILENT_S:
                 connection.close('silent')
-        if now - self._pinged_at >= PING_S:
-            self._pinged_at = now
-            self._ping_all(now)
-        self._connect_due()
 
     def close(self) -> None:
         """Close all connections."""
         if self._server is not None:
             self._server.close()
-        for peer in self._peers.values():
-            if peer.connection is not None:
-                peer.connection.close('stopped')
+        for link in self._links.values():
+            link.close('stopped')
         for connection in list(self._accepted):
             connection.close('stopped')
 
     # Outgoing connections.
 
-    def _index(self) -> None:
+    def _review(self, now: float) -> None:
+        """Bring the connections in line with what is of use."""
+        self._reviewed_at = now
+        feeds = set(self._plan.feeds) if self._members else set()
+        for daemon_id in feeds:
+            self._want(daemon_id, now)
         self._by_service = {}
-        candidates = [self._own_candidate]
-        candidates += [peer.candidate for peer in self._peers.values()]
-        for candidate in candidates:
-            self._by_service.setdefault(candidate.member.service, []).append(
-                candidate
-            )
-
-    def _connect_due(self) -> None:
-        now = self._clock.monotonic()
-        for peer in self._peers.values():
-            if peer.connection is not None or peer.is_connecting:
+        for service, called_at in list(self._called_at.items()):
+            if now - called_at > UNUSED_S:
+                del self._called_at[service]
                 continue
-            if now < peer.connect_at:
+            subset = self._plan.subset(service, self._is_failing)
+            self._by_service[service] = [
+                link
+                for daemon_id in subset
+                if (link := self._want(daemon_id, now)) is not None
+            ]
+        self._index()
+        for daemon_id, link in list(self._links.items()):
+            link.is_feed = daemon_id in feeds
+            if now - link.wanted_at > UNUSED_S and not link.has_calls:
+                del self._links[daemon_id]
+                link.close('not used')
                 continue
-            peer.is_connecting = True
-            task = asyncio.get_running_loop().create_task(
-                self._async_connect(peer)
+            link.tick(now)
+
+    def _index(self) -> None:
+        self._candidates = {
+            service: [link.candidate for link in links]
+            for service, links in self._by_service.items()
+        }
+        own_service = self._own.service
+        if own_service in self._called_at:
+            self._candidates.setdefault(own_service, []).append(
+                self._own_candidate
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
 
-    async def _async_connect(self, peer: Peer) -> None:
-        loop = asyncio.get_running_loop()
-        host, port = peer.member.address
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(
-                    lambda: frame_link.FrameConnection(
-                        self._on_message,
-                        lambda connection: self._on_open(peer, connection),
-                        lambda connection, reason: self._on_lost(
-                            peer, connection, reason
-                        ),
-                    ),
-                    host,
-                    port,
-                )
-        except OSError:
-            # TimeoutError is an OSError.
-            self._delay(peer)
-        finally:
-            peer.is_connecting = False
-
-    def _delay(self, peer: Peer) -> None:
-        peer.connect_at = self._clock.monotonic() + peer.pause_s
-        peer.pause_s = min(RECONNECT_MAX_S, 2.0 * peer.pause_s)
-
-    def _on_open(
-        self, peer: Peer, connection: frame_link.FrameConnection
-    ) -> None:
-        if self._peers.get(peer.member.daemon_id) is not peer:
-            connection.close('no member any more')
-            return
-        peer.connection = connection
-        connection.daemon_id = peer.member.daemon_id
-        connection.send(self._hello())
-        self._ping(peer, self._clock.monotonic())
+    def _want(
+        self, daemon_id: ids.DaemonId, now: float
+    ) -> peer_link.PeerLink | None:
+        member = self._members.get(daemon_id)
+        if member is None:
+            return None
+        link = self._links.get(daemon_id)
+        if link is None:
+            link = self._links[daemon_id] = peer_link.PeerLink(
+                member,
+                clock=self._clock,
+                hello=self._hello,
+                log=self._log,
+                on_message=self._on_message,
+            )
+        link.wanted_at = now
+        return link
 
-    def _on_lost(
-        self, peer: Peer, connection: frame_link.FrameConnection, reason: str
-    ) -> None:
-        if peer.connection is not connection:
-            return
-        self._log.change(
-            'peer_lost',
-            peer=peer.member.daemon_id,
-            reason=reason,
-            open_calls=len(peer.calls),
-        )
-        self._drop(peer, reason)
-        self._delay(peer)
-
-    def _drop(self, peer: Peer, reason: str) -> None:
-        connection, peer.connection = peer.connection, None
-        peer.candidate.is_reachable = False
-        peer.candidate.is_serving = False
-        peer.candidate.latency_s = None
-        peer.pinged.clear()
-        if connection is not None and connection.is_open:
-            connection.close(reason)
-        calls, peer.calls = peer.calls, {}
-        for on_reply in calls.values():
-            on_reply(None)
-
-    def _ping_all(self, now: float) -> None:
-        for peer in self._peers.values():
-            if peer.connection is not None:
-                self._ping(peer, now)
-
-    def _ping(self, peer: Peer, now: float) -> None:
-        if peer.connection is None:
-            return
-        self._sequence += 1
-        peer.pinged[self._sequence] = now
-        peer.connection.send(frames.Ping(sequence=self._sequence))
+    def _is_failing(self, daemon_id: ids.DaemonId) -> bool:
+        link = self._links.get(daemon_id)
+        return link is not None and link.is_failing
 
     # Incoming connections.
 
@@ -362,7 +348,9 @@
         elif isinstance(
             message, frames.Answer | frames.Refused | frames.Failed
         ):
-            self._take_reply(connection, message)
+            link = self._link_of(connection)
+            if link is not None:
+                link.take_reply(message)
         elif isinstance(message, frames.Cancel):
             call = self._running.pop((connection, message.call_id), None)
             if call is not None:
@@ -382,10 +370,10 @@
         if isinstance(message, frames.Hello):
             self._take_hello(connection, message)
         elif isinstance(message, frames.Status):
-            peer = self._peer_of(connection)
-            if peer is not None:
-                peer.candidate.is_serving = message.is_serving
-                peer.candidate.note_load(message.load)
+            link = self._link_of(connection)
+            if link is not None:
+                link.candidate.is_serving = message.is_serving
+                link.candidate.note_load(message.load)
         elif isinstance(message, frames.Borrow):
             connection.send(self._on_borrow(message))
         elif isinstance(message, frames.Lend):
@@ -397,7 +385,7 @@
         elif isinstance(message, frames.RulesDocument):
             self._store.take_rules(message)
         elif isinstance(message, frames.FetchMembers):
-            connection.send(self._store.members_document())
+            connection.send(self._store.members_document(message.start))
         elif isinstance(message, frames.MembersDocument):
             self._store.take_members(message)
 
@@ -414,16 +402,22 @@
                 connection.close(f'address is of {hello.daemon_id} now')
             return
         connection.daemon_id = hello.daemon_id
-        peer = self._peers.get(ids.DaemonId(hello.daemon_id))
-        if peer is not None and peer.connection is None:
+        link = self._links.get(ids.DaemonId(hello.daemon_id))
+        if link is not None and not link.is_open:
             # It lives, so a pause after failed tries is of no use.
-            peer.connect_at = 0.0
+            link.connect_soon()
+        if not self._members:
+            # Nothing was read of the store yet; it may be away.
+            connection.send(frames.FetchMembers(start=-1))
+            connection.send(frames.FetchRules())
 
-    def _peer_of(self, connection: frame_link.FrameConnection) -> Peer | None:
-        peer = self._peers.get(ids.DaemonId(connection.daemon_id or ''))
-        if peer is None or peer.connection is not connection:
+    def _link_of(
+        self, connection: frame_link.FrameConnection
+    ) -> peer_link.PeerLink | None:
+        link = self._links.get(ids.DaemonId(connection.daemon_id or ''))
+        if link is None or not link.owns(connection):
             return None
-        return peer
+        return link
 
     def _take_call(
         self, connection: frame_link.FrameConnection, run: frames.Run
@@ -438,18 +432,6 @@
         if call.state is not call.state.ENDED:
             self._running[key] = call
 
-    def _take_reply(
-        self,
-        connection: frame_link.FrameConnection,
-        reply: upstream_side.Reply,
-    ) -> None:
-        peer = self._peer_of(connection)
-        if peer is None:
-            return
-        on_reply = peer.calls.pop(reply.call_id, None)
-        if on_reply is not None:
-            on_reply(reply)
-
     def _pong(self, sequence: int) -> frames.Pong:
         knowledge = self._knowledge
         return frames.Pong(
@@ -460,26 +442,24 @@
             members_age_s=min(knowledge.members_age_s, 1e9),
             is_serving=self._upstream.is_serving,
             load=self._upstream.load,
+            reads_store=self._store.reads_store,
         )
 
     def _take_pong(
         self, connection: frame_link.FrameConnection, pong: frames.Pong
     ) -> None:
-        peer = self._peer_of(connection)
-        if peer is None:
+        link = self._link_of(connection)
+        if link is None:
             return
-        peer.candidate.is_serving = pong.is_serving
-        peer.candidate.note_load(pong.load)
-        if not peer.candidate.is_reachable:
-            peer.candidate.is_reachable = True
-            peer.pause_s = RECONNECT_S
-            self._log.change('peer_reached', peer=peer.member.daemon_id)
+        was_usable = link.candidate.is_reachable and link.candidate.is_serving
+        asked_at = link.take_pong(pong)
+        if link.candidate.is_serving and not was_usable:
+            self._on_reached(link.member.service)
         knowledge = self._knowledge
         if pong.rules_version > knowledge.rules_version:
-            connection.send(frames.FetchRules())
+            self._fetch('rules', pong.rules_version, link)
         if pong.members_end > knowledge.members_end:
-            connection.send(frames.FetchMembers())
-        asked_at = peer.pinged.pop(pong.sequence, None)
+            self._fetch('members', pong.members_end, link)
         if asked_at is None:
             return
         if pong.rules_version == knowledge.rules_version:
@@ -491,6 +471,22 @@
                 pong.members_end, asked_at - pong.members_age_s
             )
 
+    def _fetch(self, what: str, end: int, link: peer_link.PeerLink) -> None:
+        """Ask for a document, unless the same was just asked for."""
+        now = self._clock.monotonic()
+        if now - self._fetched_at.get((what, end), -FETCH_S) < FETCH_S:
+            return
+        self._fetched_at = {
+            key: at
+            for key, at in self._fetched_at.items()
+            if now - at < FETCH_S
+        }
+        self._fetched_at[what, end] = now
+        if what == 'rules':
+            link.send(frames.FetchRules())
+        else:
+            link.send(frames.FetchMembers(start=self._knowledge.members_end))
+
 
 def compress(document: bytes) -> bytes:
     """Return a document for the way between daemons."""
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -11,6 +11,7 @@
 from sassafraswood import clock as clock_module
 from sassafraswood import const
 from sassafraswood.coordination import deep_load
+from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
@@ -138,6 +139,7 @@
             log=self._log,
             on_loaded=self._upstream.refresh,
         )
+        plan = peer_plan.PeerPlan(own)
         self._follower = follower.Follower(
             clock=self._clock,
             random=random,
@@ -149,15 +151,19 @@
             on_members=self._on_members,
             on_registered=self._on_registered,
             on_news=self._on_news,
-            is_reachable=lambda daemon_id: self._peers.is_reachable(daemon_id),
+            plan=plan,
+            is_reading=lambda daemon_id: self._peers.reads_store(daemon_id),
+            apply_s=bounds.apply_s,
         )
         self._peers = peers.Peers(
             clock=self._clock,
             own=own,
+            plan=plan,
             upstream=self._upstream,
             knowledge=self._knowledge,
             store=self._follower,
             log=self._log,
+            on_reached=self._callers.resume,
             on_lend=self._callers.take_loan,
             on_borrow=self._lend,
         )
@@ -367,6 +373,7 @@
         metrics.gauge('upstream_load', self._upstream.load)
         metrics.gauge('upstream_connects', self._pool.connects)
         metrics.gauge('peers_reachable', self._peers.open_count)
+        metrics.gauge('peers_accepted', self._peers.accepted_count)
         metrics.gauge('store_calls', self._store.calls)
         metrics.gauge('rules_version', self._knowledge.rules_version)
         metrics.gauge('rules_age_seconds', self._knowledge.rules_age_s)
--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -35,6 +35,11 @@
         """Return whether messages can be sent."""
         return self._transport is not None
 
+    @property
+    def silent_s(self) -> float:
+        """Return for how long nothing was heard, in seconds."""
+        return self._loop.time() - self.heard_at
+
     def send(self, message: frames.AnyFrame) -> None:
         """Send a message; does nothing on a closed connection."""
         if self._transport is not None:
--- /dev/null
+++ b/tests/sidecar/test_caller_side.py
@@ -0,0 +1,301 @@
+"""Tests of the side of a daemon that answers callers."""
+
+import random
+
+from sassafraswood import clock
+from sassafraswood.coordination import deep_load
+from sassafraswood.coordination import quota_shares
+from sassafraswood.coordination import store_knowledge
+from sassafraswood.coordination import upstream_choice
+from sassafraswood.models import fleet
+from sassafraswood.models import traffic
+from sassafraswood.protocol import frames
+from sassafraswood.sidecar import caller_side
+from sassafraswood.sidecar import measures
+from sassafraswood.transport import ingress
+from sassafraswood.transport import json_log
+
+from tests.sidecar.test_upstream_side import NAMES
+
+
+class FakeConnection:
+    """Keeps the answers to one client."""
+
+    peer = '10.0.0.1'
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self.answers = []
+
+    def reply(self, request, status, head, body, *, close) -> None:
+        """Keep an answer."""
+        self.answers.append((status, head, body))
+
+
+class FakePeers:
+    """Daemons that the test answers for."""
+
+    def __init__(self) -> None:
+        """Start with two daemons of the service."""
+        self.connecting = False
+        self.sent = []
+        self.cancelled = []
+        self.members = [self.add(index) for index in range(2)]
+
+    def add(self, index: int) -> upstream_choice.Candidate:
+        """Return a daemon that takes calls."""
+        candidate = upstream_choice.Candidate(
+            fleet.Member(
+                daemon_id=f'd{index}',
+                address=('10.0.0.2', 7000 + index),
+                failure_domain='a',
+                service='status',
+            )
+        )
+        candidate.is_reachable = candidate.is_serving = True
+        return candidate
+
+    def candidates(self, service):
+        """Return the daemons."""
+        return self.members
+
+    def is_connecting(self, service) -> bool:
+        """Return what the test says."""
+        return self.connecting
+
+    def start_call(self, candidate, run, on_reply):
+        """Keep a call."""
+        self.sent.append((candidate, run, on_reply))
+        return lambda: self.cancelled.append(run)
+
+
+class FakeUpstream:
+    """An upstream that makes no calls."""
+
+    makes_calls = False
+
+    def note_inner_call(self, deadline):
+        """Return that the run is not known."""
+
+
+class Side:
+    """A caller side with fake daemons."""
+
+    def __init__(self, tmp_path) -> None:
+        """Wire it up with rules of one safe and one unsafe route."""
+        self.clock = clock.ManualClock()
+        self.peers = FakePeers()
+        self.knowledge = store_knowledge.StoreKnowledge(self.clock)
+        source = random.Random(1)
+        own = fleet.Member(
+            daemon_id='own',
+            address=('10.0.0.9', 7000),
+            failure_domain='a',
+            service='desk',
+        )
+        self.log_file = open(tmp_path / 'log', 'wb')
+        self.side = caller_side.CallerSide(
+            clock=self.clock,
+            random=source,
+            own=own,
+            names=NAMES,
+            knowledge=self.knowledge,
+            shares=quota_shares.QuotaShares(
+                clock=self.clock,
+                random=source,
+                daemon_id='own',
+                slack=20.0,
+                tolerance=0.1,
+            ),
+            choice=upstream_choice.UpstreamChoice(
+                clock=self.clock, random=source, domain='a'
+            ),
+            upstream=FakeUpstream(),
+            below=deep_load.DeepLoad(),
+            log=json_log.JsonLog('own', self.log_file.fileno()),
+            metrics=measures.Measures(),
+            revoke_s=5.0,
+            members_s=5.0,
+            retry_ratio=0.2,
+            retry_slack=48.0,
+        )
+        self.side.attach(self.peers)
+        self.knowledge.note_rules(1, self.clock.monotonic())
+        workspace = traffic.WorkspaceRules(
+            name='blue', rank=None, rate_per_s=0.0, burst=0.0
+        )
+        self.side.set_rules(
+            traffic.TrafficRules(
+                version=1,
+                routes=(
+                    self.route('read', True),
+                    self.route('pay', False),
+                ),
+                services={},
+                workspaces={'blue': workspace},
+                workspaces_by_key={b'k1': workspace},
+                limits=ingress.DEFAULT_LIMITS,
+            )
+        )
+
+    def route(self, name: str, is_idempotent: bool) -> traffic.Route:
+        """Return a route to the service."""
+        return traffic.Route(
+            name=name,
+            host='shop.example',
+            prefix=f'/{name}/',
+            destinations=(traffic.Destination(service='status', weight=1.0),),
+            is_idempotent=is_idempotent,
+            timeout_s=1.0,
+            target_s=0.8,
+            max_upstreams=2,
+            rank=0,
+            is_open=False,
+        )
+
+    def send(self, name: str, key: bytes = b'k1') -> FakeConnection:
+        """Send a request and return its connection."""
+        connection = FakeConnection()
+        request = ingress.IngressRequest(connection)
+        request.method = b'GET'
+        request.host = b'shop.example'
+        request.target = f'/{name}/7'.encode()
+        request.deadline_ms = b'2000'
+        request.attempt_id = b'abc'
+        request.key = key
+        request.received_at = self.clock.monotonic()
+        self.side.handle(request)
+        return connection
+
+    def answer(self, index: int, reply=None) -> None:
+        """Answer a call that was sent."""
+        _, run, on_reply = self.peers.sent[index]
+        on_reply(reply and reply(run))
+
+
+def ok(run: frames.Run) -> frames.Answer:
+    """Return a whole answer."""
+    return frames.Answer(
+        call_id=run.call_id,
+        status=200,
+        head=b'',
+        body=b'x',
+        load=0.1,
+        deep_load=0.1,
+    )
+
+
+def refused(run: frames.Run) -> frames.Refused:
+    """Return a refusal for the load of the upstream."""
+    return frames.Refused(
+        call_id=run.call_id, reason='overloaded', is_local=False, load=2.0
+    )
+
+
+def test_answer_is_handed_back(tmp_path) -> None:
+    """The whole answer of the upstream, once."""
+    side = Side(tmp_path)
+    connection = side.send('read')
+    side.answer(0, ok)
+    assert connection.answers == [(200, b'', b'x')]
+    assert side.side.active_count == 0
+
+
+def test_lost_daemon_and_a_request_that_may_run_again(tmp_path) -> None:
+    """It goes to another daemon."""
+    side = Side(tmp_path)
+    connection = side.send('read')
+    side.answer(0)
+    assert len(side.peers.sent) == 2
+    first, second = (candidate for candidate, _, _ in side.peers.sent)
+    assert first is not second
+    side.answer(1, ok)
+    assert connection.answers[0][0] == 200
+
+
+def test_lost_daemon_and_a_request_that_may_run_once(tmp_path) -> None:
+    """It may have run, so it is neither sent again nor called not run."""
+    side = Side(tmp_path)
+    connection = side.send('pay')
+    side.answer(0)
+    assert len(side.peers.sent) == 1
+    assert connection.answers[0][0] == 502
+
+
+def test_refusal_tells_when_to_come_back(tmp_path) -> None:
+    """Within the time that the caller has left."""
+    side = Side(tmp_path)
+    connection = side.send('pay')
+    side.answer(0, refused)
+    status, head, _ = connection.answers[0]
+    assert status == 503
+    assert 0.0 < float(head.split(b':')[1]) < 0.8
+
+
+def test_refusal_after_a_send_that_may_have_run(tmp_path) -> None:
+    """The promise that it has not run would be false."""
+    side = Side(tmp_path)
+    connection = side.send('read')
+    side.answer(0)
+    side.answer(1, refused)
+    assert connection.answers[0][0] == 502
+
+
+def test_first_connection_to_a_service_is_waited_for(tmp_path) -> None:
+    """The connections to a service are made with its first call."""
+    side = Side(tmp_path)
+    members, side.peers.members = side.peers.members, []
+    side.peers.connecting = True
+    connection = side.send('pay')
+    assert not connection.answers
+    side.peers.members = members
+    side.side.resume('status')
+    side.answer(0, ok)
+    assert connection.answers[0][0] == 200
+
+
+def test_connection_that_does_not_come_is_not_waited_for(tmp_path) -> None:
+    """The refusal leaves time to come back within the target."""
+    side = Side(tmp_path)
+    side.peers.members = []
+    side.peers.connecting = True
+    connection = side.send('pay')
+    side.clock.advance(0.11)
+    side.side.tick()
+    assert connection.answers[0][0] == 503
+
+
+def test_service_without_daemons_is_refused_at_once(tmp_path) -> None:
+    """There is nothing to wait for."""
+    side = Side(tmp_path)
+    side.peers.members = []
+    assert side.send('pay').answers[0][0] == 503
+
+
+def test_route_timeout_ends_the_wait(tmp_path) -> None:
+    """The call is cancelled at the daemon that has it."""
+    side = Side(tmp_path)
+    connection = side.send('read')
+    side.clock.advance(1.01)
+    side.side.tick()
+    assert connection.answers[0][0] == 504
+    assert len(side.peers.cancelled) == 1
+
+
+def test_keys_are_checked(tmp_path) -> None:
+    """A wrong key, and one that may have been withdrawn meanwhile."""
+    side = Side(tmp_path)
+    assert side.send('read', key=b'k2').answers[0][0] == 401
+    side.clock.advance(5.0)
+    assert side.send('read').answers[0][0] == 503
+    assert not side.peers.sent
+
+
+def test_client_that_left_is_not_served(tmp_path) -> None:
+    """The call is cancelled."""
+    side = Side(tmp_path)
+    connection = side.send('read')
+    request = next(iter(side.side._active.values())).request
+    side.side.abandon(request)
+    assert len(side.peers.cancelled) == 1
+    assert not connection.answers
