Renew records of members, drop those of ended daemons, split the follower

Cause: the record of a daemon whose VM was taken away stayed in the store; its part of each limit was spent by nobody, others kept trying to reach it, and lost daemons could fill the reading group. Ruled out: dropping what cannot be reached, since a daemon that is cut off would drop all others. The follower is split into readers of rules and of members on one loop.

--- a/lab/platform_store.py
+++ b/lab/platform_store.py
@@ -101,24 +101,28 @@
             return await self._async_read(topic, query)
         return 404, b''
 
-    def _newest(self, topic: str) -> bytes:
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Return the value of each key."""
+        return {key: value for key, (_, value) in self._by_key(topic).items()}
+
+    def _by_key(self, topic: str) -> dict[str, tuple[int, bytes]]:
         newest: dict[str, tuple[int, bytes]] = {}
-        records = self._records.get(topic, [])
-        for offset, payload in enumerate(records):
+        for offset, payload in enumerate(self._records.get(topic, [])):
             end = 1 + payload[0]
             newest[payload[1:end].decode()] = offset, payload[end:]
+        return {key: item for key, item in newest.items() if item[1]}
+
+    def _newest(self, topic: str) -> bytes:
         items = [
             {
                 'key': key,
                 'value': base64.b64encode(value).decode(),
                 'offset': offset,
             }
-            for key, (offset, value) in newest.items()
-            if value
+            for key, (offset, value) in self._by_key(topic).items()
         ]
-        return json.dumps(
-            {'items': items, 'more': False, 'end': len(records)}
-        ).encode()
+        end = len(self._records.get(topic, []))
+        return json.dumps({'items': items, 'more': False, 'end': end}).encode()
 
     async def _async_read(
         self, topic: str, query: dict[str, str]
--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -59,6 +59,16 @@
         )
         return await asyncio.to_thread(_status, request)
 
+    async def async_deregister(self, port: int) -> int:
+        """Leave and return the status of the daemon's answer."""
+        request = urllib.request.Request(
+            f'http://127.0.0.1:{port}/rpc'
+            f'?call=instances.deregister&of={self.instance_id}',
+            b'',
+            method='POST',
+        )
+        return await asyncio.to_thread(_status, request)
+
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -2,19 +2,19 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import Final, Protocol
-import zlib
+from typing import Final
 
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
-from sassafraswood import exceptions
 from sassafraswood.models import enums
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import member_follower
 from sassafraswood.sidecar import peer_link
+from sassafraswood.sidecar import rules_follower
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.transport import frame_link
 from sassafraswood.transport import json_log
@@ -32,26 +32,6 @@
 FETCH_S: Final = 0.5
 
 
-class StoreState(Protocol):
-    """Documents of the store that daemons pass on to each other."""
-
-    @property
-    def reads_store(self) -> bool:
-        """Return whether this daemon reads the store with success."""
-
-    def rules_document(self) -> frames.RulesDocument | None:
-        """Return the rules in force."""
-
-    def members_document(self, start: int) -> frames.MembersDocument:
-        """Return the records of members from an offset."""
-
-    def take_rules(self, document: frames.RulesDocument) -> None:
-        """Take rules of a peer."""
-
-    def take_members(self, document: frames.MembersDocument) -> None:
-        """Take records of members of a peer."""
-
-
 class Peers:
     """Connects to the daemons that are of use and takes calls of theirs."""
 
@@ -63,7 +43,8 @@
         plan: peer_plan.PeerPlan,
         upstream: upstream_side.UpstreamSide,
         knowledge: store_knowledge.StoreKnowledge,
-        store: StoreState,
+        rules: rules_follower.RulesFollower,
+        membership: member_follower.MemberFollower,
         log: json_log.JsonLog,
         on_reached: Callable[[ids.ServiceName], None],
         on_lend: Callable[[frames.Lend], None],
@@ -77,7 +58,8 @@
             plan: Tells which daemons to connect to.
             upstream: Runs calls at the own upstream.
             knowledge: Ages of what is known of the store.
-            store: Documents of the store.
+            rules: Rules that daemons pass on to each other.
+            membership: Records of members that they pass on.
             log: Log lines.
             on_reached: Called when a daemon of a service takes calls.
             on_lend: Called with the answer of a lender.
@@ -88,7 +70,8 @@
         self._plan = plan
         self._upstream = upstream
         self._knowledge = knowledge
-        self._store = store
+        self._rules = rules
+        self._membership = membership
         self._log = log
         self._on_reached = on_reached
         self._on_lend = on_lend
@@ -379,15 +362,15 @@
         elif isinstance(message, frames.Lend):
             self._on_lend(message)
         elif isinstance(message, frames.FetchRules):
-            document = self._store.rules_document()
+            document = self._rules.document()
             if document is not None:
                 connection.send(document)
         elif isinstance(message, frames.RulesDocument):
-            self._store.take_rules(message)
+            self._rules.take(message)
         elif isinstance(message, frames.FetchMembers):
-            connection.send(self._store.members_document(message.start))
+            connection.send(self._membership.document(message.start))
         elif isinstance(message, frames.MembersDocument):
-            self._store.take_members(message)
+            self._membership.take(message)
 
     def _hello(self) -> frames.Hello:
         return frames.Hello(
@@ -442,7 +425,9 @@
             members_age_s=min(knowledge.members_age_s, 1e9),
             is_serving=self._upstream.is_serving,
             load=self._upstream.load,
-            reads_store=self._store.reads_store,
+            reads_store=(
+                self._rules.gets_answers and self._membership.gets_answers
+            ),
         )
 
     def _take_pong(
@@ -486,20 +471,3 @@
             link.send(frames.FetchRules())
         else:
             link.send(frames.FetchMembers(start=self._knowledge.members_end))
-
-
-def compress(document: bytes) -> bytes:
-    """Return a document for the way between daemons."""
-    return zlib.compress(document, 1)
-
-
-def decompress(document: bytes) -> bytes:
-    """Return a document that came from another daemon.
-
-    Raises:
-        DecodeError: The bytes are no compressed document.
-    """
-    try:
-        return zlib.decompress(document)
-    except zlib.error as error:
-        raise exceptions.DecodeError(str(error)) from error
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random as random_module
 import signal
 from typing import Final
@@ -13,6 +14,7 @@
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import quota_shares
+from sassafraswood.coordination import store_duty
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.coordination import upstream_gate
@@ -26,11 +28,13 @@
 from sassafraswood.platform import store as store_module
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
-from sassafraswood.sidecar import follower
 from sassafraswood.sidecar import leave_log
 from sassafraswood.sidecar import local_servers
 from sassafraswood.sidecar import measures
+from sassafraswood.sidecar import member_follower
 from sassafraswood.sidecar import peers
+from sassafraswood.sidecar import rules_follower
+from sassafraswood.sidecar import store_reader
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.transport import exchange
 from sassafraswood.transport import ingress
@@ -43,6 +47,8 @@
 # After the signal to end, callers need two missed readiness checks, one a
 # second, and their last requests before nothing new is accepted.
 LINGER_S: Final = 3.0
+# The store takes 0.4 s when it is slow; callers are served meanwhile.
+LEAVE_TIMEOUT_S: Final = 0.5
 # Kept from the time until the process is killed, in seconds.
 GRACE_MARGIN_S: Final = 0.7
 METRICS_PORT: Final = 9464
@@ -140,20 +146,30 @@
             on_loaded=self._upstream.refresh,
         )
         plan = peer_plan.PeerPlan(own)
-        self._follower = follower.Follower(
+        reading = store_reader.Reading(
             clock=self._clock,
             random=random,
-            own=own,
             store=self._store,
-            knowledge=self._knowledge,
+            duty=store_duty.StoreDuty(
+                plan, lambda daemon_id: self._peers.reads_store(daemon_id)
+            ),
             log=self._log,
+        )
+        self._rules = rules_follower.RulesFollower(
+            reading=reading,
+            knowledge=self._knowledge,
+            max_age_s=bounds.apply_s,
             on_rules=self._on_rules,
+            on_news=self._on_news,
+        )
+        self._membership = member_follower.MemberFollower(
+            reading=reading,
+            own=own,
+            knowledge=self._knowledge,
+            max_age_s=MEMBERS_AGE_S,
             on_members=self._on_members,
             on_registered=self._on_registered,
             on_news=self._on_news,
-            plan=plan,
-            is_reading=lambda daemon_id: self._peers.reads_store(daemon_id),
-            apply_s=bounds.apply_s,
         )
         self._peers = peers.Peers(
             clock=self._clock,
@@ -161,7 +177,8 @@
             plan=plan,
             upstream=self._upstream,
             knowledge=self._knowledge,
-            store=self._follower,
+            rules=self._rules,
+            membership=self._membership,
             log=self._log,
             on_reached=self._callers.resume,
             on_lend=self._callers.take_loan,
@@ -192,8 +209,8 @@
     async def async_run(self) -> None:
         """Serve until the signal to end and all calls have ended."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
+        loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         settings = self.settings
         self._log.change(
@@ -211,7 +228,8 @@
             # The daemon serves without its metrics too.
             self._log.change('metrics_unavailable', error=str(error))
         self._leaves.start(is_first_start=settings.is_first_start)
-        self._follower.start()
+        self._rules.start()
+        self._membership.start()
         self._log.flush()
         ticker = loop.create_task(self._async_tick())
         await self._stop_requested.wait()
@@ -220,6 +238,10 @@
         self._log.change('stopped', open_requests=self._callers.active_count)
         self._log.flush()
 
+    def stop(self) -> None:
+        """Begin to end as after the signal."""
+        self._stop_requested.set()
+
     async def _async_tick(self) -> None:
         loop = asyncio.get_running_loop()
         slow_at = 0.0
@@ -248,6 +270,8 @@
             running=len(self._upstream.running),
         )
         self._upstream.stop()
+        if self._registry.report is None:
+            await self._async_leave()
         while loop.time() < end_at:
             has_lingered = loop.time() - started_at >= LINGER_S
             if has_lingered and not self._entry.is_closing:
@@ -293,9 +317,24 @@
             needs_restart=kept,
         )
 
+    async def _async_leave(self) -> None:
+        """Leave the fleet: the upstream is gone, and the VM follows.
+
+        The part of each limit passes to the other daemons; calls that come
+        till the end use borrowed tokens.
+        """
+        self._shares.spend_from(math.inf)
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self._membership.async_leave()
+        except (exceptions.LogError, TimeoutError) as error:
+            # The record lapses later.
+            self._log.change('not_deregistered', error=str(error))
+
     def close(self) -> None:
         """Close connections and accept no more of them."""
-        self._follower.stop()
+        self._rules.stop()
+        self._membership.stop()
         self._leaves.stop()
         self._peers.close()
         for server in (
--- a/tests/sidecar/test_follower.py
+++ b/tests/sidecar/test_member_follower.py
@@ -1,14 +1,18 @@
 """Tests of what daemons pass on to each other of the store."""
 
+import asyncio
 import random
 
 from sassafraswood import clock
 from sassafraswood.coordination import peer_plan
+from sassafraswood.coordination import store_duty
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.models import fleet
 from sassafraswood.platform import members as member_records
+from sassafraswood.platform import store
 from sassafraswood.protocol import frames
-from sassafraswood.sidecar import follower
+from sassafraswood.sidecar import member_follower
+from sassafraswood.sidecar import store_reader
 from sassafraswood.transport import json_log
 
 
@@ -27,11 +31,34 @@
     return f'd{index}', member_records.encode(make_member(index))
 
 
+class FakeStore:
+    """Keeps records in memory."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.records: list[store.StoredRecord] = []
+
+    async def async_newest(self, topic: str) -> store.Page:
+        """Return all records."""
+        return await self.async_read(topic, 0, 0.0)
+
+    async def async_read(self, topic: str, start: int, wait_s) -> store.Page:
+        """Return the records from an offset."""
+        return store.Page(
+            records=self.records[start:], next_offset=len(self.records)
+        )
+
+    async def async_append(self, topic: str, record) -> None:
+        """Keep a record."""
+        self.records.append(record)
+
+
 class Side:
-    """A follower that only learns from other daemons."""
+    """A follower with a store of its own."""
 
     def __init__(self, tmp_path, index: int = 0) -> None:
-        """Wire it up without a store."""
+        """Wire it up."""
+        self.store = FakeStore()
         self.clock = clock.ManualClock()
         self.members: list[fleet.Member] = []
         self.news = 0
@@ -39,20 +66,21 @@
         self.knowledge = store_knowledge.StoreKnowledge(self.clock)
         self.plan = peer_plan.PeerPlan(make_member(index))
         self.log_file = open(tmp_path / f'log{index}', 'wb')
-        self.follower = follower.Follower(
-            clock=self.clock,
-            random=random.Random(1),
+        self.duty = store_duty.StoreDuty(self.plan, self.reading.__contains__)
+        self.follower = member_follower.MemberFollower(
+            reading=store_reader.Reading(
+                clock=self.clock,
+                random=random.Random(1),
+                store=self.store,
+                duty=self.duty,
+                log=json_log.JsonLog('d', self.log_file.fileno()),
+            ),
             own=make_member(index),
-            store=None,
             knowledge=self.knowledge,
-            log=json_log.JsonLog('d', self.log_file.fileno()),
-            on_rules=lambda rules: None,
+            max_age_s=5.0,
             on_members=self.set_members,
             on_registered=lambda was_member: None,
             on_news=self.count_news,
-            plan=self.plan,
-            is_reading=self.reading.__contains__,
-            apply_s=2.0,
         )
 
     def set_members(self, members: list[fleet.Member]) -> None:
@@ -66,10 +94,14 @@
 
     def take(self, start: int, end: int, *rows: tuple[str, bytes]) -> None:
         """Take a document of another daemon."""
-        self.follower.take_members(
+        self.follower.take(
             frames.MembersDocument(start=start, end=end, rows=list(rows))
         )
 
+    def read(self) -> None:
+        """Read the store once."""
+        asyncio.run(self.follower._async_read(0.0))
+
     def names(self) -> list[str]:
         """Return the members in order."""
         return sorted(member.daemon_id for member in self.members)
@@ -81,7 +113,7 @@
     side.take(-1, 5, make_row(1), make_row(2))
     side.take(5, 6, make_row(3))
     assert side.names() == ['d1', 'd2', 'd3']
-    document = side.follower.members_document(5)
+    document = side.follower.document(5)
     assert (document.start, document.end) == (5, 6)
     assert document.rows == [make_row(3)]
     assert side.news == 2
@@ -91,7 +123,7 @@
     """The first records of the history may be gone."""
     side = Side(tmp_path)
     side.take(-1, 5, make_row(1), make_row(2))
-    document = side.follower.members_document(3)
+    document = side.follower.document(3)
     assert document.start == -1
     assert len(document.rows) == 2
 
@@ -112,7 +144,7 @@
     side.take(5, 6, make_row(2))
     side.take(5, 7, make_row(2), ('d1', b''))
     assert side.names() == ['d2']
-    assert side.follower.members_document(5).rows == [make_row(2), ('d1', b'')]
+    assert side.follower.document(5).rows == [make_row(2), ('d1', b'')]
 
 
 def test_older_document_changes_nothing(tmp_path) -> None:
@@ -123,23 +155,38 @@
     assert side.names() == ['d1', 'd2']
 
 
-def test_three_daemons_of_the_group_read(tmp_path) -> None:
-    """The next one reads as soon as one before it does not."""
-    rows = [make_row(index) for index in range(12)]
-    sides = [Side(tmp_path, index) for index in range(12)]
-    for side in sides:
-        side.take(-1, 12, *rows)
-    group = [side for side in sides if side.plan.is_in_reading_group]
-    group.sort(key=lambda side: len(side.plan.ahead))
-    names = [f'd{sides.index(side)}' for side in group]
-    for side in group:
-        side.reading.update(names[:3])
-    assert [side.follower.is_reader for side in group] == (
-        [True] * 3 + [False] * 5
-    )
-    for side in group:
-        side.reading.discard(names[1])
-    assert group[3].follower.is_reader
-    assert not any(
-        side.follower.is_reader for side in sides if side not in group
-    )
+def test_record_is_written_once_and_renewed(tmp_path) -> None:
+    """Daemons that run are told from those that have ended."""
+    side = Side(tmp_path)
+    side.read()
+    side.read()
+    assert [record.key for record in side.store.records] == ['d0']
+    assert not side.follower._must_read
+    side.clock.advance(member_follower.RENEW_S + 1.0)
+    assert side.follower._must_read
+    side.read()
+    assert [record.key for record in side.store.records] == ['d0', 'd0']
+
+
+def test_record_of_an_ended_daemon_lapses(tmp_path) -> None:
+    """It would hold a part of each limit for ever."""
+    side = Side(tmp_path)
+    key, value = make_row(1)
+    side.store.records.append(store.StoredRecord(key=key, value=value))
+    side.read()
+    assert side.names() == ['d0', 'd1']
+    for _ in range(4):
+        side.clock.advance(0.3 * member_follower.DROP_S)
+        side.read()
+    side.read()
+    assert side.names() == ['d0']
+    assert store.StoredRecord(key='d1', value=b'') in side.store.records
+
+
+def test_dropped_daemon_writes_its_record_again(tmp_path) -> None:
+    """It was away for long and lives."""
+    side = Side(tmp_path)
+    side.read()
+    side.store.records.append(store.StoredRecord(key='d0', value=b''))
+    side.read()
+    assert side.store.records[-1].value
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -128,6 +128,12 @@
         port = self.daemons[service].settings.report_address[1]
         return await self.upstreams[service].async_report(port, state)
 
+    async def async_deregister(self, service: str) -> None:
+        """Let an upstream leave for good."""
+        port = self.daemons[service].settings.report_address[1]
+        status = await self.upstreams[service].async_deregister(port)
+        assert status == 200
+
     def publish(self, rules: dict) -> None:
         """Write rules as the operator."""
         self.store.put('keyed.op', 'config', json.dumps(rules).encode())
@@ -261,6 +267,27 @@
         assert not fleet.upstreams['billing'].seen
 
 
+async def async_test_leaving_vm() -> None:
+    """Stop a daemon after its upstream has left."""
+    async with running() as fleet:
+        assert await fleet.async_report('billing', 'draining') == 200
+        await fleet.async_deregister('billing')
+        assert 'd-billing' in fleet.store.newest('keyed.members')
+        stopping = fleet.tasks['billing']
+        fleet.daemons['billing'].stop()
+        await asyncio.wait_for(stopping, timeout=8.0)
+        assert set(fleet.store.newest('keyed.members')) == {'d-status'}
+
+
+async def async_test_restart_keeps_record() -> None:
+    """Stop a daemon whose upstream stays."""
+    async with running() as fleet:
+        stopping = fleet.tasks['billing']
+        fleet.daemons['billing'].stop()
+        await asyncio.wait_for(stopping, timeout=8.0)
+        assert 'd-billing' in fleet.store.newest('keyed.members')
+
+
 async def async_test_leave_without_store() -> None:
     """Acknowledge a leave while the store does not answer."""
     async with running() as fleet:
@@ -307,6 +334,16 @@
     asyncio.run(async_test_leave_and_restart())
 
 
+def test_record_goes_with_the_vm() -> None:
+    """Its part of each limit passes to the others."""
+    asyncio.run(async_test_leaving_vm())
+
+
+def test_record_stays_over_a_restart() -> None:
+    """The next process has the same part."""
+    asyncio.run(async_test_restart_keeps_record())
+
+
 def test_leave_is_acknowledged_without_the_store() -> None:
     """The upstream waits one second at most."""
     asyncio.run(async_test_leave_without_store())
