Soak real daemons with faults from outside, and regain the store faster

The soak runs daemons as processes, with stand-ins of store, upstreams and callers and relays between them in a process of its own. Faults are drawn from a seed: signals, links that are silent in one or both directions, slow or cut, a store that is down, busy, slow, loses answers or history, upstreams that crash, leave, spoil answers, bursts, new rules, withdrawn keys.

Cause: the store was back, but a reader asked with a wait for records and so heard nothing for another second; keys were refused 1.9 s longer. Ruled out: a lost connection (the call was answered).

A daemon can be told an address to advertise, which the relays need.

--- a/lab/platform_store.py
+++ b/lab/platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import random
 import struct
 import urllib.parse
 
@@ -15,13 +16,20 @@
     Attributes:
         is_down: Whether calls are left without an answer, also those that
             were accepted before.
+        is_busy: Whether calls are refused with 503.
+        delay_s: Time that a call takes beyond its wait.
+        lost_share: Share of appends that are done and not answered.
         calls: Number of calls so far.
     """
 
     def __init__(self) -> None:
         """Start empty."""
         self.is_down = False
+        self.is_busy = False
+        self.delay_s = 0.0
+        self.lost_share = 0.0
         self.calls = 0
+        self._random = random.Random(1)
         self._records: dict[str, list[bytes]] = {}
         self._first: dict[str, int] = {}
         self._changed = asyncio.Event()
@@ -72,9 +80,20 @@
                 self.calls += 1
                 while self.is_down:
                     await asyncio.sleep(0.05)
-                status, answer = await self._async_answer(method, target, body)
+                status, answer = 503, b''
+                if not self.is_busy:
+                    status, answer = await self._async_answer(
+                        method, target, body
+                    )
+                await asyncio.sleep(self.delay_s)
                 while self.is_down:
                     await asyncio.sleep(0.05)
+                if (
+                    method == 'POST'
+                    and self._random.random() < self.lost_share
+                ):
+                    writer.close()
+                    return
                 writer.write(
                     f'HTTP/1.1 {status} X\r\n'
                     f'Content-Length: {len(answer)}\r\n\r\n'.encode()
@@ -84,6 +103,9 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             # The client has left.
             return
+        except asyncio.CancelledError:
+            # The loop ends; asyncio would log it as an error.
+            return
 
     async def _async_answer(
         self, method: str, target: str, body: bytes
--- a/lab/relay.py
+++ b/lab/relay.py
@@ -14,10 +14,19 @@
     SILENT_OPEN = 'silent_open'
     # No byte passes and no connection is made, but none is closed.
     SILENT = 'silent'
+    # As SILENT, in one direction only.
+    SILENT_TO_TARGET = 'silent_to_target'
+    SILENT_TO_CLIENT = 'silent_to_client'
+    # Bytes pass after a delay.
+    SLOW = 'slow'
     # Open connections are reset and new ones are closed at once.
     CUT = 'cut'
 
 
+# Delay of each piece that passes a slow relay, in seconds.
+SLOW_S = 0.15
+
+
 class Relay:
     """Listens at one address and relays to another."""
 
@@ -65,9 +74,12 @@
     ) -> None:
         generation = self._generation
         async with server, anyio.create_task_group() as tasks:
-            for source, sink in ((client, server), (server, client)):
+            for source, sink, blocked in (
+                (client, server, RelayMode.SILENT_TO_TARGET),
+                (server, client, RelayMode.SILENT_TO_CLIENT),
+            ):
                 tasks.start_soon(
-                    self._async_copy, source, sink, generation, tasks
+                    self._async_copy, source, sink, generation, blocked, tasks
                 )
 
     async def _async_copy(
@@ -75,11 +87,14 @@
         source: anyio.abc.SocketStream,
         sink: anyio.abc.SocketStream,
         generation: int,
+        blocked: RelayMode,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         try:
             async for data in source:
-                if self._passes(generation):
+                if self._mode is RelayMode.SLOW:
+                    await anyio.sleep(SLOW_S)
+                if self._mode is not blocked and self._passes(generation):
                     await sink.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
@@ -90,4 +105,4 @@
             return True
         if self._mode is RelayMode.SILENT_OPEN:
             return generation == self._generation
-        return False
+        return self._mode not in (RelayMode.SILENT, RelayMode.CUT)
--- /dev/null
+++ b/lab/soak/http_caller.py
@@ -0,0 +1,65 @@
+"""A caller with one kept-open connection of HTTP/1.1."""
+
+import asyncio
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """Whole answer of a daemon."""
+
+    status: int
+    fields: dict[str, str]
+    body: bytes
+
+
+class HttpCaller:
+    """Sends one request at a time and keeps its connection open."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        """Take the daemon's address."""
+        self._address = address
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def async_call(self, payload: bytes, timeout_s: float) -> Answer:
+        """Send a request and return its answer.
+
+        Raises:
+            ConnectionError: The connection ended without a whole answer.
+            TimeoutError: No answer came in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._async_exchange(payload)
+        except (OSError, asyncio.IncompleteReadError, ValueError) as error:
+            self.close()
+            if isinstance(error, TimeoutError):
+                raise
+            raise ConnectionError(str(error)) from error
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+    async def _async_exchange(self, payload: bytes) -> Answer:
+        if self._reader is None or self._reader.at_eof():
+            self.close()
+            self._reader, self._writer = await asyncio.open_connection(
+                *self._address
+            )
+        assert self._writer is not None
+        self._writer.write(payload)
+        head = await self._reader.readuntil(b'\r\n\r\n')
+        line, *rows = head.decode('latin-1').split('\r\n')
+        fields = {
+            name.lower(): value
+            for name, _, value in (row.partition(': ') for row in rows if row)
+        }
+        length = int(fields.get('content-length', '0'))
+        body = await self._reader.readexactly(length)
+        if fields.get('connection', '').lower() == 'close':
+            self.close()
+        return Answer(status=int(line.split()[1]), fields=fields, body=body)
--- /dev/null
+++ b/lab/soak/ledger.py
@@ -0,0 +1,276 @@
+"""What callers and upstreams saw in a soak, and the promises it is held to."""
+
+import bisect
+import collections
+import dataclasses
+import math
+from typing import Final
+
+# Bounds of the settings that the soak gives its daemons, in seconds.
+REVOKE_S: Final = 3.0
+APPLY_S: Final = 2.0
+DRAIN_S: Final = 2.0
+ROLLBACK_S: Final = 0.25
+# A machine is undisturbed if nothing struck it for this time, in seconds.
+STABLE_S: Final = 3.0
+QUOTA_WINDOW_S: Final = 5.0
+QUOTA_TOLERANCE: Final = 0.1
+QUOTA_SLACK: Final = 20.0
+BUDGET_WINDOW_S: Final = 10.0
+BUDGET_RATIO: Final = 0.2
+BUDGET_SLACK: Final = 48.0
+# Statuses that promise that the request has not run and never will.
+NOT_RUN: Final = frozenset({408, 421, 429, 503})
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Attempt:
+    """One request of a caller.
+
+    Attributes:
+        machine: Daemon that it was sent to.
+        is_safe: Whether it may run more than once.
+        sent_at: Monotonic time in seconds.
+        ended_at: When its answer or the end of the connection was seen.
+        status: Of the answer; None if there was none.
+        problem: What is wrong with the answer.
+    """
+
+    attempt_id: str
+    machine: str
+    route: str
+    is_safe: bool
+    key: str
+    workspace: str
+    caller_service: str
+    sent_at: float
+    ended_at: float = math.inf
+    status: int | None = None
+    problem: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """One arrival of a request at an upstream that began to work on it."""
+
+    attempt_id: str
+    service: str
+    instance_id: str
+    workspace: str
+    caller_service: str
+    has_key: bool
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Span:
+    """A time in which something was disturbed."""
+
+    start: float
+    end: float
+
+
+class Ledger:
+    """Everything that was seen; the checks read it after the soak."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.attempts: dict[str, Attempt] = {}
+        self.runs: dict[str, list[Run]] = collections.defaultdict(list)
+        self.inner_calls: dict[str, str] = {}
+        # Service of the moved route and when the store took each version.
+        self.moves: list[tuple[float, str]] = []
+        self.withdrawn_at: dict[str, float] = {}
+        self.left_at: dict[str, float] = {}
+        self.disturbed: dict[str, list[Span]] = collections.defaultdict(list)
+        self.started_at: dict[str, list[float]] = collections.defaultdict(list)
+        self.rates: dict[str, tuple[float, float]] = {}
+        self.failures: list[str] = []
+
+    def note_run(self, run: Run) -> None:
+        """Take a run."""
+        self.runs[run.attempt_id].append(run)
+
+    def disturb(self, what: str, start: float, end: float) -> None:
+        """Take that a machine, or the store, was struck."""
+        self.disturbed[what].append(Span(start=start, end=end))
+
+    def is_calm(self, what: str, start: float, end: float) -> bool:
+        """Return whether nothing struck in a time and before it."""
+        return not any(
+            span.start <= end and span.end + STABLE_S >= start
+            for span in self.disturbed[what]
+        )
+
+    def check(self) -> list[str]:
+        """Return every promise that was broken."""
+        problems = [*self.failures]
+        for attempt in self.attempts.values():
+            problems += self._check_attempt(attempt)
+        for runs in self.runs.values():
+            for run in runs:
+                problems += self._check_run(run)
+        problems += self._check_moves()
+        problems += self._check_quota()
+        problems += self._check_budget()
+        return problems
+
+    def _check_attempt(self, attempt: Attempt) -> list[str]:
+        runs = self.runs.get(attempt.attempt_id, [])
+        problems = []
+        if attempt.problem:
+            problems.append(f'wrong answer: {attempt.problem}: {attempt}')
+        if not attempt.is_safe and len(runs) > 1:
+            problems.append(f'ran more than once: {attempt}: {runs}')
+        if attempt.status in NOT_RUN and runs:
+            problems.append(f'ran though refused: {attempt}: {runs}')
+        if (
+            attempt.status is None
+            and runs
+            and attempt.ended_at < math.inf
+            and self.is_calm(
+                attempt.machine, attempt.sent_at, attempt.ended_at
+            )
+        ):
+            problems.append(f'closed without an answer: {attempt}')
+        return problems
+
+    def _check_run(self, run: Run) -> list[str]:
+        attempt = self.attempts.get(run.attempt_id)
+        if attempt is None:
+            if run.attempt_id in self.inner_calls:
+                return self._check_inner(run)
+            return [f'no caller sent this: {run}']
+        problems = []
+        if run.has_key:
+            problems.append(f'key seen by an upstream: {run}')
+        if run.workspace != attempt.workspace:
+            problems.append(f'wrong workspace: {run}: {attempt}')
+        if run.caller_service != attempt.caller_service:
+            problems.append(f'wrong caller service: {run}: {attempt}')
+        if run.service not in self._services(attempt.route):
+            problems.append(f'wrong service: {run}: {attempt}')
+        withdrawn_at = self.withdrawn_at.get(attempt.key, math.inf)
+        if attempt.sent_at > withdrawn_at + REVOKE_S:
+            problems.append(f'withdrawn key was used: {run}: {attempt}')
+        left_at = self.left_at.get(run.instance_id, math.inf)
+        if run.at > left_at + DRAIN_S:
+            problems.append(f'reached a leaving upstream: {run}: {attempt}')
+        return problems
+
+    def _check_inner(self, run: Run) -> list[str]:
+        if run.has_key or run.workspace:
+            return [f'key or workspace in a call of an upstream: {run}']
+        if run.caller_service != self.inner_calls[run.attempt_id]:
+            return [f'wrong caller service: {run}']
+        return []
+
+    def _services(self, route: str) -> set[str]:
+        if route == 'moved':
+            return {service for _, service in self.moves}
+        return {'deep' if route in ('book', 'peek') else 'front'}
+
+    def _check_moves(self) -> list[str]:
+        """Check that rules come into force in time and never go back."""
+        problems = []
+        # Newest version whose effect was seen in each life of a daemon.
+        newest: dict[tuple[str, int], tuple[int, float]] = {}
+        for run, attempt in self._moved_runs():
+            starts = self.started_at[attempt.machine]
+            life = attempt.machine, bisect.bisect(starts, attempt.sent_at)
+            known, seen_at = newest.get(life, (0, math.inf))
+            version = self._version_of(run, known)
+            if version is None:
+                if attempt.sent_at > seen_at + ROLLBACK_S:
+                    problems.append(f'rules went back: {run}: {attempt}')
+                continue
+            if version > known:
+                newest[life] = version, run.at
+            if self._is_late(run, attempt):
+                problems.append(f'old rules: {run}: {attempt}')
+        return problems
+
+    def _moved_runs(self) -> list[tuple[Run, Attempt]]:
+        """Return runs on the route that the operator moves, in order."""
+        found = [
+            (run, attempt)
+            for attempt in self.attempts.values()
+            if attempt.route == 'moved'
+            for run in self.runs.get(attempt.attempt_id, [])
+        ]
+        return sorted(found, key=lambda item: item[0].at)
+
+    def _version_of(self, run: Run, known: int) -> int | None:
+        """Return the lowest version from a known one on that explains it."""
+        for version in range(known, len(self.moves)):
+            written_at, service = self.moves[version]
+            if service == run.service and written_at <= run.at:
+                return version
+        return None
+
+    def _is_late(self, run: Run, attempt: Attempt) -> bool:
+        """Return whether only rules that are too old explain a run."""
+        start = attempt.sent_at - APPLY_S
+        if not (
+            self.is_calm(attempt.machine, start, run.at)
+            and self.is_calm('store', start, run.at)
+        ):
+            return False
+        allowed = {
+            service
+            for index, (written_at, service) in enumerate(self.moves)
+            if written_at <= run.at
+            and (
+                index + 1 == len(self.moves)
+                or self.moves[index + 1][0] > start
+            )
+        }
+        return run.service not in allowed
+
+    def _check_quota(self) -> list[str]:
+        problems = []
+        for workspace, (rate, burst) in self.rates.items():
+            times = sorted(
+                run.at
+                for attempt in self.attempts.values()
+                if attempt.workspace == workspace
+                for run in self.runs.get(attempt.attempt_id, [])[:1]
+            )
+            allowed = (rate * QUOTA_WINDOW_S + burst) * (
+                1.0 + QUOTA_TOLERANCE
+            ) + QUOTA_SLACK
+            for index, at in enumerate(times):
+                count = bisect.bisect(times, at + QUOTA_WINDOW_S) - index
+                if count > allowed:
+                    problems.append(
+                        f'{count} of {workspace} in a window from {at:.2f}, '
+                        f'allowed {allowed:.1f}'
+                    )
+                    break
+        return problems
+
+    def _check_budget(self) -> list[str]:
+        """Check the arrivals beyond the first of each request."""
+        firsts: dict[str, list[float]] = collections.defaultdict(list)
+        repeats: dict[str, list[float]] = collections.defaultdict(list)
+        for runs in self.runs.values():
+            ordered = sorted(runs, key=lambda run: run.at)
+            firsts[ordered[0].service].append(ordered[0].at)
+            for run in ordered[1:]:
+                repeats[run.service].append(run.at)
+        problems = []
+        for service, times in repeats.items():
+            times.sort()
+            starts = sorted(firsts[service])
+            for index, at in enumerate(times):
+                end = at + BUDGET_WINDOW_S
+                count = bisect.bisect(times, end) - index
+                requests = bisect.bisect(starts, end) - bisect.bisect(
+                    starts, at - BUDGET_WINDOW_S
+                )
+                if count > BUDGET_RATIO * requests + BUDGET_SLACK:
+                    problems.append(
+                        f'{count} repeats at {service} from {at:.2f}'
+                    )
+                    break
+        return problems
--- /dev/null
+++ b/lab/soak/run.py
@@ -0,0 +1,374 @@
+"""Runs a soak: starts the fleet, lets callers work, strikes, checks."""
+
+import asyncio
+from collections.abc import Coroutine
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import time
+from typing import Any, Final
+
+from lab import platform_store
+from lab import platform_upstream
+from lab import relay
+from lab.soak import callers as callers_module
+from lab.soak import faults
+from lab.soak import http_caller
+from lab.soak import ledger as ledger_module
+from lab.soak import machine as machine_module
+
+START_TIMEOUT_S: Final = 20.0
+WORKERS: Final = 2
+BURST_WORKERS: Final = 20
+# A daemon stays below this in the worst case; the platform ends it at 300.
+MAX_MEMORY_MB: Final = 200.0
+# After all faults, this share of requests in the last seconds is served.
+FINAL_SHARE: Final = 0.9
+FINAL_S: Final = 3.0
+RATE: Final = 20.0
+_LINK_MODES: Final = (
+    relay.RelayMode.SILENT,
+    relay.RelayMode.SILENT_OPEN,
+    relay.RelayMode.SILENT_TO_TARGET,
+    relay.RelayMode.SILENT_TO_CLIENT,
+    relay.RelayMode.SLOW,
+    relay.RelayMode.CUT,
+)
+_SPOILS: Final = tuple(platform_upstream.Fault)[1:]
+
+
+def _host(index: int) -> str:
+    """Return the loopback address of a VM; soaks beside have others."""
+    return f'127.{1 + os.getpid() % 254}.{index // 250}.{1 + index % 250}'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Result:
+    """What a soak showed."""
+
+    seed: int
+    problems: list[str]
+    requests: int
+    served: int
+    faults: list[faults.Fault]
+
+
+class Soak:
+    """One soak of a seed."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        length_s: float,
+        machines: int,
+        folder: pathlib.Path,
+    ) -> None:
+        """Draw the faults."""
+        self.seed = seed
+        self.ledger = ledger_module.Ledger()
+        self.faults = faults.draw(seed, length_s=length_s, machines=machines)
+        self._length_s = length_s
+        self._count = machines
+        self._folder = folder
+        self._source = random.Random(seed)
+        self._store = platform_store.PlatformStore()
+        self._machines: list[machine_module.Machine] = []
+        self._keys = callers_module.Keys(
+            in_use={'blue': 'blue-1', 'green': 'green-1', 'red': 'red-1'}
+        )
+        self._callers = callers_module.Callers(
+            ledger=self.ledger, keys=self._keys, source=self._source
+        )
+        self._version = 0
+        self._moved_to = 'front'
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def async_run(self) -> Result:
+        """Run the soak and return what it showed."""
+        try:
+            await self._async_start()
+            await self._async_strike()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(
+                *(machine.async_stop() for machine in self._machines)
+            )
+            self._store.stop()
+        return self._result()
+
+    # Fleet.
+
+    async def _async_start(self) -> None:
+        address = await self._store.async_start()
+        self.ledger.rates['red'] = RATE, RATE
+        self._publish()
+        self._machines = [
+            machine_module.Machine(
+                name=f'm{index}',
+                host=_host(index),
+                service=('front', 'deep')[index % 2],
+                domain=f'z{index % 3}',
+                store=address,
+                folder=self._folder,
+                ledger=self.ledger,
+            )
+            for index in range(self._count)
+        ]
+        for machine in self._machines:
+            await machine.async_start()
+        await self._async_settle()
+        for machine in self._machines:
+            for _ in range(WORKERS):
+                self._spawn(self._callers.async_work(machine))
+
+    async def _async_settle(self) -> None:
+        """Wait until each daemon serves each route."""
+        until = time.monotonic() + START_TIMEOUT_S
+        for machine in self._machines:
+            while not await self._async_serves(machine):
+                if time.monotonic() > until:
+                    raise TimeoutError(f'{machine.name} does not serve')
+                await asyncio.sleep(0.2)
+
+    async def _async_serves(self, machine: machine_module.Machine) -> bool:
+        caller = http_caller.HttpCaller((machine.host, machine_module.CALLER))
+        sends = [
+            await self._callers.async_send(machine, caller) for _ in range(6)
+        ]
+        caller.close()
+        return all(attempt.status == 200 for attempt in sends)
+
+    def _spawn(self, routine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(routine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Operator.
+
+    def _publish(self) -> None:
+        self._version += 1
+        self._store.put(
+            'keyed.op', 'config', json.dumps(self._rules()).encode()
+        )
+        self.ledger.moves.append((time.monotonic(), self._moved_to))
+
+    def _rules(self) -> dict[str, Any]:
+        def route(name: str, service: str, **changes: Any) -> dict[str, Any]:
+            return {
+                'host': 'shop.example',
+                'path-prefix': f'/{name}/',
+                'kind': 'safe',
+                'timeout-s': 1.5,
+                'latency-target-s': 0.5,
+                'priority': 1,
+                'service': service,
+                'max-attempts': 2,
+            } | changes
+
+        tenants: dict[str, Any] = {
+            workspace: {'api-keys': [key]}
+            for workspace, key in self._keys.in_use.items()
+        }
+        tenants['red'] |= {'rate-per-s': RATE, 'burst': RATE}
+        return {
+            'version': f'r{self._version}',
+            'routes': {
+                'read': route('read', 'front'),
+                'book': route('book', 'deep', kind='unsafe', priority=0),
+                'moved': route('moved', self._moved_to),
+                'peek': route('peek', 'deep', anonymous=True),
+            },
+            'services': {'front': {}, 'deep': {}},
+            'limits': {
+                'max-header-bytes': 8000,
+                'max-body-bytes': 100000,
+                'header-timeout-s': 3,
+                'idle-timeout-s': 15,
+            },
+            'tenants': tenants,
+        }
+
+    # Faults.
+
+    async def _async_strike(self) -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        for fault in self.faults:
+            await asyncio.sleep(started_at + fault.at_s - loop.time())
+            self._spawn(self._async_apply(fault))
+        await asyncio.sleep(started_at + self._length_s - loop.time())
+
+    async def _async_apply(self, fault: faults.Fault) -> None:
+        start = time.monotonic()
+        machine = self._machines[fault.machine]
+        await self._async_fault(fault, machine)
+        struck = self._struck(fault, machine)
+        for what in struck:
+            self.ledger.disturb(what, start, time.monotonic())
+
+    def _struck(
+        self, fault: faults.Fault, machine: machine_module.Machine
+    ) -> list[str]:
+        """Return what does not count as calm because of a fault."""
+        kind = fault.kind
+        if kind in (faults.FaultKind.MOVE, faults.FaultKind.WITHDRAW):
+            return []
+        if kind.value.startswith('store') and (
+            kind is not faults.FaultKind.STORE_LINK
+        ):
+            return ['store']
+        if kind is faults.FaultKind.KILL_ALL:
+            return [item.name for item in self._machines]
+        if kind is faults.FaultKind.RESTART:
+            # Planned: what was taken is answered. The next life is new.
+            return []
+        return [machine.name]
+
+    async def _async_fault(
+        self, fault: faults.Fault, machine: machine_module.Machine
+    ) -> None:
+        kind = fault.kind
+        if kind is faults.FaultKind.KILL:
+            await machine.async_kill(0.5 * fault.for_s)
+        elif kind is faults.FaultKind.KILL_ALL:
+            await asyncio.gather(
+                *(item.async_kill(0.5) for item in self._machines)
+            )
+        elif kind is faults.FaultKind.RESTART:
+            await machine.async_restart()
+        elif kind is faults.FaultKind.PAUSE:
+            await machine.async_pause(fault.for_s)
+        elif kind is faults.FaultKind.RELOAD:
+            machine.write_settings()
+            machine.send_signal(signal.SIGHUP)
+        elif kind is faults.FaultKind.MOVE:
+            self._moved_to = 'deep' if self._moved_to == 'front' else 'front'
+            self._publish()
+        elif kind is faults.FaultKind.WITHDRAW:
+            self._withdraw()
+        elif kind is faults.FaultKind.BURST:
+            await self._async_burst(machine, fault.for_s)
+        elif kind.value.endswith('_link'):
+            await self._async_link(fault, machine)
+        elif kind.value.startswith('store'):
+            await self._async_store(fault)
+        else:
+            await self._async_upstream(fault, machine)
+
+    def _withdraw(self) -> None:
+        workspace = self._source.choice(('blue', 'green', 'red'))
+        former = self._keys.in_use[workspace]
+        self._keys.in_use[workspace] = f'{workspace}-{self._version + 1}'
+        self._publish()
+        self.ledger.withdrawn_at[former] = time.monotonic()
+        self._callers.withdrawn.append((workspace, former))
+
+    async def _async_burst(
+        self, machine: machine_module.Machine, for_s: float
+    ) -> None:
+        workers = [
+            asyncio.create_task(self._callers.async_work(machine))
+            for _ in range(BURST_WORKERS)
+        ]
+        await asyncio.sleep(for_s)
+        for worker in workers:
+            worker.cancel()
+
+    async def _async_link(
+        self, fault: faults.Fault, machine: machine_module.Machine
+    ) -> None:
+        link = machine.relays[fault.kind.value.removesuffix('_link')]
+        mode = _LINK_MODES[fault.variant % len(_LINK_MODES)]
+        await link.async_set_mode(mode)
+        await asyncio.sleep(fault.for_s)
+        await link.async_set_mode(relay.RelayMode.PASS)
+
+    async def _async_store(self, fault: faults.Fault) -> None:
+        kind, store = fault.kind, self._store
+        if kind is faults.FaultKind.STORE_FORGETS:
+            store.forget_history('keyed.op')
+            store.forget_history('keyed.members')
+            return
+        if kind is faults.FaultKind.STORE_DOWN:
+            store.is_down = True
+        elif kind is faults.FaultKind.STORE_BUSY:
+            store.is_busy = True
+        elif kind is faults.FaultKind.STORE_SLOW:
+            store.delay_s = 0.3
+        else:
+            store.lost_share = 0.5
+        await asyncio.sleep(fault.for_s)
+        if kind is faults.FaultKind.STORE_DOWN:
+            store.is_down = False
+        elif kind is faults.FaultKind.STORE_BUSY:
+            store.is_busy = False
+        elif kind is faults.FaultKind.STORE_SLOW:
+            store.delay_s = 0.0
+        else:
+            store.lost_share = 0.0
+
+    async def _async_upstream(
+        self, fault: faults.Fault, machine: machine_module.Machine
+    ) -> None:
+        kind = fault.kind
+        if kind is faults.FaultKind.UPSTREAM_CRASH:
+            await machine.async_crash_upstream(0.5 * fault.for_s)
+            return
+        if kind is faults.FaultKind.UPSTREAM_REPLACED:
+            await machine.async_replace_upstream(
+                says_draining=fault.variant % 3 > 0
+            )
+            return
+        if kind is faults.FaultKind.UPSTREAM_SILENT:
+            machine.is_reporting = False
+            await asyncio.sleep(fault.for_s)
+            machine.is_reporting = True
+            return
+        upstream = machine.upstream
+        if upstream is None:
+            return
+        delay_s = upstream.delay_s
+        if kind is faults.FaultKind.UPSTREAM_SLOW:
+            upstream.delay_s = 10.0 * delay_s
+        else:
+            upstream.fault = _SPOILS[fault.variant % len(_SPOILS)]
+            upstream.fault_share = 0.3
+        await asyncio.sleep(fault.for_s)
+        upstream.delay_s = delay_s
+        upstream.fault_share = 0.0
+
+    # Checks.
+
+    def _result(self) -> Result:
+        problems = self.ledger.check()
+        for machine in self._machines:
+            if machine.own_exits:
+                problems.append(
+                    f'{machine.name} ended by itself: {machine.own_exits}'
+                )
+            if machine.peak_mb > MAX_MEMORY_MB:
+                problems.append(f'{machine.name} took {machine.peak_mb} MB')
+        attempts = list(self.ledger.attempts.values())
+        end = max(attempt.sent_at for attempt in attempts)
+        last = [
+            attempt
+            for attempt in attempts
+            if end - FINAL_S < attempt.sent_at < end - 0.5
+            and attempt.workspace != 'red'
+            and attempt.key not in self.ledger.withdrawn_at
+        ]
+        good = sum(attempt.status == 200 for attempt in last)
+        if not last or good < FINAL_SHARE * len(last):
+            problems.append(f'{good} of the last {len(last)} were served')
+        return Result(
+            seed=self.seed,
+            problems=problems,
+            requests=len(attempts),
+            served=sum(attempt.status == 200 for attempt in attempts),
+            faults=self.faults,
+        )
--- a/sassafraswood/platform/settings.py
+++ b/sassafraswood/platform/settings.py
@@ -52,7 +52,9 @@
 
     Attributes:
         caller_address: Where callers and the own upstream send requests.
-        peer_address: Where other daemons send messages.
+        peer_address: Where messages of other daemons are taken.
+        advertised_address: Where other daemons send them; differs where
+            something stands between.
         ready_address: Where the platform asks whether the daemon is ready.
         report_address: Where the own upstream reports its state.
         store_address: The platform's store.
@@ -65,6 +67,7 @@
     service: ids.ServiceName
     caller_address: tuple[str, int]
     peer_address: tuple[str, int]
+    advertised_address: tuple[str, int]
     ready_address: tuple[str, int]
     report_address: tuple[str, int]
     upstream_address: tuple[str, int]
@@ -134,8 +137,10 @@
         self._reject(path, value, 'true or false')
         return False
 
-    def address(self, path: str) -> tuple[str, int]:
-        """Return an IP address and port."""
+    def address(self, path: str, default: str = '') -> tuple[str, int]:
+        """Return an IP address and port, there or at the default path."""
+        if default and self._find(path) is None:
+            path = default
         value = self._find(path)
         if isinstance(value, str):
             address = parse_address(value)
@@ -202,6 +207,9 @@
         service=ids.ServiceName(reader.text('service')),
         caller_address=reader.address('listen.outbound'),
         peer_address=reader.address('listen.inbound'),
+        advertised_address=reader.address(
+            'listen.advertised', 'listen.inbound'
+        ),
         ready_address=reader.address('listen.ready'),
         report_address=reader.address('listen.control'),
         upstream_address=reader.address('app-addr'),
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -40,6 +40,7 @@
         *,
         clock: clock_module.Clock,
         own: fleet.Member,
+        address: tuple[str, int],
         plan: peer_plan.PeerPlan,
         upstream: upstream_side.UpstreamSide,
         knowledge: store_knowledge.StoreKnowledge,
@@ -55,6 +56,7 @@
         Args:
             clock: Counts time while the VM is suspended.
             own: This daemon's record.
+            address: Where to listen.
             plan: Tells which daemons to connect to.
             upstream: Runs calls at the own upstream.
             knowledge: Ages of what is known of the store.
@@ -67,6 +69,7 @@
         """
         self._clock = clock
         self._own = own
+        self._address = address
         self._plan = plan
         self._upstream = upstream
         self._knowledge = knowledge
@@ -213,7 +216,7 @@
     async def async_listen(self) -> None:
         """Take connections of other daemons from now on."""
         loop = asyncio.get_running_loop()
-        host, port = self._own.address
+        host, port = self._address
         self._server = await loop.create_server(
             lambda: frame_link.FrameConnection(
                 self._on_message, self._on_accepted, self._on_accepted_lost
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -79,7 +79,7 @@
         names = headers.NAMES
         own = fleet.Member(
             daemon_id=settings.daemon_id,
-            address=settings.peer_address,
+            address=settings.advertised_address,
             failure_domain=settings.failure_domain,
             service=settings.service,
         )
@@ -174,6 +174,7 @@
         self._peers = peers.Peers(
             clock=self._clock,
             own=own,
+            address=settings.peer_address,
             plan=plan,
             upstream=self._upstream,
             knowledge=self._knowledge,
--- a/sassafraswood/sidecar/store_reader.py
+++ b/sassafraswood/sidecar/store_reader.py
@@ -145,7 +145,8 @@
 
     def _next_wait_s(self) -> float | None:
         """Return how long the next read waits; None if there is none."""
-        if self._must_read:
+        if self._must_read or self._failures:
+            # After a failure, an answer is worth more than a record.
             return 0.0
         if self._duty.is_reader or self._needs_news:
             return self._wait_s
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -64,3 +64,14 @@
         settings.parse('node = ')
     with pytest.raises(exceptions.SettingsError):
         settings.load(tmp_path / 'missing')
+
+
+def test_other_daemons_may_be_told_another_address() -> None:
+    """Without it they are told where messages are taken."""
+    assert settings.parse(TEXT).advertised_address == ('10.1.0.26', 8543)
+    text = TEXT.replace(
+        '[platform]', 'advertised = "10.9.0.1:7000"\n[platform]'
+    )
+    decoded = settings.parse(text)
+    assert decoded.advertised_address == ('10.9.0.1', 7000)
+    assert decoded.peer_address == ('10.1.0.26', 8543)
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -87,6 +87,7 @@
                     service=service,
                     caller_address=('127.0.0.1', ports[0]),
                     peer_address=('127.0.0.1', ports[1]),
+                    advertised_address=('127.0.0.1', ports[1]),
                     ready_address=('127.0.0.1', ports[2]),
                     report_address=('127.0.0.1', ports[3]),
                     upstream_address=('127.0.0.1', ports[4]),
