Compare upstreams by slowness and errors, and leave the own domain less often

The near upstream was left when its mean latency was above twice the best one, but it gets long and short calls where the far ones get only what spills over, and upstreams of one service differ in speed by 2.3. Answers with errors counted as fast ones. Ruled out: load (near upstreams are left at 0.85 as before). Now latencies count relative to what is usual for their route, errors have a mean of their own compared with that of others, far upstreams have a weight of 0.4 where all are compared.

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -1,6 +1,7 @@
 """Which daemon of a service gets a call."""
 
 from collections.abc import Iterable, Sequence
+import math
 import random as random_module
 from typing import Final
 
@@ -8,31 +9,48 @@
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 
-LATENCY_GAIN: Final = 0.1
+# Gain of the means of latencies and errors; about the last ten calls count.
+GAIN: Final = 0.1
+# Gain of the usual latency of a route, over all of its upstreams.
+USUAL_GAIN: Final = 0.02
+MAX_ROUTES: Final = 1024
 # A daemon of the own failure domain is taken while its load is below this
-# share and its latency is below this multiple of the best one.
+# share. Upstreams of a service differ in speed by up to three times, which
+# costs less than the way to another failure domain.
 NEAR_LOAD: Final = 0.85
-NEAR_LATENCY: Final = 2.0
+# Where all are compared, a daemon of another failure domain counts by this
+# share: calls to it cost bytes between failure domains.
+FAR_WEIGHT: Final = 0.4
 # Weight of load above the share in the score of a daemon.
 LOAD_WEIGHT: Final = 4.0
 # Where all are compared, load above 1 counts with this power.
-LOAD_POWER: Final = 2.0
-# Upstreams of a service differ in speed by up to three times; one that is
-# slower than that gets only enough calls to show when it has recovered.
-SLOW_LATENCY: Final = 3.5
+LOAD_POWER: Final = 3.0
+# Upstreams that are slower than the best by more than this gets only enough
+# calls to show when they have recovered.
+SLOW: Final = 3.5
 PROBE_SHARE: Final = 0.1
+# The share of errors of a daemon beyond that of the best one counts with this
+# power. At 0.2 the own failure domain is left.
+ERROR_POWER: Final = 4.0
+NEAR_ERRORS: Final = 0.2
 # Of a large service only this many daemons are compared, chosen at random,
 # so that daemons with the same knowledge do not all pick the same one.
 MAX_COMPARED: Final = 8
-# After this time without an answer, in seconds, a latency says nothing.
-LATENCY_LIFETIME_S: Final = 3.0
+# After this time without an answer, in seconds, a latency says nothing, and
+# errors say half as much for each half of it.
+LIFETIME_S: Final = 3.0
 # A daemon that failed is avoided for this time, doubled with each failure.
 AVOID_S: Final = 0.25
 AVOID_MAX_S: Final = 4.0
 
 
 class Candidate:
-    """What is known of the upstream beside another daemon or this one."""
+    """What is known of the upstream beside another daemon or this one.
+
+    Attributes:
+        outstanding: Calls that wait for its answer.
+        load: Calls that run and wait there relative to what it allows.
+    """
 
     def __init__(self, member: fleet.Member) -> None:
         """Start without knowledge."""
@@ -41,33 +59,57 @@
         self.is_serving = False
         self.outstanding = 0
         self.load = 0.0
-        self.latency_s: float | None = None
-        self.latency_at = 0.0
-        self.failures = 0
         self.avoid_until = 0.0
+        self._slowness: float | None = None
+        self._errors = 0.0
+        self._failures = 0
+        self._noted_at = -math.inf
+
+    def forget(self) -> None:
+        """Know nothing of its speed; the connection was lost."""
+        self._slowness = None
 
     def note_load(self, load: float) -> None:
         """Take the load that an answer tells."""
         self.load = load
 
-    def note_answer(self, elapsed_s: float, now: float) -> None:
-        """Take the time of a call."""
-        self.failures = 0
-        if (
-            self.latency_s is None
-            or now - self.latency_at > LATENCY_LIFETIME_S
-        ):
-            self.latency_s = elapsed_s
+    def note_answer(self, slowness: float, now: float) -> None:
+        """Take the time of a call relative to what is usual."""
+        self._failures = 0
+        self._note_outcome(0.0, now)
+        if self._slowness is None:
+            self._slowness = slowness
         else:
-            self.latency_s += LATENCY_GAIN * (elapsed_s - self.latency_s)
-        self.latency_at = now
+            self._slowness += GAIN * (slowness - self._slowness)
+
+    def note_error(self, now: float) -> None:
+        """Take an answer that says that the upstream failed."""
+        self._note_outcome(1.0, now)
 
     def note_failure(self, now: float) -> None:
         """Avoid the daemon for a while."""
-        pause_s = min(AVOID_MAX_S, AVOID_S * 2**self.failures)
-        self.failures = min(self.failures + 1, 8)
+        self._note_outcome(1.0, now)
+        pause_s = min(AVOID_MAX_S, AVOID_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 8)
         self.avoid_until = now + pause_s
 
+    def slowness(self, now: float) -> float | None:
+        """Return its latency relative to what is usual, if it is known."""
+        if now - self._noted_at > LIFETIME_S:
+            return None
+        return self._slowness
+
+    def errors(self, now: float) -> float:
+        """Return the share of its answers that were errors lately."""
+        return self._errors * 0.5 ** ((now - self._noted_at) / LIFETIME_S)
+
+    def _note_outcome(self, outcome: float, now: float) -> None:
+        if now - self._noted_at > LIFETIME_S:
+            self._slowness = None
+        errors = self.errors(now)
+        self._errors = errors + GAIN * (outcome - errors)
+        self._noted_at = now
+
 
 class UpstreamChoice:
     """Picks the own failure domain first while it has room."""
@@ -83,6 +125,38 @@
         self._clock = clock
         self._random = random
         self._domain = domain
+        # Usual latency of each route in seconds.
+        self._usual_s: dict[str, float] = {}
+
+    def note_answer(
+        self,
+        candidate: Candidate,
+        route: str,
+        elapsed_s: float,
+        *,
+        is_error: bool,
+    ) -> None:
+        """Take the answer to a call.
+
+        Args:
+            candidate: Who gave it.
+            route: Name of the route of the call.
+            elapsed_s: Time of the call in seconds.
+            is_error: Whether it says that the upstream failed. Such answers
+                are often fast and tell nothing about speed.
+        """
+        now = self._clock.monotonic()
+        if is_error:
+            candidate.note_error(now)
+            return
+        usual_s = self._usual_s.get(route)
+        if usual_s is None:
+            if len(self._usual_s) >= MAX_ROUTES:
+                self._usual_s.clear()
+            usual_s = elapsed_s
+        usual_s += USUAL_GAIN * (elapsed_s - usual_s)
+        self._usual_s[route] = usual_s
+        candidate.note_answer(elapsed_s / max(1e-6, usual_s), now)
 
     def pick(
         self,
@@ -104,48 +178,42 @@
         usable = trusted or usable
         if len(usable) == 1:
             return usable[0]
+        view = _View(usable, now)
         near = [
             item
             for item in usable
             if item.member.failure_domain == self._domain
         ]
-        best_s = self._best_latency(usable, now)
-        chosen = self._least(near, now, best_s)
-        if (
-            chosen is not None
-            and chosen.load < NEAR_LOAD
-            and self._latency(chosen, now, best_s) <= NEAR_LATENCY * best_s
-        ):
+        chosen = self._least(near, view)
+        if chosen is not None and view.is_good(chosen):
             return chosen
-        return self._draw(usable, now, best_s)
+        return self._draw(usable, view)
 
-    def _draw(
-        self, candidates: list[Candidate], now: float, best_s: float
-    ) -> Candidate:
+    def _draw(self, candidates: list[Candidate], view: '_View') -> Candidate:
         """Draw one; equally slow upstreams get equal parts.
 
         A fixed order would send all daemons with the same knowledge to the
         same upstream until they hear of its load.
         """
-        weights = [self._weight(item, now, best_s) for item in candidates]
+        weights = [self._weight(item, view) for item in candidates]
         return self._random.choices(candidates, weights)[0]
 
-    def _weight(
-        self, candidate: Candidate, now: float, best_s: float
-    ) -> float:
-        latency_s = max(1e-4, self._latency(candidate, now, best_s))
-        weight = 1.0 / (
-            latency_s
+    def _weight(self, candidate: Candidate, view: '_View') -> float:
+        slowness = view.slowness(candidate)
+        weight = view.soundness(candidate) / (
+            slowness
             * max(1.0, candidate.load) ** LOAD_POWER
             # Grows before the first slow answer is there.
             * (1.0 + candidate.outstanding)
         )
-        if latency_s > SLOW_LATENCY * best_s:
-            return PROBE_SHARE * weight
+        if candidate.member.failure_domain != self._domain:
+            weight *= FAR_WEIGHT
+        if slowness > SLOW * view.best_slowness:
+            weight *= PROBE_SHARE
         return weight
 
     def _least(
-        self, candidates: list[Candidate], now: float, best_s: float
+        self, candidates: list[Candidate], view: '_View'
     ) -> Candidate | None:
         if not candidates:
             return None
@@ -154,28 +222,43 @@
         return min(
             candidates,
             key=lambda item: (
-                self._latency(item, now, best_s)
+                view.slowness(item)
+                / view.soundness(item)
                 * (1.0 + LOAD_WEIGHT * item.load)
                 * (1.0 + 0.02 * item.outstanding),
                 self._random.random(),
             ),
         )
 
-    def _best_latency(self, candidates: list[Candidate], now: float) -> float:
+
+class _View:
+    """The candidates of one call compared with the best of them."""
+
+    def __init__(self, candidates: list[Candidate], now: float) -> None:
+        self._now = now
         known = [
-            item.latency_s
+            slowness
             for item in candidates
-            if item.latency_s is not None
-            and now - item.latency_at <= LATENCY_LIFETIME_S
+            if (slowness := item.slowness(now)) is not None
         ]
-        return min(known) if known else 1e-3
-
-    def _latency(
-        self, candidate: Candidate, now: float, best_s: float
-    ) -> float:
-        if (
-            candidate.latency_s is None
-            or now - candidate.latency_at > LATENCY_LIFETIME_S
-        ):
-            return best_s
-        return candidate.latency_s
+        self.best_slowness = max(1e-3, min(known)) if known else 1.0
+        self._fewest_errors = min(item.errors(now) for item in candidates)
+
+    def slowness(self, candidate: Candidate) -> float:
+        """Return the slowness; that of the best one if it is not known."""
+        slowness = candidate.slowness(self._now)
+        return self.best_slowness if slowness is None else max(1e-3, slowness)
+
+    def soundness(self, candidate: Candidate) -> float:
+        """Return a weight that falls with errors that others do not make."""
+        excess = candidate.errors(self._now) - self._fewest_errors
+        return max(0.01, 1.0 - excess) ** ERROR_POWER
+
+    def is_good(self, candidate: Candidate) -> bool:
+        """Return whether a call of the own failure domain goes there."""
+        excess = candidate.errors(self._now) - self._fewest_errors
+        return (
+            candidate.load < NEAR_LOAD
+            and excess < NEAR_ERRORS
+            and self.slowness(candidate) <= SLOW * self.best_slowness
+        )
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -379,7 +379,12 @@
             return
         candidate.note_load(reply.load)
         if isinstance(reply, frames.Answer):
-            candidate.note_answer(now - call.sent_at, now)
+            self._choice.note_answer(
+                candidate,
+                call.route.name,
+                now - call.sent_at,
+                is_error=reply.status >= 500,
+            )
             if call.loads_below:
                 self._below.note(reply.deep_load, now)
             self._answer(call, reply, now)
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -222,7 +222,7 @@
         connection, self._connection = self._connection, None
         self.candidate.is_reachable = False
         self.candidate.is_serving = False
-        self.candidate.latency_s = None
+        self.candidate.forget()
         self.reads_store = False
         self._pinged.clear()
         if connection is not None and connection.is_open:
--- a/tests/coordination/test_upstream_choice.py
+++ b/tests/coordination/test_upstream_choice.py
@@ -67,9 +67,11 @@
     now = clock.ManualClock()
     slow = make_candidate('slow', load=0.9)
     fast = make_candidate('fast', 'b', load=0.9)
-    slow.note_answer(0.48, now.monotonic())
-    fast.note_answer(0.04, now.monotonic())
-    assert 0.0 < shares(make_choice(now), [slow, fast])['slow'] < 0.03
+    choice = make_choice(now)
+    for _ in range(20):
+        choice.note_answer(slow, 'read', 0.48, is_error=False)
+        choice.note_answer(fast, 'read', 0.04, is_error=False)
+    assert 0.0 < shares(choice, [slow, fast])['slow'] < 0.03
 
 
 def test_stopped_and_lost_daemons_get_nothing() -> None:
@@ -92,3 +94,67 @@
     assert choice.pick([failed]) is failed
     now.advance(0.3)
     assert shares(choice, [failed, other])['failed'] > 0.5
+
+
+def test_calls_of_different_length_do_not_make_an_upstream_slow() -> None:
+    """The near one gets the long calls too, the far one only short ones."""
+    now = clock.ManualClock()
+    near = make_candidate('near', load=0.5)
+    far = make_candidate('far', 'b', load=0.5)
+    choice = make_choice(now)
+    for _ in range(20):
+        choice.note_answer(near, 'book', 0.11, is_error=False)
+        choice.note_answer(near, 'peek', 0.015, is_error=False)
+        choice.note_answer(far, 'peek', 0.015, is_error=False)
+    assert shares(choice, [near, far])['near'] == 1.0
+
+
+def test_slower_machine_of_the_own_domain_is_used() -> None:
+    """Upstreams of one service differ in speed."""
+    now = clock.ManualClock()
+    near = make_candidate('near', load=0.5)
+    far = make_candidate('far', 'b', load=0.5)
+    choice = make_choice(now)
+    for _ in range(50):
+        choice.note_answer(near, 'peek', 0.056, is_error=False)
+        choice.note_answer(far, 'peek', 0.024, is_error=False)
+    assert shares(choice, [near, far])['near'] == 1.0
+
+
+def test_full_domains_are_balanced_with_the_near_one_first() -> None:
+    """At equal load the way to another failure domain is not taken."""
+    near = make_candidate('near', load=1.2)
+    far = make_candidate('far', 'b', load=1.2)
+    busy = make_candidate('busy', load=1.8)
+    assert shares(make_choice(), [near, far])['near'] > 0.6
+    assert shares(make_choice(), [busy, far])['far'] > 0.5
+
+
+def test_upstream_that_fails_a_part_of_its_calls_gets_few() -> None:
+    """Its errors are fast, and every second answer is good."""
+    now = clock.ManualClock()
+    grey = make_candidate('grey')
+    sound = make_candidate('sound', 'b')
+    choice = make_choice(now)
+    for index in range(40):
+        is_error = index % 2 == 0
+        elapsed_s = 0.001 if is_error else 0.05
+        choice.note_answer(grey, 'read', elapsed_s, is_error=is_error)
+        choice.note_answer(sound, 'read', 0.05, is_error=False)
+    assert 0.0 < shares(choice, [grey, sound])['grey'] < 0.4
+    now.advance(12.0)
+    assert shares(choice, [grey, sound])['grey'] == 1.0
+
+
+def test_errors_that_all_make_are_of_no_one() -> None:
+    """A service below fails; there is no better upstream."""
+    now = clock.ManualClock()
+    near = make_candidate('near')
+    far = make_candidate('far', 'b')
+    choice = make_choice(now)
+    for index in range(40):
+        for candidate in (near, far):
+            choice.note_answer(
+                candidate, 'read', 0.05, is_error=index % 2 == 0
+            )
+    assert shares(choice, [near, far])['near'] == 1.0
