Count refusals of upstreams as arrivals for the budget of repeats

Those of a daemon are no arrivals, those of the upstream are. Now the latter draw on the budget and count for the upstreams that a request may reach. The new test fails on the former code (200 more arrivals).

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -15,9 +15,14 @@
 USUAL_GAIN: Final = 0.02
 MAX_ROUTES: Final = 1024
 # A daemon of the own failure domain is taken while its load is below this
-# share. Upstreams of a service differ in speed by up to three times, which
-# costs less than the way to another failure domain.
+# share and it is no slower than this relative to the best. Upstreams of a
+# service differ in speed by 2.3, and means of ten calls vary.
 NEAR_LOAD: Final = 0.85
+NEAR_SLOW: Final = 3.0
+# An answer is overdue after this multiple of what is usual for its route;
+# the longest one in a hundred takes five times as long.
+OVERDUE: Final = 5.0
+MAX_OVERDUE: Final = 8
 # Where all are compared, a daemon of another failure domain counts by this
 # share: calls to it cost bytes between failure domains.
 FAR_WEIGHT: Final = 0.4
@@ -25,7 +30,7 @@
 LOAD_WEIGHT: Final = 4.0
 # Where all are compared, load above 1 counts with this power.
 LOAD_POWER: Final = 3.0
-# Upstreams that are slower than the best by more than this gets only enough
+# Upstreams that are slower than the best by more than this get only enough
 # calls to show when they have recovered.
 SLOW: Final = 3.5
 PROBE_SHARE: Final = 0.1
@@ -48,7 +53,6 @@
     """What is known of the upstream beside another daemon or this one.
 
     Attributes:
-        outstanding: Calls that wait for its answer.
         load: Calls that run and wait there relative to what it allows.
     """
 
@@ -57,13 +61,36 @@
         self.member = member
         self.is_reachable = False
         self.is_serving = False
-        self.outstanding = 0
         self.load = 0.0
         self.avoid_until = 0.0
         self._slowness: float | None = None
         self._errors = 0.0
         self._failures = 0
         self._noted_at = -math.inf
+        # When calls that wait for its answer are overdue, the first one first.
+        self._overdue_at: dict[int, float] = {}
+
+    @property
+    def outstanding(self) -> int:
+        """Return how many calls wait for its answer."""
+        return len(self._overdue_at)
+
+    def note_start(self, call_id: int, overdue_at: float) -> None:
+        """Take a call that is sent, and when its answer is overdue."""
+        self._overdue_at[call_id] = overdue_at
+
+    def note_end(self, call_id: int) -> None:
+        """Take the end of a call, whatever it was."""
+        self._overdue_at.pop(call_id, None)
+
+    def overdue(self, now: float) -> int:
+        """Return how many answers are overdue."""
+        count = 0
+        for overdue_at in self._overdue_at.values():
+            if overdue_at > now or count == MAX_OVERDUE:
+                break
+            count += 1
+        return count
 
     def forget(self) -> None:
         """Know nothing of its speed; the connection was lost."""
@@ -128,6 +155,14 @@
         # Usual latency of each route in seconds.
         self._usual_s: dict[str, float] = {}
 
+    def note_start(
+        self, candidate: Candidate, call_id: int, route: str
+    ) -> None:
+        """Take a call that is sent to a daemon."""
+        usual_s = self._usual_s.get(route, math.inf)
+        now = self._clock.monotonic()
+        candidate.note_start(call_id, now + OVERDUE * usual_s)
+
     def note_answer(
         self,
         candidate: Candidate,
@@ -203,7 +238,6 @@
         weight = view.soundness(candidate) / (
             slowness
             * max(1.0, candidate.load) ** LOAD_POWER
-            # Grows before the first slow answer is there.
             * (1.0 + candidate.outstanding)
         )
         if candidate.member.failure_domain != self._domain:
@@ -247,7 +281,10 @@
     def slowness(self, candidate: Candidate) -> float:
         """Return the slowness; that of the best one if it is not known."""
         slowness = candidate.slowness(self._now)
-        return self.best_slowness if slowness is None else max(1e-3, slowness)
+        if slowness is None:
+            slowness = self.best_slowness
+        # Grows before the first slow answer is there.
+        return max(1e-3, slowness) * (1.0 + candidate.overdue(self._now))
 
     def soundness(self, candidate: Candidate) -> float:
         """Return a weight that falls with errors that others do not make."""
@@ -260,5 +297,5 @@
         return (
             candidate.load < NEAR_LOAD
             and excess < NEAR_ERRORS
-            and self.slowness(candidate) <= SLOW * self.best_slowness
+            and self.slowness(candidate) <= NEAR_SLOW * self.best_slowness
         )
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -80,11 +80,14 @@
 
     Attributes:
         is_local: Whether another upstream may take the call.
+        has_arrived: Whether the upstream itself refused it; such an arrival
+            counts for the budget of repeats.
     """
 
     call_id: int
     reason: str
     is_local: bool
+    has_arrived: bool
     load: float
 
 
--- a/sassafraswood/sidecar/caller_call.py
+++ b/sassafraswood/sidecar/caller_call.py
@@ -27,6 +27,7 @@
         'loads_below',
         'parent',
         'refusals',
+        'rejections',
         'request',
         'route',
         'sent_at',
@@ -63,8 +64,10 @@
         self.candidate: upstream_choice.Candidate | None = None
         self.cancel: Callable[[], None] | None = None
         self.sent_at = 0.0
+        # Sends that may have run, refusals, and those of an upstream itself.
         self.sends = 0
         self.refusals = 0
+        self.rejections = 0
         self.tried: list[ids.DaemonId] = []
 
     def describe(self, status: int, reason: str) -> dict[str, Any]:
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -308,7 +308,7 @@
         call.sent_at = now
         call.sends += 1
         call.tried.append(candidate.member.daemon_id)
-        candidate.outstanding += 1
+        self._choice.note_start(candidate, call.call_id, call.route.name)
         request = call.request
         run = frames.Run(
             call_id=call.call_id,
@@ -328,10 +328,14 @@
         cancel = self._peers.start_call(
             candidate,
             run,
-            lambda reply: self._take_reply(call, candidate, reply),
+            lambda reply: self._take_reply(
+                call, candidate, run.call_id, reply
+            ),
         )
         if id(call) in self._active and call.call_id == run.call_id:
-            call.cancel = lambda: self._cancel(call, candidate, cancel)
+            call.cancel = lambda: self._cancel(
+                call, candidate, run.call_id, cancel
+            )
 
     def _head(self, call: caller_call.CallerCall) -> bytes:
         request = call.request
@@ -354,10 +358,11 @@
         self,
         call: caller_call.CallerCall,
         candidate: upstream_choice.Candidate,
+        call_id: int,
         cancel: Callable[[], None],
     ) -> None:
         call.cancel = None
-        candidate.outstanding -= 1
+        candidate.note_end(call_id)
         cancel()
 
     # Replies.
@@ -366,9 +371,10 @@
         self,
         call: caller_call.CallerCall,
         candidate: upstream_choice.Candidate,
+        call_id: int,
         reply: upstream_side.Reply | None,
     ) -> None:
-        candidate.outstanding -= 1
+        candidate.note_end(call_id)
         call.cancel = None
         if id(call) not in self._active:
             return
@@ -423,28 +429,35 @@
     ) -> None:
         call.refusals += 1
         call.sends -= 1
+        call.rejections += refusal.has_arrived
         if refusal.is_local:
             candidate.note_failure(self._clock.monotonic())
-        if refusal.is_local and call.refusals < MAX_REFUSALS:
-            self._send(call)
-            return
+            if call.refusals < MAX_REFUSALS and (
+                not refusal.has_arrived or self._may_repeat(call)
+            ):
+                self._send(call)
+                return
         self._refuse(call, 503, refusal.reason)
 
-    def _take_failure(self, call: caller_call.CallerCall, reason: str) -> None:
-        """Repeat a call that may have run, if that is allowed."""
-        if not call.route.is_idempotent:
-            self._fail(call, 502, reason)
-            return
+    def _may_repeat(self, call: caller_call.CallerCall) -> bool:
+        """Take a repeat of the budget if another upstream may get the call."""
         now = self._clock.monotonic()
-        left_s = call.expires_at - now
         if (
-            call.sends >= call.route.max_upstreams
-            or left_s < RETRY_TIME_SHARE * call.aim_s
+            call.sends + call.rejections >= call.route.max_upstreams
+            or call.expires_at - now < RETRY_TIME_SHARE * call.aim_s
         ):
+            return False
+        if self._budget.withdraw(call.service, now):
+            return True
+        self._metrics.count('not_repeated', call.service, 'budget')
+        return False
+
+    def _take_failure(self, call: caller_call.CallerCall, reason: str) -> None:
+        """Repeat a call that may have run, if that is allowed."""
+        if not call.route.is_idempotent:
             self._fail(call, 502, reason)
             return
-        if not self._budget.withdraw(call.service, now):
-            self._metrics.count('not_repeated', call.service, 'budget')
+        if not self._may_repeat(call):
             self._fail(call, 502, reason)
             return
         self._metrics.count('repeated', call.service, reason)
@@ -454,7 +467,7 @@
             route=call.route.name,
             reason=reason,
             tried=list(call.tried),
-            left_s=round(left_s, 3),
+            left_s=round(call.expires_at - self._clock.monotonic(), 3),
         )
         self._send(call)
 
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -189,6 +189,7 @@
                     call_id=run.call_id,
                     reason=enums.RefusalReason.PEER_UNREACHABLE.value,
                     is_local=True,
+                    has_arrived=False,
                     load=0.0,
                 )
             )
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -220,12 +220,16 @@
         names = self._names
         run = call.run
         if names.not_run in response.fields:
-            self._refuse(call, enums.RefusalReason.UPSTREAM_SHED)
+            self._refuse(
+                call, enums.RefusalReason.UPSTREAM_SHED, has_arrived=True
+            )
             return
         if response.status == _MISDIRECTED:
             self._registry.forget(instance)
             self.refresh()
-            self._refuse(call, enums.RefusalReason.NO_UPSTREAM)
+            self._refuse(
+                call, enums.RefusalReason.NO_UPSTREAM, has_arrived=True
+            )
             return
         is_own = names.seal in response.fields
         if not is_own or b'content-encoding' in response.fields:
@@ -258,7 +262,13 @@
         self.running.discard(call)
         self._gate.finish(call)
 
-    def _refuse(self, call: UpstreamCall, reason: enums.RefusalReason) -> None:
+    def _refuse(
+        self,
+        call: UpstreamCall,
+        reason: enums.RefusalReason,
+        *,
+        has_arrived: bool = False,
+    ) -> None:
         self._log.decision(
             'upstream_refused',
             attempt=call.run.attempt_id.decode('latin-1'),
@@ -277,6 +287,7 @@
                 call_id=call.run.call_id,
                 reason=reason.value,
                 is_local=is_local,
+                has_arrived=has_arrived,
                 load=self._gate.load_of(call),
             )
         )
--- a/tests/coordination/test_upstream_choice.py
+++ b/tests/coordination/test_upstream_choice.py
@@ -158,3 +158,23 @@
                 candidate, 'read', 0.05, is_error=index % 2 == 0
             )
     assert shares(choice, [near, far])['near'] == 1.0
+
+
+def test_upstream_that_does_not_answer_is_left_before_it_has() -> None:
+    """Its first slow answer comes twelve times later than usual."""
+    now = clock.ManualClock()
+    mute = make_candidate('mute')
+    sound = make_candidate('sound', 'b')
+    choice = make_choice(now)
+    for candidate in (mute, sound):
+        for _ in range(20):
+            choice.note_answer(candidate, 'read', 0.1, is_error=False)
+    for call_id in range(4):
+        choice.note_start(mute, call_id, 'read')
+    assert shares(choice, [mute, sound])['mute'] == 1.0
+    now.advance(0.6)
+    assert shares(choice, [mute, sound])['mute'] < 0.1
+    for call_id in range(4):
+        mute.note_end(call_id)
+    assert mute.outstanding == 0
+    assert shares(choice, [mute, sound])['mute'] == 1.0
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -188,7 +188,33 @@
 def refused(run: frames.Run) -> frames.Refused:
     """Return a refusal for the load of the upstream."""
     return frames.Refused(
-        call_id=run.call_id, reason='overloaded', is_local=False, load=2.0
+        call_id=run.call_id,
+        reason='overloaded',
+        is_local=False,
+        has_arrived=False,
+        load=2.0,
+    )
+
+
+def rejected(run: frames.Run) -> frames.Refused:
+    """Return a refusal that the upstream itself gave."""
+    return frames.Refused(
+        call_id=run.call_id,
+        reason='upstream_shed',
+        is_local=True,
+        has_arrived=True,
+        load=0.5,
+    )
+
+
+def unreachable(run: frames.Run) -> frames.Refused:
+    """Return a refusal of a daemon whose upstream got nothing."""
+    return frames.Refused(
+        call_id=run.call_id,
+        reason='no_upstream',
+        is_local=True,
+        has_arrived=False,
+        load=0.5,
     )
 
 
@@ -299,3 +325,28 @@
     side.side.abandon(request)
     assert len(side.peers.cancelled) == 1
     assert not connection.answers
+
+
+def test_refusals_of_upstreams_draw_on_the_budget_of_repeats(tmp_path) -> None:
+    """They are arrivals like any other; those of daemons are none."""
+    side = Side(tmp_path)
+    arrivals = 0
+    for _ in range(100):
+        connection = side.send('pay')
+        first = len(side.peers.sent) - 1
+        while not connection.answers:
+            side.answer(len(side.peers.sent) - 1, rejected)
+        arrivals += len(side.peers.sent) - first
+        assert connection.answers[0][0] == 503
+    # Four levels of calls share the ratio of 0.2 and the slack of 48.
+    assert arrivals - 100 <= 0.05 * 100 + 12
+
+
+def test_refusals_of_daemons_are_sent_on(tmp_path) -> None:
+    """Nothing has arrived, so nothing is repeated."""
+    side = Side(tmp_path)
+    for _ in range(100):
+        connection = side.send('pay')
+        side.answer(len(side.peers.sent) - 1, unreachable)
+        side.answer(len(side.peers.sent) - 1, ok)
+        assert connection.answers[0][0] == 200
