Refuse requests that crash the upstreams that run them

Cause: on the platform a request that crashes its upstream was sent on to one upstream after the other, as often as its callers repeated it. Now the daemon beside an upstream notices the crash (connections broke, and nobody listens any more, or another instance answers), closes its gate until the next report, and tells the daemons that read the store which requests were in flight. From the second crash on all daemons refuse the request. Requests like one that succeeded at the upstream lately are not suspected. Relays can now refuse as if nobody listened.

--- a/lab/relay.py
+++ b/lab/relay.py
@@ -21,6 +21,8 @@
     SLOW = 'slow'
     # Open connections are reset and new ones are closed at once.
     CUT = 'cut'
+    # As if nobody listened; open connections end.
+    REFUSE = 'refuse'
 
 
 # Delay of each piece that passes a slow relay, in seconds.
@@ -36,20 +38,32 @@
         self._target = target
         self._mode = RelayMode.PASS
         self._generation = 0
+        self._scope = anyio.CancelScope()
+        self._may_listen = anyio.Event()
+        self._may_listen.set()
         self._open: set[anyio.abc.SocketStream] = set()
 
     async def async_run(self) -> None:
         """Relay until cancelled."""
-        host, port = self._listen.rsplit(':', 1)
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port)
-        )
-        await listener.serve(self._async_connection)
+        while True:
+            await self._may_listen.wait()
+            host, port = self._listen.rsplit(':', 1)
+            listener = await anyio.create_tcp_listener(
+                local_host=host, local_port=int(port)
+            )
+            with anyio.CancelScope() as self._scope:
+                async with listener:
+                    await listener.serve(self._async_connection)
 
     async def async_set_mode(self, mode: RelayMode) -> None:
         """Change what happens to the connections."""
         self._mode = mode
         self._generation += 1
+        if mode is RelayMode.REFUSE:
+            self._may_listen = anyio.Event()
+            self._scope.cancel()
+        elif not self._may_listen.is_set():
+            self._may_listen.set()
         if mode is RelayMode.CUT:
             for stream in list(self._open):
                 await stream.aclose()
@@ -105,4 +119,8 @@
             return True
         if self._mode is RelayMode.SILENT_OPEN:
             return generation == self._generation
-        return self._mode not in (RelayMode.SILENT, RelayMode.CUT)
+        return self._mode not in (
+            RelayMode.SILENT,
+            RelayMode.CUT,
+            RelayMode.REFUSE,
+        )
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -34,6 +34,8 @@
     MOVE = 'move'
     WITHDRAW = 'withdraw'
     BURST = 'burst'
+    # A request that crashes each upstream that runs it comes again and again.
+    POISON = 'poison'
 
 
 # How often each kind is drawn; operators and planned work are frequent.
--- a/lab/soak/ledger.py
+++ b/lab/soak/ledger.py
@@ -19,6 +19,9 @@
 BUDGET_WINDOW_S: Final = 10.0
 BUDGET_RATIO: Final = 0.2
 BUDGET_SLACK: Final = 48.0
+# A request crashes three upstreams at most before all must know, and three
+# more while they learn of it.
+MAX_CRASHES: Final = 6
 # Statuses that promise that the request has not run and never will.
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 
@@ -86,6 +89,8 @@
         self.started_at: dict[str, list[float]] = collections.defaultdict(list)
         self.rates: dict[str, tuple[float, float]] = {}
         self.failures: list[str] = []
+        # Crashes by each request that crashes what runs it.
+        self.crashes: collections.Counter[str] = collections.Counter()
 
     def note_run(self, run: Run) -> None:
         """Take a run."""
@@ -110,6 +115,11 @@
         for runs in self.runs.values():
             for run in runs:
                 problems += self._check_run(run)
+        problems += [
+            f'{target} crashed {count} upstreams'
+            for target, count in self.crashes.items()
+            if count > MAX_CRASHES
+        ]
         problems += self._check_moves()
         problems += self._check_quota()
         problems += self._check_budget()
--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -21,6 +21,8 @@
 REPORT_S: Final = 0.5
 GRACE_S: Final = 6.0
 INNER_CALLS: Final = 2
+# Part of the path of requests that crash what runs them.
+POISON: Final = 'poison'
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _SETTINGS = """
 node = "{name}"
@@ -222,10 +224,15 @@
     async def async_crash_upstream(self, pause_s: float) -> None:
         """End the upstream without a word and start another one."""
         upstream, self.upstream = self.upstream, None
-        if upstream is not None:
-            upstream.crash()
+        if upstream is None:
+            # It is down already.
+            return
+        link = self.relays['upstream']
+        await link.async_set_mode(relay.RelayMode.REFUSE)
+        upstream.crash()
         await asyncio.sleep(pause_s)
         await self.async_start_upstream()
+        await link.async_set_mode(relay.RelayMode.PASS)
 
     async def async_replace_upstream(self, *, says_draining: bool) -> None:
         """Let the upstream leave as planned and start another one."""
@@ -277,6 +284,10 @@
                 at=time.monotonic(),
             )
         )
+        if POISON in target:
+            self._ledger.crashes[target] += 1
+            self._spawn(self.async_crash_upstream(1.0))
+            return False
         if not target.startswith('/read/'):
             return True
         left_s = int(fields['x-deadline-ms']) / 1000
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -29,6 +29,8 @@
 FINAL_SHARE: Final = 0.9
 FINAL_S: Final = 3.0
 RATE: Final = 20.0
+# Pause of the sender of requests that crash upstreams, in seconds.
+POISON_PAUSE_S: Final = 0.15
 _LINK_MODES: Final = (
     relay.RelayMode.SILENT,
     relay.RelayMode.SILENT_OPEN,
@@ -222,7 +224,7 @@
             kind is not faults.FaultKind.STORE_LINK
         ):
             return ['store']
-        if kind is faults.FaultKind.KILL_ALL:
+        if kind in (faults.FaultKind.KILL_ALL, faults.FaultKind.POISON):
             return [item.name for item in self._machines]
         if kind is faults.FaultKind.RESTART:
             # Planned: what was taken is answered. The next life is new.
@@ -253,6 +255,8 @@
             self._withdraw()
         elif kind is faults.FaultKind.BURST:
             await self._async_burst(machine, fault.for_s)
+        elif kind is faults.FaultKind.POISON:
+            await self._async_poison(fault)
         elif kind.value.endswith('_link'):
             await self._async_link(fault, machine)
         elif kind.value.startswith('store'):
@@ -279,6 +283,14 @@
         for worker in workers:
             worker.cancel()
 
+    async def _async_poison(self, fault: faults.Fault) -> None:
+        """Send a request that crashes upstreams to all daemons in turn."""
+        target = f'/read/{machine_module.POISON}{fault.variant}'
+        for index in range(int(fault.for_s / POISON_PAUSE_S)):
+            machine = self._machines[index % len(self._machines)]
+            await self._callers.async_send_poison(machine, target)
+            await asyncio.sleep(POISON_PAUSE_S)
+
     async def _async_link(
         self, fault: faults.Fault, machine: machine_module.Machine
     ) -> None:
--- a/sassafraswood/coordination/peer_plan.py
+++ b/sassafraswood/coordination/peer_plan.py
@@ -17,11 +17,12 @@
 # Daemons that may read the store for all. When a third of all VMs loses the
 # store, one of eight still reads it in all but 1 of 7,000 cases.
 READING_GROUP: Final = 8
-# Daemons that each other one asks for the state of the store.
-FEEDS: Final = 4
-# A daemon asks those in the first eighth of the order before it: state passes
+# Daemons that each other one asks for the state of the store, and tells of
+# crashes; any two daemons have one in common that is in the group.
+FEEDS: Final = 5
+# A daemon asks those in the first sixth of the order before it: state passes
 # over three daemons at 750, and none is asked by more than about 150.
-FEED_SHARE: Final = 8
+FEED_SHARE: Final = 6
 # Connections for one service, and how many of them go to the own failure
 # domain if it has that many; the load on each upstream then differs little.
 SUBSET: Final = 12
--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -1,6 +1,7 @@
 """The upstream beside a daemon, from its own reports."""
 
 from collections.abc import Iterable
+import math
 from typing import Final
 
 from sassafraswood import clock as clock_module
@@ -106,6 +107,10 @@
             self._report = None
         return leave
 
+    def note_crash(self) -> None:
+        """Take that nobody listens at the address until it reports again."""
+        self._heard_at = -math.inf
+
     def forget(self, instance_id: str) -> None:
         """Take that another process answers at the address."""
         if (
--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -170,7 +170,7 @@
             raise
         if isinstance(outcome, exchange.Response):
             return _check(outcome)
-        if outcome is exchange.FailureKind.CONNECT:
+        if outcome in exchange.NOTHING_SENT:
             raise exceptions.LogUnavailableError(outcome.value)
         raise exceptions.LogOutcomeUnknownError(outcome.value)
 
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -186,6 +186,24 @@
     load: float
 
 
+class CrashReport(Frame, tag=15):
+    """An upstream crashed with these requests in flight.
+
+    Attributes:
+        instance: The upstream.
+        fingerprints: Of the requests that it began last.
+    """
+
+    instance: str
+    fingerprints: list[str]
+
+
+class Refuse(Frame, tag=16):
+    """Requests that crashed several upstreams and are refused by all."""
+
+    fingerprints: list[str]
+
+
 AnyFrame = (
     Hello
     | Run
@@ -202,6 +220,8 @@
     | Borrow
     | Lend
     | Status
+    | CrashReport
+    | Refuse
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import route_order
@@ -62,6 +63,7 @@
         choice: upstream_choice.UpstreamChoice,
         upstream: upstream_side.UpstreamSide,
         below: deep_load.DeepLoad,
+        crashes: crash_counts.CrashCounts,
         log: json_log.JsonLog,
         metrics: measures.Measures,
         revoke_s: float,
@@ -78,6 +80,7 @@
         self._choice = choice
         self._upstream = upstream
         self._below = below
+        self._crashes = crashes
         self._log = log
         self._metrics = metrics
         self._retry_ratio = 0.0
@@ -170,6 +173,11 @@
         self._budget.deposit(
             call.service, self._retry_ratio, self._clock.monotonic()
         )
+        if self._crashes.has_refused and self._crashes.is_refused(
+            upstream_side.fingerprint_of(self._run(call))
+        ):
+            self._refuse(call, 503, enums.RefusalReason.QUARANTINED.value)
+            return
         if call.workspace and not self._quota.take(call):
             return
         self._send(call)
@@ -309,14 +317,30 @@
         call.sends += 1
         call.tried.append(candidate.member.daemon_id)
         self._choice.note_start(candidate, call.call_id, call.route.name)
+        run = self._run(call)
+        call.cancel = None
+        cancel = self._peers.start_call(
+            candidate,
+            run,
+            lambda reply: self._take_reply(
+                call, candidate, run.call_id, reply
+            ),
+        )
+        if id(call) in self._active and call.call_id == run.call_id:
+            call.cancel = lambda: self._cancel(
+                call, candidate, run.call_id, cancel
+            )
+
+    def _run(self, call: caller_call.CallerCall) -> frames.Run:
+        """Return the message that asks a daemon to run a call."""
         request = call.request
-        run = frames.Run(
+        return frames.Run(
             call_id=call.call_id,
             service=call.service,
             head=self._head(call),
             body=request.body,
             attempt_id=request.attempt_id,
-            time_left_s=left_s,
+            time_left_s=call.expires_at - self._clock.monotonic(),
             target_s=call.aim_s,
             urgency=call.urgency,
             workspace=call.workspace,
@@ -324,18 +348,6 @@
             is_idempotent=call.route.is_idempotent,
             is_inner=call.is_inner,
         )
-        call.cancel = None
-        cancel = self._peers.start_call(
-            candidate,
-            run,
-            lambda reply: self._take_reply(
-                call, candidate, run.call_id, reply
-            ),
-        )
-        if id(call) in self._active and call.call_id == run.call_id:
-            call.cancel = lambda: self._cancel(
-                call, candidate, run.call_id, cancel
-            )
 
     def _head(self, call: caller_call.CallerCall) -> bytes:
         request = call.request
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
@@ -30,6 +31,8 @@
 # A document that was asked for is not asked for again for this time, in
 # seconds; a large one takes about 0.1 s between failure domains.
 FETCH_S: Final = 0.5
+# Crashes that are not passed on a second time.
+MAX_SEEN_CRASHES: Final = 1024
 
 
 class Peers:
@@ -47,6 +50,7 @@
         rules: rules_follower.RulesFollower,
         membership: member_follower.MemberFollower,
         log: json_log.JsonLog,
+        crashes: crash_counts.CrashCounts,
         on_reached: Callable[[ids.ServiceName], None],
         on_lend: Callable[[frames.Lend], None],
         on_borrow: Callable[[frames.Borrow], frames.Lend],
@@ -63,6 +67,7 @@
             rules: Rules that daemons pass on to each other.
             membership: Records of members that they pass on.
             log: Log lines.
+            crashes: Requests that crash upstreams.
             on_reached: Called when a daemon of a service takes calls.
             on_lend: Called with the answer of a lender.
             on_borrow: Answers a borrower.
@@ -76,6 +81,7 @@
         self._rules = rules
         self._membership = membership
         self._log = log
+        self._crashes = crashes
         self._on_reached = on_reached
         self._on_lend = on_lend
         self._on_borrow = on_borrow
@@ -97,6 +103,7 @@
         ] = {}
         self._reviewed_at = 0.0
         self._fetched_at: dict[tuple[str, int], float] = {}
+        self._seen_crashes: dict[str, None] = {}
         self._server: asyncio.Server | None = None
 
     @property
@@ -247,6 +254,47 @@
         for connection in list(self._accepted):
             connection.close('stopped')
 
+    # Requests that crash upstreams.
+
+    def report_crash(
+        self, instance: str, fingerprints: list[ids.Fingerprint]
+    ) -> None:
+        """Tell those who count which requests were in flight at a crash."""
+        report = frames.CrashReport(
+            instance=instance, fingerprints=list(fingerprints)
+        )
+        self._seen_crashes[instance] = None
+        self._count_crash(report)
+
+    def _take_crash(self, report: frames.CrashReport) -> None:
+        if report.instance in self._seen_crashes:
+            return
+        self._seen_crashes[report.instance] = None
+        if len(self._seen_crashes) > MAX_SEEN_CRASHES:
+            del self._seen_crashes[next(iter(self._seen_crashes))]
+        self._count_crash(report)
+
+    def _count_crash(self, report: frames.CrashReport) -> None:
+        """Count a crash, and pass it on to those who count."""
+        for daemon_id in self._plan.feeds:
+            self.send(daemon_id, report)
+        self._refuse_all(
+            self._crashes.note_crash(
+                report.instance, map(ids.Fingerprint, report.fingerprints)
+            )
+        )
+
+    def _refuse_all(self, fingerprints: list[ids.Fingerprint]) -> None:
+        """Pass on which requests all daemons refuse from now on."""
+        if not fingerprints:
+            return
+        self._log.change('requests_quarantined', fingerprints=fingerprints)
+        message = frames.Refuse(fingerprints=list(fingerprints))
+        for link in self._links.values():
+            link.send(message)
+        for connection in self._accepted:
+            connection.send(message)
+
     # Outgoing connections.
 
     def _review(self, now: float) -> None:
@@ -375,6 +423,14 @@
             connection.send(self._membership.document(message.start))
         elif isinstance(message, frames.MembersDocument):
             self._membership.take(message)
+        elif isinstance(message, frames.CrashReport):
+            self._take_crash(message)
+        elif isinstance(message, frames.Refuse):
+            self._refuse_all(
+                self._crashes.refuse(
+                    map(ids.Fingerprint, message.fingerprints)
+                )
+            )
 
     def _hello(self) -> frames.Hello:
         return frames.Hello(
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -11,6 +11,7 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
+from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import quota_shares
@@ -97,6 +98,7 @@
             names.attempt_id,
         )
         below = deep_load.DeepLoad()
+        crashes = crash_counts.CrashCounts(self._clock)
         self._upstream = upstream_side.UpstreamSide(
             clock=self._clock,
             gate=upstream_gate.UpstreamGate(self._clock, below),
@@ -105,8 +107,10 @@
             names=names,
             service=settings.service,
             below=below,
+            crashes=crashes,
             log=self._log,
             on_serving=self._on_serving,
+            on_crash=self._on_crash,
         )
         self._shares = quota_shares.QuotaShares(
             clock=self._clock,
@@ -129,6 +133,7 @@
             ),
             upstream=self._upstream,
             below=below,
+            crashes=crashes,
             log=self._log,
             metrics=self._metrics,
             revoke_s=bounds.key_age_s,
@@ -181,6 +186,7 @@
             rules=self._rules,
             membership=self._membership,
             log=self._log,
+            crashes=crashes,
             on_reached=self._callers.resume,
             on_lend=self._callers.take_loan,
             on_borrow=self._lend,
@@ -395,6 +401,11 @@
     def _on_serving(self, is_serving: bool) -> None:
         self._peers.set_serving(is_serving)
 
+    def _on_crash(
+        self, instance: str, fingerprints: list[ids.Fingerprint]
+    ) -> None:
+        self._peers.report_crash(instance, fingerprints)
+
     def _lend(self, message: frames.Borrow) -> frames.Lend:
         tokens = 0.0
         if self._knowledge.may_spend_share(MEMBERS_AGE_S):
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -1,10 +1,13 @@
 """Runs calls at the upstream beside this daemon."""
 
+import collections
 from collections.abc import Callable
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
+from sassafraswood.coordination import quarantine
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_registry
 from sassafraswood.models import enums
@@ -19,6 +22,28 @@
 
 # The upstream at the address is not the one that was meant.
 _MISDIRECTED: Final = 421
+# Calls whose connection broke this time before nobody listened any more, in
+# seconds, were in flight at the crash; the next call finds out.
+BROKEN_S: Final = 1.0
+MAX_BROKEN: Final = 512
+# Of these, the ones that the upstream began last are suspected; a request
+# that crashes it does so when it begins.
+MAX_SUSPECTS: Final = 16
+MAX_SUCCEEDED: Final = 4096
+
+
+def _kind_of(run: frames.Run) -> tuple[bytes, int]:
+    """Return a cheap stand-in for the fingerprint within this process."""
+    return run.head.partition(b'\r\n')[0], hash(run.body)
+
+
+def fingerprint_of(run: frames.Run) -> ids.Fingerprint:
+    """Return what a request has in common with its repeats."""
+    line = run.head.partition(b'\r\n')[0].decode('latin-1')
+    method, _, target = line.partition(' ')
+    return quarantine.compute_fingerprint(
+        ids.ServiceName(run.service), method, target, run.body
+    )
 
 
 class UpstreamCall(upstream_gate.GateCall):
@@ -43,10 +68,27 @@
         names: fields.FieldNames,
         service: ids.ServiceName,
         below: deep_load.DeepLoad,
+        crashes: crash_counts.CrashCounts,
         log: json_log.JsonLog,
         on_serving: Callable[[bool], None],
+        on_crash: Callable[[str, list[ids.Fingerprint]], None],
     ) -> None:
-        """Take the parts; on_serving is called with each change."""
+        """Take the parts.
+
+        Args:
+            clock: Monotonic time.
+            gate: Decides which calls run.
+            registry: State of the upstream by its reports.
+            pool: Connections to the upstream.
+            names: Header fields.
+            service: Service of the upstream.
+            below: Load of the services that it calls.
+            crashes: Requests that crash upstreams.
+            log: Log lines.
+            on_serving: Called with whether calls are taken, on each change.
+            on_crash: Called after a crash with the upstream's id and the
+                requests that it began last.
+        """
         self._clock = clock
         self._gate = gate
         self._registry = registry
@@ -56,6 +98,15 @@
         self._below = below
         self._log = log
         self._on_serving = on_serving
+        self._crashes = crashes
+        self._on_crash = on_crash
+        # Requests that the upstream answered lately, the last one last. They
+        # are not suspected: many callers send the same ones.
+        self._succeeded: dict[tuple[bytes, int], None] = {}
+        # Calls whose connection broke, and when.
+        self._broken: collections.deque[tuple[float, UpstreamCall]] = (
+            collections.deque(maxlen=MAX_BROKEN)
+        )
         self._is_stopping = False
         self.running: set[UpstreamCall] = set()
 
@@ -147,6 +198,12 @@
             call.state = upstream_gate.CallState.ENDED
             self._refuse(call, enums.RefusalReason.UNKNOWN_SERVICE)
             return call
+        if self._crashes.has_refused and self._crashes.is_refused(
+            fingerprint_of(run)
+        ):
+            call.state = upstream_gate.CallState.ENDED
+            self._refuse(call, enums.RefusalReason.QUARANTINED)
+            return call
         self._gate.submit(call)
         return call
 
@@ -209,11 +266,45 @@
         if isinstance(outcome, exchange.Response):
             self._answer(call, outcome, instance)
             return
-        if outcome is exchange.FailureKind.CONNECT:
+        if outcome in exchange.NOTHING_SENT:
+            if outcome is exchange.FailureKind.REFUSED:
+                self._note_crash(instance)
             self._refuse(call, enums.RefusalReason.UPSTREAM_UNREACHABLE)
             return
+        self._broken.append((self._clock.monotonic(), call))
         self._fail(call, outcome.value)
 
+    def _note_success(self, run: frames.Run) -> None:
+        kind = _kind_of(run)
+        self._succeeded.pop(kind, None)
+        self._succeeded[kind] = None
+        if len(self._succeeded) > MAX_SUCCEEDED:
+            del self._succeeded[next(iter(self._succeeded))]
+
+    def _note_crash(self, instance: str) -> None:
+        """Take that the upstream has ended, and what it ran at the end."""
+        report = self._registry.report
+        if report is not None and report.instance_id == instance:
+            self._registry.note_crash()
+            self.refresh()
+        since = self._clock.monotonic() - BROKEN_S
+        lost = [
+            call
+            for at, call in self._broken
+            if at >= since and _kind_of(call.run) not in self._succeeded
+        ]
+        self._broken.clear()
+        if not lost:
+            return
+        lost.sort(key=lambda call: call.started_at)
+        fingerprints = [
+            fingerprint_of(call.run) for call in lost[-MAX_SUSPECTS:]
+        ]
+        self._log.change(
+            'upstream_crashed', instance=instance, lost_calls=len(lost)
+        )
+        self._on_crash(instance, fingerprints)
+
     def _answer(
         self, call: UpstreamCall, response: exchange.Response, instance: str
     ) -> None:
@@ -227,6 +318,7 @@
         if response.status == _MISDIRECTED:
             self._registry.forget(instance)
             self.refresh()
+            self._note_crash(instance)
             self._refuse(
                 call, enums.RefusalReason.NO_UPSTREAM, has_arrived=True
             )
@@ -235,6 +327,8 @@
         if not is_own or b'content-encoding' in response.fields:
             self._fail(call, 'answer_without_seal')
             return
+        if response.status < 500:
+            self._note_success(run)
         call.deliver(
             frames.Answer(
                 call_id=run.call_id,
@@ -281,6 +375,7 @@
         is_local = reason not in (
             enums.RefusalReason.OVERLOADED,
             enums.RefusalReason.DEADLINE_UNREACHABLE,
+            enums.RefusalReason.QUARANTINED,
         )
         call.deliver(
             frames.Refused(
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -45,6 +45,8 @@
 
     # Nothing was sent.
     CONNECT = 'connect_failed'
+    # Nothing was sent, for nobody listens.
+    REFUSED = 'connect_refused'
     # The connection ended before the answer began.
     BROKEN = 'connection_broken'
     # The answer began and is not whole.
@@ -55,6 +57,9 @@
     CANCELLED = 'cancelled'
 
 
+NOTHING_SENT: Final = frozenset({FailureKind.CONNECT, FailureKind.REFUSED})
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Response:
     """A whole answer.
@@ -392,6 +397,10 @@
                     host,
                     port,
                 )
+        except ConnectionRefusedError:
+            if not exchange.is_cancelled:
+                on_done(FailureKind.REFUSED)
+            return
         except OSError:
             # TimeoutError is an OSError.
             if not exchange.is_cancelled:
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -3,6 +3,7 @@
 import random
 
 from sassafraswood import clock
+from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import store_knowledge
@@ -12,6 +13,7 @@
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import measures
+from sassafraswood.sidecar import upstream_side
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
 
@@ -85,6 +87,7 @@
         """Wire it up with rules of one safe and one unsafe route."""
         self.clock = clock.ManualClock()
         self.peers = FakePeers()
+        self.crashes = crash_counts.CrashCounts(self.clock)
         self.knowledge = store_knowledge.StoreKnowledge(self.clock)
         source = random.Random(1)
         own = fleet.Member(
@@ -112,6 +115,7 @@
             ),
             upstream=FakeUpstream(),
             below=deep_load.DeepLoad(),
+            crashes=self.crashes,
             log=json_log.JsonLog('own', self.log_file.fileno()),
             metrics=measures.Measures(),
             revoke_s=5.0,
@@ -350,3 +354,13 @@
         side.answer(len(side.peers.sent) - 1, unreachable)
         side.answer(len(side.peers.sent) - 1, ok)
         assert connection.answers[0][0] == 200
+
+
+def test_request_that_crashed_upstreams_is_refused(tmp_path) -> None:
+    """Under any id, with the same path and body."""
+    side = Side(tmp_path)
+    side.send('read')
+    _, run, _ = side.peers.sent[0]
+    side.crashes.refuse([upstream_side.fingerprint_of(run)])
+    assert side.send('read').answers[0][0] == 503
+    assert not side.send('pay').answers
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -1,6 +1,7 @@
 """Tests of the side of a daemon that runs calls at its upstream."""
 
 from sassafraswood import clock
+from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_registry
@@ -53,6 +54,8 @@
         self.clock = clock.ManualClock()
         self.pool = FakePool()
         self.replies = []
+        self.crashed = []
+        self.crashes = crash_counts.CrashCounts(self.clock)
         self.registry = upstream_registry.UpstreamRegistry(
             clock=self.clock,
             service=SERVICE,
@@ -71,7 +74,11 @@
             names=NAMES,
             service=SERVICE,
             log=json_log.JsonLog('d1', self.log_file.fileno()),
+            crashes=self.crashes,
             on_serving=lambda is_serving: None,
+            on_crash=lambda instance, found: self.crashed.append(
+                (instance, found)
+            ),
         )
         self.report()
 
@@ -202,3 +209,58 @@
     call = side.submit()
     side.side.cancel(call)
     assert len(side.side.running) == 1
+
+
+def test_crash_names_the_calls_that_were_in_flight(tmp_path) -> None:
+    """Nobody listens any more just after their connections broke."""
+    side = Side(tmp_path)
+    side.submit()
+    side.submit(call_id=2, head=b'POST /b/ HTTP/1.1\r\n')
+    for index in range(2):
+        side.pool.requests[index][2](exchange.FailureKind.BROKEN)
+    assert not side.crashed
+    side.submit(call_id=3, head=b'POST /c/ HTTP/1.1\r\n')
+    side.pool.requests[2][2](exchange.FailureKind.REFUSED)
+    ((instance, fingerprints),) = side.crashed
+    assert instance == 'i1'
+    assert len(set(fingerprints)) == 2
+    assert not side.side.is_serving
+    side.report(sequence=2)
+    assert side.side.is_serving
+
+
+def test_broken_connection_alone_is_no_crash(tmp_path) -> None:
+    """The upstream goes on."""
+    side = Side(tmp_path)
+    side.submit()
+    side.pool.requests[0][2](exchange.FailureKind.BROKEN)
+    side.submit(call_id=2)
+    side.answer(1)
+    assert not side.crashed
+    assert side.side.is_serving
+
+
+def test_request_that_crashed_upstreams_is_not_started(tmp_path) -> None:
+    """The last daemon before an upstream refuses it too."""
+    side = Side(tmp_path)
+    call = side.submit()
+    side.crashes.refuse([upstream_side.fingerprint_of(call.run)])
+    side.submit(call_id=2)
+    assert len(side.pool.requests) == 1
+    assert side.replies[0].reason == enums.RefusalReason.QUARANTINED.value
+    assert not side.replies[0].is_local
+
+
+def test_requests_that_succeeded_are_not_suspected(tmp_path) -> None:
+    """Many callers send the same ones, so they are in flight at any crash."""
+    side = Side(tmp_path)
+    side.submit()
+    side.answer()
+    side.submit(call_id=2)
+    side.submit(call_id=3, head=b'POST /b/ HTTP/1.1\r\n')
+    for index in (1, 2):
+        side.pool.requests[index][2](exchange.FailureKind.BROKEN)
+    side.submit(call_id=4)
+    side.pool.requests[3][2](exchange.FailureKind.REFUSED)
+    ((_, fingerprints),) = side.crashed
+    assert len(fingerprints) == 1
