Bound the bytes of bodies that a daemon holds, and drop clients that do not read

Cause: bodies were held without a common bound; five of the largest that the limits allow end the process. Answers for clients that do not read them were held without a time. Now requests and answers each have 0.15 of the memory; a request that finds no room is refused as not run, an answer is broken off. The next request of a client begins when it has read the last answer, and one that does not read for the idle timeout is dropped. Tests of the connections of clients, with any bytes in any pieces.

--- a/sassafraswood/platform/settings.py
+++ b/sassafraswood/platform/settings.py
@@ -10,6 +10,8 @@
 from sassafraswood import exceptions
 from sassafraswood.models import ids
 
+# Memory of the smallest VMs in megabytes.
+DEFAULT_MEMORY_MB: Final = 200
 PATH_VARIABLE: Final = 'SASSAFRASWOOD_SETTINGS'
 
 
@@ -59,6 +61,7 @@
         report_address: Where the own upstream reports its state.
         store_address: The platform's store.
         upstream_address: The own upstream.
+        memory_bytes: Memory after which the process is ended.
         is_first_start: Whether the whole fleet starts for the first time.
     """
 
@@ -72,6 +75,7 @@
     report_address: tuple[str, int]
     upstream_address: tuple[str, int]
     store_address: tuple[str, int]
+    memory_bytes: int
     is_first_start: bool
     report_interval_s: float
     bounds: Bounds
@@ -214,6 +218,9 @@
         report_address=reader.address('listen.control'),
         upstream_address=reader.address('app-addr'),
         store_address=reader.address('platform.address'),
+        memory_bytes=int(
+            reader.number('limits.memory-mb', DEFAULT_MEMORY_MB) * 1024 * 1024
+        ),
         is_first_start=reader.flag('bootstrap'),
         report_interval_s=reader.number('heartbeat-interval-s', 1.5),
         bounds=reader.bounds('bounds'),
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -53,6 +53,9 @@
 # Kept from the time until the process is killed, in seconds.
 GRACE_MARGIN_S: Final = 0.7
 METRICS_PORT: Final = 9464
+# Part of the memory for bodies of requests, and for those of answers; each is
+# held twice while it is passed on, and the process itself takes a tenth.
+BODIES_SHARE: Final = 0.15
 # Settings that a running process takes from a changed file.
 RELOADED_SETTINGS: Final = ('bounds', 'report_interval_s')
 # Age of the knowledge of members, in seconds, above which a daemon spends no
@@ -209,6 +212,8 @@
             local_servers.MetricsHandler(self._metrics, self._set_gauges),
             names,
         )
+        for held in (self._entry.held, self._pool.held):
+            held.limit = int(BODIES_SHARE * settings.memory_bytes)
         self._has_rules = False
         self._is_stopping = False
         self._stop_requested = asyncio.Event()
@@ -424,6 +429,8 @@
         metrics.gauge('upstream_running', len(self._upstream.running))
         metrics.gauge('upstream_load', self._upstream.load)
         metrics.gauge('upstream_connects', self._pool.connects)
+        metrics.gauge('request_bytes_held', self._entry.held.count)
+        metrics.gauge('answer_bytes_held', self._pool.held.count)
         metrics.gauge('peers_reachable', self._peers.open_count)
         metrics.gauge('peers_accepted', self._peers.accepted_count)
         metrics.gauge('store_calls', self._store.calls)
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -13,6 +13,7 @@
 import httptools
 
 from sassafraswood.models import fields
+from sassafraswood.state import held_bytes
 from sassafraswood.transport import tcp
 
 # Fields of one connection (RFC 9110, section 7.6.1) and the length, which
@@ -87,10 +88,21 @@
     """
 
     def __init__(
-        self, noted: frozenset[bytes], id_field: bytes | None = None
+        self,
+        noted: frozenset[bytes],
+        id_field: bytes | None = None,
+        held: held_bytes.HeldBytes | None = None,
     ) -> None:
-        """Take the fields to note and the field that carries the id."""
+        """Take the fields to note and the field that carries the id.
+
+        Args:
+            noted: Names of the fields to note.
+            id_field: Name of the field that carries the id.
+            held: Counts the bytes of answers that are not whole.
+        """
         self._noted = noted
+        self._held = held or held_bytes.HeldBytes()
+        self._size = 0
         self._id_field = id_field
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -134,6 +146,7 @@
     def cancel(self) -> None:
         """Break the exchange off without a call of on_done."""
         self._on_done = None
+        self._release()
         self.close()
 
     def close(self) -> None:
@@ -216,10 +229,12 @@
         """Take a part of the body."""
         if self._result is not None:
             return
-        self._size += len(data)
-        if self._size > MAX_ANSWER_BYTES:
+        if self._size + len(data) > MAX_ANSWER_BYTES or not self._held.take(
+            len(data)
+        ):
             self._fail(FailureKind.TOO_LARGE)
             return
+        self._size += len(data)
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -261,6 +276,7 @@
     def _finish(self) -> None:
         on_done, result = self._on_done, self._result
         self._on_done = None
+        self._release()
         self.idle_since = time.monotonic()
         if self._is_dirty or not self._may_reuse:
             self.close()
@@ -270,16 +286,22 @@
     def _fail(self, kind: FailureKind) -> None:
         on_done = self._on_done
         self._on_done = None
+        self._release()
         if not self._is_closed:
             self.close()
         if on_done is not None:
             on_done(kind)
 
+    def _release(self) -> None:
+        if self._size:
+            self._held.release(self._size)
+            self._size = 0
+
     def _reset(self) -> None:
+        self._release()
         self._head: list[bytes] = []
         self._fields: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
-        self._size = 0
         self._is_framed = False
         self._has_begun = False
         self._has_header = False
@@ -336,6 +358,7 @@
         self._idle: collections.deque[ExchangeConnection] = collections.deque()
         self._connecting: set[asyncio.Task[None]] = set()
         self.connects = 0
+        self.held = held_bytes.HeldBytes()
 
     def start(
         self,
@@ -393,7 +416,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: ExchangeConnection(self._noted, self._id_field),
+                    lambda: ExchangeConnection(
+                        self._noted, self._id_field, self.held
+                    ),
                     host,
                     port,
                 )
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -11,11 +11,15 @@
 
 from sassafraswood.models import fields
 from sassafraswood.models import traffic
+from sassafraswood.state import held_bytes
 from sassafraswood.transport import exchange
 
 # Requests that a client may send ahead on one connection.
 MAX_PIPELINED: Final = 16
 LISTEN_BACKLOG: Final = 1024
+# Clients that found no room for their body come back after this time in
+# seconds; large bodies take that long to be passed on.
+FULL_RETRY_S: Final = 1.0
 _STATUS_LINES: Final = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
     for status in http.HTTPStatus
@@ -103,6 +107,8 @@
         self._is_closing = False
         self.since = self._loop.time()
         self.peer = ''
+        self._body_bytes = 0
+        self._is_paused = False
 
     @property
     def is_idle(self) -> bool:
@@ -114,6 +120,19 @@
         """Return whether a request has begun and is not whole."""
         return self._building is not None
 
+    @property
+    def is_stuck(self) -> bool:
+        """Return whether the client does not read its answer."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close(self) -> None:
         """Close after what was written."""
         if self._transport is not None and not self._is_closing:
@@ -151,11 +170,24 @@
         self._is_closing = True
         self._transport = None
         self._server.connections.discard(self)
-        self._waiting.clear()
         current, self._current = self._current, None
+        self._release_building()
+        for request in self._waiting:
+            self._server.held.release(len(request.body))
+        self._waiting.clear()
         if current is not None:
+            self._server.held.release(len(current.body))
             self._server.handler.abandon(current)
 
+    def pause_writing(self) -> None:
+        """Begin no further request; the client reads slowly."""
+        self._is_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on with the requests that the client sent ahead."""
+        self._is_paused = False
+        self._begin_next()
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -166,7 +198,6 @@
         self._body: list[bytes] = []
         self._dropped: set[bytes] = set()
         self._header_bytes = 0
-        self._body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the target."""
@@ -208,10 +239,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self._server.limits.max_body_bytes:
+        if self._body_bytes + len(data) > self._server.limits.max_body_bytes:
             self._reject(413)
             raise ValueError('body too large')
+        if not self._server.held.take(len(data)):
+            # Nothing was passed on, so the client may come back.
+            self._reject(503, b'Retry-After: %.3f\r\n' % FULL_RETRY_S)
+            raise ValueError('no room for bodies')
+        self._body_bytes += len(data)
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -228,8 +263,11 @@
             request.head = _without(request.head, self._dropped)
         body = self._body
         request.body = body[0] if len(body) == 1 else b''.join(body)
-        if self._current is not None:
+        # Held until the request is answered, or its client has left.
+        self._body_bytes = 0
+        if self._current is not None or self._is_paused:
             if len(self._waiting) >= MAX_PIPELINED:
+                self._server.held.release(len(request.body))
                 self._reject(503)
                 return
             self._waiting.append(request)
@@ -268,11 +306,15 @@
             )
         )
         self._current = None
+        self._server.held.release(len(request.body))
         self.since = self._loop.time()
         if is_closing:
             self.close()
             return
-        if self._waiting:
+        self._begin_next()
+
+    def _begin_next(self) -> None:
+        if self._waiting and self._current is None and not self._is_paused:
             self._current = self._waiting.popleft()
             self._server.handler.handle(self._current)
 
@@ -289,14 +331,22 @@
             if name not in (b'close', b'keep-alive', b'', b'host'):
                 self._dropped.add(name)
 
-    def _reject(self, status: int) -> None:
+    def _release_building(self) -> None:
+        """Give up the body of a request that is not whole."""
+        if self._body_bytes:
+            self._server.held.release(self._body_bytes)
+            self._body_bytes = 0
+
+    def _reject(self, status: int, head: bytes = b'') -> None:
         """Answer bytes that are no acceptable request and close."""
         self._building = None
+        self._release_building()
         if self._transport is None or self._is_closing:
             return
         if self._current is None:
             self._transport.write(
                 _STATUS_LINES[status]
+                + head
                 + b'Content-Length: 0\r\nConnection: close\r\n\r\n'
             )
         self.close()
@@ -312,6 +362,8 @@
         self.handler = handler
         self.names = names
         self.limits = DEFAULT_LIMITS
+        # Bodies of requests that are read or not answered yet.
+        self.held = held_bytes.HeldBytes()
         self.is_closing = False
         self.connections: set[IngressConnection] = set()
         # Set by this system whatever a client sends.
@@ -339,7 +391,10 @@
         limits = self.limits
         for connection in list(self.connections):
             age_s = now - connection.since
-            if connection.is_reading:
+            if connection.is_stuck:
+                if age_s > limits.idle_timeout_s:
+                    connection.abort()
+            elif connection.is_reading:
                 if age_s > limits.header_timeout_s + limits.idle_timeout_s:
                     connection.close()
             elif connection.is_idle and age_s > limits.idle_timeout_s:
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -92,6 +92,7 @@
                     report_address=('127.0.0.1', ports[3]),
                     upstream_address=('127.0.0.1', ports[4]),
                     store_address=store_address,
+                    memory_bytes=300 << 20,
                     is_first_start=True,
                     report_interval_s=60.0,
                     bounds=settings.Bounds(revoke_s=2.0),
--- /dev/null
+++ b/tests/state/test_held_bytes.py
@@ -0,0 +1,14 @@
+"""Tests of the bound of bytes that are held."""
+
+from sassafraswood.state import held_bytes
+
+
+def test_limit_is_not_passed() -> None:
+    """What is refused is not counted."""
+    held = held_bytes.HeldBytes(10)
+    assert held.take(6)
+    assert not held.take(5)
+    assert held.take(4)
+    held.release(6)
+    assert held.count == 4
+    assert held.take(6)
--- /dev/null
+++ b/tests/transport/test_ingress.py
@@ -0,0 +1,216 @@
+"""Tests of the connections of clients."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from sassafraswood.models import traffic
+from sassafraswood.transport import ingress
+
+from tests.sidecar.test_upstream_side import NAMES
+
+GET = b'GET /a/1 HTTP/1.1\r\nHost: x\r\n\r\n'
+POST = b'POST /a/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello'
+LIMITS = traffic.ClientLimits(
+    max_header_bytes=500,
+    max_body_bytes=50,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+
+
+class FakeSocket:
+    """Takes options."""
+
+    def setsockopt(self, *values) -> None:
+        """Do nothing."""
+
+
+class FakeTransport:
+    """Keeps what is written."""
+
+    def __init__(self) -> None:
+        """Start open."""
+        self.written = b''
+        self.unread = 0
+        self.is_closed = False
+
+    def get_extra_info(self, name: str):
+        """Return the socket or the address of the client."""
+        return FakeSocket() if name == 'socket' else ('10.0.0.1', 5)
+
+    def write(self, data: bytes) -> None:
+        """Keep bytes."""
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        """Return what the client has not read."""
+        return self.unread
+
+    def close(self) -> None:
+        """Close after what was written."""
+        self.is_closed = True
+
+    abort = close
+
+
+class Handler:
+    """Keeps requests until the test answers them."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.requests = []
+        self.abandoned = []
+
+    def handle(self, request) -> None:
+        """Keep a request."""
+        self.requests.append(request)
+
+    def abandon(self, request) -> None:
+        """Keep a request whose client has left."""
+        self.abandoned.append(request)
+
+
+class Client:
+    """A connection with a fake transport."""
+
+    def __init__(self, data: bytes = b'') -> None:
+        """Connect and send."""
+        self.handler = Handler()
+        self.server = ingress.IngressServer(self.handler, NAMES)
+        self.server.limits = LIMITS
+        self.transport = FakeTransport()
+        self.loop = asyncio.new_event_loop()
+        asyncio.set_event_loop(self.loop)
+        self.connection = self.loop.run_until_complete(self._async_connect())
+        self.connection.data_received(data)
+
+    async def _async_connect(self) -> ingress.IngressConnection:
+        connection = ingress.IngressConnection(self.server)
+        connection.connection_made(self.transport)
+        return connection
+
+    def leave(self) -> None:
+        """End the connection."""
+        self.connection.connection_lost(None)
+        self.loop.close()
+
+
+def test_requests_sent_ahead_are_answered_in_order() -> None:
+    """One at a time, each with its own answer."""
+    client = Client(GET + POST)
+    (first,) = client.handler.requests
+    first.reply(200, b'', b'one')
+    second = client.handler.requests[1]
+    assert second.body == b'hello'
+    first.reply(200, b'', b'again')
+    second.reply(503)
+    statuses = [
+        line
+        for line in client.transport.written.split(b'\r\n')
+        if b'HTTP/1.1' in line
+    ]
+    assert [line.split()[1] for line in statuses] == [b'200', b'503']
+    assert b'again' not in client.transport.written
+    client.leave()
+
+
+def test_client_that_reads_slowly_gets_one_answer_at_a_time() -> None:
+    """Answers that it does not read would take memory."""
+    client = Client(GET + GET)
+    client.connection.pause_writing()
+    client.handler.requests[0].reply(200, b'', b'one')
+    assert len(client.handler.requests) == 1
+    client.connection.resume_writing()
+    assert len(client.handler.requests) == 2
+    client.leave()
+
+
+def test_client_that_does_not_read_is_dropped() -> None:
+    """Its answer is not held for ever."""
+    client = Client(GET)
+    client.handler.requests[0].reply(200, b'', b'one')
+    client.transport.unread = 10
+    now = client.connection.since
+    client.server.sweep(now + 14.0)
+    assert not client.transport.is_closed
+    client.server.sweep(now + 16.0)
+    assert client.transport.is_closed
+    client.leave()
+
+
+def test_limits_of_header_and_body() -> None:
+    """The request is not handed over, and the connection ends."""
+    big = POST.replace(b'5', b'51', 1) + b'x' * 50
+    assert b' 413 ' in Client(big).transport.written
+    long = GET.replace(b'Host', b'a: ' + b'x' * 500 + b'\r\nHost')
+    client = Client(long)
+    assert b' 431 ' in client.transport.written
+    assert not client.handler.requests
+    assert client.transport.is_closed
+
+
+def test_bodies_of_all_clients_have_a_bound() -> None:
+    """What finds no room is refused as not run, and may come back."""
+    client = Client()
+    client.server.held.limit = 8
+    client.connection.data_received(POST)
+    assert client.server.held.count == 5
+    client.connection.data_received(POST)
+    assert client.transport.is_closed
+    client.leave()
+    assert client.server.held.count == 0
+    other = Client()
+    other.server.held.limit = 4
+    other.connection.data_received(POST)
+    assert b' 503 ' in other.transport.written
+    assert b'Retry-After' in other.transport.written
+    assert other.server.held.count == 0
+    other.leave()
+
+
+def test_body_is_held_until_its_answer() -> None:
+    """And as long as its client waits."""
+    client = Client(POST)
+    assert client.server.held.count == 5
+    client.handler.requests[0].reply(200)
+    assert client.server.held.count == 0
+    client.connection.data_received(POST[:-2])
+    assert client.server.held.count == 3
+    client.leave()
+    assert client.server.held.count == 0
+
+
+def test_client_that_leaves_gives_up_its_request() -> None:
+    """Also what it sent ahead."""
+    client = Client(POST + POST)
+    client.leave()
+    assert client.handler.abandoned == client.handler.requests
+    assert client.server.held.count == 0
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    pieces=strategies.lists(
+        strategies.one_of(
+            strategies.sampled_from([GET, POST, POST[:30], GET[:9], b'\r\n']),
+            strategies.binary(max_size=40),
+        ),
+        max_size=8,
+    ),
+    cuts=strategies.lists(strategies.integers(1, 60), max_size=8),
+)
+def test_any_bytes_leave_nothing_behind(pieces, cuts) -> None:
+    """No error leaves the connection, and no bytes are held afterwards."""
+    client = Client()
+    data = b''.join(pieces)
+    for cut in (*cuts, len(data)):
+        part, data = data[:cut], data[cut:]
+        if part and not client.transport.is_closed:
+            client.connection.data_received(part)
+        for request in client.handler.requests:
+            request.reply(200)
+    client.leave()
+    assert client.server.held.count == 0
