Send requests that run once on connections that were just in use

Cause: an upstream that forgets idle connections sooner than it says resets what is sent next on one; a request that may run once is lost then, though it has hardly run. Tests: both fail on the former code.

--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -255,6 +255,7 @@
             payload,
             run.attempt_id or None,
             lambda outcome: self._finish(call, outcome, report.instance_id),
+            may_repeat=run.is_idempotent,
         )
 
     def _finish(
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import math
 import socket
 import time
 import typing
@@ -37,6 +38,16 @@
 IDLE_DEFAULT_S: Final = 4.0
 # Share of a stated idle timeout after which the server may be closing.
 IDLE_SHARE: Final = 0.7
+# Connections that were idle for less than this time, in seconds, are not
+# forgotten by any server; a request that may run once gets no other.
+FRESH_IDLE_S: Final = 0.1
+# After a reset, connections are used again up to this share of the idle time
+# that was too long, and not below the least one, in seconds.
+IDLE_CUT: Final = 0.5
+IDLE_MIN_S: Final = 0.05
+# The limit doubles in this time in seconds, so that a server that forgets no
+# more is believed within half a minute.
+IDLE_DOUBLES_S: Final = 5.0
 # A new connection that takes longer in seconds counts as refused.
 CONNECT_TIMEOUT_S: Final = 1.0
 
@@ -124,9 +135,14 @@
             not self._is_closed
             and self._may_reuse
             and self._on_done is None
-            and time.monotonic() - self.idle_since < self._idle_s
+            and self.idle_s < self._idle_s
         )
 
+    @property
+    def idle_s(self) -> float:
+        """Return for how long the connection has carried nothing."""
+        return time.monotonic() - self.idle_since
+
     def start(
         self,
         payload: bytes,
@@ -342,6 +358,31 @@
             self._connection.cancel()
 
 
+class _IdleLimit:
+    """How long connections may be idle before they are used again.
+
+    A server that forgets idle connections tells nobody. What is sent next on
+    one is reset, so a reset shows an idle time that is too long.
+    """
+
+    def __init__(self) -> None:
+        self._limit_s = math.inf
+        self._lowered_at = 0.0
+
+    @property
+    def limit_s(self) -> float:
+        """Return the limit in seconds, which grows back with time."""
+        since_s = time.monotonic() - self._lowered_at
+        return self._limit_s * 2.0 ** min(64.0, since_s / IDLE_DOUBLES_S)
+
+    def note_broken(self, idle_s: float) -> None:
+        """Take that a request on a connection that was idle was lost."""
+        lowered_s = max(IDLE_MIN_S, IDLE_CUT * idle_s)
+        if lowered_s < self.limit_s:
+            self._limit_s = lowered_s
+            self._lowered_at = time.monotonic()
+
+
 class ExchangePool:
     """Connections to one server."""
 
@@ -356,6 +397,7 @@
         self._noted = noted
         self._id_field = id_field
         self._idle: collections.deque[ExchangeConnection] = collections.deque()
+        self._idle_limit = _IdleLimit()
         self._connecting: set[asyncio.Task[None]] = set()
         self.connects = 0
         self.held = held_bytes.HeldBytes()
@@ -365,15 +407,23 @@
         payload: bytes,
         request_id: bytes | None,
         on_done: Callable[[Outcome], None],
+        *,
+        may_repeat: bool = True,
     ) -> Exchange:
-        """Send a request on a free or new connection."""
+        """Send a request on a free or new connection.
+
+        Args:
+            payload: The whole request.
+            request_id: Id that its answer carries, if any.
+            on_done: Called once with the outcome.
+            may_repeat: Whether the request may be sent again if it is lost;
+                others get a connection that was in use just now.
+        """
         exchange = Exchange()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable:
-                self._send(connection, exchange, payload, request_id, on_done)
-                return exchange
-            connection.close()
+        connection = self._take_idle(may_repeat)
+        if connection is not None:
+            self._send(connection, exchange, payload, request_id, on_done)
+            return exchange
         task = asyncio.get_running_loop().create_task(
             self._async_connect(exchange, payload, request_id, on_done)
         )
@@ -381,6 +431,21 @@
         task.add_done_callback(self._connecting.discard)
         return exchange
 
+    def _take_idle(self, may_repeat: bool) -> ExchangeConnection | None:
+        """Return the connection that was in use last, if it is good."""
+        limit_s = self._idle_limit.limit_s
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_reusable or connection.idle_s > limit_s:
+                connection.close()
+                continue
+            if may_repeat or connection.idle_s <= FRESH_IDLE_S:
+                return connection
+            # All others have been idle for longer.
+            self._idle.append(connection)
+            return None
+        return None
+
     def close_idle(self) -> None:
         """Close the connections that carry no exchange."""
         while self._idle:
@@ -395,10 +460,13 @@
         on_done: Callable[[Outcome], None],
     ) -> None:
         exchange.attach(connection)
+        idle_s = connection.idle_s if connection.idle_since else 0.0
 
         def done(outcome: Outcome) -> None:
             if connection.is_reusable:
                 self._idle.append(connection)
+            elif outcome is FailureKind.BROKEN and idle_s > IDLE_MIN_S:
+                self._idle_limit.note_broken(idle_s)
             on_done(outcome)
 
         connection.start(payload, request_id, done)
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -37,7 +37,7 @@
         """Start without requests."""
         self.requests = []
 
-    def start(self, payload, request_id, on_done):
+    def start(self, payload, request_id, on_done, *, may_repeat):
         """Keep a request."""
         self.requests.append((payload, request_id, on_done))
         return exchange.Exchange()
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -142,3 +142,55 @@
 
     outcomes = asyncio.run(async_run())
     assert outcomes == [exchange.FailureKind.TOO_LARGE] * 2
+
+
+def connect_times(idle_s: list[float], may_repeat: bool) -> int:
+    """Return the connections made for requests with pauses between them."""
+
+    async def async_run() -> int:
+        async def async_serve(reader, writer) -> None:
+            try:
+                while await reader.readuntil(b'\r\n\r\n'):
+                    writer.write(WHOLE)
+            except (asyncio.IncompleteReadError, asyncio.CancelledError):
+                writer.close()
+
+        server = await asyncio.start_server(async_serve, '127.0.0.1', 0)
+        pool = exchange.ExchangePool(
+            server.sockets[0].getsockname(), NOTED, b'attempt'
+        )
+        for pause_s in idle_s:
+            done = asyncio.get_running_loop().create_future()
+            pool.start(
+                b'GET / HTTP/1.1\r\nHost: x\r\n\r\n',
+                b'a1',
+                done.set_result,
+                may_repeat=may_repeat,
+            )
+            assert isinstance(await done, exchange.Response)
+            await asyncio.sleep(pause_s)
+        pool.close_idle()
+        await asyncio.sleep(0.02)
+        server.close()
+        return pool.connects
+
+    return asyncio.run(async_run())
+
+
+def test_request_that_runs_once_gets_a_connection_just_used() -> None:
+    """A server may have forgotten the others, and its reset loses it."""
+    assert connect_times([0.0, 0.0], may_repeat=False) == 1
+    assert connect_times([0.2, 0.0], may_repeat=False) == 2
+    assert connect_times([0.2, 0.0], may_repeat=True) == 1
+
+
+def test_reset_of_an_idle_connection_shortens_the_idle_time() -> None:
+    """The limit grows back when no more connections are forgotten."""
+    limit = exchange._IdleLimit()
+    assert limit.limit_s > 1e6
+    limit.note_broken(0.4)
+    assert 0.2 <= limit.limit_s < 0.25
+    limit.note_broken(3.0)
+    assert limit.limit_s < 0.25
+    limit._lowered_at -= 4 * exchange.IDLE_DOUBLES_S
+    assert limit.limit_s > 3.0
