Tell other daemons how the own upstream does, and keep a leave for good

Cause: each daemon found out by itself, at the cost of calls, that an upstream had become slow or failed a part of its calls; in large fleets each of ninety. Now the daemon beside an upstream compares its calls with what is usual for their routes, counts overdue ones and errors, and tells it with each pong and at once on a change.

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -23,6 +23,8 @@
 # the longest one in a hundred takes five times as long.
 OVERDUE: Final = 5.0
 MAX_OVERDUE: Final = 8
+# What a daemon says of its upstream counts from this slowness on.
+TOLD_SLOW: Final = 2.0
 # Where all are compared, a daemon of another failure domain counts by this
 # share: calls to it cost bytes between failure domains.
 FAR_WEIGHT: Final = 0.4
@@ -65,6 +67,8 @@
         self.avoid_until = 0.0
         self._slowness: float | None = None
         self._errors = 0.0
+        self._told_slowness = 1.0
+        self._told_errors = 0.0
         self._failures = 0
         self._noted_at = -math.inf
         # When calls that wait for its answer are overdue, the first one first.
@@ -95,11 +99,17 @@
     def forget(self) -> None:
         """Know nothing of its speed; the connection was lost."""
         self._slowness = None
+        self.note_health(1.0, 0.0)
 
     def note_load(self, load: float) -> None:
         """Take the load that an answer tells."""
         self.load = load
 
+    def note_health(self, slowness: float, errors: float) -> None:
+        """Take what the daemon says of its upstream."""
+        self._told_slowness = slowness
+        self._told_errors = errors
+
     def note_answer(self, slowness: float, now: float) -> None:
         """Take the time of a call relative to what is usual."""
         self._failures = 0
@@ -121,19 +131,24 @@
         self.avoid_until = now + pause_s
 
     def slowness(self, now: float) -> float | None:
-        """Return its latency relative to what is usual, if it is known."""
-        if now - self._noted_at > LIFETIME_S:
-            return None
-        return self._slowness
+        """Return its latency relative to what is usual, if it is known.
+
+        What its daemon says goes before what few calls showed here.
+        """
+        told = self._told_slowness if self._told_slowness > TOLD_SLOW else None
+        if now - self._noted_at > LIFETIME_S or self._slowness is None:
+            return told
+        return max(self._slowness, told or 0.0)
 
     def errors(self, now: float) -> float:
         """Return the share of its answers that were errors lately."""
-        return self._errors * 0.5 ** ((now - self._noted_at) / LIFETIME_S)
+        own = self._errors * 0.5 ** ((now - self._noted_at) / LIFETIME_S)
+        return max(own, self._told_errors)
 
     def _note_outcome(self, outcome: float, now: float) -> None:
         if now - self._noted_at > LIFETIME_S:
             self._slowness = None
-        errors = self.errors(now)
+        errors = self._errors * 0.5 ** ((now - self._noted_at) / LIFETIME_S)
         self._errors = errors + GAIN * (outcome - errors)
         self._noted_at = now
 
@@ -270,21 +285,17 @@
 
     def __init__(self, candidates: list[Candidate], now: float) -> None:
         self._now = now
-        known = [
-            slowness
-            for item in candidates
-            if (slowness := item.slowness(now)) is not None
-        ]
-        self.best_slowness = max(1e-3, min(known)) if known else 1.0
+        self.best_slowness = min(self._known(item) for item in candidates)
         self._fewest_errors = min(item.errors(now) for item in candidates)
 
     def slowness(self, candidate: Candidate) -> float:
-        """Return the slowness; that of the best one if it is not known."""
-        slowness = candidate.slowness(self._now)
-        if slowness is None:
-            slowness = self.best_slowness
+        """Return the slowness; the usual one if it is not known."""
         # Grows before the first slow answer is there.
-        return max(1e-3, slowness) * (1.0 + candidate.overdue(self._now))
+        return self._known(candidate) * (1.0 + candidate.overdue(self._now))
+
+    def _known(self, candidate: Candidate) -> float:
+        slowness = candidate.slowness(self._now)
+        return 1.0 if slowness is None else max(1e-3, slowness)
 
     def soundness(self, candidate: Candidate) -> float:
         """Return a weight that falls with errors that others do not make."""
--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -145,9 +145,15 @@
         if report.born is not None and current.born is not None:
             if report.born != current.born:
                 return report.born > current.born
-        if report.instance_id == current.instance_id:
-            return report.sequence > current.sequence
-        return True
+        if report.instance_id != current.instance_id:
+            return True
+        if (
+            current.status is enums.UpstreamStatus.DRAINING
+            and report.status is enums.UpstreamStatus.READY
+        ):
+            # The acknowledgement of its leave binds.
+            return False
+        return report.sequence > current.sequence
 
 
 def _leave_of(report: fleet.UpstreamReport) -> fleet.UpstreamLeave:
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -1,6 +1,8 @@
 """Messages between daemons that carry calls, and their framing.
 
-A frame is a length of four bytes, big-endian, and a msgpack message.
+A frame is a length of four bytes, big-endian, and a msgpack message. Fields
+are added at the end with a default, so that daemons of two versions understand
+each other while a fleet is updated.
 """
 
 import struct
@@ -87,8 +89,8 @@
     call_id: int
     reason: str
     is_local: bool
-    has_arrived: bool
     load: float
+    has_arrived: bool = False
 
 
 class Failed(Frame, tag=4):
@@ -121,6 +123,8 @@
         members_age_s: Like rules_age_s, for the records of members.
         is_serving: Whether its upstream takes calls.
         reads_store: Whether it reads the store itself, and gets answers.
+        slowness: Time of calls at its upstream relative to what is usual.
+        errors: Share of calls at its upstream that failed lately.
     """
 
     sequence: int
@@ -130,7 +134,9 @@
     members_age_s: float
     is_serving: bool
     load: float
-    reads_store: bool
+    reads_store: bool = False
+    slowness: float = 1.0
+    errors: float = 0.0
 
 
 class FetchRules(Frame, tag=8):
@@ -147,7 +153,7 @@
 class FetchMembers(Frame, tag=10):
     """Asks for the records of members from an offset; -1 asks for all."""
 
-    start: int
+    start: int = -1
 
 
 class MembersDocument(Frame, tag=11):
@@ -180,10 +186,18 @@
 
 
 class Status(Frame, tag=14):
-    """The upstream of the sender takes calls from now on, or does not."""
+    """State of the upstream of the sender after a change.
+
+    Attributes:
+        is_serving: Whether it takes calls.
+        slowness: As in Pong.
+        errors: As in Pong.
+    """
 
     is_serving: bool
     load: float
+    slowness: float = 1.0
+    errors: float = 0.0
 
 
 class CrashReport(Frame, tag=15):
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -128,6 +128,7 @@
         """
         self.candidate.is_serving = pong.is_serving
         self.candidate.note_load(pong.load)
+        self.candidate.note_health(pong.slowness, pong.errors)
         self.reads_store = pong.reads_store
         if not self.candidate.is_reachable:
             self.candidate.is_reachable = True
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -31,6 +31,10 @@
 # A document that was asked for is not asked for again for this time, in
 # seconds; a large one takes about 0.1 s between failure domains.
 FETCH_S: Final = 0.5
+# Changes of the own upstream that are told to the others at once: its slowness
+# by this ratio, or its share of errors by this much.
+HEALTH_RATIO: Final = 1.5
+HEALTH_ERRORS: Final = 0.1
 # Crashes that are not passed on a second time.
 MAX_SEEN_CRASHES: Final = 1024
 
@@ -104,6 +108,8 @@
         self._reviewed_at = 0.0
         self._fetched_at: dict[tuple[str, int], float] = {}
         self._seen_crashes: dict[str, None] = {}
+        # Slowness and errors of the own upstream as the others know them.
+        self._told_health = 1.0, 0.0
         self._server: asyncio.Server | None = None
 
     @property
@@ -163,12 +169,36 @@
         """Tell all daemons whether this one takes calls."""
         self._own_candidate.is_serving = is_serving
         self._own_candidate.note_load(self._upstream.load)
-        status = frames.Status(is_serving=is_serving, load=self._upstream.load)
-        for connection in self._accepted:
-            connection.send(status)
+        self._tell_status()
         if is_serving:
             self._on_reached(self._own.service)
 
+    def _tell_status(self) -> None:
+        """Tell all daemons how the own upstream does."""
+        health = self._upstream.health
+        slowness, errors = health.slowness, health.errors
+        self._told_health = slowness, errors
+        self._own_candidate.note_health(slowness, errors)
+        status = frames.Status(
+            is_serving=self._upstream.is_serving,
+            load=self._upstream.load,
+            slowness=slowness,
+            errors=errors,
+        )
+        for connection in self._accepted:
+            connection.send(status)
+
+    def _review_health(self) -> None:
+        """Tell what has changed since it was told."""
+        health = self._upstream.health
+        slowness, errors = self._told_health
+        ratio = health.slowness / slowness
+        if (
+            max(ratio, 1.0 / ratio) > HEALTH_RATIO
+            or abs(health.errors - errors) > HEALTH_ERRORS
+        ):
+            self._tell_status()
+
     def announce(self) -> None:
         """Tell all daemons which state of the store this one knows."""
         pong = self._pong(0)
@@ -241,6 +271,7 @@
         if now - self._reviewed_at < REVIEW_S:
             return
         self._review(now)
+        self._review_health()
         for connection in list(self._accepted):
             if connection.silent_s > ACCEPTED_SILENT_S:
                 connection.close('silent')
@@ -409,6 +440,7 @@
             if link is not None:
                 link.candidate.is_serving = message.is_serving
                 link.candidate.note_load(message.load)
+                link.candidate.note_health(message.slowness, message.errors)
         elif isinstance(message, frames.Borrow):
             connection.send(self._on_borrow(message))
         elif isinstance(message, frames.Lend):
@@ -485,6 +517,8 @@
             members_age_s=min(knowledge.members_age_s, 1e9),
             is_serving=self._upstream.is_serving,
             load=self._upstream.load,
+            slowness=self._upstream.health.slowness,
+            errors=self._upstream.health.errors,
             reads_store=(
                 self._rules.gets_answers and self._membership.gets_answers
             ),
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -19,6 +19,7 @@
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.coordination import upstream_gate
+from sassafraswood.coordination import upstream_health
 from sassafraswood.coordination import upstream_registry
 from sassafraswood import exceptions
 from sassafraswood.models import fleet
@@ -110,6 +111,7 @@
             names=names,
             service=settings.service,
             below=below,
+            health=upstream_health.UpstreamHealth(self._clock),
             crashes=crashes,
             log=self._log,
             on_serving=self._on_serving,
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -9,6 +9,7 @@
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import quarantine
 from sassafraswood.coordination import upstream_gate
+from sassafraswood.coordination import upstream_health
 from sassafraswood.coordination import upstream_registry
 from sassafraswood.models import enums
 from sassafraswood.models import fields
@@ -68,6 +69,7 @@
         names: fields.FieldNames,
         service: ids.ServiceName,
         below: deep_load.DeepLoad,
+        health: upstream_health.UpstreamHealth,
         crashes: crash_counts.CrashCounts,
         log: json_log.JsonLog,
         on_serving: Callable[[bool], None],
@@ -83,6 +85,7 @@
             names: Header fields.
             service: Service of the upstream.
             below: Load of the services that it calls.
+            health: How the upstream does compared with its usual self.
             crashes: Requests that crash upstreams.
             log: Log lines.
             on_serving: Called with whether calls are taken, on each change.
@@ -96,6 +99,7 @@
         self._names = names
         self._service = service
         self._below = below
+        self.health = health
         self._log = log
         self._on_serving = on_serving
         self._crashes = crashes
@@ -145,6 +149,7 @@
             was_serving = self._gate.is_serving
             self._gate.set_upstream(report.slots)
             if not was_serving:
+                self.health.reset()
                 self._note(True, status, report.instance_id)
             return
         if self._gate.is_serving:
@@ -251,6 +256,7 @@
             run.body,
         )
         self.running.add(call)
+        self.health.note_start(id(call), run.route)
         call.running = self._pool.start(
             payload,
             run.attempt_id or None,
@@ -263,6 +269,10 @@
     ) -> None:
         if call not in self.running:
             return
+        if isinstance(outcome, exchange.Response):
+            self.health.note_end(id(call), is_error=outcome.status >= 500)
+        elif outcome not in exchange.NOTHING_SENT:
+            self.health.note_end(id(call), is_error=True)
         self._end(call)
         if isinstance(outcome, exchange.Response):
             self._answer(call, outcome, instance)
@@ -355,6 +365,7 @@
 
     def _end(self, call: UpstreamCall) -> None:
         self.running.discard(call)
+        self.health.drop(id(call))
         self._gate.finish(call)
 
     def _refuse(
--- a/tests/coordination/test_upstream_choice.py
+++ b/tests/coordination/test_upstream_choice.py
@@ -178,3 +178,16 @@
         mute.note_end(call_id)
     assert mute.outstanding == 0
     assert shares(choice, [mute, sound])['mute'] == 1.0
+
+
+def test_daemon_says_that_its_upstream_is_slow() -> None:
+    """Not each caller has to lose calls to find out."""
+    near = make_candidate('near')
+    far = make_candidate('far', 'b')
+    choice = make_choice()
+    near.note_health(6.0, 0.0)
+    assert shares(choice, [near, far])['near'] < 0.1
+    near.note_health(1.2, 0.0)
+    assert shares(choice, [near, far])['near'] == 1.0
+    near.note_health(1.0, 0.5)
+    assert shares(choice, [near, far])['near'] < 0.2
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -126,3 +126,13 @@
     registry = make_registry(knows_leaves=False)
     registry.apply(make_report(status=enums.UpstreamStatus.DRAINING))
     assert registry.status is enums.UpstreamStatus.DRAINING
+
+
+def test_leave_is_not_taken_back() -> None:
+    """Seed 34 of the soak: a ready report followed a draining one."""
+    registry = make_registry()
+    registry.apply(make_report(status=enums.UpstreamStatus.DRAINING))
+    assert not registry.apply(make_report(sequence=6))
+    assert registry.status is enums.UpstreamStatus.DRAINING
+    assert registry.apply(make_report(born=300, sequence=1))
+    assert registry.status is enums.UpstreamStatus.READY
--- a/tests/protocol/test_frames.py
+++ b/tests/protocol/test_frames.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from sassafraswood import exceptions
@@ -42,3 +43,25 @@
         frames.FrameReader().feed(data)
     except exceptions.DecodeError:
         return
+
+
+def test_daemons_of_two_versions_understand_each_other() -> None:
+    """One knows fewer fields at the end, the other more."""
+    pong = frames.Pong(
+        sequence=1,
+        rules_version=2,
+        rules_age_s=0.5,
+        members_end=3,
+        members_age_s=0.5,
+        is_serving=True,
+        load=0.1,
+        slowness=2.0,
+    )
+    row = msgspec.msgpack.decode(frames.encode(pong)[4:])
+    older = msgspec.msgpack.encode(row[:8])
+    newer = msgspec.msgpack.encode([*row, 'more'])
+    for payload in (older, newer):
+        data = len(payload).to_bytes(4, 'big') + payload
+        (found,) = frames.FrameReader().feed(data)
+        assert isinstance(found, frames.Pong)
+        assert found.rules_version == 2
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -4,6 +4,7 @@
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import upstream_gate
+from sassafraswood.coordination import upstream_health
 from sassafraswood.coordination import upstream_registry
 from sassafraswood.models import enums
 from sassafraswood.models import fields
@@ -69,6 +70,7 @@
             clock=self.clock,
             gate=upstream_gate.UpstreamGate(self.clock, below),
             below=below,
+            health=upstream_health.UpstreamHealth(self.clock),
             registry=self.registry,
             pool=self.pool,
             names=NAMES,
