--- a/lab/soak/__main__.py
+++ b/lab/soak/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import pathlib
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -23,6 +24,8 @@
     jobs: Annotated[int, typer.Option(help='Soaks at the same time.')] = 1,
 ) -> None:
     """Run soaks; the exit code tells whether a promise was broken."""
+    # Ends the daemons too, as an interrupt does.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(number))
     first, _, last = seeds.partition('-')
     numbers = list(range(int(first), int(last or first) + 1))
     if len(numbers) == 1:
@@ -60,16 +63,21 @@
     failed: list[int] = []
     waiting = list(numbers)
     running: dict[int, subprocess.Popen[bytes]] = {}
-    while waiting or running:
-        while waiting and len(running) < jobs:
-            seed = waiting.pop(0)
-            running[seed] = subprocess.Popen(
-                [sys.executable, '-m', 'lab.soak', '--seeds', str(seed)]
-                + ['--length', str(length), '--machines', str(machines)]
-            )
-        seed = next(iter(running))
-        if running.pop(seed).wait() != 0:
-            failed.append(seed)
+    try:
+        while waiting or running:
+            while waiting and len(running) < jobs:
+                seed = waiting.pop(0)
+                running[seed] = subprocess.Popen(
+                    [sys.executable, '-m', 'lab.soak', '--seeds', str(seed)]
+                    + ['--length', str(length), '--machines', str(machines)]
+                )
+            seed = next(iter(running))
+            if running[seed].wait() != 0:
+                failed.append(seed)
+            del running[seed]
+    finally:
+        for process in running.values():
+            process.terminate()
     return failed
 
 
--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -27,7 +27,7 @@
 TOLD_SLOW: Final = 2.0
 # Where all are compared, a daemon of another failure domain counts by this
 # share: calls to it cost bytes between failure domains.
-FAR_WEIGHT: Final = 0.15
+FAR_WEIGHT: Final = 0.4
 # Weight of load above the share in the score of a daemon.
 LOAD_WEIGHT: Final = 4.0
 # Where all are compared, load above 1 counts with this power.
