Ask fewer lenders while a limit stays exceeded

Now each round in a row without a token asks half as many lenders and is followed by a moment twice as long, up to 0.4 s, in which nobody is asked. The waits of one workspace are an object of their own.

--- a/sassafraswood/sidecar/quota_wait.py
+++ b/sassafraswood/sidecar/quota_wait.py
@@ -1,5 +1,6 @@
 """Calls that wait for tokens of the limit of their workspace."""
 
+import collections
 from collections.abc import Callable
 from typing import Final
 
@@ -22,10 +23,61 @@
 # rate of two a second, three answers were empty for 3 in 1,000 requests.
 EMPTY_LOANS: Final = 6
 EMPTY_MEMORY_S: Final = 0.05
+# With each such round in a row, half as many are asked and the moment is twice
+# as long, up to this many times; a limit that is exceeded stays exceeded for
+# longer than a round.
+MAX_ROUNDS: Final = 3
 # Holders that are connected to when none of a limit is.
 NEW_LENDERS: Final = 2
 
 
+class _Queue:
+    """Calls of one workspace that wait for tokens.
+
+    Attributes:
+        waiting: Calls, and until when each waits.
+        asked_at: When a lender was asked last; monotonic time in seconds.
+        empty_loans: Lenders in a row that had nothing.
+        empty_rounds: Rounds of lenders in a row that ended so.
+        empty_until: Until when calls are refused at once.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: list[tuple[float, caller_call.CallerCall]] = []
+        self.asked_at = 0.0
+        self.empty_loans = 0
+        self.empty_rounds = 0
+        self.empty_until = 0.0
+
+    @property
+    def is_round_over(self) -> bool:
+        """Return whether no further lender is asked."""
+        return self.empty_loans >= max(1, EMPTY_LOANS >> self.empty_rounds)
+
+    def note_loan(self, tokens: float) -> None:
+        """Take the answer of a lender."""
+        if tokens > 0.0:
+            self.empty_loans = 0
+            self.empty_rounds = 0
+        else:
+            self.empty_loans += 1
+
+    def end_round(self, now: float) -> list[caller_call.CallerCall]:
+        """Refuse calls for a moment; return those that waited."""
+        self.empty_until = now + EMPTY_MEMORY_S * 2**self.empty_rounds
+        self.empty_rounds = min(MAX_ROUNDS, self.empty_rounds + 1)
+        self.empty_loans = 0
+        waiting, self.waiting = self.waiting, []
+        return [call for _, call in waiting]
+
+    def drop_late(self, now: float) -> list[caller_call.CallerCall]:
+        """Return calls that waited too long."""
+        late = [call for until, call in self.waiting if until <= now]
+        if late:
+            self.waiting = [item for item in self.waiting if item[0] > now]
+        return late
+
+
 class QuotaWaits:
     """Takes tokens of the own part of a limit, or borrows them."""
 
@@ -57,12 +109,9 @@
         self._on_taken = on_taken
         self._on_refused = on_refused
         self._peers: peers_module.Peers | None = None
-        self._waiting: dict[
-            ids.Workspace, list[tuple[float, caller_call.CallerCall]]
-        ] = {}
-        self._empty_until: dict[ids.Workspace, float] = {}
-        self._empty_count: dict[ids.Workspace, int] = {}
-        self._asked_at: dict[ids.Workspace, float] = {}
+        self._queues: dict[ids.Workspace, _Queue] = collections.defaultdict(
+            _Queue
+        )
 
     def attach(self, peers: peers_module.Peers) -> None:
         """Take the connections to other daemons."""
@@ -89,61 +138,50 @@
         """Take the answer of a lender and go on with calls that wait."""
         workspace = ids.Workspace(loan.workspace)
         self._shares.receive(workspace, loan.tokens)
-        if loan.tokens > 0.0:
-            self._empty_count[workspace] = 0
-        waiting = self._waiting.get(workspace, [])
-        while waiting and self._shares.take_again(workspace):
-            _, call = waiting.pop(0)
+        queue = self._queues[workspace]
+        queue.note_loan(loan.tokens)
+        while queue.waiting and self._shares.take_again(workspace):
+            _, call = queue.waiting.pop(0)
             call.has_token = True
             self._on_taken(call)
-        if not waiting:
+        if not queue.waiting:
             return
-        if loan.tokens <= 0.0:
-            empty = self._empty_count.get(workspace, 0) + 1
-            self._empty_count[workspace] = empty
-            if empty >= EMPTY_LOANS:
-                self._end(workspace)
-                return
-        self._ask(workspace)
+        if queue.is_round_over:
+            self._end_round(queue)
+        else:
+            self._ask(workspace, queue)
 
     def tick(self, now: float) -> None:
-        """Refuse calls that waited too long.
+        """Refuse calls that waited too long, and pass over silent lenders.
 
         Args:
             now: Monotonic time in seconds.
         """
-        for workspace, waiting in list(self._waiting.items()):
-            late = [call for until, call in waiting if until <= now]
-            self._waiting[workspace] = [
-                item for item in waiting if item[0] > now
-            ]
-            for call in late:
+        for workspace, queue in list(self._queues.items()):
+            if not queue.waiting:
+                continue
+            for call in queue.drop_late(now):
                 self._on_refused(call)
-            asked_at = self._asked_at.get(workspace, now)
-            if self._waiting[workspace] and now - asked_at > LENDER_SILENT_S:
-                self._ask(workspace)
+            if queue.waiting and now - queue.asked_at > LENDER_SILENT_S:
+                self._ask(workspace, queue)
 
     def _wait(self, call: caller_call.CallerCall) -> None:
         """Wait for tokens of another daemon."""
-        workspace = call.workspace
+        queue = self._queues[call.workspace]
         now = self._clock.monotonic()
-        if now < self._empty_until.get(workspace, 0.0):
+        if now < queue.empty_until:
             self._on_refused(call)
             return
-        waiting = self._waiting.setdefault(workspace, [])
-        waiting.append((now + BORROW_WAIT_S, call))
-        if len(waiting) == 1:
-            self._ask(workspace)
+        queue.waiting.append((now + BORROW_WAIT_S, call))
+        if len(queue.waiting) == 1:
+            self._ask(call.workspace, queue)
 
-    def _ask(self, workspace: ids.Workspace) -> None:
+    def _ask(self, workspace: ids.Workspace, queue: _Queue) -> None:
         """Ask a holder that can be reached."""
         assert self._peers is not None
-        tokens = max(
-            self._shares.wanted(workspace),
-            float(len(self._waiting.get(workspace, []))),
-        )
+        tokens = max(self._shares.wanted(workspace), float(len(queue.waiting)))
         message = frames.Borrow(workspace=workspace, tokens=tokens)
-        self._asked_at[workspace] = self._clock.monotonic()
+        queue.asked_at = self._clock.monotonic()
         lenders = self._shares.lenders(workspace)
         for daemon_id in lenders:
             if self._peers.send(daemon_id, message):
@@ -151,11 +189,8 @@
         for daemon_id in lenders[:NEW_LENDERS]:
             # Serves the calls that come next.
             self._peers.connect(daemon_id)
-        self._end(workspace)
+        self._end_round(queue)
 
-    def _end(self, workspace: ids.Workspace) -> None:
-        now = self._clock.monotonic()
-        self._empty_until[workspace] = now + EMPTY_MEMORY_S
-        self._empty_count[workspace] = 0
-        for _, call in self._waiting.pop(workspace, []):
+    def _end_round(self, queue: _Queue) -> None:
+        for call in queue.end_round(self._clock.monotonic()):
             self._on_refused(call)
