Make the relay's cancel scope in the loop that runs it

The relay built an anyio scope and event when it was made, and the fleets of the scenarios make their relays before their loop runs. Tests of the soak make them inside it and did not show it. A second change to refusing no longer replaces the event that the relay waits for.

--- a/lab/relay.py
+++ b/lab/relay.py
@@ -38,15 +38,16 @@
         self._target = target
         self._mode = RelayMode.PASS
         self._generation = 0
-        self._scope = anyio.CancelScope()
-        self._may_listen = anyio.Event()
-        self._may_listen.set()
+        # Made by the loop that runs the relay; before that there is none.
+        self._scope: anyio.CancelScope | None = None
+        self._may_listen: anyio.Event | None = None
         self._open: set[anyio.abc.SocketStream] = set()
 
     async def async_run(self) -> None:
         """Relay until cancelled."""
         while True:
-            await self._may_listen.wait()
+            if self._may_listen is not None:
+                await self._may_listen.wait()
             host, port = self._listen.rsplit(':', 1)
             listener = await anyio.create_tcp_listener(
                 local_host=host, local_port=int(port)
@@ -54,20 +55,31 @@
             with anyio.CancelScope() as self._scope:
                 async with listener:
                     await listener.serve(self._async_connection)
+            self._scope = None
 
     async def async_set_mode(self, mode: RelayMode) -> None:
         """Change what happens to the connections."""
         self._mode = mode
         self._generation += 1
         if mode is RelayMode.REFUSE:
-            self._may_listen = anyio.Event()
-            self._scope.cancel()
-        elif not self._may_listen.is_set():
+            self._stop_listening()
+        elif self._may_listen is not None:
             self._may_listen.set()
         if mode is RelayMode.CUT:
             for stream in list(self._open):
                 await stream.aclose()
 
+    @property
+    def listening(self) -> bool:
+        """Return whether connections are accepted."""
+        return self._scope is not None
+
+    def _stop_listening(self) -> None:
+        if self._may_listen is None or self._may_listen.is_set():
+            self._may_listen = anyio.Event()
+        if self._scope is not None:
+            self._scope.cancel()
+
     async def _async_connection(self, client: anyio.abc.SocketStream) -> None:
         async with client:
             if self._mode is RelayMode.CUT:
