--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -49,6 +49,10 @@
 # After the signal to end, callers need two missed readiness checks, one a
 # second, and their last requests before nothing new is accepted.
 LINGER_S: Final = 3.0
+# Calls of other daemons are taken for this time after the signal, in seconds.
+# Most of those that begin then end before callers are let go, so that the
+# slots of a live upstream are out of use for hardly longer than a restart.
+UPSTREAM_LINGER_S: Final = 2.5
 # The store takes 0.4 s when it is slow; callers are served meanwhile.
 LEAVE_TIMEOUT_S: Final = 0.5
 # Kept from the time until the process is killed, in seconds.
@@ -283,11 +287,13 @@
             open_requests=self._callers.active_count,
             running=len(self._upstream.running),
         )
-        self._upstream.stop()
         if self._registry.report is None:
             await self._async_leave()
         while loop.time() < end_at:
-            has_lingered = loop.time() - started_at >= LINGER_S
+            stopping_s = loop.time() - started_at
+            if stopping_s >= UPSTREAM_LINGER_S:
+                self._upstream.stop()
+            has_lingered = stopping_s >= LINGER_S
             if has_lingered and not self._entry.is_closing:
                 self._entry.is_closing = True
                 self._entry.stop_listening()
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -290,6 +290,21 @@
         assert 'd-billing' in fleet.store.newest('keyed.members')
 
 
+async def async_test_stop_beside_live_upstream() -> None:
+    """Stop a daemon whose upstream goes on."""
+    async with running() as fleet:
+        stopping = fleet.tasks['billing']
+        fleet.daemons['billing'].stop()
+        await asyncio.sleep(1.0)
+        taken = await fleet.async_request('status', '/pay/8', method='POST')
+        assert taken.status == 200
+        await asyncio.sleep(process.UPSTREAM_LINGER_S - 0.8)
+        late = await fleet.async_request('status', '/pay/9', method='POST')
+        assert late.status == 503
+        await asyncio.wait_for(stopping, timeout=6.0)
+        assert len(fleet.upstreams['billing'].seen) == 1
+
+
 async def async_test_leave_without_store() -> None:
     """Acknowledge a leave while the store does not answer."""
     async with running() as fleet:
@@ -346,6 +361,11 @@
     asyncio.run(async_test_restart_keeps_record())
 
 
+def test_stopping_daemon_serves_its_upstream_for_a_while() -> None:
+    """The upstream stays; its slots are needed until the restart."""
+    asyncio.run(async_test_stop_beside_live_upstream())
+
+
 def test_leave_is_acknowledged_without_the_store() -> None:
     """The upstream waits one second at most."""
     asyncio.run(async_test_leave_without_store())
