--- a/lab/soak/__main__.py
+++ b/lab/soak/__main__.py
@@ -22,6 +22,9 @@
     length: Annotated[float, typer.Option(help='Traffic in seconds.')] = 25.0,
     machines: Annotated[int, typer.Option(help='Number of VMs.')] = 6,
     jobs: Annotated[int, typer.Option(help='Soaks at the same time.')] = 1,
+    deployed: Annotated[
+        bool, typer.Option(help='Run what deploy/build installed.')
+    ] = False,
 ) -> None:
     """Run soaks; the exit code tells whether a promise was broken."""
     # Ends the daemons too, as an interrupt does.
@@ -29,16 +32,23 @@
     first, _, last = seeds.partition('-')
     numbers = list(range(int(first), int(last or first) + 1))
     if len(numbers) == 1:
-        raise typer.Exit(_run_one(numbers[0], length, machines))
-    failed = _run_many(numbers, length, machines, jobs)
+        raise typer.Exit(_run_one(numbers[0], length, machines, deployed))
+    options = ['--length', str(length), '--machines', str(machines)]
+    if deployed:
+        options.append('--deployed')
+    failed = _run_many(numbers, options, jobs)
     print(f'{len(numbers)} seeds, failed: {failed or "none"}')
     raise typer.Exit(1 if failed else 0)
 
 
-def _run_one(seed: int, length: float, machines: int) -> int:
+def _run_one(seed: int, length: float, machines: int, deployed: bool) -> int:
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     soak = run.Soak(
-        seed=seed, length_s=length, machines=machines, folder=folder
+        seed=seed,
+        length_s=length,
+        machines=machines,
+        folder=folder,
+        deployed=deployed,
     )
     result = asyncio.run(soak.async_run())
     print(
@@ -56,9 +66,7 @@
     return 1
 
 
-def _run_many(
-    numbers: list[int], length: float, machines: int, jobs: int
-) -> list[int]:
+def _run_many(numbers: list[int], options: list[str], jobs: int) -> list[int]:
     """Run each seed in a process of its own; return those that failed."""
     failed: list[int] = []
     waiting = list(numbers)
@@ -69,7 +77,7 @@
                 seed = waiting.pop(0)
                 running[seed] = subprocess.Popen(
                     [sys.executable, '-m', 'lab.soak', '--seeds', str(seed)]
-                    + ['--length', str(length), '--machines', str(machines)]
+                    + options
                 )
             seed = next(iter(running))
             if running[seed].wait() != 0:
--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -23,6 +23,8 @@
 # Part of the path of requests that crash what runs them.
 POISON: Final = 'poison'
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Where deploy/build installs the daemon.
+_DEPLOYED = _ROOT / 'target' / 'deps'
 _SETTINGS = """
 node = "{name}"
 zone = "{domain}"
@@ -67,8 +69,12 @@
         store: tuple[str, int],
         folder: pathlib.Path,
         ledger: ledger_module.Ledger,
+        deployed: bool,
     ) -> None:
-        """Take where it stands; nothing runs yet."""
+        """Take where it stands; nothing runs yet.
+
+        With deployed, the daemon is the one that deploy/build installed.
+        """
         self.name = name
         self.service = service
         self.host = host
@@ -86,6 +92,7 @@
         self._domain = domain
         self._folder = folder
         self._ledger = ledger
+        self._code = str(_DEPLOYED if deployed else _ROOT)
         self._is_ending = False
         self._is_first = True
         # Held while the daemon is ended and started again.
@@ -120,11 +127,13 @@
         """Start the process of the daemon."""
         self.write_settings()
         environment = dict(
-            os.environ, SASSAFRASWOOD_SETTINGS=str(self._settings_path)
+            os.environ,
+            SASSAFRASWOOD_SETTINGS=str(self._settings_path),
+            PYTHONPATH=self._code,
         )
         with self._log_path.open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'sassafraswood.sidecar'],
+                [sys.executable, '-P', '-m', 'sassafraswood.sidecar'],
                 cwd=_ROOT,
                 env=environment,
                 stdout=log,
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -68,14 +68,16 @@
         length_s: float,
         machines: int,
         folder: pathlib.Path,
+        deployed: bool = False,
     ) -> None:
-        """Draw the faults."""
+        """Draw the faults; deployed runs what deploy/build installed."""
         self.seed = seed
         self.ledger = ledger_module.Ledger()
         self.faults = faults.draw(seed, length_s=length_s, machines=machines)
         self._length_s = length_s
         self._count = machines
         self._folder = folder
+        self._deployed = deployed
         self._source = random.Random(seed)
         self._store = platform_store.PlatformStore()
         self._machines: list[machine_module.Machine] = []
@@ -118,6 +120,7 @@
                 store=address,
                 folder=self._folder,
                 ledger=self.ledger,
+                deployed=self._deployed,
             )
             for index in range(self._count)
         ]
--- /dev/null
+++ b/setup.py
@@ -0,0 +1,55 @@
+"""Build of the package, with the modules on the path of a call compiled.
+
+SASSAFRASWOOD_COMPILE=0 leaves all modules as Python.
+"""
+
+import os
+
+import setuptools
+
+COMPILED = [
+    'sassafraswood/clock.py',
+    'sassafraswood/coordination/call_tree.py',
+    'sassafraswood/coordination/crash_counts.py',
+    'sassafraswood/coordination/deep_load.py',
+    'sassafraswood/coordination/peer_plan.py',
+    'sassafraswood/coordination/quota_shares.py',
+    'sassafraswood/coordination/route_order.py',
+    'sassafraswood/coordination/store_knowledge.py',
+    'sassafraswood/coordination/tree_limit.py',
+    'sassafraswood/coordination/upstream_choice.py',
+    'sassafraswood/coordination/upstream_gate.py',
+    'sassafraswood/coordination/upstream_health.py',
+    'sassafraswood/coordination/upstream_registry.py',
+    'sassafraswood/sidecar/caller_call.py',
+    'sassafraswood/sidecar/caller_side.py',
+    'sassafraswood/sidecar/measures.py',
+    'sassafraswood/sidecar/peer_link.py',
+    'sassafraswood/sidecar/peers.py',
+    'sassafraswood/sidecar/quota_wait.py',
+    'sassafraswood/sidecar/upstream_side.py',
+    'sassafraswood/state/fair_queue.py',
+    'sassafraswood/state/held_bytes.py',
+    'sassafraswood/state/retry_budget.py',
+    'sassafraswood/state/route_index.py',
+    'sassafraswood/transport/exchange.py',
+    'sassafraswood/transport/frame_link.py',
+    'sassafraswood/transport/ingress.py',
+    'sassafraswood/transport/json_log.py',
+]
+
+
+def extensions() -> list[setuptools.Extension]:
+    """Return the compiled modules."""
+    if os.environ.get('SASSAFRASWOOD_COMPILE', '1') == '0':
+        return []
+    # Not needed, and not installed, where nothing is compiled.
+    from mypyc import build
+
+    options = ['--config-file', 'pyproject.toml']
+    return build.mypycify(
+        [*options, *COMPILED], opt_level='2', debug_level='0'
+    )
+
+
+setuptools.setup(ext_modules=extensions())
