Serve the upstream right after a restart of its daemon

Now the daemon writes once which upstream is there. The next process reads it with the leaves, asks the upstream for its health and id, and goes on if it is the same. The record has a key of its own, so that a late write of it undoes no leave. Ruled out: health alone (the slots are not in it), the record alone (a leave that could not be stored would not bind).

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -35,6 +35,7 @@
     Attributes:
         delay_s: Time that a request takes in seconds.
         loses_answers: Whether connections end instead of answers.
+        is_leaving: Whether it has said that it leaves; its health says so.
         fault: What is wrong with a share of the answers.
         fault_share: That share.
         seen: Heads of the requests that it ran.
@@ -52,6 +53,7 @@
         self.service = service
         self.delay_s = 0.0
         self.loses_answers = False
+        self.is_leaving = False
         self.fault = Fault.NONE
         self.fault_share = 0.0
         self.seen: list[str] = []
@@ -85,6 +87,7 @@
 
     async def async_report(self, port: int, state: str = 'ready') -> int:
         """Report to the daemon; return the status of its answer, or 0."""
+        self.is_leaving = state == 'draining'
         self._sequence += 1
         body = (
             f'{{"service":"{self.service}","address":"{self.address}",'
@@ -96,6 +99,7 @@
 
     async def async_deregister(self, port: int) -> int:
         """Leave; return the status of the daemon's answer, or 0."""
+        self.is_leaving = True
         return await self._async_tell(port, 'deregister', '')
 
     async def _async_tell(self, port: int, call: str, body: str) -> int:
@@ -152,6 +156,9 @@
         self, head: str, fields: dict[str, str], body: bytes
     ) -> tuple[bytes, bool]:
         """Return the answer, and whether the connection ends after it."""
+        if head.startswith('GET /health '):
+            status = 503 if self.is_leaving else 200
+            return _plain(status, f'X-Instance-Id: {self.instance_id}'), False
         expected = fields.get('x-expected-instance', self.instance_id)
         if expected != self.instance_id:
             return _plain(421, f'X-Instance-Id: {self.instance_id}'), False
--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -77,6 +77,30 @@
         if report is not None and _leave_of(report) in self._left:
             self._report = None
 
+    def resume(self, upstream: fleet.KnownUpstream) -> bool:
+        """Take an upstream of the former process that answers now.
+
+        Returns:
+            Whether it counts as ready from now on; not if it has left, or a
+            report has told of one since.
+        """
+        report = fleet.UpstreamReport(
+            instance_id=upstream.instance_id,
+            service=self._service,
+            address=self._address,
+            born=upstream.born,
+            # Below that of any report.
+            sequence=-1,
+            slots=upstream.slots,
+            status=enums.UpstreamStatus.READY,
+            cold_left_s=0.0,
+        )
+        if self._report is not None or _leave_of(report) in self._left:
+            return False
+        self._report = report
+        self._heard_at = self._clock.monotonic()
+        return True
+
     def apply(self, report: fleet.UpstreamReport) -> bool:
         """Take a report; return whether it is news of this upstream."""
         if report.service != self._service or report.address != self._address:
--- a/sassafraswood/models/fleet.py
+++ b/sassafraswood/models/fleet.py
@@ -50,3 +50,16 @@
     slots: int
     status: enums.UpstreamStatus
     cold_left_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KnownUpstream:
+    """What the next process on a VM has to know of the upstream there.
+
+    Attributes:
+        born: Unix time of its start in milliseconds; None if it says none.
+    """
+
+    instance_id: str
+    born: int | None
+    slots: int
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -7,8 +7,8 @@
 from sassafraswood.models import enums
 from sassafraswood.models import fleet
 from sassafraswood.platform import reports
-from sassafraswood.sidecar import leave_log
 from sassafraswood.sidecar import measures
+from sassafraswood.sidecar import upstream_log
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
 
@@ -63,13 +63,13 @@
     def __init__(
         self,
         registry: upstream_registry.UpstreamRegistry,
-        leaves: leave_log.LeaveLog,
+        upstreams: upstream_log.UpstreamLog,
         log: json_log.JsonLog,
         on_change: Callable[[], None],
     ) -> None:
         """Take the registry and what is called after a report."""
         self._registry = registry
-        self._leaves = leaves
+        self._upstreams = upstreams
         self._log = log
         self._on_change = on_change
 
@@ -93,7 +93,7 @@
         if leave is None:
             _acknowledge(request)
             return
-        self._leaves.record(leave, lambda: _acknowledge(request))
+        self._upstreams.record(leave, lambda: _acknowledge(request))
 
     def abandon(self, request: ingress.IngressRequest) -> None:
         """Do nothing; every request is answered at once."""
@@ -109,6 +109,7 @@
                 return fleet.UpstreamLeave(
                     instance_id=instance_id, born=report.born
                 )
+            self._upstreams.note_present(report)
             return None
         self._log.decision(
             'report_ignored',
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -30,13 +30,14 @@
 from sassafraswood.platform import store as store_module
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
-from sassafraswood.sidecar import leave_log
 from sassafraswood.sidecar import local_servers
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import member_follower
 from sassafraswood.sidecar import peers
 from sassafraswood.sidecar import rules_follower
 from sassafraswood.sidecar import store_reader
+from sassafraswood.sidecar import upstream_log
+from sassafraswood.sidecar import upstream_probe
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.transport import exchange
 from sassafraswood.transport import ingress
@@ -151,13 +152,21 @@
             retry_slack=bounds.retry_slack,
         )
         self._store = store_module.StoreClient(settings.store_address)
-        self._leaves = leave_log.LeaveLog(
+        self._probe = upstream_probe.UpstreamProbe(
+            pool=self._pool,
+            host=settings.upstream_address[0],
+            names=names,
+            registry=self._registry,
+            log=self._log,
+            on_resumed=self._upstream.refresh,
+        )
+        self._upstream_log = upstream_log.UpstreamLog(
             daemon_id=settings.daemon_id,
             random=random,
             registry=self._registry,
             store=self._store,
             log=self._log,
-            on_loaded=self._upstream.refresh,
+            on_loaded=self._on_upstream_known,
         )
         plan = peer_plan.PeerPlan(own)
         reading = store_reader.Reading(
@@ -205,7 +214,7 @@
         self._reports = ingress.IngressServer(
             local_servers.ReportHandler(
                 self._registry,
-                self._leaves,
+                self._upstream_log,
                 self._log,
                 self._upstream.refresh,
             ),
@@ -245,7 +254,7 @@
         except OSError as error:
             # The daemon serves without its metrics too.
             self._log.change('metrics_unavailable', error=str(error))
-        self._leaves.start(is_first_start=settings.is_first_start)
+        self._upstream_log.start(is_first_start=settings.is_first_start)
         self._rules.start()
         self._membership.start()
         self._log.flush()
@@ -355,7 +364,7 @@
         """Close connections and accept no more of them."""
         self._rules.stop()
         self._membership.stop()
-        self._leaves.stop()
+        self._upstream_log.stop()
         self._peers.close()
         for server in (
             self._entry,
@@ -390,6 +399,13 @@
         self._entry.limits = rules.limits
         self._callers.set_rules(rules)
         self._shares.set_workspaces(rules.workspaces)
+        service = rules.services.get(self.settings.service)
+        if service is not None:
+            self._probe.take_health_path(service.health_path)
+
+    def _on_upstream_known(self, upstream: fleet.KnownUpstream | None) -> None:
+        self._upstream.refresh()
+        self._probe.take_upstream(upstream)
 
     def _on_members(self, members: list[fleet.Member]) -> None:
         self._peers.set_members(members)
--- a/sassafraswood/sidecar/leave_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -1,4 +1,4 @@
-"""Keeps in the store which upstreams have left this VM."""
+"""Keeps in the store which upstreams have left this VM, and which is there."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
@@ -9,8 +9,8 @@
 from sassafraswood import exceptions
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
-from sassafraswood.platform import leaves as leave_records
 from sassafraswood.platform import store as store_module
+from sassafraswood.platform import upstream_records
 from sassafraswood.transport import json_log
 
 # The sender of a report waits one second for its acknowledgement; a slow
@@ -24,11 +24,12 @@
 MAX_KEPT: Final = 8
 
 
-class LeaveLog:
-    """Writes leaves before they are acknowledged.
+class UpstreamLog:
+    """Tells the next process on this VM what this one knew.
 
-    The next process on this VM then ignores reports from before the leave
-    that arrive late.
+    Leaves are written before they are acknowledged; the next process then
+    ignores reports from before a leave that arrive late. The upstream that is
+    there is written once, so that the next process need not wait for a report.
     """
 
     def __init__(
@@ -39,9 +40,19 @@
         registry: upstream_registry.UpstreamRegistry,
         store: store_module.StoreClient,
         log: json_log.JsonLog,
-        on_loaded: Callable[[], None],
+        on_loaded: Callable[[fleet.KnownUpstream | None], None],
     ) -> None:
-        """Take the parts; on_loaded is called once all leaves are known."""
+        """Take the parts.
+
+        Args:
+            daemon_id: This daemon.
+            random: Spreads calls after failures.
+            registry: Takes the leaves that the former process wrote.
+            store: Client of the store.
+            log: Log lines.
+            on_loaded: Called once with the upstream that the former process
+                knew last, if it wrote one.
+        """
         self._daemon_id = daemon_id
         self._random = random
         self._registry = registry
@@ -49,6 +60,7 @@
         self._log = log
         self._on_loaded = on_loaded
         self._leaves: list[fleet.UpstreamLeave] = []
+        self._present: fleet.KnownUpstream | None = None
         self._is_loaded = asyncio.Event()
         self._written: dict[fleet.UpstreamLeave, asyncio.Event] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -65,6 +77,17 @@
         for task in self._tasks:
             task.cancel()
 
+    def note_present(self, report: fleet.UpstreamReport) -> None:
+        """Write which upstream is there, if that is news."""
+        upstream = fleet.KnownUpstream(
+            instance_id=report.instance_id,
+            born=report.born,
+            slots=report.slots,
+        )
+        if upstream != self._present:
+            self._present = upstream
+            self._spawn(self._async_write_present(upstream))
+
     def record(
         self, leave: fleet.UpstreamLeave, acknowledge: Callable[[], None]
     ) -> None:
@@ -107,11 +130,11 @@
         await self._is_loaded.wait()
         while True:
             record = store_module.StoredRecord(
-                key=self._daemon_id,
-                value=leave_records.encode(self._leaves[-MAX_KEPT:]),
+                key=upstream_records.leaves_key(self._daemon_id),
+                value=upstream_records.encode_leaves(self._leaves[-MAX_KEPT:]),
             )
             try:
-                await self._store.async_append(leave_records.TOPIC, record)
+                await self._store.async_append(upstream_records.TOPIC, record)
             except exceptions.LogError as error:
                 await self._async_pause('leave_write_failed', error)
                 continue
@@ -119,30 +142,64 @@
         written.set()
         self._log.change('leave_stored', instance=leave.instance_id)
 
+    async def _async_write_present(
+        self, upstream: fleet.KnownUpstream
+    ) -> None:
+        record = store_module.StoredRecord(
+            key=upstream_records.upstream_key(self._daemon_id),
+            value=upstream_records.encode_upstream(upstream),
+        )
+        await self._is_loaded.wait()
+        while upstream == self._present:
+            try:
+                await self._store.async_append(upstream_records.TOPIC, record)
+            except exceptions.LogError as error:
+                await self._async_pause('upstream_write_failed', error)
+                continue
+            self._log.change('upstream_stored', instance=upstream.instance_id)
+            return
+
     async def _async_load(self) -> None:
         while True:
             try:
-                page = await self._store.async_newest(leave_records.TOPIC)
+                page = await self._store.async_newest(upstream_records.TOPIC)
             except (exceptions.LogError, exceptions.DecodeError) as error:
-                await self._async_pause('leaves_not_read', error)
+                await self._async_pause('upstreams_not_read', error)
                 continue
             break
-        self._take(page.records)
-        self._on_loaded()
-
-    def _take(self, records: list[store_module.StoredRecord]) -> None:
-        found: list[fleet.UpstreamLeave] = []
+        self._on_loaded(self._take(page.records))
+
+    def _take(
+        self, records: list[store_module.StoredRecord]
+    ) -> fleet.KnownUpstream | None:
+        """Take the leaves; return the upstream that was there."""
+        leaves: list[fleet.UpstreamLeave] = []
+        present: fleet.KnownUpstream | None = None
         for record in records:
-            if record.key != self._daemon_id:
-                continue
             try:
-                found = leave_records.decode(record.value)
+                if record.key == upstream_records.leaves_key(self._daemon_id):
+                    leaves = upstream_records.decode_leaves(record.value)
+                if record.key == upstream_records.upstream_key(
+                    self._daemon_id
+                ):
+                    present = upstream_records.decode_upstream(record.value)
             except exceptions.DecodeError as error:
-                self._log.change('leaves_rejected', error=str(error))
-        self._leaves[:0] = found
+                self._log.change(
+                    'upstream_record_rejected',
+                    key=record.key,
+                    error=str(error),
+                )
+        self._leaves[:0] = leaves
+        if self._present is None:
+            self._present = present
         self._is_loaded.set()
-        self._registry.note_leaves(found)
-        self._log.change('leaves_known', count=len(found))
+        self._registry.note_leaves(leaves)
+        self._log.change(
+            'upstreams_known',
+            left=len(leaves),
+            present='' if present is None else present.instance_id,
+        )
+        return present
 
     async def _async_pause(
         self, event: str, error: exceptions.SassafraswoodError
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -136,3 +136,38 @@
     assert registry.status is enums.UpstreamStatus.DRAINING
     assert registry.apply(make_report(born=300, sequence=1))
     assert registry.status is enums.UpstreamStatus.READY
+
+
+def known(**changes) -> fleet.KnownUpstream:
+    """Return what a former process knew."""
+    values = {'instance_id': 'i1', 'born': 100, 'slots': 20}
+    return fleet.KnownUpstream(**(values | changes))
+
+
+def test_upstream_of_the_former_process_counts_as_ready() -> None:
+    """Its first report is newer, whatever its number."""
+    registry = make_registry(knows_leaves=False)
+    registry.note_leaves([])
+    assert registry.resume(known())
+    assert registry.status is enums.UpstreamStatus.READY
+    assert registry.apply(
+        make_report(sequence=0, status=enums.UpstreamStatus.DRAINING)
+    )
+    assert registry.status is enums.UpstreamStatus.DRAINING
+
+
+def test_upstream_that_left_is_not_resumed() -> None:
+    """The leave binds the next process, whatever its health says."""
+    registry = make_registry(knows_leaves=False)
+    registry.note_leaves([fleet.UpstreamLeave(instance_id='i1', born=100)])
+    assert not registry.resume(known())
+    assert registry.status is enums.UpstreamStatus.ABSENT
+
+
+def test_report_goes_before_what_a_former_process_knew() -> None:
+    """The report is of now."""
+    registry = make_registry()
+    registry.apply(make_report(instance_id='i2', born=200))
+    assert not registry.resume(known())
+    assert registry.report is not None
+    assert registry.report.instance_id == 'i2'
--- /dev/null
+++ b/tests/platform/test_upstream_records.py
@@ -0,0 +1,47 @@
+"""Tests of the records of upstreams in the store."""
+
+import pytest
+
+from sassafraswood import exceptions
+from sassafraswood.models import fleet
+from sassafraswood.models import ids
+from sassafraswood.platform import upstream_records
+
+DAEMON = ids.DaemonId('d1')
+
+
+def test_records_come_back_as_they_were() -> None:
+    """With and without the start of an upstream."""
+    leaves = [
+        fleet.UpstreamLeave(instance_id='i1', born=5),
+        fleet.UpstreamLeave(instance_id='i2', born=None),
+    ]
+    value = upstream_records.encode_leaves(leaves)
+    assert upstream_records.decode_leaves(value) == leaves
+    upstream = fleet.KnownUpstream(instance_id='i3', born=7, slots=12)
+    value = upstream_records.encode_upstream(upstream)
+    assert upstream_records.decode_upstream(value) == upstream
+
+
+def test_keys_of_a_daemon_differ() -> None:
+    """A late write of one record must not replace the other."""
+    assert upstream_records.leaves_key(
+        DAEMON
+    ) != upstream_records.upstream_key(DAEMON)
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'\xff\x00',
+        b'[]',
+        b'{"instance_id":"i1","born":null}',
+        b'{"instance_id":"i1","born":null,"slots":"12"}',
+        b'{"instance_id":"i1","born":null,"slots":0}',
+    ],
+)
+def test_record_of_another_writer_is_rejected(value: bytes) -> None:
+    """It names no upstream."""
+    with pytest.raises(exceptions.DecodeError):
+        upstream_records.decode_upstream(value)
--- /dev/null
+++ b/tests/sidecar/test_upstream_probe.py
@@ -0,0 +1,130 @@
+"""Tests of the look at the upstream after a restart."""
+
+import asyncio
+
+import pytest
+
+from sassafraswood import clock
+from sassafraswood.coordination import upstream_registry
+from sassafraswood.models import fleet
+from sassafraswood.models import ids
+from sassafraswood.platform import headers
+from sassafraswood.sidecar import upstream_probe
+from sassafraswood.transport import exchange
+from sassafraswood.transport import json_log
+
+KNOWN = fleet.KnownUpstream(instance_id='i1', born=1, slots=8)
+
+
+class FakePool:
+    """Keeps the question until the test answers it."""
+
+    def __init__(self) -> None:
+        """Start without a question."""
+        self.payloads = []
+        self.on_done = None
+        self.exchange = exchange.Exchange()
+
+    def start(self, payload, request_id, on_done):
+        """Keep a question."""
+        assert request_id is None
+        self.payloads.append(payload)
+        self.on_done = on_done
+        return self.exchange
+
+
+class Case:
+    """A probe of an upstream that the test plays."""
+
+    def __init__(self, tmp_path) -> None:
+        """Wire it up."""
+        self.pool = FakePool()
+        self.resumed = 0
+        self.log_file = open(tmp_path / 'log', 'wb')
+        self.registry = upstream_registry.UpstreamRegistry(
+            clock=clock.ManualClock(),
+            service=ids.ServiceName('billing'),
+            address=('10.0.0.1', 9000),
+            silence_s=5.0,
+            knows_leaves=True,
+        )
+        self.probe = upstream_probe.UpstreamProbe(
+            pool=self.pool,
+            host='10.0.0.1',
+            names=headers.NAMES,
+            registry=self.registry,
+            log=json_log.JsonLog('d1', self.log_file.fileno()),
+            on_resumed=self._count,
+        )
+
+    def _count(self) -> None:
+        self.resumed += 1
+
+    def answer(self, status: int, instance: bytes) -> None:
+        """Answer the question."""
+        self.pool.on_done(
+            exchange.Response(
+                status=status,
+                head=b'',
+                fields={headers.NAMES.instance_id: instance},
+                body=b'',
+            )
+        )
+
+
+async def async_ask(tmp_path) -> Case:
+    """Return a probe that has asked."""
+    case = Case(tmp_path)
+    case.probe.take_upstream(KNOWN)
+    assert not case.pool.payloads
+    case.probe.take_health_path('/alive')
+    (payload,) = case.pool.payloads
+    assert payload.startswith(b'GET /alive HTTP/1.1\r\n')
+    return case
+
+
+@pytest.mark.parametrize(
+    ('status', 'instance', 'resumed'),
+    [
+        (200, b'i1', 1),
+        # It is leaving, or not well.
+        (503, b'i1', 0),
+        # Another upstream has started at the address.
+        (200, b'i2', 0),
+    ],
+)
+def test_only_the_healthy_same_upstream_is_resumed(
+    tmp_path, status, instance, resumed
+) -> None:
+    """Any other waits for its own report."""
+
+    async def async_case() -> None:
+        case = await async_ask(tmp_path)
+        case.answer(status, instance)
+        assert case.resumed == resumed
+        assert (case.registry.report is not None) == bool(resumed)
+
+    asyncio.run(async_case())
+
+
+def test_lost_answer_changes_nothing(tmp_path) -> None:
+    """The connection broke."""
+
+    async def async_case() -> None:
+        case = await async_ask(tmp_path)
+        case.pool.on_done(exchange.FailureKind.BROKEN)
+        assert case.resumed == 0
+
+    asyncio.run(async_case())
+
+
+def test_unanswered_question_is_given_up(tmp_path, monkeypatch) -> None:
+    """Its connection is closed."""
+    monkeypatch.setattr(upstream_probe, 'TIMEOUT_S', 0.01)
+
+    async def async_case() -> None:
+        case = await async_ask(tmp_path)
+        await asyncio.sleep(0.05)
+        assert case.pool.exchange.is_cancelled
+
+    asyncio.run(async_case())
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -261,6 +261,8 @@
     """Deliver a report from before the leave to the next process."""
     async with running() as fleet:
         assert await fleet.async_report('billing', 'draining') == 200
+        # Its health is false, as it may be.
+        fleet.upstreams['billing'].is_leaving = False
         await fleet.async_restart('billing')
         assert await fleet.async_report('billing') == 200
         await asyncio.sleep(0.2)
@@ -269,6 +271,24 @@
         assert not fleet.upstreams['billing'].seen
 
 
+async def async_test_restart_beside_live_upstream() -> None:
+    """Restart a daemon whose upstream does not report meanwhile."""
+    async with running() as fleet:
+        await fleet.async_restart('billing')
+        served = await fleet.async_request('status', '/pay/8', method='POST')
+        assert served.status == 200
+
+
+async def async_test_restart_beside_other_upstream() -> None:
+    """Restart a daemon and replace its upstream meanwhile."""
+    async with running() as fleet:
+        fleet.upstreams['billing'].instance_id = 'i-other'
+        await fleet.async_restart('billing')
+        refused = await fleet.async_request('status', '/pay/8', method='POST')
+        assert refused.status == 503
+        assert not fleet.upstreams['billing'].seen
+
+
 async def async_test_leaving_vm() -> None:
     """Stop a daemon after its upstream has left."""
     async with running() as fleet:
@@ -351,6 +371,16 @@
     asyncio.run(async_test_leave_and_restart())
 
 
+def test_restarted_daemon_serves_the_upstream_that_was_there() -> None:
+    """It does not wait for a report."""
+    asyncio.run(async_test_restart_beside_live_upstream())
+
+
+def test_restarted_daemon_waits_for_reports_of_another_upstream() -> None:
+    """The health check names the upstream."""
+    asyncio.run(async_test_restart_beside_other_upstream())
+
+
 def test_record_goes_with_the_vm() -> None:
     """Its part of each limit passes to the others."""
     asyncio.run(async_test_leaving_vm())
