--- a/sassafraswood/coordination/call_tree.py
+++ b/sassafraswood/coordination/call_tree.py
@@ -16,6 +16,9 @@
 # Calls for each run above which a route counts as one that makes calls.
 CALLS_PER_RUN: Final = 0.3
 MIN_CALLS: Final = 3.0
+# After this many runs of a route have ended it is known whether they make
+# calls; until then they may.
+KNOWN_RUNS: Final = 20
 # Calls for each run of any route above which an upstream makes calls.
 CALLING_SHARE: Final = 0.05
 # Where this share of all calls matches a run, the others are not looked at.
@@ -49,12 +52,14 @@
         matched: Calls with the deadline of a run, less those by chance.
         hits: Calls with the deadline of a run, and those by chance.
         outlasting: Calls that only runs of this route would outlast.
+        ended: Runs that ended since the process started.
     """
 
     runs: float = 0.0
     matched: float = 0.0
     hits: float = 0.0
     outlasting: float = 0.0
+    ended: int = 0
 
 
 class CallTree(Generic[RunT]):
@@ -98,6 +103,9 @@
         tick = _tick(run.deadline)
         if self._by_tick.get(tick) is run:
             del self._by_tick[tick]
+        counts = self._routes.get(run.route)
+        if counts is not None:
+            counts.ended += 1
 
     def note_call(self, deadline: float) -> RunT | None:
         """Count a call that the upstream made; return its run, if known.
@@ -121,6 +129,13 @@
             self._credit(chance, -1.0)
         return run
 
+    def may_make_calls(self, route: str) -> bool:
+        """Return whether runs of a route make calls, or nothing is known."""
+        counts = self._routes.get(route)
+        if counts is None or counts.ended < KNOWN_RUNS:
+            return True
+        return self.makes_calls(route)
+
     def makes_calls(self, route: str) -> bool:
         """Return whether runs of a route make calls."""
         counts = self._routes.get(route)
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -322,7 +322,7 @@
         return inner.popleft() if inner else None
 
     def _has_room(self, name: str, route: _RouteState) -> bool:
-        return route.limit.has_room or not self.tree.makes_calls(name)
+        return route.limit.has_room or not self.tree.may_make_calls(name)
 
     def _queue_of(self, call: GateCall) -> collections.deque[GateCall]:
         if call.urgency >= IMPORTANT_URGENCY:
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -53,7 +53,7 @@
 # Calls of other daemons are taken for this time after the signal, in seconds.
 # Most of those that begin then end before callers are let go, so that the
 # slots of a live upstream are out of use for hardly longer than a restart.
-UPSTREAM_LINGER_S: Final = 2.5
+UPSTREAM_LINGER_S: Final = 2.8
 # The store takes 0.4 s when it is slow; callers are served meanwhile.
 LEAVE_TIMEOUT_S: Final = 0.5
 # Kept from the time until the process is killed, in seconds.
--- a/tests/coordination/test_upstream_gate.py
+++ b/tests/coordination/test_upstream_gate.py
@@ -1,6 +1,7 @@
 """Tests of which calls run at an upstream."""
 
 from sassafraswood import clock
+from sassafraswood.coordination import call_tree
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.models import enums
@@ -131,12 +132,23 @@
 def test_leaf_route_is_not_limited_by_load_below() -> None:
     """Fewer of its calls would not help the services below."""
     gate = Gate(slots=40)
+    for index in range(call_tree.KNOWN_RUNS):
+        gate.gate.finish(gate.submit(f'earlier{index}'))
+    gate.started.clear()
     gate.below.note(3.0, gate.clock.monotonic())
     for index in range(gate.gate.capacity):
         gate.submit(f'leaf{index}')
     assert len(gate.started) == gate.gate.capacity
 
 
+def test_route_of_which_nothing_is_known_is_limited() -> None:
+    """After a restart a burst of trees would reach the services below."""
+    gate = Gate(slots=40)
+    for index in range(gate.gate.capacity):
+        gate.submit(f'new{index}')
+    assert 0 < len(gate.started) <= 0.3 * gate.gate.capacity
+
+
 def test_route_with_calls_is_limited_by_load_below() -> None:
     """Its trees would wait below, with their slots held here."""
     gate = Gate(slots=40)
