Do not count answers of peers that have folded more of the log

Cause: a daemon that resumes after a pause hears from a majority of the failure domains before it has the records that they tell of. The answers counted as a sign that it is not cut off, so that for a moment it took a key that had been withdrawn during its pause.

Ruled out: reads and questions from before the pause, which count from the time at which they were asked for.

Conclusion: an answer counts only if this daemon has folded as much of the log as its peer. Test: test_peers_that_know_more_do_not_count.

--- a/lab/spreading.py
+++ b/lab/spreading.py
@@ -154,12 +154,12 @@
         """Ask for records that the sender has, as transport does."""
         own_offset = ids.Offset(int(receiver in self.known_at))
         if asked_at is not None:
-            is_caught_up = own_offset >= message.next_offset
             self.freshness[receiver].note_peer(
                 sender,
                 message.failure_domain,
-                message.log_read_age_s if is_caught_up else None,
+                message.log_read_age_s,
                 asked_at=asked_at,
+                is_caught_up=own_offset >= message.next_offset,
             )
         if message.next_offset > own_offset:
             request = messages.RecordsRequest(from_offset=own_offset)
--- a/sassafraswood/coordination/freshness.py
+++ b/sassafraswood/coordination/freshness.py
@@ -41,11 +41,12 @@
         log_read_age_s: float | None,
         *,
         asked_at: float,
+        is_caught_up: bool,
     ) -> None:
         """Note an answer of a peer.
 
-        Its age of the last log read counts only if this daemon has folded
-        up to the peer's next offset; pass None otherwise.
+        An answer of a peer that has folded more than this daemon does not
+        count: what it knows may be a withdrawn key.
 
         Args:
             daemon_id: The peer; answers of this daemon itself do not count.
@@ -53,8 +54,10 @@
             log_read_age_s: Seconds since the start of the last read that the
                 peer knows of, when it answered.
             asked_at: When this daemon sent the question.
+            is_caught_up: Whether this daemon has folded up to the peer's
+                next offset.
         """
-        if asked_at > self._clock.monotonic():
+        if not is_caught_up or asked_at > self._clock.monotonic():
             return
         self._heard_at[domain] = max(
             asked_at, self._heard_at.get(domain, asked_at)
--- a/sassafraswood/transport/peer_dispatch.py
+++ b/sassafraswood/transport/peer_dispatch.py
@@ -269,12 +269,12 @@
         own_offset = parts.configuration.next_offset
         asked_at = parts.membership.on_digest(message)
         if asked_at is not None:
-            is_caught_up = own_offset >= message.next_offset
             parts.freshness.note_peer(
                 sender,
                 message.failure_domain,
-                message.log_read_age_s if is_caught_up else None,
+                message.log_read_age_s,
                 asked_at=asked_at,
+                is_caught_up=own_offset >= message.next_offset,
             )
         if message.next_offset > own_offset:
             request = messages.RecordsRequest(from_offset=own_offset)
--- a/tests/coordination/test_freshness.py
+++ b/tests/coordination/test_freshness.py
@@ -28,12 +28,15 @@
     domain: int,
     age_s: float | None = None,
     asked_before_s: float = 0.0,
+    *,
+    is_caught_up: bool = True,
 ) -> None:
     fresh.note_peer(
         ids.DaemonId(f'daemon-{domain}'),
         ids.FailureDomain(f'domain-{domain}'),
         age_s,
         asked_at=manual.monotonic() - asked_before_s,
+        is_caught_up=is_caught_up,
     )
 
 
@@ -90,6 +93,21 @@
     assert fresh.is_stale()
 
 
+def test_peers_that_know_more_do_not_count() -> None:
+    """Guards against a resumed daemon that takes a withdrawn key (R5).
+
+    The answers of its peers come before the records that they tell of.
+    """
+    fresh, manual = _new(daemons=3, domains=3)
+    fresh.note_log_read(manual.monotonic())
+    manual.advance(4.0)
+    _hear(fresh, manual, 1, age_s=0.5, is_caught_up=False)
+    _hear(fresh, manual, 2, age_s=0.5, is_caught_up=False)
+    assert fresh.is_stale()
+    _hear(fresh, manual, 1, age_s=0.5)
+    assert not fresh.is_stale()
+
+
 @pytest.mark.parametrize('age_s', [math.nan, -1.0, None])
 def test_impossible_ages_do_not_count(age_s: float | None) -> None:
     """Guards against a peer's wrong value that looks like a fresh read."""
--- a/tests/decisions/steps/configuration.py
+++ b/tests/decisions/steps/configuration.py
@@ -147,6 +147,7 @@
                     ids.FailureDomain(f'domain-{other.number % _DOMAINS}'),
                     None,
                     asked_at=self.clock.monotonic(),
+                    is_caught_up=True,
                 )
 
 
