Go on with the ticks of a daemon after one that failed

Cause: the task that expires calls, connects to peers and writes the load ended with the first exception, without a line. The daemon went on taking requests that never expired.

Ruled out: a stopped VM, and a full loop; the daemon answered its reports.

Conclusion: a failed tick is logged with its traceback and the next one follows. Test: test_failed_tick_does_not_end_the_ticks.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -5,6 +5,7 @@
 import math
 import random as random_module
 import signal
+import traceback
 from typing import Final
 
 import uvloop
@@ -241,6 +242,7 @@
             held.limit = int(BODIES_SHARE * settings.memory_bytes)
         self._has_rules = False
         self._is_stopping = False
+        self._slow_tick_at = 0.0
         self._stop_requested = asyncio.Event()
 
     async def async_run(self) -> None:
@@ -280,20 +282,26 @@
         self._stop_requested.set()
 
     async def _async_tick(self) -> None:
-        loop = asyncio.get_running_loop()
-        slow_at = 0.0
         while True:
             await asyncio.sleep(TICK_S)
-            self._upstream.tick()
-            self._callers.tick()
-            self._peers.tick()
-            now = loop.time()
-            if now >= slow_at:
-                slow_at = now + SLOW_TICK_S
-                self._upstream.log_load()
-                self._log.flush()
-                if not self._is_stopping:
-                    self._entry.sweep(now)
+            try:
+                self._tick()
+            except Exception:
+                # Without ticks nothing would expire or connect any more.
+                self._log.change('tick_failed', error=traceback.format_exc())
+
+    def _tick(self) -> None:
+        self._upstream.tick()
+        self._callers.tick()
+        self._peers.tick()
+        now = asyncio.get_running_loop().time()
+        if now < self._slow_tick_at:
+            return
+        self._slow_tick_at = now + SLOW_TICK_S
+        self._upstream.log_load()
+        self._log.flush()
+        if not self._is_stopping:
+            self._entry.sweep(now)
 
     async def _async_stop(self) -> None:
         """Refuse new calls, answer what was taken, and end."""
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -13,6 +13,7 @@
 from lab import platform_store
 from lab import platform_upstream
 from sassafraswood.platform import settings
+from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import process
 
 RULES = {
@@ -240,6 +241,26 @@
         assert len(billing.seen) == 1
 
 
+async def async_test_failed_tick(monkeypatch) -> None:
+    """Let one tick of each daemon fail, and the time of a call end later."""
+    async with running() as fleet:
+        failed = []
+
+        def fail(side) -> None:
+            if side not in failed:
+                failed.append(side)
+                raise RuntimeError('as on a closed connection')
+            tick(side)
+
+        tick = caller_side.CallerSide.tick
+        monkeypatch.setattr(caller_side.CallerSide, 'tick', fail)
+        await asyncio.sleep(0.1)
+        assert len(failed) == 2
+        fleet.upstreams['billing'].delay_s = 3.0
+        response = await fleet.async_request('status', '/pay/7', method='POST')
+        assert response.status == 504
+
+
 async def async_test_leaving() -> None:
     """Let an upstream leave while a request runs."""
     async with running() as fleet:
@@ -361,6 +382,11 @@
     asyncio.run(async_test_lost_answer())
 
 
+def test_failed_tick_does_not_end_the_ticks(monkeypatch) -> None:
+    """Without them nothing expires and no lost connection is made again."""
+    asyncio.run(async_test_failed_tick(monkeypatch))
+
+
 def test_leaving_upstream_finishes_what_runs() -> None:
     """New requests are refused as not run."""
     asyncio.run(async_test_leaving())
