Let calls wait for a daemon or a token that comes soon

Cause: after the closing power loss and restarts, inner calls were refused `no_upstream` while the daemons of the next service were still starting, which wasted the trees above them; and requests were refused `rate_exceeded` though the refill of the own part gave a token well before the caller would come back.

Ruled out: a longer wait of new calls; they would miss their target where they now come back in time.

Conclusion: a call of an upstream waits for half of its time while the service has daemons, a new one an eighth of its target; for a token a call waits an eighth of its target if the refill gives one. Tests: test_caller_side, test_quota_wait.

--- a/sassafraswood/coordination/quota_shares.py
+++ b/sassafraswood/coordination/quota_shares.py
@@ -157,6 +157,13 @@
         demand = 0.0 if part is None else part.demand_per_s
         return max(1.0, demand * LOAN_DEMAND_S)
 
+    def refill_per_s(self, workspace: ids.Workspace) -> float:
+        """Return how many tokens of the own part come in a second."""
+        part = self._parts.get(workspace)
+        if part is None or self._clock.monotonic() < self._spends_from:
+            return 0.0
+        return part.rate
+
     def lend(self, workspace: ids.Workspace, tokens: float) -> float:
         """Deduct up to the given tokens and return how many."""
         if workspace not in self._workspaces or tokens <= 0.0:
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -33,9 +33,12 @@
 MAX_REFUSALS: Final = 3
 # A retry needs this share of the latency target or it comes too late.
 RETRY_TIME_SHARE: Final = 0.1
-# Share of the latency target that a call may wait for the first connection to
-# a service; a refusal after it still lets the caller come back in time.
-CONNECT_WAIT_SHARE: Final = 0.125
+# Share of the latency target that a new call may wait for a daemon of its
+# service; a refusal after it still lets the caller come back in time.
+WAIT_SHARE: Final = 0.125
+# Share of its time that a call of an upstream may wait, since a refusal wastes
+# the work of the whole tree.
+INNER_WAIT_SHARE: Final = 0.5
 # Retry-After as a share of the latency target, and its random part; the
 # caller then is still in time for its first answer.
 COMEBACK_SHARE: Final = 0.25
@@ -92,7 +95,7 @@
         self._budget = budget
         self._call_ids = itertools.count(1)
         self._active: dict[int, caller_call.CallerCall] = {}
-        # Calls until when they wait for the first connection to a service.
+        # Calls and until when they wait for a daemon of a service.
         self._parked: dict[
             ids.ServiceName, list[tuple[float, caller_call.CallerCall]]
         ] = {}
@@ -256,7 +259,7 @@
         self._quota.take_loan(loan)
 
     def resume(self, service: ids.ServiceName) -> None:
-        """Go on with calls that wait for a connection to a service."""
+        """Go on with calls that wait for a daemon of a service."""
         for _, call in self._parked.pop(service, []):
             self._send_if_active(call)
 
@@ -275,11 +278,14 @@
         self._refuse(call, 503, enums.RefusalReason.NO_UPSTREAM.value)
 
     def _park(self, call: caller_call.CallerCall) -> None:
-        """Wait for the first connection to the service, if one is made."""
+        """Wait for a daemon of the service, if there may be one."""
         assert self._peers is not None
-        until = call.started_at + CONNECT_WAIT_SHARE * call.aim_s
+        wait_s = WAIT_SHARE * call.aim_s
+        if call.is_inner:
+            wait_s = INNER_WAIT_SHARE * (call.expires_at - call.started_at)
+        until = call.started_at + wait_s
         now = self._clock.monotonic()
-        if now >= until or not self._peers.is_connecting(call.service):
+        if now >= until or not self._peers.has_daemons(call.service):
             self._refuse_unavailable(call)
             return
         self._parked.setdefault(call.service, []).append((until, call))
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -81,11 +81,6 @@
         """Return whether calls wait for an answer."""
         return bool(self._calls)
 
-    @property
-    def is_starting(self) -> bool:
-        """Return whether the first connection is still being made."""
-        return not self._has_failed and not self.candidate.is_reachable
-
     @property
     def is_failing(self) -> bool:
         """Return whether the daemon is known to take no calls now."""
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -135,10 +135,15 @@
             self._review(now)
         return self._candidates.get(service, [])
 
-    def is_connecting(self, service: ids.ServiceName) -> bool:
-        """Return whether the first connections for a service are made."""
-        return not self._members or any(
-            link.is_starting for link in self._by_service.get(service, [])
+    def has_daemons(self, service: ids.ServiceName) -> bool:
+        """Return whether a daemon may begin to take calls of a service.
+
+        It may be starting, or the connection to it is being made.
+        """
+        return (
+            not self._members
+            or service == self._own.service
+            or bool(self._by_service.get(service))
         )
 
     def is_reachable(self, daemon_id: ids.DaemonId) -> bool:
@@ -436,11 +441,7 @@
         if isinstance(message, frames.Hello):
             self._take_hello(connection, message)
         elif isinstance(message, frames.Status):
-            link = self._link_of(connection)
-            if link is not None:
-                link.candidate.is_serving = message.is_serving
-                link.candidate.note_load(message.load)
-                link.candidate.note_health(message.slowness, message.errors)
+            self._take_status(connection, message)
         elif isinstance(message, frames.Borrow):
             connection.send(self._on_borrow(message))
         elif isinstance(message, frames.Lend):
@@ -464,6 +465,20 @@
                 )
             )
 
+    def _take_status(
+        self, connection: frame_link.FrameConnection, status: frames.Status
+    ) -> None:
+        link = self._link_of(connection)
+        if link is None:
+            return
+        candidate = link.candidate
+        was_serving = candidate.is_serving
+        candidate.is_serving = status.is_serving
+        candidate.note_load(status.load)
+        candidate.note_health(status.slowness, status.errors)
+        if status.is_serving and not was_serving and candidate.is_reachable:
+            self._on_reached(link.member.service)
+
     def _hello(self) -> frames.Hello:
         return frames.Hello(
             daemon_id=self._own.daemon_id, started_at=self._started_at
--- a/sassafraswood/sidecar/quota_wait.py
+++ b/sassafraswood/sidecar/quota_wait.py
@@ -15,6 +15,9 @@
 # Longest wait for borrowed tokens in seconds; an exchange between failure
 # domains takes about 2 ms.
 BORROW_WAIT_S: Final = 0.1
+# Share of its latency target that a call may wait for tokens of the refill of
+# the own part; a refusal after it still lets the caller come back in time.
+REFILL_WAIT_SHARE: Final = 0.125
 # A lender that is silent for this time, in seconds, is passed over; ten times
 # an exchange.
 LENDER_SILENT_S: Final = 0.02
@@ -62,13 +65,21 @@
         else:
             self.empty_loans += 1
 
-    def end_round(self, now: float) -> list[caller_call.CallerCall]:
-        """Refuse calls for a moment; return those that waited."""
+    def end_round(
+        self, now: float, refill_per_s: float
+    ) -> list[caller_call.CallerCall]:
+        """Ask nobody for a moment; return calls for which no token comes."""
         self.empty_until = now + EMPTY_MEMORY_S * 2**self.empty_rounds
         self.empty_rounds = min(MAX_ROUNDS, self.empty_rounds + 1)
         self.empty_loans = 0
         waiting, self.waiting = self.waiting, []
-        return [call for _, call in waiting]
+        refused = []
+        for until, call in waiting:
+            if (len(self.waiting) + 1) <= refill_per_s * (until - now):
+                self.waiting.append((until, call))
+            else:
+                refused.append(call)
+        return refused
 
     def drop_late(self, now: float) -> list[caller_call.CallerCall]:
         """Return calls that waited too long."""
@@ -140,14 +151,11 @@
         self._shares.receive(workspace, loan.tokens)
         queue = self._queues[workspace]
         queue.note_loan(loan.tokens)
-        while queue.waiting and self._shares.take_again(workspace):
-            _, call = queue.waiting.pop(0)
-            call.has_token = True
-            self._on_taken(call)
+        self._serve(workspace, queue)
         if not queue.waiting:
             return
         if queue.is_round_over:
-            self._end_round(queue)
+            self._end_round(workspace, queue)
         else:
             self._ask(workspace, queue)
 
@@ -160,22 +168,45 @@
         for workspace, queue in list(self._queues.items()):
             if not queue.waiting:
                 continue
+            if self._knowledge.may_spend_share(self._members_s):
+                self._serve(workspace, queue)
             for call in queue.drop_late(now):
                 self._on_refused(call)
-            if queue.waiting and now - queue.asked_at > LENDER_SILENT_S:
+            if (
+                queue.waiting
+                and now >= queue.empty_until
+                and now - queue.asked_at > LENDER_SILENT_S
+            ):
                 self._ask(workspace, queue)
 
+    def _serve(self, workspace: ids.Workspace, queue: _Queue) -> None:
+        """Go on with calls for which there are tokens now."""
+        while queue.waiting and self._shares.take_again(workspace):
+            _, call = queue.waiting.pop(0)
+            call.has_token = True
+            self._on_taken(call)
+
     def _wait(self, call: caller_call.CallerCall) -> None:
-        """Wait for tokens of another daemon."""
+        """Wait for tokens of another daemon, or of the own part."""
         queue = self._queues[call.workspace]
         now = self._clock.monotonic()
+        refill_s = REFILL_WAIT_SHARE * call.aim_s
         if now < queue.empty_until:
-            self._on_refused(call)
+            expected = self._refill_per_s(call.workspace) * refill_s
+            if len(queue.waiting) + 1 > expected:
+                self._on_refused(call)
+                return
+            queue.waiting.append((now + refill_s, call))
             return
-        queue.waiting.append((now + BORROW_WAIT_S, call))
+        queue.waiting.append((now + max(BORROW_WAIT_S, refill_s), call))
         if len(queue.waiting) == 1:
             self._ask(call.workspace, queue)
 
+    def _refill_per_s(self, workspace: ids.Workspace) -> float:
+        if not self._knowledge.may_spend_share(self._members_s):
+            return 0.0
+        return self._shares.refill_per_s(workspace)
+
     def _ask(self, workspace: ids.Workspace, queue: _Queue) -> None:
         """Ask a holder that can be reached."""
         assert self._peers is not None
@@ -189,8 +220,9 @@
         for daemon_id in lenders[:NEW_LENDERS]:
             # Serves the calls that come next.
             self._peers.connect(daemon_id)
-        self._end_round(queue)
+        self._end_round(workspace, queue)
 
-    def _end_round(self, queue: _Queue) -> None:
-        for call in queue.end_round(self._clock.monotonic()):
+    def _end_round(self, workspace: ids.Workspace, queue: _Queue) -> None:
+        refill_per_s = self._refill_per_s(workspace)
+        for call in queue.end_round(self._clock.monotonic(), refill_per_s):
             self._on_refused(call)
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -44,7 +44,7 @@
 
     def __init__(self) -> None:
         """Start with two daemons of the service."""
-        self.connecting = False
+        self.has_others = False
         self.sent = []
         self.cancelled = []
         self.members = [self.add(index) for index in range(2)]
@@ -66,9 +66,9 @@
         """Return the daemons."""
         return self.members
 
-    def is_connecting(self, service) -> bool:
+    def has_daemons(self, service) -> bool:
         """Return what the test says."""
-        return self.connecting
+        return self.has_others
 
     def start_call(self, candidate, run, on_reply):
         """Keep a call."""
@@ -303,7 +303,7 @@
     """The connections to a service are made with its first call."""
     side = Side(tmp_path)
     members, side.peers.members = side.peers.members, []
-    side.peers.connecting = True
+    side.peers.has_others = True
     connection = side.send('pay')
     assert not connection.answers
     side.peers.members = members
@@ -316,13 +316,28 @@
     """The refusal leaves time to come back within the target."""
     side = Side(tmp_path)
     side.peers.members = []
-    side.peers.connecting = True
+    side.peers.has_others = True
     connection = side.send('pay')
     side.clock.advance(0.11)
     side.side.tick()
     assert connection.answers[0][0] == 503
 
 
+def test_call_of_an_upstream_waits_for_half_of_its_time(tmp_path) -> None:
+    """Refused, it would waste the work of the whole tree."""
+    side = Side(tmp_path)
+    members, side.peers.members = side.peers.members, []
+    side.peers.has_others = True
+    connection = side.send('peek', key=None, peer='10.0.0.9')
+    side.clock.advance(0.4)
+    side.side.tick()
+    assert not connection.answers
+    side.peers.members = members
+    side.side.resume('status')
+    side.answer(0, ok)
+    assert connection.answers[0][0] == 200
+
+
 def test_service_without_daemons_is_refused_at_once(tmp_path) -> None:
     """There is nothing to wait for."""
     side = Side(tmp_path)
--- a/tests/sidecar/test_quota_wait.py
+++ b/tests/sidecar/test_quota_wait.py
@@ -15,6 +15,7 @@
 
     workspace = 'blue'
     has_token = False
+    aim_s = 0.8
 
 
 class FakePeers:
@@ -125,6 +126,32 @@
     assert len(side.taken) == 1
 
 
+def test_call_waits_for_tokens_that_come_soon() -> None:
+    """A refusal would send its caller away for longer."""
+    side = Side()
+    side.shares.set_workspaces(
+        {
+            'blue': traffic.WorkspaceRules(
+                name='blue', rank=None, rate_per_s=20.0, burst=1.0
+            )
+        }
+    )
+    side.shares.set_members(['own'])
+    side.shares.spend_from(side.clock.monotonic())
+    side.knowledge.note_members(1, side.clock.monotonic())
+    side.peers.is_reachable = False
+    calls = [FakeCall() for _ in range(5)]
+    for call in calls:
+        side.waits.take(call)
+    # In a tenth of a second two tokens come; more calls need not wait.
+    assert side.refused == calls[2:]
+    for _ in range(5):
+        side.clock.advance(0.025)
+        side.waits.tick(side.clock.monotonic())
+    assert side.taken == calls[:2]
+    assert side.refused == calls[2:]
+
+
 def test_silent_lender_is_passed_over() -> None:
     """It may have lost power a moment ago."""
     side = Side()
