Bind a leave that comes before the first report after a restart

Cause: an upstream that leaves does not tell its start. A daemon that had just restarted had no report of it either, so that the leave named no start, and a report from before the leave that came 2.1 s later counted as one of a new process under the same id: 35 requests were sent to the upstream (DRAIN).

Ruled out: the upstream resumed after the restart; its health check answered 503. A leave that was not stored; it was, without a start.

Conclusion: a leave without a start takes that of the upstream which the former process had stored. Tests: test_upstream_registry, three ways in which leave, records and report may follow each other.

--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -51,6 +51,8 @@
         self._report: fleet.UpstreamReport | None = None
         self._heard_at = 0.0
         self._left: set[fleet.UpstreamLeave] = set()
+        # The upstream that the former process knew.
+        self._former: fleet.KnownUpstream | None = None
 
     @property
     def report(self) -> fleet.UpstreamReport | None:
@@ -66,9 +68,20 @@
             return enums.UpstreamStatus.CRASHED
         return self._report.status
 
-    def note_leaves(self, leaves: Iterable[fleet.UpstreamLeave]) -> None:
-        """Take the upstreams that left before this process started."""
+    def note_leaves(
+        self,
+        leaves: Iterable[fleet.UpstreamLeave],
+        former: fleet.KnownUpstream | None,
+    ) -> None:
+        """Take what the former process of this daemon knew.
+
+        Args:
+            leaves: Upstreams that had left.
+            former: The upstream that was there last.
+        """
+        self._former = former
         self._left.update(leaves)
+        self._left.update([self._dated(leave) for leave in self._left])
         self._knows_leaves = True
         unconfirmed, self._unconfirmed = self._unconfirmed, None
         if unconfirmed is not None:
@@ -125,7 +138,9 @@
         if born is None and report is not None:
             if report.instance_id == instance_id:
                 born = report.born
-        leave = fleet.UpstreamLeave(instance_id=instance_id, born=born)
+        leave = self._dated(
+            fleet.UpstreamLeave(instance_id=instance_id, born=born)
+        )
         self._left.add(leave)
         if self._report is not None and _leave_of(self._report) == leave:
             self._report = None
@@ -144,6 +159,23 @@
             self._left.add(_leave_of(self._report))
             self._report = None
 
+    def _dated(self, leave: fleet.UpstreamLeave) -> fleet.UpstreamLeave:
+        """Return the leave with the start of the upstream, if it is known.
+
+        An upstream that leaves does not tell its start, and this process may
+        have no report of it yet.
+        """
+        former = self._former
+        if (
+            leave.born is not None
+            or former is None
+            or former.instance_id != leave.instance_id
+        ):
+            return leave
+        return fleet.UpstreamLeave(
+            instance_id=leave.instance_id, born=former.born
+        )
+
     def _is_confirmed(self, report: fleet.UpstreamReport) -> bool:
         """Return whether a report shows what its sender is now."""
         if self._knows_leaves:
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -123,7 +123,9 @@
     def _leave(self, instance_id: str, body: bytes) -> fleet.UpstreamLeave:
         born = reports.decode_leave(body)
         leave = self._registry.leave(instance_id, born)
-        self._log.change('upstream_leaves', instance=instance_id, born=born)
+        self._log.change(
+            'upstream_leaves', instance=instance_id, born=leave.born
+        )
         self._on_change()
         return leave
 
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -193,7 +193,7 @@
         if self._present is None:
             self._present = present
         self._is_loaded.set()
-        self._registry.note_leaves(leaves)
+        self._registry.note_leaves(leaves, present)
         self._log.change(
             'upstreams_known',
             left=len(leaves),
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -108,7 +108,9 @@
     """The next process ignores reports from before the leave."""
     registry = make_registry(knows_leaves=False)
     registry.apply(make_report())
-    registry.note_leaves([fleet.UpstreamLeave(instance_id='i1', born=100)])
+    registry.note_leaves(
+        [fleet.UpstreamLeave(instance_id='i1', born=100)], None
+    )
     assert registry.status is enums.UpstreamStatus.ABSENT
     assert not registry.apply(make_report(sequence=6))
 
@@ -117,7 +119,7 @@
     """Nothing else needs to be waited for."""
     registry = make_registry(knows_leaves=False)
     registry.apply(make_report())
-    registry.note_leaves([])
+    registry.note_leaves([], None)
     assert registry.status is enums.UpstreamStatus.READY
 
 
@@ -147,7 +149,7 @@
 def test_upstream_of_the_former_process_counts_as_ready() -> None:
     """Its first report is newer, whatever its number."""
     registry = make_registry(knows_leaves=False)
-    registry.note_leaves([])
+    registry.note_leaves([], None)
     assert registry.resume(known())
     assert registry.status is enums.UpstreamStatus.READY
     assert registry.apply(
@@ -159,7 +161,9 @@
 def test_upstream_that_left_is_not_resumed() -> None:
     """The leave binds the next process, whatever its health says."""
     registry = make_registry(knows_leaves=False)
-    registry.note_leaves([fleet.UpstreamLeave(instance_id='i1', born=100)])
+    registry.note_leaves(
+        [fleet.UpstreamLeave(instance_id='i1', born=100)], None
+    )
     assert not registry.resume(known())
     assert registry.status is enums.UpstreamStatus.ABSENT
 
@@ -171,3 +175,30 @@
     assert not registry.resume(known())
     assert registry.report is not None
     assert registry.report.instance_id == 'i2'
+
+
+def test_leave_after_a_restart_binds_late_reports() -> None:
+    """The call that tells it has no start, and no report came before it."""
+    registry = make_registry(knows_leaves=False)
+    registry.note_leaves([], known())
+    leave = registry.leave('i1', None)
+    assert leave == fleet.UpstreamLeave(instance_id='i1', born=100)
+    assert not registry.apply(make_report())
+    assert registry.apply(make_report(born=200))
+
+
+def test_leave_before_the_records_are_read_binds_late_reports() -> None:
+    """The store may answer later than the upstream leaves."""
+    registry = make_registry(knows_leaves=False)
+    registry.leave('i1', None)
+    registry.note_leaves([], known())
+    assert not registry.apply(make_report())
+
+
+def test_stored_leave_without_a_start_binds_late_reports() -> None:
+    """The process that took it had no time to read the records."""
+    registry = make_registry(knows_leaves=False)
+    registry.note_leaves(
+        [fleet.UpstreamLeave(instance_id='i1', born=None)], known()
+    )
+    assert not registry.apply(make_report())
