--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -199,9 +199,7 @@
             self._connecting = None
         self._take_connection(connection)
 
-    def _take_connection(
-        self, connection: frame_link.FrameConnection
-    ) -> None:
+    def _take_connection(self, connection: frame_link.FrameConnection) -> None:
         if self._is_closed:
             connection.close('not wanted any more')
             return
