Log what was in flight at a crash, who counts it and what a daemon knew

The logs of a request that crashes upstreams could not tell whether the end was not noticed, the request not suspected, or the knowledge lost: connection_lost now names the fingerprint and the crashes known of it, upstream_replaced a new upstream without a leave of the former one, crash_counted each count with its suspects, requests_quarantined how many connections were told. No decision changes.

--- a/sassafraswood/coordination/crash_counts.py
+++ b/sassafraswood/coordination/crash_counts.py
@@ -76,6 +76,10 @@
             self._refused_until[fingerprint] = now + MEMORY_S
         return found
 
+    def count(self, fingerprint: ids.Fingerprint) -> int:
+        """Return at how many crashes a request was in flight."""
+        return len(self._instances.get(fingerprint, ()))
+
     def is_refused(self, fingerprint: ids.Fingerprint) -> bool:
         """Return whether a request is refused."""
         until = self._refused_until.get(fingerprint, 0.0)
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -103,7 +103,20 @@
     ) -> fleet.UpstreamLeave | None:
         """Return the leave if the upstream says that it leaves."""
         report = reports.decode(instance_id, body)
+        before = self._registry.report
         if self._registry.apply(report):
+            if before is not None and (before.instance_id, before.born) != (
+                report.instance_id,
+                report.born,
+            ):
+                self._log.change(
+                    'upstream_replaced',
+                    instance=report.instance_id,
+                    born=report.born,
+                    former=before.instance_id,
+                    former_born=before.born,
+                    former_status=before.status.value,
+                )
             self._on_change()
             if report.status is enums.UpstreamStatus.DRAINING:
                 return fleet.UpstreamLeave(
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -312,6 +312,11 @@
 
     def _count_crash(self, report: frames.CrashReport) -> None:
         """Count a crash, and pass it on to those who count."""
+        self._log.change(
+            'crash_counted',
+            instance=report.instance,
+            suspects=report.fingerprints,
+        )
         for daemon_id in self._plan.feeds:
             self.send(daemon_id, report)
         self._refuse_all(
@@ -324,7 +329,12 @@
         """Pass on which requests all daemons refuse from now on."""
         if not fingerprints:
             return
-        self._log.change('requests_quarantined', fingerprints=fingerprints)
+        self._log.change(
+            'requests_quarantined',
+            fingerprints=fingerprints,
+            told=sum(link.is_open for link in self._links.values())
+            + len(self._accepted),
+        )
         message = frames.Refuse(fingerprints=list(fingerprints))
         for link in self._links.values():
             link.send(message)
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -287,6 +287,15 @@
             self._refuse(call, enums.RefusalReason.UPSTREAM_UNREACHABLE)
             return
         self._broken.append((self._clock.monotonic(), call))
+        fingerprint = fingerprint_of(call.run)
+        self._log.decision(
+            'connection_lost',
+            attempt=call.run.attempt_id.decode('latin-1'),
+            instance=instance,
+            reason=outcome.value,
+            fingerprint=fingerprint,
+            known_crashes=self._crashes.count(fingerprint),
+        )
         self._fail(call, outcome.value)
 
     def _note_success(self, run: frames.Run) -> None:
@@ -316,7 +325,10 @@
             fingerprint_of(call.run) for call in lost[-MAX_SUSPECTS:]
         ]
         self._log.change(
-            'upstream_crashed', instance=instance, lost_calls=len(lost)
+            'upstream_crashed',
+            instance=instance,
+            lost_calls=len(lost),
+            suspects=fingerprints,
         )
         self._on_crash(instance, fingerprints)
 
