Reproduce requests that crash upstreams and keep arriving

Plays such a request on six real daemons: ends of upstreams with and without a reset, with few and many calls beside it, and daemons that miss what the others learn. The check of the soak is that of the rule: arrivals later than 3 s after the third crash that a machine in touch has sent. Connections of the soak's callers are closed, since those left over ended in the collector while pytest parsed the source of a failure.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -6,8 +6,10 @@
 import random
 import time
 
-# An upstream holds this many requests at once and refuses the rest.
+# Requests that an upstream holds at once unless it is told otherwise.
 SLOTS = 20
+# An upstream that has gone dark looks this often whether it was ended.
+_DARK_S = 0.05
 # Called with the head of each request that runs and with its target; returns
 # whether the calls of the upstream itself succeeded.
 OnRun = Callable[[dict[str, str], str], Awaitable[bool]]
@@ -39,6 +41,8 @@
         fault: What is wrong with a share of the answers.
         fault_share: That share.
         seen: Heads of the requests that it ran.
+        slots: Requests that it holds at once; it refuses the rest.
+        is_dark: Whether it has stopped without ending its connections.
     """
 
     def __init__(
@@ -57,6 +61,8 @@
         self.fault = Fault.NONE
         self.fault_share = 0.0
         self.seen: list[str] = []
+        self.slots = SLOTS
+        self.is_dark = False
         self.address = ''
         self._on_run = on_run
         self._host = host
@@ -87,12 +93,14 @@
 
     async def async_report(self, port: int, state: str = 'ready') -> int:
         """Report to the daemon; return the status of its answer, or 0."""
+        if self.is_dark:
+            return 0
         self.is_leaving = state == 'draining'
         self._sequence += 1
         body = (
             f'{{"service":"{self.service}","address":"{self.address}",'
-            f'"zone":"a","version":"v1","slots":{SLOTS},"state":"{state}",'
-            f'"cold-left-s":0,"sequence":{self._sequence},'
+            f'"zone":"a","version":"v1","slots":{self.slots},'
+            f'"state":"{state}","cold-left-s":0,"sequence":{self._sequence},'
             f'"born":{self._born}}}'
         )
         return await self._async_tell(port, 'heartbeat', body)
@@ -162,7 +170,7 @@
         expected = fields.get('x-expected-instance', self.instance_id)
         if expected != self.instance_id:
             return _plain(421, f'X-Instance-Id: {self.instance_id}'), False
-        if self._running >= SLOTS:
+        if self._running >= self.slots:
             return _plain(503, 'X-Not-Executed: 1'), False
         self.seen.append(head)
         self._running += 1
@@ -171,6 +179,8 @@
             if self._on_run is not None:
                 is_good = await self._on_run(fields, head.split(' ', 2)[1])
             await asyncio.sleep(self.delay_s)
+            while self.is_dark:
+                await asyncio.sleep(_DARK_S)
         finally:
             self._running -= 1
         attempt = fields.get('x-attempt-id', '')
--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -30,6 +30,32 @@
         return workspace, self.in_use[workspace]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashRequest:
+    """A request that crashes each upstream that runs it.
+
+    Attributes:
+        after_s: How long it runs until the crash, in seconds.
+        is_inner: Whether a call that it leads to crashes what runs it.
+    """
+
+    route: str = 'read'
+    target: str = '/read/odd'
+    body: str = ''
+    after_s: float = 0.0
+    is_inner: bool = False
+
+    @property
+    def fields(self) -> str:
+        """Return the header fields that tell the upstream what to do."""
+        name = (
+            machine_module.INNER_CRASH_FIELD
+            if self.is_inner
+            else machine_module.CRASH_FIELD
+        )
+        return f'{name}: {self.after_s}\r\n'
+
+
 class Callers:
     """Workers on each VM that send until they are cancelled."""
 
@@ -51,9 +77,12 @@
     async def async_work(self, machine: machine_module.Machine) -> None:
         """Send one request after the other to the daemon of a VM."""
         caller = http_caller.HttpCaller((machine.host, machine_module.CALLER))
-        while True:
-            await self.async_send(machine, caller)
-            await asyncio.sleep(2.0 * THINK_S * self._source.random())
+        try:
+            while True:
+                await self.async_send(machine, caller)
+                await asyncio.sleep(2.0 * THINK_S * self._source.random())
+        finally:
+            caller.close()
 
     async def async_send(
         self, machine: machine_module.Machine, caller: http_caller.HttpCaller
@@ -64,19 +93,48 @@
             workspace, key = self._source.choice(self.withdrawn)
         route = self._source.choice(ROUTES)
         attempt = self._attempt(machine, route, workspace, key)
-        await self._async_finish(attempt, caller, f'/{route}/1')
+        body = attempt.attempt_id if route == 'book' else ''
+        await self._async_finish(
+            attempt, caller, _payload(attempt, f'/{route}/1', body)
+        )
         return attempt
 
-    async def async_send_poison(
-        self, machine: machine_module.Machine, target: str
+    async def async_send_crash(
+        self, machine: machine_module.Machine, crash: CrashRequest
     ) -> None:
         """Send a request that crashes the upstreams that run it."""
-        workspace = 'blue'
-        key = self._keys.in_use[workspace]
-        attempt = self._attempt(machine, 'read', workspace, key)
+        attempt = self._attempt(
+            machine, crash.route, 'blue', self._keys.in_use['blue']
+        )
+        attempt.crashes = True
+        await self._async_send_alone(
+            attempt, machine, crash.target, crash.body, crash.fields
+        )
+
+    async def async_send_single(self, machine: machine_module.Machine) -> None:
+        """Send a request whose path no other one has."""
+        workspace, key = self._keys.pick(self._source)
+        attempt = self._attempt(machine, 'moved', workspace, key)
+        await self._async_send_alone(
+            attempt, machine, f'/moved/{attempt.attempt_id}'
+        )
+
+    async def _async_send_alone(
+        self,
+        attempt: ledger_module.Attempt,
+        machine: machine_module.Machine,
+        target: str,
+        body: str = '',
+        fields: str = '',
+    ) -> None:
+        """Send an attempt on a connection of its own."""
         caller = http_caller.HttpCaller((machine.host, machine_module.CALLER))
-        await self._async_finish(attempt, caller, target)
-        caller.close()
+        try:
+            await self._async_finish(
+                attempt, caller, _payload(attempt, target, body, fields)
+            )
+        finally:
+            caller.close()
 
     def _attempt(
         self,
@@ -102,13 +160,11 @@
         self,
         attempt: ledger_module.Attempt,
         caller: http_caller.HttpCaller,
-        target: str,
+        payload: bytes,
     ) -> None:
         """Send an attempt and note its end."""
         try:
-            answer = await caller.async_call(
-                _payload(attempt, target), DEADLINE_S + 0.5
-            )
+            answer = await caller.async_call(payload, DEADLINE_S + 0.5)
         except TimeoutError:
             # The caller has stopped waiting; what follows is not its matter.
             return
@@ -120,14 +176,19 @@
         attempt.problem = _find_problem(attempt, answer)
 
 
-def _payload(attempt: ledger_module.Attempt, target: str) -> bytes:
-    body = attempt.attempt_id if attempt.route == 'book' else ''
+def _payload(
+    attempt: ledger_module.Attempt,
+    target: str,
+    body: str = '',
+    fields: str = '',
+) -> bytes:
     return (
         f'{_METHODS[attempt.route]} {target} HTTP/1.1\r\n'
         'Host: shop.example\r\n'
         f'X-Attempt-Id: {attempt.attempt_id}\r\n'
         f'X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n'
         f'Authorization: Token {attempt.key}\r\nX-Tenant: forged\r\n'
+        f'{fields}'
         f'Content-Length: {len(body)}\r\n\r\n{body}'
     ).encode()
 
--- a/lab/soak/ledger.py
+++ b/lab/soak/ledger.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import math
+import time
 from typing import Final
 
 # Bounds of the settings that the soak gives its daemons, in seconds.
@@ -22,6 +23,10 @@
 # A request crashes three upstreams at most before all must know, and three
 # more while they learn of it.
 MAX_CRASHES: Final = 6
+# Arrivals of a request that has crashed this many upstreams, later than
+# STABLE_S after the last of these, and how many of them are allowed.
+CRASHES_UNTIL_KNOWN: Final = 3
+MAX_KNOWN_ARRIVALS: Final = 3
 # Statuses that promise that the request has not run and never will.
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 
@@ -37,6 +42,7 @@
         ended_at: When its answer or the end of the connection was seen.
         status: Of the answer; None if there was none.
         problem: What is wrong with the answer.
+        crashes: Whether it crashes the upstreams that run it.
     """
 
     attempt_id: str
@@ -50,6 +56,7 @@
     ended_at: float = math.inf
     status: int | None = None
     problem: str = ''
+    crashes: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,8 +96,14 @@
         self.started_at: dict[str, list[float]] = collections.defaultdict(list)
         self.rates: dict[str, tuple[float, float]] = {}
         self.failures: list[str] = []
-        # Crashes by each request that crashes what runs it.
-        self.crashes: collections.Counter[str] = collections.Counter()
+        # Arrivals of requests that crash what runs them, by target: time and
+        # the machine that sent it.
+        self.crashes: dict[str, list[tuple[float, str]]] = (
+            collections.defaultdict(list)
+        )
+        # Machines whose process stood still, was cut off or ended; a request
+        # that crashes upstreams strikes none of them.
+        self.faulted: dict[str, list[Span]] = collections.defaultdict(list)
 
     def note_run(self, run: Run) -> None:
         """Take a run."""
@@ -116,15 +129,51 @@
             for run in runs:
                 problems += self._check_run(run)
         problems += [
-            f'{target} crashed {count} upstreams'
-            for target, count in self.crashes.items()
-            if count > MAX_CRASHES
+            f'{target} crashed {len(arrivals)} upstreams'
+            for target, arrivals in self.crashes.items()
+            if len(arrivals) > MAX_CRASHES
+        ]
+        problems += [
+            f'{target} arrived {count} times after it was known'
+            for target in self.crashes
+            if (count := self.known_arrivals(target)) > MAX_KNOWN_ARRIVALS
         ]
         problems += self._check_moves()
         problems += self._check_quota()
         problems += self._check_budget()
         return problems
 
+    def note_crash(self, target: str, attempt_id: str) -> None:
+        """Take that a request arrived that crashes what runs it."""
+        attempt = self.attempts.get(attempt_id)
+        # The ids of calls of upstreams begin with the machine.
+        machine = (
+            attempt_id.partition('.')[0]
+            if attempt is None
+            else attempt.machine
+        )
+        self.crashes[target].append((time.monotonic(), machine))
+
+    def known_arrivals(self, target: str) -> int:
+        """Return how often a request arrived after all had to know of it.
+
+        Arrivals that a machine sent which was not in touch do not count.
+        """
+        arrivals = sorted(self.crashes[target])
+        if len(arrivals) <= CRASHES_UNTIL_KNOWN:
+            return 0
+        known_at = arrivals[CRASHES_UNTIL_KNOWN - 1][0] + STABLE_S
+        return sum(
+            at > known_at and self._is_in_touch(machine, at)
+            for at, machine in arrivals
+        )
+
+    def _is_in_touch(self, machine: str, at: float) -> bool:
+        return not any(
+            span.start <= at <= span.end + STABLE_S
+            for span in self.faulted[machine]
+        )
+
     def _check_attempt(self, attempt: Attempt) -> list[str]:
         runs = self.runs.get(attempt.attempt_id, [])
         problems = []
--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import enum
 import itertools
 import os
 import pathlib
@@ -22,6 +23,11 @@
 INNER_CALLS: Final = 2
 # Part of the path of requests that crash what runs them.
 POISON: Final = 'poison'
+# Field of such a request: how long it runs until the crash, in seconds.
+CRASH_FIELD: Final = 'x-crash-after-s'
+# Field of a request that leads to a call that crashes what runs it.
+INNER_CRASH_FIELD: Final = 'x-inner-crash-after-s'
+CRASH_PEEK: Final = '/peek/odd'
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 # Where deploy/build installs the daemon.
 _DEPLOYED = _ROOT / 'target' / 'deps'
@@ -56,6 +62,19 @@
 STORE_RELAY: Final = 7008
 
 
+class UpstreamEnd(enum.Enum):
+    """How an upstream ends, and what comes after it."""
+
+    # Its connections end and its port refuses until the next one is there.
+    RESET = 'reset'
+    # The next one is there at once.
+    REPLACED = 'replaced'
+    # As REPLACED, and the next one has the same id.
+    SAME_ID = 'same_id'
+    # It falls silent and nothing is reset until the next one is there.
+    DARK = 'dark'
+
+
 class Machine:
     """Starts, strikes and restarts what runs on one VM."""
 
@@ -86,6 +105,11 @@
         self.upstream: platform_upstream.PlatformUpstream | None = None
         self.process: subprocess.Popen[bytes] | None = None
         self.is_reporting = True
+        # How requests end the upstream, and for how long, in seconds.
+        self.upstream_end = UpstreamEnd.RESET
+        self.upstream_away_s = 1.0
+        self.upstream_slots = platform_upstream.SLOTS
+        self.upstream_delay_s = 0.02 if service == 'front' else 0.01
         # Ends of the process that the soak did not cause.
         self.own_exits: list[int] = []
         self.peak_mb = 0.0
@@ -115,6 +139,7 @@
         self._is_ending = True
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         if self.process is not None:
             self.process.kill()
             await asyncio.to_thread(self.process.wait)
@@ -231,13 +256,14 @@
 
     # Upstream.
 
-    async def async_start_upstream(self) -> None:
-        """Start the next upstream at the address."""
-        name = f'{self.name}.{next(self._instances)}'
+    async def async_start_upstream(self, name: str = '') -> None:
+        """Start the next upstream at the address; without a name, a new id."""
+        name = name or f'{self.name}.{next(self._instances)}'
         self.upstream = platform_upstream.PlatformUpstream(
             name, self.service, self._async_on_run, self.host
         )
-        self.upstream.delay_s = 0.02 if self.service == 'front' else 0.01
+        self.upstream.slots = self.upstream_slots
+        self.upstream.delay_s = self.upstream_delay_s
         await self.upstream.async_start(
             UPSTREAM, f'{self.host}:{UPSTREAM_RELAY}'
         )
@@ -255,6 +281,24 @@
         await self.async_start_upstream()
         await link.async_set_mode(relay.RelayMode.PASS)
 
+    async def async_end_upstream(self) -> None:
+        """End the upstream as this VM is told to, and start another one."""
+        upstream = self.upstream
+        if upstream is None or self.upstream_end is UpstreamEnd.RESET:
+            await self.async_crash_upstream(self.upstream_away_s)
+            return
+        self.upstream = None
+        if self.upstream_end is UpstreamEnd.DARK:
+            upstream.is_dark = True
+            await asyncio.sleep(self.upstream_away_s)
+        upstream.crash()
+        # Until its connections have ended.
+        await asyncio.sleep(0.02)
+        is_same = self.upstream_end is UpstreamEnd.SAME_ID
+        await self.async_start_upstream(
+            upstream.instance_id if is_same else ''
+        )
+
     async def async_replace_upstream(self, *, says_draining: bool) -> None:
         """Let the upstream leave as planned and start another one."""
         upstream = self.upstream
@@ -305,23 +349,31 @@
                 at=time.monotonic(),
             )
         )
-        if POISON in target:
-            self._ledger.crashes[target] += 1
-            self._spawn(self.async_crash_upstream(1.0))
+        if CRASH_FIELD in fields or POISON in target:
+            self._ledger.note_crash(target, fields.get('x-attempt-id', ''))
+            await asyncio.sleep(float(fields.get(CRASH_FIELD, '0')))
+            self._spawn(self.async_end_upstream())
+            # It is never answered.
+            await asyncio.sleep(60.0)
             return False
         if not target.startswith('/read/'):
             return True
         left_s = int(fields['x-deadline-ms']) / 1000
+        if INNER_CRASH_FIELD in fields:
+            field = f'{CRASH_FIELD}: {fields[INNER_CRASH_FIELD]}\r\n'
+            return await self._async_peek(left_s, CRASH_PEEK, field)
         calls = [self._async_peek(left_s) for _ in range(INNER_CALLS)]
         return all(await asyncio.gather(*calls))
 
-    async def _async_peek(self, left_s: float) -> bool:
+    async def _async_peek(
+        self, left_s: float, target: str = '/peek/1', field: str = ''
+    ) -> bool:
         """Make a call of the upstream through its daemon."""
         attempt = f'{self.name}.i{next(self._inner_ids)}'
         self._ledger.inner_calls[attempt] = self.service
         caller = http_caller.HttpCaller((self.host, CALLER))
         payload = (
-            f'GET /peek/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            f'GET {target} HTTP/1.1\r\nHost: shop.example\r\n{field}'
             f'X-Attempt-Id: {attempt}\r\n'
             f'X-Deadline-Ms: {int(left_s * 1000)}\r\n\r\n'
         )
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -39,6 +39,18 @@
     relay.RelayMode.SLOW,
     relay.RelayMode.CUT,
 )
+# Faults that leave the machines of the daemons as they are.
+_UPSTREAM_FAULTS: Final = frozenset(
+    {
+        faults.FaultKind.POISON,
+        faults.FaultKind.UPSTREAM_CRASH,
+        faults.FaultKind.UPSTREAM_REPLACED,
+        faults.FaultKind.UPSTREAM_SLOW,
+        faults.FaultKind.UPSTREAM_SPOILS,
+        faults.FaultKind.UPSTREAM_SILENT,
+        faults.FaultKind.BURST,
+    }
+)
 _SPOILS: Final = tuple(platform_upstream.Fault)[1:]
 
 
@@ -78,6 +90,7 @@
         self._count = machines
         self._folder = folder
         self._deployed = deployed
+        self._workers = WORKERS
         self._source = random.Random(seed)
         self._store = platform_store.PlatformStore()
         self._machines: list[machine_module.Machine] = []
@@ -99,10 +112,13 @@
         finally:
             for task in self._tasks:
                 task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
             await asyncio.gather(
                 *(machine.async_stop() for machine in self._machines)
             )
             self._store.stop()
+            # Connections that were closed end in the next rounds of the loop.
+            await asyncio.sleep(0.1)
         return self._result()
 
     # Fleet.
@@ -128,7 +144,7 @@
             await machine.async_start()
         await self._async_settle()
         for machine in self._machines:
-            for _ in range(WORKERS):
+            for _ in range(self._workers):
                 self._spawn(self._callers.async_work(machine))
 
     async def _async_settle(self) -> None:
@@ -215,6 +231,10 @@
         struck = self._struck(fault, machine)
         for what in struck:
             self.ledger.disturb(what, start, time.monotonic())
+            if fault.kind not in _UPSTREAM_FAULTS:
+                self.ledger.faulted[what].append(
+                    ledger_module.Span(start=start, end=time.monotonic())
+                )
 
     def _struck(
         self, fault: faults.Fault, machine: machine_module.Machine
@@ -288,10 +308,12 @@
 
     async def _async_poison(self, fault: faults.Fault) -> None:
         """Send a request that crashes upstreams to all daemons in turn."""
-        target = f'/read/{machine_module.POISON}{fault.variant}'
+        crash = callers_module.CrashRequest(
+            target=f'/read/{machine_module.POISON}{fault.variant}'
+        )
         for index in range(int(fault.for_s / POISON_PAUSE_S)):
             machine = self._machines[index % len(self._machines)]
-            await self._callers.async_send_poison(machine, target)
+            await self._callers.async_send_crash(machine, crash)
             await asyncio.sleep(POISON_PAUSE_S)
 
     async def _async_link(
