Notice ends of upstreams by themselves and refuse what crashes them everywhere

Callers saw a request under which upstreams had ended reach further ones, and services with three upstreams go down for as long as it came.

Cause: knowledge depended on coincidences. An end counted only if another call found the port refusing within a second; a request was suspected only if it was among the 16 begun last and none like it had succeeded; its name held the service, which a route can change; an upstream that returned with its id did not count again; reports and verdicts were sent once, over the connections open at that moment, and kept in memory only.

Now the daemon beside the upstream finds the end itself: it tries the port when all connections broke, and takes later starts, other instances and silence for an end. All calls without an answer since the last sign of life are suspects, with how often the same request is answered. A request is refused once its presence at the ends is hardly a coincidence (1 in 1,000, given its rate, all ends of the service, and others that were there as often); common requests, repeats beside it and calls to a dead port no longer count as evidence. Reports are sent again until they are confirmed and kept in the store; verdicts are compared with every ping. A refusal lasts 120 s, four times longer each further time, and its Retry-After says so.

--- a/lab/soak/crash_scenario.py
+++ b/lab/soak/crash_scenario.py
@@ -31,8 +31,6 @@
 CROWD: Final = 40
 CROWD_DELAY_S: Final = 0.6
 CROWD_SLOTS: Final = 100
-# Requests of other callers that are to be served at the end.
-SERVED_SHARE: Final = 0.9
 
 
 Strike = Callable[[machine_module.Machine], Coroutine[Any, Any, None]]
@@ -129,7 +127,9 @@
                 await asyncio.sleep(scenario.pause_s)
             else:
                 await self._async_send()
-        await asyncio.sleep(run.FINAL_S)
+        for _ in range(int(run.FINAL_S / scenario.pause_s) + 1):
+            self._send_crowd(len(self._machines))
+            await asyncio.sleep(scenario.pause_s)
 
     def _is_over(self, disturbance: asyncio.Task[None] | None) -> bool:
         """Return whether it came for long enough."""
@@ -258,24 +258,8 @@
         self.ledger.faulted[machine.name].append(span)
         self.ledger.disturbed[machine.name].append(span)
 
-    def _result(self) -> run.Result:
-        """Check what the other callers saw, beside the promises."""
-        result = super()._result()
-        end = max(item.sent_at for item in self.ledger.attempts.values())
-        others = [
-            attempt
-            for attempt in self.ledger.attempts.values()
-            if not attempt.crashes
-            and not self._is_alike(attempt)
-            and attempt.workspace not in self.ledger.rates
-            and end - run.FINAL_S < attempt.sent_at < end - 0.5
-        ]
-        good = sum(attempt.status == 200 for attempt in others)
-        if good < SERVED_SHARE * len(others):
-            result.problems.append(
-                f'{good} of {len(others)} others were served'
-            )
-        return result
+    def _is_owed(self, attempt: ledger_module.Attempt) -> bool:
+        return super()._is_owed(attempt) and not self._is_alike(attempt)
 
     def _is_alike(self, attempt: ledger_module.Attempt) -> bool:
         """Return whether nothing tells an attempt from the request."""
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -396,8 +396,7 @@
             attempt
             for attempt in attempts
             if end - FINAL_S < attempt.sent_at < end - 0.5
-            and attempt.workspace != 'red'
-            and attempt.key not in self.ledger.withdrawn_at
+            and self._is_owed(attempt)
         ]
         good = sum(attempt.status == 200 for attempt in last)
         if not last or good < FINAL_SHARE * len(last):
@@ -409,3 +408,11 @@
             served=sum(attempt.status == 200 for attempt in attempts),
             faults=self.faults,
         )
+
+    def _is_owed(self, attempt: ledger_module.Attempt) -> bool:
+        """Return whether an attempt after all faults is to be served."""
+        return (
+            attempt.workspace != 'red'
+            and attempt.key not in self.ledger.withdrawn_at
+            and not attempt.crashes
+        )
--- a/sassafraswood/coordination/quarantine.py
+++ b/sassafraswood/coordination/quarantine.py
@@ -18,15 +18,25 @@
 _STEP_S = 1e-6
 
 
-def compute_fingerprint(
-    service: ids.ServiceName, method: str, target: str, body: bytes
-) -> ids.Fingerprint:
-    """Return the SHA-256 of a request in hexadecimal.
+def hash_parts(*parts: bytes) -> ids.Fingerprint:
+    """Return the SHA-256 of the parts of a request in hexadecimal.
 
     Each part is preceded by its length, so that no two requests give the
     same input. The hash is cryptographic: with a fast one, a workspace could
     search for a crashing request that collides with a request of another
     workspace and have that one refused.
+    """
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return ids.Fingerprint(digest.hexdigest())
+
+
+def compute_fingerprint(
+    service: ids.ServiceName, method: str, target: str, body: bytes
+) -> ids.Fingerprint:
+    """Return the fingerprint of a request.
 
     Args:
         service: The callee.
@@ -34,14 +44,13 @@
         target: Path and query.
         body: The whole body.
     """
-    digest = hashlib.sha256()
-    for text in (service, method, target):
-        part = text.encode('utf-8', 'surrogatepass')
-        digest.update(len(part).to_bytes(8, 'big'))
-        digest.update(part)
-    digest.update(len(body).to_bytes(8, 'big'))
-    digest.update(body)
-    return ids.Fingerprint(digest.hexdigest())
+    return hash_parts(
+        *(
+            text.encode('utf-8', 'surrogatepass')
+            for text in (service, method, target)
+        ),
+        body,
+    )
 
 
 class Quarantine:
--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -68,6 +68,11 @@
             return enums.UpstreamStatus.CRASHED
         return self._report.status
 
+    @property
+    def silent_s(self) -> float:
+        """Return the time since the last report in seconds."""
+        return self._clock.monotonic() - self._heard_at
+
     def note_leaves(
         self,
         leaves: Iterable[fleet.UpstreamLeave],
@@ -212,6 +217,13 @@
         return report.sequence > current.sequence
 
 
+def start_of(report: fleet.UpstreamReport) -> fleet.UpstreamStart:
+    """Return which process a report tells of."""
+    return fleet.UpstreamStart(
+        instance_id=report.instance_id, born=report.born
+    )
+
+
 def _leave_of(report: fleet.UpstreamReport) -> fleet.UpstreamLeave:
     return fleet.UpstreamLeave(
         instance_id=report.instance_id, born=report.born
--- a/sassafraswood/models/fleet.py
+++ b/sassafraswood/models/fleet.py
@@ -20,6 +20,18 @@
     service: ids.ServiceName
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamStart:
+    """One process of an upstream; the next one may have the same id.
+
+    Attributes:
+        born: Unix time of its start in milliseconds, if it is known.
+    """
+
+    instance_id: str
+    born: int | None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamLeave:
     """An upstream that has said that it leaves.
--- a/sassafraswood/platform/upstream_records.py
+++ b/sassafraswood/platform/upstream_records.py
@@ -1,8 +1,9 @@
 """Records of upstreams in the platform's store, written beside them.
 
-Each daemon has one record of the upstreams that have left its VM and one of
-the upstream that is there. They have keys of their own: a write of the second
-that the store does late must not undo one of the first.
+Each daemon has one record of the upstreams that have left its VM, one of the
+upstream that is there, and some of upstreams that ended without a leave. They
+have keys of their own: a write of one that the store does late must not undo
+one of another.
 """
 
 from collections.abc import Iterable
@@ -11,10 +12,14 @@
 import msgspec
 
 from sassafraswood import exceptions
+from sassafraswood.models import crash
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 
 TOPIC: Final = 'keyed.upstreams'
+# Ends that a daemon keeps; the next one takes the place of the oldest.
+MAX_ENDS: Final = 8
+_ENDS: Final = '/ended/'
 
 
 class _Leave(msgspec.Struct, frozen=True):
@@ -28,6 +33,21 @@
     slots: int
 
 
+class _Suspect(msgspec.Struct, frozen=True, array_like=True):
+    fingerprint: str
+    rate_per_s: float
+    age_s: float
+    is_repeat: bool = False
+
+
+class _End(msgspec.Struct, frozen=True):
+    record_id: str
+    service: str
+    ended_at: float
+    suspects: list[_Suspect]
+
+
+_end_decoder = msgspec.json.Decoder(_End)
 _leaves_decoder = msgspec.json.Decoder(list[_Leave])
 _upstream_decoder = msgspec.json.Decoder(_Upstream)
 
@@ -94,3 +114,59 @@
     return fleet.KnownUpstream(
         instance_id=row.instance_id, born=row.born, slots=row.slots
     )
+
+
+def end_key(daemon_id: ids.DaemonId, number: int) -> str:
+    """Return the key of an end by its number."""
+    return f'{daemon_id}{_ENDS}{number % MAX_ENDS}'
+
+
+def is_end(key: str) -> bool:
+    """Return whether a record is of an end, of any daemon."""
+    return _ENDS in key
+
+
+def encode_end(record: crash.CrashRecord) -> bytes:
+    """Return the value for an end."""
+    return msgspec.json.encode(
+        _End(
+            record_id=record.record_id,
+            service=record.service,
+            ended_at=round(record.ended_at, 3),
+            suspects=[
+                _Suspect(
+                    fingerprint=suspect.fingerprint,
+                    rate_per_s=suspect.rate_per_s,
+                    age_s=suspect.age_s,
+                    is_repeat=suspect.is_repeat,
+                )
+                for suspect in record.suspects
+            ],
+        )
+    )
+
+
+def decode_end(value: bytes) -> crash.CrashRecord:
+    """Return an end.
+
+    Raises:
+        DecodeError: The value is no such record.
+    """
+    try:
+        row = _end_decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise exceptions.DecodeError(str(error)) from error
+    return crash.CrashRecord(
+        record_id=row.record_id,
+        service=ids.ServiceName(row.service),
+        ended_at=row.ended_at,
+        suspects=tuple(
+            crash.Suspect(
+                fingerprint=ids.Fingerprint(suspect.fingerprint),
+                rate_per_s=suspect.rate_per_s,
+                age_s=suspect.age_s,
+                is_repeat=suspect.is_repeat,
+            )
+            for suspect in row.suspects
+        ),
+    )
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -43,6 +43,7 @@
         target_s: Time within which an answer has its full value, in seconds.
         urgency: From 0 to 1; under load the lowest is refused first.
         is_inner: Whether an upstream made the call while it runs another.
+        is_repeat: Whether another upstream may have run it before.
     """
 
     call_id: int
@@ -57,6 +58,7 @@
     route: str
     is_idempotent: bool
     is_inner: bool
+    is_repeat: bool = False
 
 
 class Answer(Frame, tag=2):
@@ -127,6 +129,7 @@
         reads_store: Whether it reads the store itself, and gets answers.
         slowness: Time of calls at its upstream relative to what is usual.
         errors: Share of calls at its upstream that failed lately.
+        verdicts: Digest of the requests that it refuses as crashing.
     """
 
     sequence: int
@@ -139,6 +142,7 @@
     reads_store: bool = False
     slowness: float = 1.0
     errors: float = 0.0
+    verdicts: int = 0
 
 
 class FetchRules(Frame, tag=8):
@@ -202,22 +206,40 @@
     errors: float = 0.0
 
 
-class CrashReport(Frame, tag=15):
-    """An upstream crashed with these requests in flight.
+class CrashReport(Frame, tag=17):
+    """An upstream ended without a leave; repeated until it is confirmed.
 
     Attributes:
-        instance: The upstream.
-        fingerprints: Of the requests that it began last.
+        record_id: Names the end.
+        age_s: Time since the end in seconds.
+        suspects: Requests that were in flight: fingerprint, answers to the
+            same request per second, time since its start in seconds, and
+            whether it was only repeated.
     """
 
-    instance: str
-    fingerprints: list[str]
+    record_id: str
+    service: str
+    age_s: float
+    suspects: list[tuple[str, float, float, bool]]
+
+
+class CrashSeen(Frame, tag=18):
+    """Confirms a report of a crash."""
+
+    record_id: str
 
 
-class Refuse(Frame, tag=16):
-    """Requests that crashed several upstreams and are refused by all."""
+class Verdicts(Frame, tag=19):
+    """Requests that crashed several upstreams and are refused by all.
+
+    Attributes:
+        rows: Fingerprint, how often it was refused, and time until it is let
+            in again in seconds.
+        wants_reply: Whether the sender lacks some of the receiver's.
+    """
 
-    fingerprints: list[str]
+    rows: list[tuple[str, int, float]]
+    wants_reply: bool = False
 
 
 AnyFrame = (
@@ -237,7 +259,8 @@
     | Lend
     | Status
     | CrashReport
-    | Refuse
+    | CrashSeen
+    | Verdicts
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -21,6 +21,7 @@
 from sassafraswood.models import traffic
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_call
+from sassafraswood.sidecar import fingerprints
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import peers as peers_module
 from sassafraswood.sidecar import quota_wait
@@ -161,15 +162,27 @@
         self._active[id(call)] = call
         request.context = call
         self._budget.note_request(call.service, self._depth_of(call))
-        if self._crashes.has_refused and self._crashes.is_refused(
-            upstream_side.fingerprint_of(self._run(call))
-        ):
-            self._refuse(call, 503, enums.RefusalReason.QUARANTINED.value)
+        if self._crashes.has_refused and self._is_quarantined(call):
             return
         if call.workspace and not self._quota.take(call):
             return
         self._send(call)
 
+    def _is_quarantined(self, call: caller_call.CallerCall) -> bool:
+        """Refuse a call that crashes upstreams, until it is let in again."""
+        fingerprint = fingerprints.of_run(self._run(call))
+        left_s = self._crashes.refused_for_s(fingerprint)
+        if left_s <= 0.0:
+            return False
+        self._refuse(
+            call,
+            503,
+            enums.RefusalReason.QUARANTINED.value,
+            comeback_s=left_s,
+            fingerprint=fingerprint,
+        )
+        return True
+
     def abandon(self, request: ingress.IngressRequest) -> None:
         """Give up the call of a client that has left."""
         call = request.context
@@ -338,6 +351,7 @@
             route=call.route.name,
             is_idempotent=call.route.is_idempotent,
             is_inner=call.is_inner,
+            is_repeat=call.sends > 1,
         )
 
     def _head(self, call: caller_call.CallerCall) -> bytes:
@@ -509,9 +523,23 @@
         )
 
     def _refuse(
-        self, call: caller_call.CallerCall, status: int, reason: str
+        self,
+        call: caller_call.CallerCall,
+        status: int,
+        reason: str,
+        comeback_s: float | None = None,
+        **inputs: str,
     ) -> None:
-        """Tell that the request has not run."""
+        """Tell that the request has not run.
+
+        Args:
+            call: Its call.
+            status: Of the answer.
+            reason: For counters and logs.
+            comeback_s: When the client may come back, in seconds, if that
+                does not follow from the time that the call has.
+            **inputs: What else decided, for the log.
+        """
         if call.sends > 0:
             # An earlier send may have run, so the promise would be false.
             self._fail(call, 502, reason)
@@ -519,13 +547,15 @@
         if self._active.pop(id(call), None) is None:
             return
         self._quota.give_back(call)
-        comeback_s = self._comeback_s(call)
+        if comeback_s is None:
+            comeback_s = self._comeback_s(call)
         self._metrics.count('refused', call.service, reason)
         self._log.decision(
             'refused',
             **call.describe(status, reason),
             retry_after_s=round(comeback_s, 3),
             rules_version=self._knowledge.rules_version,
+            **inputs,
         )
         call.request.reply(status, b'Retry-After: %.3f\r\n' % comeback_s)
 
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -43,6 +43,7 @@
         reads_store: Whether it says that it reads the store itself.
         is_feed: Whether it is asked often for the state of the store.
         wanted_at: When it was last of use; monotonic time in seconds.
+        connection_count: Number of connections so far.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.reads_store = False
         self.is_feed = False
         self.wanted_at = clock.monotonic()
+        self.connection_count = 0
         self._clock = clock
         self._hello = hello
         self._log = log
@@ -207,6 +209,7 @@
             self._delay()
             return
         self._connection = connection
+        self.connection_count += 1
         connection.daemon_id = self.member.daemon_id
         connection.send(self._hello())
         self._ping(self._clock.monotonic())
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
-from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
@@ -13,6 +12,7 @@
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import crash_exchange
 from sassafraswood.sidecar import member_follower
 from sassafraswood.sidecar import peer_link
 from sassafraswood.sidecar import rules_follower
@@ -35,8 +35,6 @@
 # by this ratio, or its share of errors by this much.
 HEALTH_RATIO: Final = 1.5
 HEALTH_ERRORS: Final = 0.1
-# Crashes that are not passed on a second time.
-MAX_SEEN_CRASHES: Final = 1024
 
 
 class Peers:
@@ -54,7 +52,7 @@
         rules: rules_follower.RulesFollower,
         membership: member_follower.MemberFollower,
         log: json_log.JsonLog,
-        crashes: crash_counts.CrashCounts,
+        crashes: crash_exchange.CrashExchange,
         on_reached: Callable[[ids.ServiceName], None],
         on_lend: Callable[[frames.Lend], None],
         on_borrow: Callable[[frames.Borrow], frames.Lend],
@@ -71,7 +69,8 @@
             rules: Rules that daemons pass on to each other.
             membership: Records of members that they pass on.
             log: Log lines.
-            crashes: Requests that crash upstreams.
+            crashes: What daemons tell each other of requests that crash
+                upstreams.
             on_reached: Called when a daemon of a service takes calls.
             on_lend: Called with the answer of a lender.
             on_borrow: Answers a borrower.
@@ -107,7 +106,6 @@
         ] = {}
         self._reviewed_at = 0.0
         self._fetched_at: dict[tuple[str, int], float] = {}
-        self._seen_crashes: dict[str, None] = {}
         # Slowness and errors of the own upstream as the others know them.
         self._told_health = 1.0, 0.0
         self._server: asyncio.Server | None = None
@@ -277,6 +275,7 @@
             return
         self._review(now)
         self._review_health()
+        self.tell_crashes()
         for connection in list(self._accepted):
             if connection.silent_s > ACCEPTED_SILENT_S:
                 connection.close('silent')
@@ -292,50 +291,14 @@
 
     # Requests that crash upstreams.
 
-    def report_crash(
-        self, instance: str, fingerprints: list[ids.Fingerprint]
-    ) -> None:
-        """Tell those who count which requests were in flight at a crash."""
-        report = frames.CrashReport(
-            instance=instance, fingerprints=list(fingerprints)
-        )
-        self._seen_crashes[instance] = None
-        self._count_crash(report)
-
-    def _take_crash(self, report: frames.CrashReport) -> None:
-        if report.instance in self._seen_crashes:
-            return
-        self._seen_crashes[report.instance] = None
-        if len(self._seen_crashes) > MAX_SEEN_CRASHES:
-            del self._seen_crashes[next(iter(self._seen_crashes))]
-        self._count_crash(report)
-
-    def _count_crash(self, report: frames.CrashReport) -> None:
-        """Count a crash, and pass it on to those who count."""
-        self._log.change(
-            'crash_counted',
-            instance=report.instance,
-            suspects=report.fingerprints,
-        )
-        for daemon_id in self._plan.feeds:
-            self.send(daemon_id, report)
-        self._refuse_all(
-            self._crashes.note_crash(
-                report.instance, map(ids.Fingerprint, report.fingerprints)
-            )
+    def tell_crashes(self) -> None:
+        """Send what other daemons have to know of ends of upstreams."""
+        self._crashes.tick(
+            link for link in self._links.values() if link.is_feed
         )
 
-    def _refuse_all(self, fingerprints: list[ids.Fingerprint]) -> None:
-        """Pass on which requests all daemons refuse from now on."""
-        if not fingerprints:
-            return
-        self._log.change(
-            'requests_quarantined',
-            fingerprints=fingerprints,
-            told=sum(link.is_open for link in self._links.values())
-            + len(self._accepted),
-        )
-        message = frames.Refuse(fingerprints=list(fingerprints))
+    def send_to_all(self, message: frames.AnyFrame) -> None:
+        """Send a message over all connections."""
         for link in self._links.values():
             link.send(message)
         for connection in self._accepted:
@@ -466,14 +429,24 @@
             connection.send(self._membership.document(message.start))
         elif isinstance(message, frames.MembersDocument):
             self._membership.take(message)
-        elif isinstance(message, frames.CrashReport):
-            self._take_crash(message)
-        elif isinstance(message, frames.Refuse):
-            self._refuse_all(
-                self._crashes.refuse(
-                    map(ids.Fingerprint, message.fingerprints)
-                )
-            )
+        else:
+            self._on_crash_message(connection, message)
+
+    def _on_crash_message(
+        self,
+        connection: frame_link.FrameConnection,
+        message: frames.AnyFrame,
+    ) -> None:
+        sender = connection.daemon_id
+        if isinstance(message, frames.CrashReport):
+            connection.send(self._crashes.take_report(message, sender))
+            self.tell_crashes()
+        elif isinstance(message, frames.CrashSeen):
+            self._crashes.take_seen(message, sender)
+        elif isinstance(message, frames.Verdicts):
+            reply = self._crashes.take_verdicts(message, sender)
+            if reply is not None:
+                connection.send(reply)
 
     def _take_status(
         self, connection: frame_link.FrameConnection, status: frames.Status
@@ -547,6 +520,7 @@
             reads_store=(
                 self._rules.gets_answers and self._membership.gets_answers
             ),
+            verdicts=self._crashes.digest,
         )
 
     def _take_pong(
@@ -559,6 +533,7 @@
         asked_at = link.take_pong(pong)
         if link.candidate.is_serving and not was_usable:
             self._on_reached(link.member.service)
+        self._crashes.compare(link, pong.verdicts)
         knowledge = self._knowledge
         if pong.rules_version > knowledge.rules_version:
             self._fetch('rules', pong.rules_version, link)
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -25,6 +25,7 @@
 from sassafraswood.coordination import upstream_health
 from sassafraswood.coordination import upstream_registry
 from sassafraswood import exceptions
+from sassafraswood.models import crash
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.models import traffic
@@ -33,6 +34,7 @@
 from sassafraswood.platform import store as store_module
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
+from sassafraswood.sidecar import crash_exchange
 from sassafraswood.sidecar import local_servers
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import member_follower
@@ -124,6 +126,7 @@
             health=upstream_health.UpstreamHealth(self._clock),
             crashes=crashes,
             log=self._log,
+            report_interval_s=settings.report_interval_s,
             on_serving=self._on_serving,
             on_crash=self._on_crash,
         )
@@ -178,6 +181,17 @@
             store=self._store,
             log=self._log,
             on_loaded=self._on_upstream_known,
+            on_ends=self._on_ends,
+        )
+        self._crash_exchange = crash_exchange.CrashExchange(
+            clock=self._clock,
+            daemon_id=settings.daemon_id,
+            service=settings.service,
+            counts=crashes,
+            log=self._log,
+            metrics=self._metrics,
+            on_own=self._upstream_log.note_end,
+            on_verdicts=lambda message: self._peers.send_to_all(message),
         )
         plan = peer_plan.PeerPlan(own)
         reading = store_reader.Reading(
@@ -215,7 +229,7 @@
             rules=self._rules,
             membership=self._membership,
             log=self._log,
-            crashes=crashes,
+            crashes=self._crash_exchange,
             on_reached=self._callers.resume,
             on_lend=self._callers.take_loan,
             on_borrow=self._lend,
@@ -398,6 +412,7 @@
         self._registry.silence_s = (
             SILENT_REPORTS * self.settings.report_interval_s
         )
+        self._upstream.set_report_interval(self.settings.report_interval_s)
         self._callers.set_revoke_s(bounds.key_age_s)
         self._budget.set_bounds(
             ratio=bounds.retry_ratio,
@@ -450,9 +465,13 @@
         self._peers.set_serving(is_serving)
 
     def _on_crash(
-        self, instance: str, fingerprints: list[ids.Fingerprint]
+        self, upstream: fleet.UpstreamStart, suspects: list[crash.Suspect]
     ) -> None:
-        self._peers.report_crash(instance, fingerprints)
+        self._crash_exchange.report(upstream, suspects)
+        self._peers.tell_crashes()
+
+    def _on_ends(self, records: list[crash.CrashRecord]) -> None:
+        self._crash_exchange.load(records)
 
     def _lend(self, message: frames.Borrow) -> frames.Lend:
         tokens = 0.0
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -1,12 +1,14 @@
-"""Keeps in the store which upstreams have left this VM, and which is there."""
+"""Keeps in the store which upstreams left this VM, ended, or are there."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
 import random as random_module
 from typing import Any, Final
 
+from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import upstream_registry
 from sassafraswood import exceptions
+from sassafraswood.models import crash
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.platform import store as store_module
@@ -41,6 +43,7 @@
         store: store_module.StoreClient,
         log: json_log.JsonLog,
         on_loaded: Callable[[fleet.KnownUpstream | None], None],
+        on_ends: Callable[[list[crash.CrashRecord]], None],
     ) -> None:
         """Take the parts.
 
@@ -52,6 +55,7 @@
             log: Log lines.
             on_loaded: Called once with the upstream that the former process
                 knew last, if it wrote one.
+            on_ends: Called once with the ends of upstreams on all VMs.
         """
         self._daemon_id = daemon_id
         self._random = random
@@ -59,6 +63,9 @@
         self._store = store
         self._log = log
         self._on_loaded = on_loaded
+        self._on_ends = on_ends
+        # Of the next end; a former process may have written to any of them.
+        self._end_number = random.randrange(upstream_records.MAX_ENDS)
         self._leaves: list[fleet.UpstreamLeave] = []
         self._present: fleet.KnownUpstream | None = None
         self._is_loaded = asyncio.Event()
@@ -88,6 +95,18 @@
             self._present = upstream
             self._spawn(self._async_write_present(upstream))
 
+    def note_end(self, record: crash.CrashRecord) -> None:
+        """Write that an upstream has ended without a leave."""
+        key = upstream_records.end_key(self._daemon_id, self._end_number)
+        self._end_number += 1
+        self._spawn(
+            self._async_write_end(
+                store_module.StoredRecord(
+                    key=key, value=upstream_records.encode_end(record)
+                )
+            )
+        )
+
     def record(
         self, leave: fleet.UpstreamLeave, acknowledge: Callable[[], None]
     ) -> None:
@@ -159,6 +178,19 @@
             self._log.change('upstream_stored', instance=upstream.instance_id)
             return
 
+    async def _async_write_end(
+        self, record: store_module.StoredRecord
+    ) -> None:
+        until = asyncio.get_running_loop().time() + crash_counts.MEMORY_S
+        while asyncio.get_running_loop().time() < until:
+            try:
+                await self._store.async_append(upstream_records.TOPIC, record)
+            except exceptions.LogError as error:
+                await self._async_pause('end_write_failed', error)
+                continue
+            self._log.change('end_stored', key=record.key)
+            return
+
     async def _async_load(self) -> None:
         while True:
             try:
@@ -175,8 +207,11 @@
         """Take the leaves; return the upstream that was there."""
         leaves: list[fleet.UpstreamLeave] = []
         present: fleet.KnownUpstream | None = None
+        ends: list[crash.CrashRecord] = []
         for record in records:
             try:
+                if upstream_records.is_end(record.key):
+                    ends.append(upstream_records.decode_end(record.value))
                 if record.key == upstream_records.leaves_key(self._daemon_id):
                     leaves = upstream_records.decode_leaves(record.value)
                 if record.key == upstream_records.upstream_key(
@@ -198,7 +233,9 @@
             'upstreams_known',
             left=len(leaves),
             present='' if present is None else present.instance_id,
+            ends=len(ends),
         )
+        self._on_ends(ends)
         return present
 
     async def _async_pause(
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -1,6 +1,5 @@
 """Runs calls at the upstream beside this daemon."""
 
-import collections
 from collections.abc import Callable
 from typing import Final
 
@@ -8,14 +7,16 @@
 from sassafraswood.coordination import call_depth
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
-from sassafraswood.coordination import quarantine
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_health
 from sassafraswood.coordination import upstream_registry
 from sassafraswood.models import enums
 from sassafraswood.models import fields
+from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import fingerprints
+from sassafraswood.sidecar import upstream_watch
 from sassafraswood.transport import exchange
 from sassafraswood.transport import json_log
 
@@ -24,28 +25,6 @@
 
 # The upstream at the address is not the one that was meant.
 _MISDIRECTED: Final = 421
-# Calls whose connection broke this time before nobody listened any more, in
-# seconds, were in flight at the crash; the next call finds out.
-BROKEN_S: Final = 1.0
-MAX_BROKEN: Final = 512
-# Of these, the ones that the upstream began last are suspected; a request
-# that crashes it does so when it begins.
-MAX_SUSPECTS: Final = 16
-MAX_SUCCEEDED: Final = 4096
-
-
-def _kind_of(run: frames.Run) -> tuple[bytes, int]:
-    """Return a cheap stand-in for the fingerprint within this process."""
-    return run.head.partition(b'\r\n')[0], hash(run.body)
-
-
-def fingerprint_of(run: frames.Run) -> ids.Fingerprint:
-    """Return what a request has in common with its repeats."""
-    line = run.head.partition(b'\r\n')[0].decode('latin-1')
-    method, _, target = line.partition(' ')
-    return quarantine.compute_fingerprint(
-        ids.ServiceName(run.service), method, target, run.body
-    )
 
 
 class UpstreamCall(upstream_gate.GateCall):
@@ -54,6 +33,7 @@
     run: frames.Run
     deliver: Deliver
     running: exchange.Exchange | None = None
+    upstream: fleet.UpstreamStart | None = None
     is_abandoned = False
 
 
@@ -74,8 +54,9 @@
         health: upstream_health.UpstreamHealth,
         crashes: crash_counts.CrashCounts,
         log: json_log.JsonLog,
+        report_interval_s: float,
         on_serving: Callable[[bool], None],
-        on_crash: Callable[[str, list[ids.Fingerprint]], None],
+        on_crash: upstream_watch.OnEnd,
     ) -> None:
         """Take the parts.
 
@@ -91,9 +72,11 @@
             health: How the upstream does compared with its usual self.
             crashes: Requests that crash upstreams.
             log: Log lines.
+            report_interval_s: Time between reports of the upstream in
+                seconds.
             on_serving: Called with whether calls are taken, on each change.
-            on_crash: Called after a crash with the upstream's id and the
-                requests that it began last.
+            on_crash: Called after a crash with the upstream and the requests
+                that were in flight.
         """
         self._clock = clock
         self._gate = gate
@@ -107,16 +90,18 @@
         self._log = log
         self._on_serving = on_serving
         self._crashes = crashes
-        self._on_crash = on_crash
-        # Requests that the upstream answered lately, the last one last. They
-        # are not suspected: many callers send the same ones.
-        self._succeeded: dict[tuple[bytes, int], None] = {}
-        # Calls whose connection broke, and when.
-        self._broken: collections.deque[tuple[float, UpstreamCall]] = (
-            collections.deque(maxlen=MAX_BROKEN)
-        )
         self._is_stopping = False
         self.running: set[UpstreamCall] = set()
+        self._watch = upstream_watch.UpstreamWatch(
+            clock=clock,
+            registry=registry,
+            pool=pool,
+            log=log,
+            report_interval_s=report_interval_s,
+            running=lambda: self.running,
+            on_refused=self.refresh,
+            on_end=on_crash,
+        )
 
     @property
     def is_serving(self) -> bool:
@@ -143,6 +128,7 @@
 
     def refresh(self) -> None:
         """Apply the state of the registry."""
+        self._watch.refresh()
         status = self._registry.status
         report = self._registry.report
         if (
@@ -167,6 +153,10 @@
             instance = '' if report is None else report.instance_id
             self._note(False, status, instance)
 
+    def set_report_interval(self, interval_s: float) -> None:
+        """Take another time between reports, in seconds."""
+        self._watch.report_interval_s = interval_s
+
     def stop(self) -> None:
         """Take no more calls; running ones go on."""
         self._is_stopping = True
@@ -175,6 +165,7 @@
     def tick(self) -> None:
         """Let time pass in the gate and end calls past their deadline."""
         self.refresh()
+        self._watch.tick()
         self._gate.tick()
         now = self._clock.monotonic()
         for call in list(self.running):
@@ -208,7 +199,7 @@
             self._refuse(call, enums.RefusalReason.UNKNOWN_SERVICE)
             return call
         if self._crashes.has_refused and self._crashes.is_refused(
-            fingerprint_of(run)
+            fingerprints.of_run(run)
         ):
             call.state = upstream_gate.CallState.ENDED
             self._refuse(call, enums.RefusalReason.QUARANTINED)
@@ -234,6 +225,7 @@
             return
         call.is_abandoned = True
         if call.run.is_idempotent and call in self.running:
+            self._watch.note_lost(call, is_broken=False)
             self._end(call)
             if call.running is not None:
                 call.running.cancel()
@@ -260,17 +252,16 @@
             run.body,
         )
         self.running.add(call)
+        call.upstream = upstream_registry.start_of(report)
         self.health.note_start(id(call), run.route)
         call.running = self._pool.start(
             payload,
             run.attempt_id or None,
-            lambda outcome: self._finish(call, outcome, report.instance_id),
+            lambda outcome: self._finish(call, outcome),
             may_repeat=run.is_idempotent,
         )
 
-    def _finish(
-        self, call: UpstreamCall, outcome: exchange.Outcome, instance: str
-    ) -> None:
+    def _finish(self, call: UpstreamCall, outcome: exchange.Outcome) -> None:
         if call not in self.running:
             return
         if isinstance(outcome, exchange.Response):
@@ -279,73 +270,40 @@
             self.health.note_end(id(call), is_error=True)
         self._end(call)
         if isinstance(outcome, exchange.Response):
-            self._answer(call, outcome, instance)
+            self._answer(call, outcome)
             return
         if outcome in exchange.NOTHING_SENT:
-            if outcome is exchange.FailureKind.REFUSED:
-                self._note_crash(instance)
+            if outcome is exchange.FailureKind.REFUSED and call.upstream:
+                self._watch.note_refused(call.upstream)
             self._refuse(call, enums.RefusalReason.UPSTREAM_UNREACHABLE)
             return
-        self._broken.append((self._clock.monotonic(), call))
-        fingerprint = fingerprint_of(call.run)
+        self._watch.note_lost(call, is_broken=True)
+        fingerprint = fingerprints.of_run(call.run)
         self._log.decision(
             'connection_lost',
             attempt=call.run.attempt_id.decode('latin-1'),
-            instance=instance,
+            instance=call.upstream.instance_id if call.upstream else '',
             reason=outcome.value,
             fingerprint=fingerprint,
             known_crashes=self._crashes.count(fingerprint),
         )
         self._fail(call, outcome.value)
 
-    def _note_success(self, run: frames.Run) -> None:
-        kind = _kind_of(run)
-        self._succeeded.pop(kind, None)
-        self._succeeded[kind] = None
-        if len(self._succeeded) > MAX_SUCCEEDED:
-            del self._succeeded[next(iter(self._succeeded))]
-
-    def _note_crash(self, instance: str) -> None:
-        """Take that the upstream has ended, and what it ran at the end."""
-        report = self._registry.report
-        if report is not None and report.instance_id == instance:
-            self._registry.note_crash()
-            self.refresh()
-        since = self._clock.monotonic() - BROKEN_S
-        lost = [
-            call
-            for at, call in self._broken
-            if at >= since and _kind_of(call.run) not in self._succeeded
-        ]
-        self._broken.clear()
-        if not lost:
-            return
-        lost.sort(key=lambda call: call.started_at)
-        fingerprints = [
-            fingerprint_of(call.run) for call in lost[-MAX_SUSPECTS:]
-        ]
-        self._log.change(
-            'upstream_crashed',
-            instance=instance,
-            lost_calls=len(lost),
-            suspects=fingerprints,
-        )
-        self._on_crash(instance, fingerprints)
-
-    def _answer(
-        self, call: UpstreamCall, response: exchange.Response, instance: str
-    ) -> None:
+    def _answer(self, call: UpstreamCall, response: exchange.Response) -> None:
         names = self._names
         run = call.run
+        if response.status != _MISDIRECTED:
+            self._watch.note_answer(call)
         if names.not_run in response.fields:
             self._refuse(
                 call, enums.RefusalReason.UPSTREAM_SHED, has_arrived=True
             )
             return
         if response.status == _MISDIRECTED:
-            self._registry.forget(instance)
-            self.refresh()
-            self._note_crash(instance)
+            if call.upstream is not None:
+                self._watch.note_other(call.upstream)
+                self._registry.forget(call.upstream.instance_id)
+                self.refresh()
             self._refuse(
                 call, enums.RefusalReason.NO_UPSTREAM, has_arrived=True
             )
@@ -354,8 +312,6 @@
         if not is_own or b'content-encoding' in response.fields:
             self._fail(call, 'answer_without_seal')
             return
-        if response.status < 500:
-            self._note_success(run)
         call.deliver(
             frames.Answer(
                 call_id=run.call_id,
@@ -382,6 +338,7 @@
     def _break_off(
         self, call: UpstreamCall, reason: enums.RefusalReason
     ) -> None:
+        self._watch.note_lost(call, is_broken=False)
         self._end(call)
         if call.running is not None:
             call.running.cancel()
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -103,6 +103,7 @@
         noted: frozenset[bytes],
         id_field: bytes | None = None,
         held: held_bytes.HeldBytes | None = None,
+        on_lost: Callable[['ExchangeConnection'], None] | None = None,
     ) -> None:
         """Take the fields to note and the field that carries the id.
 
@@ -110,7 +111,12 @@
             noted: Names of the fields to note.
             id_field: Name of the field that carries the id.
             held: Counts the bytes of answers that are not whole.
+            on_lost: Called when the connection has ended, before the end of
+                its exchange is told.
         """
+        # Set by the pool: rises with each connection that it opens.
+        self.number = 0
+        self._on_lost = on_lost
         self._noted = noted
         self._held = held or held_bytes.HeldBytes()
         self._size = 0
@@ -128,6 +134,11 @@
         self._may_reuse = True
         self._reset()
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the connection has ended."""
+        return self._is_closed
+
     @property
     def is_reusable(self) -> bool:
         """Return whether another request may be sent now."""
@@ -209,6 +220,8 @@
         """End an exchange whose answer is not whole."""
         del exc
         self._is_closed = True
+        if self._on_lost is not None:
+            self._on_lost(self)
         if self._on_done is None:
             return
         self._fail(
@@ -347,6 +360,11 @@
         """Return whether the exchange was broken off."""
         return self._is_cancelled
 
+    @property
+    def connection_number(self) -> int:
+        """Return the number of its connection; 0 before it has one."""
+        return 0 if self._connection is None else self._connection.number
+
     def attach(self, connection: ExchangeConnection) -> None:
         """Take the connection that carries the exchange."""
         self._connection = connection
@@ -399,7 +417,10 @@
         self._idle: collections.deque[ExchangeConnection] = collections.deque()
         self._idle_limit = _IdleLimit()
         self._connecting: set[asyncio.Task[None]] = set()
+        self._open: dict[int, ExchangeConnection] = {}
         self.connects = 0
+        # Number of the connection that was opened last.
+        self.opened = 0
         self.held = held_bytes.HeldBytes()
 
     def start(
@@ -446,6 +467,22 @@
             return None
         return None
 
+    def has_open(self, up_to: int) -> bool:
+        """Return whether a connection up to a number is still open."""
+        return any(number <= up_to for number in self._open)
+
+    async def async_check(self) -> FailureKind | None:
+        """Open a connection; return what failed, or None.
+
+        The connection is kept for the next request.
+        """
+        connection = await self._async_open()
+        if isinstance(connection, FailureKind):
+            return connection
+        connection.idle_since = time.monotonic()
+        self._idle.append(connection)
+        return None
+
     def close_idle(self) -> None:
         """Close the connections that carry no exchange."""
         while self._idle:
@@ -478,6 +515,18 @@
         request_id: bytes | None,
         on_done: Callable[[Outcome], None],
     ) -> None:
+        connection = await self._async_open()
+        if isinstance(connection, FailureKind):
+            if not exchange.is_cancelled:
+                on_done(connection)
+            return
+        if exchange.is_cancelled:
+            connection.close()
+            return
+        self._send(connection, exchange, payload, request_id, on_done)
+
+    async def _async_open(self) -> ExchangeConnection | FailureKind:
+        """Return a new connection, or what failed."""
         self.connects += 1
         loop = asyncio.get_running_loop()
         host, port = self._address
@@ -485,24 +534,25 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     lambda: ExchangeConnection(
-                        self._noted, self._id_field, self.held
+                        self._noted, self._id_field, self.held, self._forget
                     ),
                     host,
                     port,
                 )
         except ConnectionRefusedError:
-            if not exchange.is_cancelled:
-                on_done(FailureKind.REFUSED)
-            return
+            return FailureKind.REFUSED
         except OSError:
             # TimeoutError is an OSError.
-            if not exchange.is_cancelled:
-                on_done(FailureKind.CONNECT)
-            return
-        if exchange.is_cancelled:
-            connection.close()
-            return
-        self._send(connection, exchange, payload, request_id, on_done)
+            return FailureKind.CONNECT
+        if connection.is_closed:
+            return FailureKind.CONNECT
+        self.opened += 1
+        connection.number = self.opened
+        self._open[connection.number] = connection
+        return connection
+
+    def _forget(self, connection: ExchangeConnection) -> None:
+        self._open.pop(connection.number, None)
 
 
 def noted_fields(names: fields.FieldNames) -> frozenset[bytes]:
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -13,12 +13,13 @@
 from sassafraswood.coordination import repeat_budget
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
+from sassafraswood.models import crash
 from sassafraswood.models import fleet
 from sassafraswood.models import traffic
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
+from sassafraswood.sidecar import fingerprints
 from sassafraswood.sidecar import measures
-from sassafraswood.sidecar import upstream_side
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
 
@@ -421,6 +422,15 @@
     side = Side(tmp_path)
     side.send('read')
     _, run, _ = side.peers.sent[0]
-    side.crashes.refuse([upstream_side.fingerprint_of(run)])
-    assert side.send('read').answers[0][0] == 503
+    side.crashes.merge(
+        [
+            crash.Verdict(
+                fingerprint=fingerprints.of_run(run), round=1, left_s=90.0
+            )
+        ]
+    )
+    status, head, _ = side.send('read').answers[0]
+    assert status == 503
+    # When it is let in again.
+    assert b'Retry-After: 90.000' in head
     assert not side.send('pay').answers
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -1,5 +1,9 @@
 """Tests of the side of a daemon that runs calls at its upstream."""
 
+import asyncio
+
+import pytest
+
 from sassafraswood import clock
 from sassafraswood.coordination import call_depth
 from sassafraswood.coordination import call_tree
@@ -8,17 +12,21 @@
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_health
 from sassafraswood.coordination import upstream_registry
+from sassafraswood.models import crash
 from sassafraswood.models import enums
 from sassafraswood.models import fields
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import fingerprints
 from sassafraswood.sidecar import upstream_side
+from sassafraswood.sidecar import upstream_watch
 from sassafraswood.transport import exchange
 from sassafraswood.transport import json_log
 
 SERVICE = ids.ServiceName('ordering')
 ADDRESS = ('10.0.0.1', 9000)
+INTERVAL_S = 1.5
 NAMES = fields.FieldNames(
     attempt_id=b'attempt',
     deadline_ms=b'time-left',
@@ -39,6 +47,10 @@
     def __init__(self) -> None:
         """Start without requests."""
         self.requests = []
+        self.opened = 1
+        self.is_open = True
+        self.port = None
+        self.checks = 0
 
     def start(self, payload, request_id, on_done, *, may_repeat):
         """Keep a request."""
@@ -48,6 +60,23 @@
     def close_idle(self) -> None:
         """Do nothing."""
 
+    def has_open(self, up_to) -> bool:
+        """Return whether earlier connections are still there."""
+        return self.is_open
+
+    async def async_check(self):
+        """Try the port."""
+        self.checks += 1
+        return self.port
+
+
+class FakeExchange:
+    """An exchange on a connection with a number."""
+
+    def __init__(self, number) -> None:
+        """Take the number."""
+        self.connection_number = number
+
 
 class Side:
     """An upstream side with a fake upstream."""
@@ -82,8 +111,9 @@
             log=json_log.JsonLog('d1', self.log_file.fileno()),
             crashes=self.crashes,
             on_serving=lambda is_serving: None,
-            on_crash=lambda instance, found: self.crashed.append(
-                (instance, found)
+            report_interval_s=INTERVAL_S,
+            on_crash=lambda upstream, found: self.crashed.append(
+                (upstream.instance_id, found)
             ),
         )
         self.report()
@@ -227,9 +257,9 @@
     assert not side.crashed
     side.submit(call_id=3, head=b'POST /c/ HTTP/1.1\r\n')
     side.pool.requests[2][2](exchange.FailureKind.REFUSED)
-    ((instance, fingerprints),) = side.crashed
+    ((instance, suspects),) = side.crashed
     assert instance == 'i1'
-    assert len(set(fingerprints)) == 2
+    assert len({suspect.fingerprint for suspect in suspects}) == 2
     assert not side.side.is_serving
     side.report(sequence=2)
     assert side.side.is_serving
@@ -250,26 +280,211 @@
     """The last daemon before an upstream refuses it too."""
     side = Side(tmp_path)
     call = side.submit()
-    side.crashes.refuse([upstream_side.fingerprint_of(call.run)])
+    side.crashes.merge(
+        [
+            crash.Verdict(
+                fingerprint=fingerprints.of_run(call.run), round=1, left_s=9.0
+            )
+        ]
+    )
     side.submit(call_id=2)
     assert len(side.pool.requests) == 1
     assert side.replies[0].reason == enums.RefusalReason.QUARANTINED.value
     assert not side.replies[0].is_local
 
 
-def test_requests_that_succeeded_are_not_suspected(tmp_path) -> None:
+def test_requests_that_succeeded_are_hardly_suspected(tmp_path) -> None:
     """Many callers send the same ones, so they are in flight at any crash."""
     side = Side(tmp_path)
-    side.submit()
-    side.answer()
-    side.submit(call_id=2)
-    side.submit(call_id=3, head=b'POST /b/ HTTP/1.1\r\n')
-    for index in (1, 2):
+    for index in range(20):
+        side.submit(call_id=index)
+        side.answer(index)
+    side.clock.advance(1.0)
+    side.submit(call_id=20)
+    side.submit(call_id=21, head=b'POST /b/ HTTP/1.1\r\n')
+    side.clock.advance(0.2)
+    for index in (20, 21):
         side.pool.requests[index][2](exchange.FailureKind.BROKEN)
-    side.submit(call_id=4)
-    side.pool.requests[3][2](exchange.FailureKind.REFUSED)
-    ((_, fingerprints),) = side.crashed
-    assert len(fingerprints) == 1
+    side.submit(call_id=22)
+    side.pool.requests[22][2](exchange.FailureKind.REFUSED)
+    ((_, (common, single)),) = side.crashed
+    assert common.rate_per_s > 10.0
+    assert single.rate_per_s < 1.0
+    assert common.age_s == single.age_s == 0.2
+
+
+# Guards against ends that only a later call could find.
+def test_port_is_tried_after_all_connections_broke(tmp_path) -> None:
+    """Its service may get no other call before the next upstream is there."""
+    side = Side(tmp_path)
+    side.pool.port = exchange.FailureKind.REFUSED
+
+    async def async_tick() -> None:
+        side.submit()
+        side.pool.requests[0][2](exchange.FailureKind.BROKEN)
+        side.pool.is_open = False
+        side.side.tick()
+        side.clock.advance(upstream_watch.CHECK_DELAY_S + 0.01)
+        side.side.tick()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    asyncio.run(async_tick())
+    assert side.pool.checks == 1
+    assert [instance for instance, _ in side.crashed] == ['i1']
+    assert not side.side.is_serving
+
+
+def test_port_is_not_tried_while_other_connections_live(tmp_path) -> None:
+    """They end with the process that holds them."""
+    side = Side(tmp_path)
+
+    async def async_tick() -> None:
+        side.submit()
+        side.pool.requests[0][2](exchange.FailureKind.BROKEN)
+        side.clock.advance(upstream_watch.CHECK_DELAY_S + 0.01)
+        side.side.tick()
+        await asyncio.sleep(0)
+
+    asyncio.run(async_tick())
+    assert side.pool.checks == 0
+    assert not side.crashed
+
+
+# Guards against ends that are over before the next report.
+@pytest.mark.parametrize(
+    'successor',
+    [{'instance_id': 'i2', 'born': 5}, {'born': 5}],
+    ids=['new id', 'same id'],
+)
+def test_later_start_shows_the_end(successor, tmp_path) -> None:
+    """The upstream was back before anybody tried its port."""
+    side = Side(tmp_path)
+    side.submit()
+    side.pool.requests[0][2](exchange.FailureKind.BROKEN)
+    # A call to the successor, on a new connection.
+    side.pool.opened = 2
+    call = side.submit(call_id=2)
+    call.running = FakeExchange(number=2)
+    side.answer(1)
+    side.report(sequence=1, **successor)
+    ((instance, suspects),) = side.crashed
+    assert instance == 'i1'
+    assert len(suspects) == 1
+    assert side.side.is_serving
+
+
+def test_answer_on_an_old_connection_shows_that_it_lives(tmp_path) -> None:
+    """What was lost before did not end with it."""
+    side = Side(tmp_path)
+    side.submit()
+    side.pool.requests[0][2](exchange.FailureKind.BROKEN)
+    side.clock.advance(0.01)
+    call = side.submit(call_id=2)
+    call.running = FakeExchange(number=1)
+    side.answer(1)
+    side.report(sequence=1, instance_id='i2', born=5)
+    assert not side.crashed
+
+
+def test_planned_leave_is_no_crash(tmp_path) -> None:
+    """Calls that outlast it are lost with it."""
+    side = Side(tmp_path)
+    side.submit()
+    side.report(sequence=2, status=enums.UpstreamStatus.DRAINING)
+    side.pool.requests[0][2](exchange.FailureKind.BROKEN)
+    side.report(sequence=1, instance_id='i2', born=5)
+    assert not side.crashed
+
+
+# Guards against ends without a reset.
+def test_silence_shows_the_end(tmp_path) -> None:
+    """Reports and answers stay out, and calls wait or were given up."""
+    side = Side(tmp_path)
+    side.submit(time_left_s=1.0, is_idempotent=True)
+    for _ in range(int(INTERVAL_S * upstream_watch.SILENT_REPORTS / 0.1) + 2):
+        side.clock.advance(0.1)
+        side.side.tick()
+    ((instance, (suspect,)),) = side.crashed
+    assert instance == 'i1'
+    assert suspect.age_s > INTERVAL_S
+
+
+def test_daemon_that_stood_still_finds_no_end(tmp_path) -> None:
+    """What came meanwhile is still to be read."""
+    side = Side(tmp_path)
+    side.submit(time_left_s=60.0)
+    side.side.tick()
+    side.clock.advance(10.0)
+    side.side.tick()
+    side.clock.advance(0.025)
+    side.side.tick()
+    assert not side.crashed
+
+
+def test_upstream_without_calls_may_be_silent(tmp_path) -> None:
+    """Nothing was in flight."""
+    side = Side(tmp_path)
+    for _ in range(100):
+        side.clock.advance(0.1)
+        side.side.tick()
+    assert not side.crashed
+
+
+# Guards against suspects that are cut off at a small number.
+def test_request_that_was_begun_first_is_named(tmp_path) -> None:
+    """Hundreds are in flight at a crash."""
+    side = Side(tmp_path)
+    side.report(sequence=2, slots=400)
+    for index in range(300):
+        side.submit(
+            call_id=index, head=b'GET /%d HTTP/1.1\r\n' % index, is_inner=True
+        )
+    for request in list(side.pool.requests):
+        request[2](exchange.FailureKind.BROKEN)
+    side.submit(call_id=301, is_inner=True)
+    side.pool.requests[-1][2](exchange.FailureKind.REFUSED)
+    ((_, suspects),) = side.crashed
+    assert len(suspects) == 300
+
+
+# Guards against verdicts that hold for one service only.
+def test_fingerprint_is_that_of_the_request_alone() -> None:
+    """Not of the service, the daemon or the attempt; but of the caller."""
+    base = {
+        'call_id': 1,
+        'service': 'ordering',
+        'head': b'GET /a HTTP/1.1\r\nHost: shop.example\r\ncaller: x\r\n',
+        'body': b'',
+        'attempt_id': b'abc',
+        'time_left_s': 2.0,
+        'target_s': 1.0,
+        'urgency': 1.0,
+        'workspace': 'blue',
+        'route': 'a',
+        'is_idempotent': True,
+        'is_inner': False,
+    }
+
+    def compute(**changes):
+        return fingerprints.of_run(frames.Run(**(base | changes)))
+
+    assert compute() == compute(
+        call_id=2,
+        service='donations',
+        head=b'GET /a HTTP/1.1\r\nHOST: Shop.example\r\ncaller: y\r\n',
+        attempt_id=b'def',
+        route='b',
+    )
+    others = {
+        compute(),
+        compute(workspace='green'),
+        compute(body=b'x'),
+        compute(head=b'GET /b HTTP/1.1\r\nHost: shop.example\r\n'),
+        compute(head=b'PUT /a HTTP/1.1\r\nHost: shop.example\r\n'),
+        compute(head=b'GET /a HTTP/1.1\r\nHost: other.example\r\n'),
+    }
+    assert len(others) == 6
 
 
 def test_answer_tells_the_levels_of_calls_below(tmp_path) -> None:
