Reject records that are nested too deeply or hold numbers out of range

Operators of a system like this saw machines end again and again, or stop following the list of upstreams, after one odd entry of another writer.

It could happen here. A value nested 200,000 deep raised RecursionError, which no reader of the store caught, in every decoder (shown by a run of the decoders on the code before). A member with port 70000 or a host name was taken and connected to; a port of 5,000 digits raised ValueError past the handler of the report; slots, born and sequence took numbers of any size.

All JSON of the platform is now decoded in one place that turns every such value into DecodeError, which its readers log and pass over. Numbers have ranges, and an address is an IPv4 address and a port. Frames between daemons take nesting too deep as a broken stream.

--- a/sassafraswood/platform/members.py
+++ b/sassafraswood/platform/members.py
@@ -7,6 +7,8 @@
 from sassafraswood import exceptions
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
+from sassafraswood.platform import settings
+from sassafraswood.platform import wire_json
 
 TOPIC: Final = 'keyed.members'
 
@@ -40,13 +42,15 @@
     Raises:
         DecodeError: The value is no such record.
     """
-    try:
-        record = _decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    record = wire_json.decode(_decoder, value)
+    address = settings.parse_address(f'{record.ip}:{record.port}')
+    if address is None:
+        raise exceptions.DecodeError(
+            f'address {record.ip!r}, port {record.port}'
+        )
     return fleet.Member(
         daemon_id=ids.DaemonId(daemon_id),
-        address=(record.ip, record.port),
+        address=address,
         failure_domain=ids.FailureDomain(record.failure_domain),
         service=ids.ServiceName(record.service),
     )
--- a/sassafraswood/platform/reports.py
+++ b/sassafraswood/platform/reports.py
@@ -10,6 +10,7 @@
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.platform import settings
+from sassafraswood.platform import wire_json
 
 REPORT_CALL: Final = 'instances.heartbeat'
 LEAVE_CALL: Final = 'instances.deregister'
@@ -22,16 +23,16 @@
 class _Report(msgspec.Struct, rename='kebab', frozen=True):
     service: str
     address: str
-    slots: int
+    slots: wire_json.Slots
     state: str
-    sequence: int
+    sequence: wire_json.Count
     # How much longer the upstream is slow after its start.
     cold_left_s: float = 0.0
-    born: int | None = None
+    born: wire_json.Count | None = None
 
 
 class _Leave(msgspec.Struct, rename='kebab', frozen=True):
-    born: int | None = None
+    born: wire_json.Count | None = None
 
 
 _decoder = msgspec.json.Decoder(_Report)
@@ -59,16 +60,12 @@
     Raises:
         DecodeError: The body is no report.
     """
-    try:
-        wire = _decoder.decode(body)
-    except msgspec.MsgspecError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    wire = wire_json.decode(_decoder, body)
     status = _STATUSES.get(wire.state)
     address = settings.parse_address(wire.address)
-    if status is None or address is None or wire.slots < 1:
+    if status is None or address is None:
         raise exceptions.DecodeError(
-            f'state {wire.state!r}, address {wire.address!r}, '
-            f'slots {wire.slots}'
+            f'state {wire.state!r}, address {wire.address!r}'
         )
     return fleet.UpstreamReport(
         instance_id=instance_id,
@@ -90,7 +87,4 @@
     """
     if not body:
         return None
-    try:
-        return _leave_decoder.decode(body).born
-    except msgspec.MsgspecError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    return wire_json.decode(_leave_decoder, body).born
--- a/sassafraswood/platform/rules.py
+++ b/sassafraswood/platform/rules.py
@@ -7,6 +7,7 @@
 from sassafraswood import exceptions
 from sassafraswood.models import ids
 from sassafraswood.models import traffic
+from sassafraswood.platform import wire_json
 
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
 _NotNegative = Annotated[float, msgspec.Meta(ge=0)]
@@ -84,10 +85,7 @@
     Raises:
         DecodeError: The document is no configuration.
     """
-    try:
-        wire = _decoder.decode(document)
-    except msgspec.MsgspecError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    wire = wire_json.decode(_decoder, document)
     workspaces = {
         ids.Workspace(name): traffic.WorkspaceRules(
             name=ids.Workspace(name),
--- a/sassafraswood/platform/settings.py
+++ b/sassafraswood/platform/settings.py
@@ -1,9 +1,11 @@
 """Settings file of the platform."""
 
 import dataclasses
+import ipaddress
 import math
 import os
 import pathlib
+import re
 import tomllib
 from typing import Any, Final
 
@@ -13,6 +15,7 @@
 # Memory of the smallest VMs in megabytes.
 DEFAULT_MEMORY_MB: Final = 200
 PATH_VARIABLE: Final = 'SASSAFRASWOOD_SETTINGS'
+_PORT: Final = re.compile('[0-9]{1,5}')
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -179,9 +182,13 @@
 
 
 def parse_address(text: str) -> tuple[str, int] | None:
-    """Return the host and port of a text, if it holds them."""
+    """Return the IP address and port of a text, if it holds them."""
     host, _, port = text.rpartition(':')
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
+        return None
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
         return None
     return host, int(port)
 
--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -4,12 +4,13 @@
 import base64
 import dataclasses
 import struct
-from typing import Any, Final
+from typing import Final
 import urllib.parse
 
 import msgspec
 
 from sassafraswood import exceptions
+from sassafraswood.platform import wire_json
 from sassafraswood.transport import exchange
 
 RULES_TOPIC: Final = 'keyed.op'
@@ -45,17 +46,21 @@
 class _NewestItem(msgspec.Struct, frozen=True):
     key: str
     value: str
-    offset: int
+    offset: wire_json.Count
+
+
+class _First(msgspec.Struct, frozen=True):
+    first: wire_json.Count
 
 
 class _Newest(msgspec.Struct, frozen=True):
     items: list[_NewestItem]
-    end: int
+    end: wire_json.Count
     more: bool = False
 
 
 _newest_decoder = msgspec.json.Decoder(_Newest)
-_first_decoder = msgspec.json.Decoder(dict[str, Any])
+_first_decoder = msgspec.json.Decoder(_First)
 
 
 class StoreClient:
@@ -79,10 +84,7 @@
         first_end: int | None = None
         while True:
             response = await self._async_call('GET', '/log-newest', query)
-            try:
-                newest = _newest_decoder.decode(response.body)
-            except msgspec.MsgspecError as error:
-                raise exceptions.DecodeError(str(error)) from error
+            newest = wire_json.decode(_newest_decoder, response.body)
             items += newest.items
             # Pages are no snapshot: what changes meanwhile is read again.
             if first_end is None:
@@ -179,10 +181,7 @@
     if response.status == 200:
         return response
     if response.status == 410:
-        try:
-            first = int(_first_decoder.decode(response.body)['first'])
-        except (msgspec.MsgspecError, KeyError, ValueError) as error:
-            raise exceptions.DecodeError(str(error)) from error
+        first = wire_json.decode(_first_decoder, response.body).first
         raise exceptions.LogRetentionError(first)
     raise exceptions.LogUnavailableError(f'status {response.status}')
 
--- a/sassafraswood/platform/upstream_records.py
+++ b/sassafraswood/platform/upstream_records.py
@@ -7,14 +7,14 @@
 """
 
 from collections.abc import Iterable
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
-from sassafraswood import exceptions
 from sassafraswood.models import crash
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
+from sassafraswood.platform import wire_json
 
 TOPIC: Final = 'keyed.upstreams'
 # Ends that a daemon keeps; the next one takes the place of the oldest.
@@ -24,26 +24,30 @@
 
 class _Leave(msgspec.Struct, frozen=True):
     instance_id: str
-    born: int | None
+    born: wire_json.Count | None
 
 
 class _Upstream(msgspec.Struct, frozen=True):
     instance_id: str
-    born: int | None
-    slots: int
+    born: wire_json.Count | None
+    slots: wire_json.Slots
+
+
+# Rates, ages and times, which are multiplied with each other.
+_Measure = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 
 
 class _Suspect(msgspec.Struct, frozen=True, array_like=True):
     fingerprint: str
-    rate_per_s: float
-    age_s: float
+    rate_per_s: _Measure
+    age_s: _Measure
     is_repeat: bool = False
 
 
 class _End(msgspec.Struct, frozen=True):
     record_id: str
     service: str
-    ended_at: float
+    ended_at: _Measure
     suspects: list[_Suspect]
 
 
@@ -78,10 +82,7 @@
     Raises:
         DecodeError: The value is no such record.
     """
-    try:
-        rows = _leaves_decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    rows = wire_json.decode(_leaves_decoder, value)
     return [
         fleet.UpstreamLeave(instance_id=row.instance_id, born=row.born)
         for row in rows
@@ -105,12 +106,7 @@
     Raises:
         DecodeError: The value is no such record.
     """
-    try:
-        row = _upstream_decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        raise exceptions.DecodeError(str(error)) from error
-    if row.slots < 1:
-        raise exceptions.DecodeError(f'{row.slots} slots')
+    row = wire_json.decode(_upstream_decoder, value)
     return fleet.KnownUpstream(
         instance_id=row.instance_id, born=row.born, slots=row.slots
     )
@@ -152,10 +148,7 @@
     Raises:
         DecodeError: The value is no such record.
     """
-    try:
-        row = _end_decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    row = wire_json.decode(_end_decoder, value)
     return crash.CrashRecord(
         record_id=row.record_id,
         service=ids.ServiceName(row.service),
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -304,7 +304,7 @@
                         memoryview(buffer)[start + _LENGTH.size : end]
                     )
                 )
-            except msgspec.MsgspecError as error:
+            except (msgspec.MsgspecError, RecursionError) as error:
                 raise exceptions.DecodeError(str(error)) from error
             start = end
         if start:
