Break off answers and headers that have no end

Users report bytes without end, in a head or a body, until the caller closes. A body was bounded; a status line, a field, trailers, chunk extensions, interim answers and answers to other requests were not: the parser kept the first ones whole until memory ended, and the others occupied the loop until the deadline. After a body that was too large, the rest of the same read took more of the budget for bodies, which nobody gave back. A client could do the same with a header field.

An exchange now counts what it receives outside of bodies, and how many answers it leaves out, and is broken off beyond a bound; a client's header is bounded before the parser has found its end.

The other report, an earlier refusal that comes once more on a kept connection, cannot be taken for the next answer here: the echoed id decides, also where the refusal has none.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -29,6 +29,17 @@
     TWICE = 'twice'
     # The answer of another request comes first.
     FOREIGN = 'foreign'
+    # The header or the body has no end.
+    ENDLESS_HEAD = 'endless_head'
+    ENDLESS_BODY = 'endless_body'
+    # The last refusal comes once more before the answer.
+    FORMER_REFUSAL = 'former_refusal'
+
+
+_REFUSAL = (
+    b'HTTP/1.1 503 X\r\nX-Attempt-Id: former\r\nX-Not-Executed: 1\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
 
 
 class PlatformUpstream:
@@ -148,6 +159,9 @@
                 answer, is_last = await self._async_answer(head, fields, body)
                 writer.write(answer)
                 await writer.drain()
+                while self._is_endless:
+                    writer.write(b'x' * 65536)
+                    await writer.drain()
                 if is_last:
                     return
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -194,6 +208,13 @@
             return self._spoil(answer)
         return answer, False
 
+    @property
+    def _is_endless(self) -> bool:
+        return self.fault_share > 0.0 and self.fault in (
+            Fault.ENDLESS_HEAD,
+            Fault.ENDLESS_BODY,
+        )
+
     def _spoil(self, answer: bytes) -> tuple[bytes, bool]:
         if self.fault is Fault.LOST:
             return b'', True
@@ -203,6 +224,13 @@
             return b'\x00\x01 spoilt\r\n\r\n', True
         if self.fault is Fault.TWICE:
             return answer + answer, False
+        if self.fault is Fault.ENDLESS_HEAD:
+            return answer.partition(b'\r\n')[0] + b'\r\nx: ', True
+        if self.fault is Fault.ENDLESS_BODY:
+            head = answer.partition(b'\r\nContent-Length')[0]
+            return head + b'\r\n\r\n', True
+        if self.fault is Fault.FORMER_REFUSAL:
+            return _REFUSAL + answer, False
         if self.fault is Fault.FOREIGN:
             return _sealed(200, 'foreign', b'of another') + answer, False
         return answer, False
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -33,6 +33,13 @@
 )
 # Answers above this are broken off; several must fit into memory.
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+# Bytes of an exchange outside of bodies: heads, trailers and what chunks are
+# framed with. Servers limit heads to 8 to 64 KiB.
+MAX_OVERHEAD_BYTES: Final = 128 * 1024
+# Framing bytes for each byte of a body; a chunk of one byte takes six.
+FRAMING_SHARE: Final = 8
+# Interim answers, and answers to other requests, before the one that counts.
+MAX_SKIPPED: Final = 16
 # Idle connections without a stated timeout are not used again after this
 # time in seconds; below the usual timeouts of servers.
 IDLE_DEFAULT_S: Final = 4.0
@@ -126,6 +133,10 @@
         self._on_done: Callable[[Outcome], None] | None = None
         self._request_id: bytes | None = None
         self._result: Outcome | None = None
+        # Of this exchange: bytes, those of bodies, and answers left out.
+        self._received = 0
+        self._body_bytes = 0
+        self._skipped = 0
         self._is_closed = False
         self._is_dirty = False
         self._has_ended = False
@@ -167,6 +178,9 @@
         self._on_done = on_done
         self._request_id = request_id
         self._result = None
+        self._received = 0
+        self._body_bytes = 0
+        self._skipped = 0
         self._reset()
         self._transport.write(payload)
 
@@ -206,6 +220,20 @@
             self._is_dirty = True
         if self._result is not None:
             self._finish()
+            return
+        self._received += len(data)
+        if self._on_done is not None and self._is_endless:
+            self._fail(FailureKind.TOO_LARGE)
+
+    @property
+    def _is_endless(self) -> bool:
+        """Return whether bytes come that are not part of any answer."""
+        overhead = self._received - self._body_bytes
+        return (
+            overhead > MAX_OVERHEAD_BYTES + FRAMING_SHARE * self._body_bytes
+            or self._received > (1 + FRAMING_SHARE) * MAX_ANSWER_BYTES
+            or self._skipped > MAX_SKIPPED
+        )
 
     def eof_received(self) -> bool:
         """End an answer whose length is the end of its connection."""
@@ -256,8 +284,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
-        if self._result is not None:
+        if self._result is not None or self._on_done is None:
             return
+        self._body_bytes += len(data)
         if self._size + len(data) > MAX_ANSWER_BYTES or not self._held.take(
             len(data)
         ):
@@ -271,6 +300,7 @@
         if self._result is not None or self._on_done is None:
             return
         if self._parser.get_status_code() < 200:
+            self._skipped += 1
             return
         if not self._parser.should_keep_alive():
             self._may_reuse = False
@@ -292,6 +322,7 @@
     def _complete(self) -> None:
         if self._id_field is not None and self._request_id is not None:
             if self._fields.get(self._id_field) != self._request_id:
+                self._skipped += 1
                 self._has_begun = False
                 self._has_header = False
                 return
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -17,6 +17,8 @@
 # Requests that a client may send ahead on one connection.
 MAX_PIPELINED: Final = 16
 LISTEN_BACKLOG: Final = 1024
+# Bytes that a read may hold beside a header; the loop reads up to 256 KiB.
+READ_BYTES: Final = 256 * 1024
 # Clients that found no room for their body come back after this time in
 # seconds; large bodies take that long to be passed on.
 FULL_RETRY_S: Final = 1.0
@@ -108,6 +110,8 @@
         self.since = self._loop.time()
         self.peer = ''
         self._body_bytes = 0
+        # Bytes since the last piece of a request that was whole.
+        self._unparsed = 0
         self._is_paused = False
 
     @property
@@ -163,6 +167,8 @@
             self._reject(501)
         except httptools.HttpParserError:
             self._reject(400)
+        else:
+            self._check_header(len(data))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up the requests of the client."""
@@ -237,8 +243,13 @@
             return
         self._head.append(b'%b: %b\r\n' % (name, value))
 
+    def on_headers_complete(self) -> None:
+        """Note that the header is whole."""
+        self._unparsed = 0
+
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
+        self._unparsed = 0
         if self._body_bytes + len(data) > self._server.limits.max_body_bytes:
             self._reject(413)
             raise ValueError('body too large')
@@ -251,6 +262,7 @@
 
     def on_message_complete(self) -> None:
         """Hand the request over, or keep it until its turn."""
+        self._unparsed = 0
         request = self._building
         if request is None or self._is_closing:
             return
@@ -318,6 +330,16 @@
             self._current = self._waiting.popleft()
             self._server.handler.handle(self._current)
 
+    def _check_header(self, size: int) -> None:
+        """Bound what the parser keeps of a field without an end.
+
+        Args:
+            size: Bytes that were parsed just now.
+        """
+        self._unparsed += size
+        if self._unparsed > self._server.limits.max_header_bytes + READ_BYTES:
+            self._reject(431)
+
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self._server.limits.max_header_bytes:
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -9,6 +9,7 @@
 import time
 
 import httpcore
+import pytest
 
 from lab import platform_store
 from lab import platform_upstream
@@ -261,6 +262,23 @@
         assert response.status == 504
 
 
+async def async_test_spoilt(fault: platform_upstream.Fault) -> None:
+    """Let each answer of an upstream be spoilt, and then none."""
+    async with running() as fleet:
+        billing = fleet.upstreams['billing']
+        billing.fault, billing.fault_share = fault, 1.0
+        response = await fleet.async_request('status', '/pay/7', method='POST')
+        if fault is platform_upstream.Fault.FORMER_REFUSAL:
+            assert response.status == 200
+        else:
+            assert response.status == 502
+        assert len(billing.seen) == 1
+        billing.fault_share = 0.0
+        served = await fleet.async_request('status', '/pay/8', method='POST')
+        assert served.status == 200
+        assert fleet.daemons['billing']._pool.held.count == 0
+
+
 async def async_test_leaving() -> None:
     """Let an upstream leave while a request runs."""
     async with running() as fleet:
@@ -382,6 +400,20 @@
     asyncio.run(async_test_lost_answer())
 
 
+# Guards against answers without end, and refusals of requests that have run.
+@pytest.mark.parametrize(
+    'fault',
+    [
+        platform_upstream.Fault.ENDLESS_HEAD,
+        platform_upstream.Fault.ENDLESS_BODY,
+        platform_upstream.Fault.FORMER_REFUSAL,
+    ],
+)
+def test_spoilt_answer_ends_one_call(fault) -> None:
+    """The call, the connection and the memory all end well."""
+    asyncio.run(async_test_spoilt(fault))
+
+
 def test_failed_tick_does_not_end_the_ticks(monkeypatch) -> None:
     """Without them nothing expires and no lost connection is made again."""
     asyncio.run(async_test_failed_tick(monkeypatch))
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -194,3 +194,106 @@
     assert limit.limit_s < 0.25
     limit._lowered_at -= 4 * exchange.IDLE_DOUBLES_S
     assert limit.limit_s > 3.0
+
+
+async def async_flood(
+    head: bytes, piece: bytes
+) -> tuple[exchange.Outcome, int]:
+    """Return the outcome of an answer without end, and the bytes sent.
+
+    Args:
+        head: How the answer begins.
+        piece: What follows again and again until the client closes.
+    """
+    sent = 0
+    has_ended = asyncio.Event()
+
+    async def async_serve(reader, writer) -> None:
+        nonlocal sent
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head)
+        try:
+            while True:
+                writer.write(piece)
+                sent += len(piece)
+                await writer.drain()
+        except ConnectionError:
+            has_ended.set()
+        writer.close()
+
+    server = await asyncio.start_server(async_serve, '127.0.0.1', 0)
+    pool = exchange.ExchangePool(
+        server.sockets[0].getsockname(), NOTED, b'attempt'
+    )
+    pool.held.limit = 1 << 20
+    done = asyncio.get_running_loop().create_future()
+    pool.start(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n', b'a1', done.set_result)
+    outcome = await asyncio.wait_for(done, 5.0)
+    await asyncio.wait_for(has_ended.wait(), 5.0)
+    assert pool.held.count == 0
+    assert not pool.has_open(pool.opened)
+    server.close()
+    return outcome, sent
+
+
+LINE = b'HTTP/1.1 200 OK\r\nattempt: a1\r\nseal: s\r\n'
+CHUNKED = LINE + b'Transfer-Encoding: chunked\r\n\r\n'
+FLOODS = {
+    'status line': (b'HTTP/1.1 200 ', b'O' * 4096),
+    'field': (LINE + b'x: ', b'y' * 4096),
+    'fields': (LINE, b'x: ' + b'y' * 50 + b'\r\n'),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'answers to others': (
+        b'',
+        b'HTTP/1.1 200 OK\r\nattempt: b\r\nContent-Length: 2\r\n\r\nok',
+    ),
+    'body without a length': (LINE + b'\r\n', b'y' * 4096),
+    'chunks': (CHUNKED, b'1000\r\n' + b'y' * 4096 + b'\r\n'),
+    'chunk extension': (CHUNKED + b'5;', b'y' * 4096),
+    'trailers': (CHUNKED + b'0\r\n', b'x: ' + b'y' * 50 + b'\r\n'),
+}
+
+
+# Guards against answers without end, in a head or a body.
+@pytest.mark.parametrize('name', FLOODS)
+def test_answer_without_end_is_broken_off(name) -> None:
+    """The call ends, the connection closes, and little was held."""
+    outcome, sent = asyncio.run(async_flood(*FLOODS[name]))
+    assert outcome in (
+        exchange.FailureKind.TOO_LARGE,
+        exchange.FailureKind.MALFORMED,
+    )
+    # Both ends buffer some megabytes on loopback.
+    assert sent < 16 << 20
+
+
+def test_small_chunks_are_no_answer_without_end() -> None:
+    """Their framing is longer than what they carry."""
+    chunks = b'1\r\nx\r\n' * 100_000
+    (outcome,) = run(CHUNKED + chunks + b'0\r\n\r\n', held=200_000)
+    assert isinstance(outcome, exchange.Response)
+    assert len(outcome.body) == 100_000
+
+
+REFUSAL = (
+    b'HTTP/1.1 503 X\r\nattempt: %b\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+# Guards against "not run" for a request that an upstream has run.
+@pytest.mark.parametrize(
+    'former', [REFUSAL % b'a0', REFUSAL.replace(b'attempt: %b\r\n', b'')]
+)
+def test_earlier_refusal_is_not_taken_for_the_next_answer(former) -> None:
+    """A faulty server writes it once more on a kept connection."""
+    first, second = run(WHOLE, former + WHOLE)
+    assert isinstance(first, exchange.Response)
+    assert isinstance(second, exchange.Response)
+    assert second.status == 200
+
+
+def test_earlier_refusal_on_an_idle_connection_closes_it() -> None:
+    """Nothing was asked there."""
+    first, second = run(WHOLE + REFUSAL % b'a0', WHOLE)
+    assert isinstance(first, exchange.Response)
+    assert second.status == 200
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -117,6 +117,17 @@
     client.leave()
 
 
+# Guards against a field without an end, which the parser would keep whole.
+def test_header_field_without_end_is_rejected() -> None:
+    """Long before it would take much memory."""
+    client = Client(b'GET / HTTP/1.1\r\nx: ')
+    for _ in range(10):
+        client.connection.data_received(b'y' * 65536)
+    assert b' 431 ' in client.transport.written
+    assert client.transport.is_closed
+    client.leave()
+
+
 def test_client_that_reads_slowly_gets_one_answer_at_a_time() -> None:
     """Answers that it does not read would take memory."""
     client = Client(GET + GET)
