Close the connections of the stand-ins when their loop ends

The writers were those of the stand-in of the store, which left them to the collector, and of reports that were cut off.

--- a/lab/platform_store.py
+++ b/lab/platform_store.py
@@ -106,6 +106,8 @@
         except asyncio.CancelledError:
             # The loop ends; asyncio would log it as an error.
             return
+        finally:
+            writer.close()
 
     async def _async_answer(
         self, method: str, target: str, body: bytes
--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -134,8 +134,10 @@
                         f'Content-Length: {len(body)}\r\n\r\n{body}'
                     ).encode()
                 )
-                line = await reader.readline()
-                writer.close()
+                try:
+                    line = await reader.readline()
+                finally:
+                    writer.close()
         except (OSError, TimeoutError):
             # The daemon is away; the next report goes the same way.
             return 0
