--- a/sassafraswood/sidecar/crash_exchange.py
+++ b/sassafraswood/sidecar/crash_exchange.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable, Iterable
-import time
 from typing import Final
 
 from sassafraswood import clock as clock_module
@@ -57,7 +56,7 @@
         """Take the parts.
 
         Args:
-            clock: Monotonic time.
+            clock: Monotonic time, and the time of day for the store.
             daemon_id: This daemon.
             service: Service of the own upstream.
             counts: Ends and verdicts.
@@ -85,7 +84,7 @@
         self, upstream: fleet.UpstreamStart, suspects: list[crash.Suspect]
     ) -> None:
         """Take the end of the own upstream."""
-        ended_at = time.time()
+        ended_at = self._clock.wall()
         record = crash.CrashRecord(
             record_id=f'{self._daemon_id}/{upstream.instance_id}'
             f'/{int(ended_at * 1000)}',
@@ -99,7 +98,7 @@
 
     def load(self, records: Iterable[crash.CrashRecord]) -> None:
         """Take the ends that the store keeps."""
-        now = time.time()
+        now = self._clock.wall()
         for record in sorted(records, key=lambda item: item.ended_at):
             self._add(record, now - record.ended_at, 'store')
 
@@ -108,7 +107,8 @@
     ) -> frames.CrashSeen:
         """Take an end that another daemon tells; return the confirmation."""
         self.take_seen(message, sender)
-        self._add(_record_of(message), message.age_s, sender or '')
+        ended_at = self._clock.wall() - message.age_s
+        self._add(_record_of(message, ended_at), message.age_s, sender or '')
         return frames.CrashSeen(record_id=message.record_id)
 
     def take_seen(
@@ -248,11 +248,13 @@
     ]
 
 
-def _record_of(message: frames.CrashReport) -> crash.CrashRecord:
+def _record_of(
+    message: frames.CrashReport, ended_at: float
+) -> crash.CrashRecord:
     return crash.CrashRecord(
         record_id=message.record_id,
         service=ids.ServiceName(message.service),
-        ended_at=time.time() - message.age_s,
+        ended_at=ended_at,
         suspects=tuple(
             crash.Suspect(
                 fingerprint=ids.Fingerprint(fingerprint),
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -294,6 +294,8 @@
         run = call.run
         if response.status != _MISDIRECTED:
             self._watch.note_answer(call)
+        elif call.upstream is not None:
+            self._watch.note_other(call.upstream)
         if names.not_run in response.fields:
             self._refuse(
                 call, enums.RefusalReason.UPSTREAM_SHED, has_arrived=True
@@ -301,7 +303,6 @@
             return
         if response.status == _MISDIRECTED:
             if call.upstream is not None:
-                self._watch.note_other(call.upstream)
                 self._registry.forget(call.upstream.instance_id)
                 self.refresh()
             self._refuse(
--- a/sassafraswood/sidecar/upstream_watch.py
+++ b/sassafraswood/sidecar/upstream_watch.py
@@ -181,11 +181,6 @@
         elif silent_s > SILENT_REPORTS * self.report_interval_s:
             self._note_silence()
 
-    def stop(self) -> None:
-        """End what runs."""
-        if self._check is not None:
-            self._check.cancel()
-
     def _look(self, connections: int) -> None:
         """Find out whether the upstream lives after a lost connection."""
         upstream = self._upstream
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -351,6 +351,21 @@
     assert not side.crashed
 
 
+# Guards against ends that are over before the next report.
+@pytest.mark.parametrize('proof', [{}, {'not_run': b'1'}])
+def test_other_instance_shows_the_end(proof, tmp_path) -> None:
+    """With or without the proof that it did not run the call."""
+    side = Side(tmp_path)
+    side.submit()
+    side.clock.advance(0.1)
+    side.pool.requests[0][2](exchange.FailureKind.BROKEN)
+    side.submit(call_id=2)
+    side.answer(1, status=421, **proof)
+    ((instance, suspects),) = side.crashed
+    assert instance == 'i1'
+    assert len(suspects) == 1
+
+
 # Guards against ends that are over before the next report.
 @pytest.mark.parametrize(
     'successor',
