Weigh common requests by their busiest second

The daemons had been up for 4 s and callers for one, so the mean rate was a quarter of the real one, and three presences at ends looked like one chance in 2,000.

The rate of a kind that came repeatedly is now that of its busiest second in the last 10 to 20 s. Ruled out: a longer age of the run (the ages were right), the rivals' part (two rivals counted). The new test of the rate fails without it by its bound.

--- a/sassafraswood/coordination/lost_runs.py
+++ b/sassafraswood/coordination/lost_runs.py
@@ -21,6 +21,9 @@
 PERIOD_S: Final = 10.0
 # Answers that are taken to be missed in that time (Jeffreys prior of a rate).
 UNSEEN_ANSWERS: Final = 0.5
+# Rates are those of the busiest time of this length, in seconds; waves of
+# retries last about as long.
+SECOND_S: Final = 1.0
 # Kinds that are counted in a period; calls of 400 kinds a second.
 MAX_KINDS: Final = 4096
 
@@ -82,6 +85,11 @@
         self._answered_before: dict[Kind, int] = {}
         self._period_at = clock.monotonic()
         self._period_before_at = self._period_at
+        # Answers of the present second, and the most of any second.
+        self._second: dict[Kind, int] = {}
+        self._second_at = self._period_at
+        self._peaks: dict[Kind, int] = {}
+        self._peaks_before: dict[Kind, int] = {}
 
     def note_answer(
         self, kind: Kind, started_at: float, connection: int
@@ -156,14 +164,22 @@
     def rate_per_s(self, kind: Kind) -> float:
         """Return how many answers to a kind came per second lately.
 
-        A kind that was not seen yet counts as half an answer, so that little
-        is concluded from a short time.
+        Of a kind that comes in waves, the busiest second counts: upstreams
+        end when there is much to do, and the others then get more. A kind
+        that was not seen yet counts as half an answer, so that little is
+        concluded from a short time.
         """
         elapsed_s = self._clock.monotonic() - self._period_before_at
         count = self._answered.get(kind, 0) + self._answered_before.get(
             kind, 0
         )
-        return (count + UNSEEN_ANSWERS) / max(1.0, elapsed_s)
+        peak = max(
+            self._second.get(kind, 0),
+            self._peaks.get(kind, 0),
+            self._peaks_before.get(kind, 0),
+        )
+        mean = (count + UNSEEN_ANSWERS) / max(1.0, elapsed_s)
+        return max(mean, peak / SECOND_S if peak > 1 else 0.0)
 
     def _count(self, kind: Kind) -> None:
         now = self._clock.monotonic()
@@ -175,4 +191,17 @@
             self._period_before_at = self._period_at
             self._answered = {}
             self._period_at = now
+            self._peaks_before = self._peaks
+            self._peaks = {}
         self._answered[kind] = self._answered.get(kind, 0) + 1
+        if now - self._second_at >= SECOND_S:
+            self._note_peaks()
+            self._second_at = now
+        self._second[kind] = self._second.get(kind, 0) + 1
+
+    def _note_peaks(self) -> None:
+        """Keep the counts of a second in which a kind came repeatedly."""
+        for kind, count in self._second.items():
+            if count > max(1, self._peaks.get(kind, 0)):
+                self._peaks[kind] = count
+        self._second = {}
--- a/tests/coordination/test_lost_runs.py
+++ b/tests/coordination/test_lost_runs.py
@@ -108,6 +108,20 @@
     assert runs.rate_per_s(KIND) < 0.1
 
 
+# Guards against refusals of common requests just after traffic has begun.
+def test_rate_is_that_of_the_busiest_second() -> None:
+    """Quiet times before it would make it look rare."""
+    runs, now = make_runs()
+    now.advance(8.0)
+    for _ in range(20):
+        now.advance(0.1)
+        runs.note_answer(KIND, now.monotonic(), 1)
+    assert 9.0 <= runs.rate_per_s(KIND) <= 11.0
+    # One answer is no wave.
+    runs.note_answer(OTHER, now.monotonic(), 1)
+    assert runs.rate_per_s(OTHER) < 0.2
+
+
 def test_kinds_are_bounded() -> None:
     """Many that come once do not push out what comes often."""
     runs, now = make_runs()
