--- a/sassafraswood/coordination/lost_runs.py
+++ b/sassafraswood/coordination/lost_runs.py
@@ -44,7 +44,6 @@
         'connections',
         'ended_at',
         'is_broken',
-        'kind',
         'started_at',
     )
 
@@ -52,7 +51,6 @@
         self,
         *,
         call: CallT,
-        kind: Kind,
         started_at: float,
         ended_at: float,
         connections: int,
@@ -60,7 +58,6 @@
     ) -> None:
         """Take the run."""
         self.call = call
-        self.kind = kind
         self.started_at = started_at
         self.ended_at = ended_at
         self.connections = connections
@@ -113,7 +110,6 @@
     def note_lost(
         self,
         call: CallT,
-        kind: Kind,
         started_at: float,
         connections: int,
         *,
@@ -123,7 +119,6 @@
         self._lost.append(
             LostRun(
                 call=call,
-                kind=kind,
                 started_at=started_at,
                 ended_at=self._clock.monotonic(),
                 connections=connections,
--- a/sassafraswood/sidecar/upstream_watch.py
+++ b/sassafraswood/sidecar/upstream_watch.py
@@ -132,7 +132,6 @@
         """
         self._lost.note_lost(
             call,
-            fingerprints.kind_of(call.run),
             call.started_at,
             self._pool.opened,
             is_broken=is_broken,
--- a/tests/coordination/test_lost_runs.py
+++ b/tests/coordination/test_lost_runs.py
@@ -16,7 +16,7 @@
 def test_lost_run_may_have_ended_with_the_upstream() -> None:
     """Once; it is taken then."""
     runs, now = make_runs()
-    runs.note_lost('a', KIND, now.monotonic() - 0.1, 1)
+    runs.note_lost('a', now.monotonic() - 0.1, 1)
     assert runs.has_lost
     assert [item.call for item in runs.take()] == ['a']
     assert runs.take() == []
@@ -28,11 +28,11 @@
     runs, now = make_runs()
     started_at = now.monotonic()
     now.advance(0.1)
-    runs.note_lost('a', KIND, started_at, 1)
+    runs.note_lost('a', started_at, 1)
     now.advance(0.001)
-    runs.note_lost('late', KIND, now.monotonic(), 1)
+    runs.note_lost('late', now.monotonic(), 1)
     now.advance(0.001)
-    runs.note_lost('b', KIND, started_at, 1)
+    runs.note_lost('b', started_at, 1)
     first, second = runs.take()
     assert (first.call, second.call) == ('a', 'b')
     assert first.ended_at == second.ended_at
@@ -41,26 +41,26 @@
 def test_break_long_before_is_another_matter() -> None:
     """An answer was lost; the next run ends with the upstream."""
     runs, now = make_runs()
-    runs.note_lost('a', KIND, now.monotonic() - 0.1, 1)
+    runs.note_lost('a', now.monotonic() - 0.1, 1)
     now.advance(1.0)
     started_at = now.monotonic()
     now.advance(0.01)
-    runs.note_lost('b', KIND, started_at, 1)
+    runs.note_lost('b', started_at, 1)
     assert [item.call for item in runs.take()] == ['a', 'b']
 
 
 def test_caller_that_left_ends_no_upstream() -> None:
     """Runs that began after it may have ended with the upstream."""
     runs, now = make_runs()
-    runs.note_lost('a', KIND, now.monotonic(), 1, is_broken=False)
-    runs.note_lost('b', KIND, now.monotonic(), 1, is_broken=False)
+    runs.note_lost('a', now.monotonic(), 1, is_broken=False)
+    runs.note_lost('b', now.monotonic(), 1, is_broken=False)
     assert [item.call for item in runs.take()] == ['a', 'b']
 
 
 def test_answer_on_an_older_connection_clears_it() -> None:
     """The process that holds the connection lives."""
     runs, now = make_runs()
-    runs.note_lost('a', KIND, now.monotonic(), 1)
+    runs.note_lost('a', now.monotonic(), 1)
     now.advance(0.1)
     runs.note_answer(KIND, now.monotonic(), 1)
     assert not runs.has_lost
@@ -69,7 +69,7 @@
 def test_answer_on_a_newer_connection_shows_nothing() -> None:
     """It may be that of the next process."""
     runs, now = make_runs()
-    runs.note_lost('a', KIND, now.monotonic(), 1)
+    runs.note_lost('a', now.monotonic(), 1)
     now.advance(0.1)
     runs.note_answer(KIND, now.monotonic(), 2)
     assert runs.has_lost
@@ -80,7 +80,7 @@
     runs, now = make_runs()
     started_at = now.monotonic()
     now.advance(0.1)
-    runs.note_lost('a', KIND, now.monotonic(), 1)
+    runs.note_lost('a', now.monotonic(), 1)
     runs.note_answer(KIND, started_at, 1)
     assert runs.has_lost
 
@@ -88,7 +88,7 @@
 def test_lost_run_is_forgotten_in_time() -> None:
     """An end would have been noticed."""
     runs, now = make_runs()
-    runs.note_lost('a', KIND, now.monotonic(), 1)
+    runs.note_lost('a', now.monotonic(), 1)
     now.advance(lost_runs.MAX_AGE_S + 0.1)
     assert not runs.has_lost
     assert runs.take() == []
