--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -50,7 +50,7 @@
         self._unconfirmed_at = 0.0
         self._report: fleet.UpstreamReport | None = None
         self._heard_at = 0.0
-        self._left: set[fleet.UpstreamLeave] = set()
+        self._left: set[fleet.UpstreamStart] = set()
         # The upstream that the former process knew.
         self._former: fleet.KnownUpstream | None = None
 
@@ -75,7 +75,7 @@
 
     def note_leaves(
         self,
-        leaves: Iterable[fleet.UpstreamLeave],
+        leaves: Iterable[fleet.UpstreamStart],
         former: fleet.KnownUpstream | None,
     ) -> None:
         """Take what the former process of this daemon knew.
@@ -92,7 +92,7 @@
         if unconfirmed is not None:
             self.apply(unconfirmed)
         report = self._report
-        if report is not None and _leave_of(report) in self._left:
+        if report is not None and start_of(report) in self._left:
             self._report = None
 
     def resume(self, upstream: fleet.KnownUpstream) -> bool:
@@ -113,7 +113,7 @@
             status=enums.UpstreamStatus.READY,
             cold_left_s=0.0,
         )
-        if self._report is not None or _leave_of(report) in self._left:
+        if self._report is not None or start_of(report) in self._left:
             return False
         self._report = report
         self._heard_at = self._clock.monotonic()
@@ -123,7 +123,7 @@
         """Take a report; return whether it is news of this upstream."""
         if report.service != self._service or report.address != self._address:
             return False
-        if _leave_of(report) in self._left:
+        if start_of(report) in self._left:
             return False
         if not self._is_newer(report):
             return False
@@ -133,7 +133,7 @@
         self._heard_at = self._clock.monotonic()
         return True
 
-    def leave(self, instance_id: str, born: int | None) -> fleet.UpstreamLeave:
+    def leave(self, instance_id: str, born: int | None) -> fleet.UpstreamStart:
         """Take that the upstream leaves for good; it gets no more calls.
 
         Returns:
@@ -144,10 +144,10 @@
             if report.instance_id == instance_id:
                 born = report.born
         leave = self._dated(
-            fleet.UpstreamLeave(instance_id=instance_id, born=born)
+            fleet.UpstreamStart(instance_id=instance_id, born=born)
         )
         self._left.add(leave)
-        if self._report is not None and _leave_of(self._report) == leave:
+        if self._report is not None and start_of(self._report) == leave:
             self._report = None
         return leave
 
@@ -161,10 +161,10 @@
             self._report is not None
             and self._report.instance_id == instance_id
         ):
-            self._left.add(_leave_of(self._report))
+            self._left.add(start_of(self._report))
             self._report = None
 
-    def _dated(self, leave: fleet.UpstreamLeave) -> fleet.UpstreamLeave:
+    def _dated(self, leave: fleet.UpstreamStart) -> fleet.UpstreamStart:
         """Return the leave with the start of the upstream, if it is known.
 
         An upstream that leaves does not tell its start, and this process may
@@ -177,7 +177,7 @@
             or former.instance_id != leave.instance_id
         ):
             return leave
-        return fleet.UpstreamLeave(
+        return fleet.UpstreamStart(
             instance_id=leave.instance_id, born=former.born
         )
 
@@ -191,7 +191,7 @@
         first = self._unconfirmed
         if (
             first is None
-            or _leave_of(first) != _leave_of(report)
+            or start_of(first) != start_of(report)
             or first.sequence >= report.sequence
         ):
             self._unconfirmed = report
@@ -222,9 +222,3 @@
     return fleet.UpstreamStart(
         instance_id=report.instance_id, born=report.born
     )
-
-
-def _leave_of(report: fleet.UpstreamReport) -> fleet.UpstreamLeave:
-    return fleet.UpstreamLeave(
-        instance_id=report.instance_id, born=report.born
-    )
--- a/sassafraswood/models/fleet.py
+++ b/sassafraswood/models/fleet.py
@@ -32,18 +32,6 @@
     born: int | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class UpstreamLeave:
-    """An upstream that has said that it leaves.
-
-    Attributes:
-        born: Unix time of its start in milliseconds; None if it said none.
-    """
-
-    instance_id: str
-    born: int | None
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamReport:
     """What an upstream says of itself.
--- a/sassafraswood/platform/upstream_records.py
+++ b/sassafraswood/platform/upstream_records.py
@@ -66,7 +66,7 @@
     return f'{daemon_id}/present'
 
 
-def encode_leaves(leaves: Iterable[fleet.UpstreamLeave]) -> bytes:
+def encode_leaves(leaves: Iterable[fleet.UpstreamStart]) -> bytes:
     """Return the value for upstreams that have left."""
     return msgspec.json.encode(
         [
@@ -76,7 +76,7 @@
     )
 
 
-def decode_leaves(value: bytes) -> list[fleet.UpstreamLeave]:
+def decode_leaves(value: bytes) -> list[fleet.UpstreamStart]:
     """Return the upstreams that have left.
 
     Raises:
@@ -84,7 +84,7 @@
     """
     rows = wire_json.decode(_leaves_decoder, value)
     return [
-        fleet.UpstreamLeave(instance_id=row.instance_id, born=row.born)
+        fleet.UpstreamStart(instance_id=row.instance_id, born=row.born)
         for row in rows
     ]
 
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -100,7 +100,7 @@
 
     def _report(
         self, instance_id: str, body: bytes
-    ) -> fleet.UpstreamLeave | None:
+    ) -> fleet.UpstreamStart | None:
         """Return the leave if the upstream says that it leaves."""
         report = reports.decode(instance_id, body)
         before = self._registry.report
@@ -119,7 +119,7 @@
                 )
             self._on_change()
             if report.status is enums.UpstreamStatus.DRAINING:
-                return fleet.UpstreamLeave(
+                return fleet.UpstreamStart(
                     instance_id=instance_id, born=report.born
                 )
             self._upstreams.note_present(report)
@@ -133,7 +133,7 @@
         )
         return None
 
-    def _leave(self, instance_id: str, body: bytes) -> fleet.UpstreamLeave:
+    def _leave(self, instance_id: str, body: bytes) -> fleet.UpstreamStart:
         born = reports.decode_leave(body)
         leave = self._registry.leave(instance_id, born)
         self._log.change(
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -66,10 +66,10 @@
         self._on_ends = on_ends
         # Of the next end; a former process may have written to any of them.
         self._end_number = random.randrange(upstream_records.MAX_ENDS)
-        self._leaves: list[fleet.UpstreamLeave] = []
+        self._leaves: list[fleet.UpstreamStart] = []
         self._present: fleet.KnownUpstream | None = None
         self._is_loaded = asyncio.Event()
-        self._written: dict[fleet.UpstreamLeave, asyncio.Event] = {}
+        self._written: dict[fleet.UpstreamStart, asyncio.Event] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self, *, is_first_start: bool) -> None:
@@ -108,7 +108,7 @@
         )
 
     def record(
-        self, leave: fleet.UpstreamLeave, acknowledge: Callable[[], None]
+        self, leave: fleet.UpstreamStart, acknowledge: Callable[[], None]
     ) -> None:
         """Write a leave once; acknowledge when it is written, or late."""
         written = self._written.get(leave)
@@ -128,7 +128,7 @@
 
     async def _async_acknowledge(
         self,
-        leave: fleet.UpstreamLeave,
+        leave: fleet.UpstreamStart,
         written: asyncio.Event,
         acknowledge: Callable[[], None],
     ) -> None:
@@ -144,7 +144,7 @@
         acknowledge()
 
     async def _async_write(
-        self, leave: fleet.UpstreamLeave, written: asyncio.Event
+        self, leave: fleet.UpstreamStart, written: asyncio.Event
     ) -> None:
         await self._is_loaded.wait()
         while True:
@@ -205,7 +205,7 @@
         self, records: list[store_module.StoredRecord]
     ) -> fleet.KnownUpstream | None:
         """Take the leaves; return the upstream that was there."""
-        leaves: list[fleet.UpstreamLeave] = []
+        leaves: list[fleet.UpstreamStart] = []
         present: fleet.KnownUpstream | None = None
         ends: list[crash.CrashRecord] = []
         for record in records:
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -109,7 +109,7 @@
     registry = make_registry(knows_leaves=False)
     registry.apply(make_report())
     registry.note_leaves(
-        [fleet.UpstreamLeave(instance_id='i1', born=100)], None
+        [fleet.UpstreamStart(instance_id='i1', born=100)], None
     )
     assert registry.status is enums.UpstreamStatus.ABSENT
     assert not registry.apply(make_report(sequence=6))
@@ -162,7 +162,7 @@
     """The leave binds the next process, whatever its health says."""
     registry = make_registry(knows_leaves=False)
     registry.note_leaves(
-        [fleet.UpstreamLeave(instance_id='i1', born=100)], None
+        [fleet.UpstreamStart(instance_id='i1', born=100)], None
     )
     assert not registry.resume(known())
     assert registry.status is enums.UpstreamStatus.ABSENT
@@ -182,7 +182,7 @@
     registry = make_registry(knows_leaves=False)
     registry.note_leaves([], known())
     leave = registry.leave('i1', None)
-    assert leave == fleet.UpstreamLeave(instance_id='i1', born=100)
+    assert leave == fleet.UpstreamStart(instance_id='i1', born=100)
     assert not registry.apply(make_report())
     assert registry.apply(make_report(born=200))
 
@@ -199,6 +199,6 @@
     """The process that took it had no time to read the records."""
     registry = make_registry(knows_leaves=False)
     registry.note_leaves(
-        [fleet.UpstreamLeave(instance_id='i1', born=None)], known()
+        [fleet.UpstreamStart(instance_id='i1', born=None)], known()
     )
     assert not registry.apply(make_report())
--- a/tests/platform/test_upstream_records.py
+++ b/tests/platform/test_upstream_records.py
@@ -13,8 +13,8 @@
 def test_records_come_back_as_they_were() -> None:
     """With and without the start of an upstream."""
     leaves = [
-        fleet.UpstreamLeave(instance_id='i1', born=5),
-        fleet.UpstreamLeave(instance_id='i2', born=None),
+        fleet.UpstreamStart(instance_id='i1', born=5),
+        fleet.UpstreamStart(instance_id='i2', born=None),
     ]
     value = upstream_records.encode_leaves(leaves)
     assert upstream_records.decode_leaves(value) == leaves
