Reconnect to a peer whose attempt was cancelled before it began

Calls that had to reach one peer were refused until the daemon restarted: PeerLink.connect_soon cancelled a task that had not begun, whose finally clause therefore never cleared the mark of a running attempt, and no new attempt followed. A callback of the task clears it now, which also runs for a task that never began. Other flags that only a task clears were looked at: UpstreamWatch never cancels its check, and StoreReader and UpstreamLog keep their tasks in callbacks or for the process.

The new test fails before the change.

--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -168,6 +168,9 @@
                 self._connecting = asyncio.get_running_loop().create_task(
                     self._async_connect()
                 )
+                # A task that is cancelled before it has begun runs none of
+                # its code, but its callbacks.
+                self._connecting.add_done_callback(self._on_attempt_done)
             return
         silent_s = self._connection.silent_s
         oldest_pinged_at = next(
@@ -219,10 +222,12 @@
             self._timeout_s = min(CONNECT_TIMEOUT_MAX_S, 2.0 * self._timeout_s)
             self._schedule_reconnect()
             return
-        finally:
-            self._connecting = None
         self._use_connection(connection)
 
+    def _on_attempt_done(self, task: asyncio.Task[None]) -> None:
+        if self._connecting is task:
+            self._connecting = None
+
     def _use_connection(self, connection: frame_link.FrameConnection) -> None:
         if self._is_closed:
             connection.close('link was closed while connecting')
--- a/tests/sidecar/test_peer_link.py
+++ b/tests/sidecar/test_peer_link.py
@@ -124,3 +124,21 @@
         fixture.link.close('test')
 
     asyncio.run(async_test())
+
+
+# Guards against a link that counts as connecting for ever, because its attempt
+# was cancelled before the task had begun.
+def test_attempt_cancelled_before_it_begins_is_replaced(
+    tmp_path, monkeypatch
+) -> None:
+    """The peer connects right after the tick that starts the attempt."""
+
+    async def async_test() -> None:
+        fixture = LinkFixture(tmp_path, monkeypatch)
+        fixture.link.tick(clock.SystemClock().monotonic())
+        fixture.link.connect_soon()
+        await fixture.async_tick(0.05)
+        assert len(fixture.attempts) == 1
+        fixture.link.close('test')
+
+    asyncio.run(async_test())
