Refuse requests that come late in a planned stop, and answer all at its end

Callers of a stopping daemon saw requests that came late in the grace time passed on and then cut without an answer, requests that may not be repeated among them: a request on a connection that was open already, completed more than 3 s after SIGTERM, was sent like any other, and at the end the process closed with its calls open. Pipelined requests were dropped unread once their connection was closing.

From the end of the caller drain, new requests of external callers are refused as not run, on kept and on new connections; the port stays open, so that a late connection gets this refusal. Calls of the local upstream are still served. Pipelined requests are answered before the connection closes. At the end each open call gets 504, or 503 if it was never sent.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -136,6 +136,7 @@
             on_refused=self._refuse_rate_exceeded,
         )
         self._revoke_s = revoke_s
+        self._is_refusing_new = False
 
     @property
     def active_count(self) -> int:
@@ -161,6 +162,24 @@
             if name in self._splits
         }
 
+    def refuse_new(self) -> None:
+        """Refuse new requests of external callers, as a stop is near.
+
+        Calls of the local upstream are still served: refusing one would fail
+        the call that the upstream runs.
+        """
+        self._is_refusing_new = True
+
+    def end_all(self) -> None:
+        """Respond to all calls, since the process ends."""
+        for call in list(self._active.values()):
+            if call.cancel is not None:
+                call.cancel()
+            if call.attempt_count > 0:
+                self._fail(call, 504, enums.RefusalReason.DRAINING.value)
+            else:
+                self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
+
     def set_max_rules_age_s(self, revoke_s: float) -> None:
         """Set the age of rules, in seconds, up to which keys are accepted."""
         self._revoke_s = revoke_s
@@ -188,6 +207,9 @@
             self._link_to_parent(call)
         self._active[id(call)] = call
         request.context = call
+        if self._is_refusing_new and not call.is_inner:
+            self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
+            return
         self._budget.count_request(call.service, self._depth_of(call))
         if self._crashes.has_verdicts and self._refuse_if_quarantined(call):
             return
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -353,8 +353,10 @@
                 self._upstream.stop()
             is_caller_drain_over = since_stop_s >= CALLER_DRAIN_S
             if is_caller_drain_over and not self._caller_server.is_closing:
+                # Late requests get a refusal, which says that they have not
+                # run, in place of a refused connection.
+                self._callers.refuse_new()
                 self._caller_server.is_closing = True
-                self._caller_server.stop_listening()
                 self._caller_server.close_idle()
             if (
                 is_caller_drain_over
@@ -363,6 +365,7 @@
             ):
                 break
             await asyncio.sleep(TICK_S)
+        self._callers.end_all()
         self.close()
 
     def reload(self) -> None:
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -330,7 +330,11 @@
         """Send the response to the current request."""
         if request is not self._current or self._transport is None:
             return
-        is_closing = close or request.is_closing or self._server.is_closing
+        is_closing = (
+            close
+            or request.is_closing
+            or (self._server.is_closing and not self._pending)
+        )
         line = _STATUS_LINES.get(status) or (
             f'HTTP/1.1 {status} Status\r\n'.encode()
         )
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import json
+import re
 import socket
 import time
 
@@ -366,6 +367,77 @@
         assert len(fleet.upstreams['billing'].seen) == 1
 
 
+@contextlib.asynccontextmanager
+async def connected(
+    daemon: process.Daemon,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    """Open a connection to a daemon as a caller, and close it at the end."""
+    reader, writer = await asyncio.open_connection(
+        *daemon.settings.caller_address
+    )
+    try:
+        yield reader, writer
+    finally:
+        writer.transport.abort()
+
+
+async def async_read_statuses(reader: asyncio.StreamReader) -> list[int]:
+    """Return the statuses of all responses until the connection ends."""
+    data = await asyncio.wait_for(reader.read(-1), timeout=8.0)
+    return [int(item) for item in re.findall(rb'HTTP/1\.1 (\d+) ', data)]
+
+
+def build_payment(number: int) -> bytes:
+    """Return an encoded request that is not idempotent."""
+    return (
+        b'POST /pay/%d HTTP/1.1\r\nHost: shop.example\r\n'
+        b'X-Attempt-Id: late%d\r\nX-Deadline-Ms: 1500\r\n'
+        b'Authorization: Token k1\r\nContent-Length: 2\r\n\r\nok'
+        % (number, number)
+    )
+
+
+async def async_test_requests_late_in_the_stop() -> None:
+    """Complete requests just before the end of a stop."""
+    async with running() as fleet, contextlib.AsyncExitStack() as stack:
+        daemon = fleet.daemons['status']
+        stopping_s = daemon.settings.bounds.grace_s - process.GRACE_MARGIN_S
+        reader, writer = await stack.enter_async_context(connected(daemon))
+        writer.write(build_payment(1)[:40])
+        kept_reader, kept_writer = await stack.enter_async_context(
+            connected(daemon)
+        )
+        fleet.upstreams['billing'].delay_s = 0.9
+        daemon.stop()
+        await asyncio.sleep(process.CALLER_DRAIN_S - 0.6)
+        # The second request waits for the response to the first.
+        kept_writer.write(build_payment(2) + build_payment(3))
+        assert await async_read_statuses(kept_reader) == [200, 503]
+        await asyncio.sleep(stopping_s - process.CALLER_DRAIN_S - 0.8)
+        writer.write(build_payment(1)[40:])
+        assert await async_read_statuses(reader) == [503]
+        seen = [head.split()[1] for head in fleet.upstreams['billing'].seen]
+        assert seen == ['/pay/2']
+        await asyncio.wait_for(fleet.tasks['status'], timeout=3.0)
+
+
+async def async_test_call_at_the_end_of_the_stop() -> None:
+    """End a stop while an upstream still runs a call."""
+    async with running() as fleet:
+        routes = {
+            name: route | {'timeout-s': 8}
+            for name, route in RULES['routes'].items()
+        }
+        fleet.publish(RULES | {'version': 'r2', 'routes': routes})
+        await asyncio.sleep(0.5)
+        daemon = fleet.daemons['status']
+        fleet.upstreams['billing'].delay_s = 7.0
+        async with connected(daemon) as (reader, writer):
+            daemon.stop()
+            writer.write(build_payment(1).replace(b': 1500', b': 8000'))
+            assert await async_read_statuses(reader) == [504]
+
+
 async def async_test_leave_without_store() -> None:
     """Report a leave while the store is unavailable."""
     async with running() as fleet:
@@ -456,6 +528,18 @@
     asyncio.run(async_test_stop_beside_live_upstream())
 
 
+# Guards against requests that a stopping daemon passes on and then cuts off.
+def test_late_requests_of_a_stop_are_refused() -> None:
+    """Each gets a response, and none reaches the upstream."""
+    asyncio.run(async_test_requests_late_in_the_stop())
+
+
+# Guards against calls that end without a response at the end of a stop.
+def test_calls_that_outlast_a_stop_get_a_response() -> None:
+    """It does not say that the call has not run."""
+    asyncio.run(async_test_call_at_the_end_of_the_stop())
+
+
 def test_leave_is_acknowledged_without_the_store() -> None:
     """The upstream waits one second at most for the acknowledgement."""
     asyncio.run(async_test_leave_without_store())
