Do not complete an interim response with the end of its connection

An upstream that sent 103 Early Hints with the attempt id and then closed had its 103 passed to the caller as the response: the header of an interim response counted as that of a response without a length, which the end of the connection completes. The state is reset after an interim response now.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -321,6 +321,8 @@
         if self._result is not None or self._on_done is None:
             return
         if self._parser.get_status_code() < 200:
+            # The end of the connection must not complete this response.
+            self._has_header = False
             self._skipped_count += 1
             return
         if not self._parser.should_keep_alive():
