Refuse only the request that explains a series of crashes

Callers of ordinary requests got 503 quarantined for two minutes when one request crashed several upstreams in a row: what a crash loses is sent again at once and meets the next crash, and each such presence counted as independent evidence.

A run that began shortly after a crash at which the same request was in flight counts as a retry now, only the requests with the most evidence are refused at a crash, and the crashes that they explain count no further against others.

--- a/sassafraswood/coordination/crash_counts.py
+++ b/sassafraswood/coordination/crash_counts.py
@@ -11,11 +11,13 @@
 
 from collections.abc import Iterable
 import math
+import sys
 from typing import Final
 
 import xxhash
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import lost_runs
 from sassafraswood.models import crash
 from sassafraswood.models import ids
 
@@ -31,6 +33,17 @@
 # Lower bound for a call that was retried after a crash: the request that
 # caused the crash is retried with it, at one of the few remaining upstreams.
 RETRY_COINCIDENCE_PROBABILITY: Final = 0.5
+# A run that begins within this time after a crash at which the same request
+# was in flight counts as a retry by its caller.
+CALLER_RETRY_S: Final = 0.2
+# Lower bound for such a retry of a request that upstreams have hardly
+# answered: only its chain of crashes tells it from a harmless one.
+UNANSWERED_RETRY_COINCIDENCE_PROBABILITY: Final = 0.2
+# A request with at most this rate was not answered in the last period in which
+# responses are counted.
+UNANSWERED_RATE_PER_S: Final = (
+    lost_runs.PRIOR_RESPONSE_COUNT / lost_runs.RATE_PERIOD_S
+)
 # Evidence, as the negative natural logarithm of the probability of a
 # coincidence, from which on a request is refused (1 in 1,000).
 EVIDENCE_THRESHOLD: Final = math.log(1000.0)
@@ -66,9 +79,10 @@
         self._suspect_count = 0
         # Crashes at which a request was in flight since its last refusal, by
         # record id.
-        self._sightings: dict[
-            ids.Fingerprint, dict[str, tuple[ids.ServiceName, crash.Suspect]]
-        ] = {}
+        self._sightings: dict[ids.Fingerprint, dict[str, crash.Suspect]] = {}
+        # Ids of the records in which a refused request is a suspect. It is
+        # taken for the cause, so they are no evidence against the others.
+        self._explained: set[str] = set()
         self._verdicts: dict[ids.Fingerprint, _Verdict] = {}
         self._digest = 0
 
@@ -126,7 +140,9 @@
         self._suspect_count += len(record.suspects)
         for suspect in record.suspects:
             sightings = self._sightings.setdefault(suspect.fingerprint, {})
-            sightings[record.record_id] = record.service, suspect
+            sightings[record.record_id] = suspect
+            if self._is_refused_at(suspect.fingerprint, ended_at):
+                self._explained.add(record.record_id)
         refused = [
             self._refuse(fingerprint, ended_at)
             for fingerprint in self._select_requests_to_refuse(
@@ -173,28 +189,38 @@
         """Return whether a request is refused now."""
         return self.refusal_left_s(fingerprint) > 0.0
 
+    def _is_refused_at(
+        self, fingerprint: ids.Fingerprint, crashed_at: float
+    ) -> bool:
+        verdict = self._verdicts.get(fingerprint)
+        return verdict is not None and verdict.until > crashed_at
+
     def _select_requests_to_refuse(
         self, record: crash.CrashRecord, crashed_at: float
     ) -> list[ids.Fingerprint]:
-        """Return the suspects of a crash with enough evidence to refuse."""
+        """Return the suspects of a crash with enough evidence to refuse.
+
+        If there are several, only those with the most evidence are returned:
+        they explain the crashes at which the others were in flight.
+        """
+        if record.record_id in self._explained:
+            return []
+        again = [
+            suspect.fingerprint
+            for suspect in record.suspects
+            if self._has_crashed_again(suspect)
+        ]
+        if again:
+            return again
         counts = {
-            suspect.fingerprint: self.count(suspect.fingerprint)
+            suspect.fingerprint: len(
+                self._find_unexplained(suspect.fingerprint)
+            )
             for suspect in record.suspects
+            if suspect.fingerprint not in self._verdicts
         }
-        selected = []
-        for suspect in record.suspects:
-            fingerprint = suspect.fingerprint
-            verdict = self._verdicts.get(fingerprint)
-            if verdict is not None:
-                if verdict.until <= crashed_at and (
-                    -math.log(
-                        _coincidence_probability(suspect.rate_per_s, suspect)
-                    )
-                    >= REPEATED_EVIDENCE_THRESHOLD
-                ):
-                    selected.append(fingerprint)
-                continue
-            count = counts[fingerprint]
+        evidence = {}
+        for fingerprint, count in counts.items():
             if count < 2:
                 continue
             # Any of the suspects seen at as many crashes may be the cause,
@@ -204,27 +230,75 @@
                 self._compute_evidence(fingerprint) - math.log(rival_count)
                 >= EVIDENCE_THRESHOLD
             ):
-                selected.append(fingerprint)
-        return selected
+                evidence[fingerprint] = self._compute_evidence(
+                    fingerprint, has_minimum=False
+                )
+        most = max(evidence.values(), default=0.0)
+        return [
+            fingerprint
+            for fingerprint, value in evidence.items()
+            if math.isclose(value, most)
+        ]
 
-    def _compute_evidence(self, fingerprint: ids.Fingerprint) -> float:
+    def _has_crashed_again(self, suspect: crash.Suspect) -> bool:
+        """Return whether a suspect whose refusal has ended is the cause."""
+        if suspect.fingerprint not in self._verdicts:
+            return False
+        probability = _coincidence_probability(suspect.rate_per_s, suspect)
+        return -math.log(probability) >= REPEATED_EVIDENCE_THRESHOLD
+
+    def _find_unexplained(
+        self, fingerprint: ids.Fingerprint
+    ) -> dict[str, crash.Suspect]:
+        """Return the sightings at crashes without a refused suspect."""
+        return {
+            record_id: suspect
+            for record_id, suspect in self._sightings.get(
+                fingerprint, {}
+            ).items()
+            if record_id not in self._explained
+        }
+
+    def _compute_evidence(
+        self, fingerprint: ids.Fingerprint, *, has_minimum: bool = True
+    ) -> float:
         """Return the negative logarithm of the probability of a coincidence.
 
         A harmless request is in flight at each of its crashes by chance, and
         at any choice of as many crashes among all crashes of the services.
+
+        Args:
+            fingerprint: The request.
+            has_minimum: Whether the probability of each coincidence has a
+                lower bound.
         """
-        sightings = self._sightings[fingerprint]
-        services = {service for service, _ in sightings.values()}
-        rate_per_s = max(
-            suspect.rate_per_s for _, suspect in sightings.values()
-        )
+        sightings = self._find_unexplained(fingerprint)
+        services = {
+            self._records[record_id][1].service for record_id in sightings
+        }
+        rate_per_s = max(suspect.rate_per_s for suspect in sightings.values())
         crash_count = sum(
-            record.service in services for _, record in self._records.values()
+            record.service in services
+            for record_id, (_, record) in self._records.items()
+            if record_id not in self._explained
         )
-        return sum(
-            -math.log(_coincidence_probability(rate_per_s, suspect))
-            for _, suspect in sightings.values()
-        ) - math.log(math.comb(crash_count, len(sightings)))
+        crashed_at = [self._records[record_id][0] for record_id in sightings]
+        evidence = -math.log(math.comb(crash_count, len(sightings)))
+        for record_id, suspect in sightings.items():
+            started_at = self._records[record_id][0] - suspect.age_s
+            is_caller_retry = any(
+                0.0 <= started_at - other <= CALLER_RETRY_S
+                for other in crashed_at
+            )
+            evidence -= math.log(
+                _coincidence_probability(
+                    rate_per_s,
+                    suspect,
+                    is_caller_retry=is_caller_retry,
+                    has_minimum=has_minimum,
+                )
+            )
+        return evidence
 
     def _refuse(
         self, fingerprint: ids.Fingerprint, crashed_at: float
@@ -251,7 +325,7 @@
             del self._verdicts[soonest_admitted]
         self._verdicts[fingerprint] = verdict
         # Evidence from before this verdict must not count a second time.
-        self._sightings.pop(fingerprint, None)
+        self._explained.update(self._sightings.pop(fingerprint, ()))
 
     def _export_verdict(
         self, fingerprint: ids.Fingerprint, verdict: _Verdict
@@ -285,6 +359,7 @@
 
     def _remove_record(self, record_id: str) -> None:
         _, record = self._records.pop(record_id)
+        self._explained.discard(record_id)
         self._suspect_count -= len(record.suspects)
         for suspect in record.suspects:
             sightings = self._sightings.get(suspect.fingerprint)
@@ -303,17 +378,29 @@
 
 
 def _coincidence_probability(
-    rate_per_s: float, suspect: crash.Suspect
+    rate_per_s: float,
+    suspect: crash.Suspect,
+    *,
+    is_caller_retry: bool = False,
+    has_minimum: bool = True,
 ) -> float:
     """Return the probability of a start so shortly before a crash.
 
     Args:
         rate_per_s: Rate at which the request starts, as a Poisson process.
         suspect: The request, with the time between its start and the crash.
+        is_caller_retry: Whether the run followed another crash at which the
+            request was in flight.
+        has_minimum: Whether the probability has a lower bound also for a
+            request that was not retried.
     """
-    minimum = (
-        RETRY_COINCIDENCE_PROBABILITY
-        if suspect.is_repeat
-        else MIN_COINCIDENCE_PROBABILITY
-    )
-    return max(minimum, 1.0 - math.exp(-rate_per_s * suspect.age_s))
+    probability = 1.0 - math.exp(-rate_per_s * suspect.age_s)
+    if suspect.is_repeat or (
+        is_caller_retry and rate_per_s > UNANSWERED_RATE_PER_S
+    ):
+        return max(RETRY_COINCIDENCE_PROBABILITY, probability)
+    if is_caller_retry:
+        return max(UNANSWERED_RETRY_COINCIDENCE_PROBABILITY, probability)
+    if has_minimum:
+        return max(MIN_COINCIDENCE_PROBABILITY, probability)
+    return max(sys.float_info.min, probability)
--- a/sassafraswood/sidecar/crash_exchange.py
+++ b/sassafraswood/sidecar/crash_exchange.py
@@ -92,15 +92,19 @@
         return self._counts.digest
 
     def report(
-        self, upstream: fleet.UpstreamProcess, suspects: list[crash.Suspect]
+        self,
+        upstream: fleet.UpstreamProcess,
+        suspects: list[crash.Suspect],
+        age_s: float = 0.0,
     ) -> None:
         """Record a crash of the local upstream.
 
         Args:
             upstream: Process of the upstream that crashed.
             suspects: Requests that it may have crashed on.
+            age_s: Time since the crash in seconds.
         """
-        ended_at = self._clock.wall()
+        ended_at = self._clock.wall() - age_s
         record = crash.CrashRecord(
             record_id=f'{self._daemon_id}/{upstream.instance_id}'
             f'/{int(ended_at * 1000)}',
@@ -110,7 +114,7 @@
         )
         self._metrics.count('crash', self._service, 'own')
         self._on_own(record)
-        self._add(record, 0.0, 'own')
+        self._add(record, age_s, 'own')
 
     def load(self, records: Iterable[crash.CrashRecord]) -> None:
         """Add the crash records that were read from the store."""
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -492,9 +492,12 @@
         self._peers.set_serving(is_serving)
 
     def _on_crash(
-        self, upstream: fleet.UpstreamProcess, suspects: list[crash.Suspect]
+        self,
+        upstream: fleet.UpstreamProcess,
+        suspects: list[crash.Suspect],
+        age_s: float,
     ) -> None:
-        self._crash_exchange.report(upstream, suspects)
+        self._crash_exchange.report(upstream, suspects, age_s)
         self._peers.send_crash_reports()
 
     def _on_crashes_loaded(self, records: list[crash.CrashRecord]) -> None:
--- a/sassafraswood/sidecar/upstream_watch.py
+++ b/sassafraswood/sidecar/upstream_watch.py
@@ -65,7 +65,7 @@
     upstream: fleet.UpstreamProcess | None
 
 
-OnCrash = Callable[[fleet.UpstreamProcess, list[crash.Suspect]], None]
+OnCrash = Callable[[fleet.UpstreamProcess, list[crash.Suspect], float], None]
 
 
 class UpstreamWatch:
@@ -95,8 +95,8 @@
             running: Returns the calls that wait for a response.
             on_refused: Called when the port of the upstream refuses
                 connections.
-            on_crash: Called after a crash with the upstream and the suspects,
-                if there were any calls in flight.
+            on_crash: Called after a crash with the upstream, the suspects and
+                the seconds since the crash, if there were any calls in flight.
         """
         self._clock = clock
         self._registry = registry
@@ -249,11 +249,15 @@
             # A later start has already replaced it.
             return
         now = self._clock.monotonic()
-        lost_calls = [
-            (item.call, item.ended_at)
+        lost = [
+            item
             for item in self._lost_runs.take()
             if item.call.upstream == upstream
         ]
+        broken_at = max(
+            (item.ended_at for item in lost if item.is_broken), default=now
+        )
+        lost_calls = [(item.call, item.ended_at) for item in lost]
         lost_calls += [
             (call, now)
             for call in self._running()
@@ -282,7 +286,7 @@
             ],
         )
         if suspects:
-            self._on_crash(upstream, suspects)
+            self._on_crash(upstream, suspects, now - broken_at)
 
     def _suspects(
         self, lost_calls: list[tuple[WatchedCall, float]], min_age_s: float
