Make small limits usable at once after the start of a large fleet

A call at a daemon that was connected to no lender was refused while the connection was being opened. And a limit of a few requests a second was split over 8 holders, whose shares start empty and each took seconds to refill to one token.

A call waits for a connection to a lender now, as long as for a loan. A small limit has 3 holders or one for each token in 0.25 s, and the holders have a fifth of the tolerated slack between them when they restart.

--- a/sassafraswood/coordination/quota_shares.py
+++ b/sassafraswood/coordination/quota_shares.py
@@ -21,10 +21,19 @@
 # With more holders the share of each could be less than one token.
 MAX_HOLDERS: Final = 16
 MIN_TOKENS_PER_HOLDER: Final = 2.0
+# A holder of a small limit gets a token in this time, so that a share that
+# starts empty is soon of use. Limits have MIN_HOLDERS all the same, since the
+# part of a holder that is lost is not spent.
+HOLDER_REFILL_S: Final = 0.25
+MIN_HOLDERS: Final = 3
 # Fractions of the tolerated excess that are added to the limits. The rest
 # covers calls that reach their upstream later than calls admitted after them.
 SLACK_FRACTION: Final = 0.6
 TOLERANCE_FRACTION: Final = 0.8
+# Fraction of the tolerated excess that the holders of a limit have together
+# when all of them restart. Without it, their shares start empty, since the
+# former processes may have spent them.
+RESTART_SLACK_FRACTION: Final = 0.2
 # Borrowed tokens expire after this time.
 LOAN_LIFETIME_S: Final = 0.5
 # A borrower asks for its expected demand over this time.
@@ -90,12 +99,15 @@
         self._random = random
         self._daemon_id = daemon_id
         self._extra_tokens = 0.0
+        self._restart_tokens = 0.0
         self._limit_factor = 1.0
         self._workspaces: dict[ids.Workspace, traffic.WorkspaceRules] = {}
         self._members: list[ids.DaemonId] = []
         self._holders: dict[ids.Workspace, list[ids.DaemonId]] = {}
         self._shares: dict[ids.Workspace, _Share] = {}
         self._spends_from = float('inf')
+        # Whether the shares of the limits known next get restart tokens.
+        self._has_restarted = False
         self.set_tolerated_excess(slack=slack, tolerance=tolerance)
 
     def set_tolerated_excess(self, *, slack: float, tolerance: float) -> None:
@@ -106,6 +118,7 @@
             tolerance: Fraction of rate and burst.
         """
         self._extra_tokens = SLACK_FRACTION * slack
+        self._restart_tokens = RESTART_SLACK_FRACTION * slack
         self._limit_factor = 1.0 + TOLERANCE_FRACTION * tolerance
         self._recalculate_shares()
 
@@ -119,18 +132,27 @@
             if rules.is_limited
         }
         self._recalculate_shares()
+        self._add_restart_tokens()
 
     def set_members(self, members: Iterable[ids.DaemonId]) -> None:
         """Set all daemons that may hold a share."""
         self._members = sorted(members)
         self._recalculate_shares()
 
-    def set_spending_start(self, at: float) -> None:
-        """Set the monotonic time from which this daemon may spend its share.
+    def set_spending_start(
+        self, at: float, *, has_restarted: bool = False
+    ) -> None:
+        """Set the time from which this daemon may spend its share.
 
-        From that time on all peers know this daemon as a member.
+        Args:
+            at: Monotonic time in seconds; from then on all peers know this
+                daemon as a member.
+            has_restarted: Whether a former process of this daemon had the
+                same share.
         """
         self._spends_from = at
+        self._has_restarted = has_restarted
+        self._add_restart_tokens()
 
     def is_limited(self, workspace: ids.Workspace) -> bool:
         """Return whether the workspace has a limit."""
@@ -252,6 +274,20 @@
             self._set_share_size(name, share)
             share.tokens_left = min(share.tokens_left, share.capacity)
 
+    def _add_restart_tokens(self) -> None:
+        """Add the tokens after a restart, once the limits are known."""
+        if not self._has_restarted or not self._workspaces:
+            return
+        self._has_restarted = False
+        for name in self._workspaces:
+            share = self._shares[name]
+            if share.capacity > 0.0:
+                share.tokens_left = min(
+                    share.capacity,
+                    share.tokens_left
+                    + self._restart_tokens / len(self._holders[name]),
+                )
+
     def _choose_holders(
         self, rules: traffic.WorkspaceRules
     ) -> list[ids.DaemonId]:
@@ -260,6 +296,7 @@
             MAX_HOLDERS,
             len(self._members),
             max(1, int(tokens / MIN_TOKENS_PER_HOLDER)),
+            max(MIN_HOLDERS, int(rules.rate_per_s * HOLDER_REFILL_S)),
         )
         if count == len(self._members):
             return self._members
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -483,7 +483,10 @@
         spend_from = self._clock.monotonic()
         if not was_member and not self.settings.is_first_start:
             spend_from += MAX_MEMBERS_AGE_S
-        self._shares.set_spending_start(spend_from)
+        self._shares.set_spending_start(
+            spend_from,
+            has_restarted=was_member and not self.settings.is_first_start,
+        )
 
     def _on_update(self) -> None:
         self._peers.announce()
--- a/sassafraswood/sidecar/quota_wait.py
+++ b/sassafraswood/sidecar/quota_wait.py
@@ -241,10 +241,11 @@
         for daemon_id in lenders:
             if self._peers.send(daemon_id, message):
                 return
+        if not lenders:
+            self._end_round(workspace, queue)
         for daemon_id in lenders[:MAX_NEW_LENDERS]:
-            # The connection serves later calls.
+            # The next tick asks a lender that is connected by then.
             self._peers.connect(daemon_id)
-        self._end_round(workspace, queue)
 
     def _end_round(self, workspace: ids.Workspace, queue: _Queue) -> None:
         refill_per_s = self._refill_per_s(workspace)
