Probe a failing store with one topic, and only where peers cannot help

Member records may be 10 s old, in place of 5 s, before a daemon stops to spend its shares: that halves the polls, and limits no longer end the service before the age of the keys does when the store is down. A new member waits as long before it spends.

Both new tests fail before the change.

--- a/sassafraswood/sidecar/member_follower.py
+++ b/sassafraswood/sidecar/member_follower.py
@@ -33,6 +33,7 @@
         own: fleet.Member,
         knowledge: store_knowledge.StoreKnowledge,
         max_age_s: float,
+        leader: store_reader.StoreReader | None = None,
         on_members: Callable[[list[fleet.Member]], None],
         on_registered: Callable[[bool], None],
         on_update: Callable[[], None],
@@ -44,12 +45,13 @@
             own: This daemon's record.
             knowledge: Keeps the end offset and age of the member records.
             max_age_s: Maximum age of the records, in seconds.
+            leader: Reader that probes the store while it fails.
             on_members: Called with all members after a change.
             on_registered: Called once this daemon is a member, with whether
                 it was one before it started.
             on_update: Called after new records, to announce them to peers.
         """
-        super().__init__('members', context, max_age_s)
+        super().__init__('members', context, max_age_s, leader)
         self._own_member = own
         self._knowledge = knowledge
         self._on_members = on_members
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -76,8 +76,9 @@
 RELOADABLE_SETTINGS: Final = ('bounds', 'report_interval_s')
 # Age of the member records above which a daemon spends no share of a limit,
 # and the time that a new member waits before it spends. It is longer than the
-# records take with a slow store and two failing readers.
-MAX_MEMBERS_AGE_S: Final = 5.0
+# records take with a slow store and two failing readers, and longer than keys
+# are accepted without the store, so that limits do not end the service first.
+MAX_MEMBERS_AGE_S: Final = 10.0
 
 
 class Daemon:
@@ -225,6 +226,7 @@
             own=own_member,
             knowledge=self._knowledge,
             max_age_s=MAX_MEMBERS_AGE_S,
+            leader=self._rules,
             on_members=self._on_members,
             on_registered=self._on_registered,
             on_update=self._on_update,
--- a/sassafraswood/sidecar/store_reader.py
+++ b/sassafraswood/sidecar/store_reader.py
@@ -66,7 +66,11 @@
     """
 
     def __init__(
-        self, name: str, context: ReaderContext, max_age_s: float
+        self,
+        name: str,
+        context: ReaderContext,
+        max_age_s: float,
+        leader: 'StoreReader | None' = None,
     ) -> None:
         """Initialize the reader.
 
@@ -74,7 +78,10 @@
             name: Name of the topic's content in log lines.
             context: Dependencies that all readers share.
             max_age_s: Maximum age of the knowledge, in seconds.
+            leader: Reader of another topic that probes the store while it
+                fails; None if this one probes it itself.
         """
+        self._leader = leader
         self._name = name
         self._clock = context.clock
         self._random = context.random
@@ -92,6 +99,11 @@
         since_response_s = self._clock.monotonic() - self._responded_at
         return since_response_s < self._wait_s + MAX_RESPONSE_DELAY_S
 
+    @property
+    def is_failing(self) -> bool:
+        """Return whether the last read of the store failed."""
+        return self._failure_count > 0
+
     def start(self) -> None:
         """Start the task that follows the topic."""
         self._task = asyncio.get_running_loop().create_task(
@@ -163,11 +175,13 @@
 
     def _next_wait_s(self) -> float | None:
         """Return the wait of the next read; None if no read is due."""
-        if self._must_read or self._failure_count:
-            # After a failure, a prompt response shows that the store is back.
+        if self._must_read:
             return 0.0
+        if self._leader is not None and self._leader.is_failing:
+            return None
         if self._duty.is_reader or self._needs_first_record:
-            return self._wait_s
+            # After a failure, a prompt response shows that the store is back.
+            return 0.0 if self._failure_count else self._wait_s
         return (
             0.0 if self._age_s > SELF_READ_FRACTION * self._max_age_s else None
         )
--- a/tests/sidecar/test_store_reader.py
+++ b/tests/sidecar/test_store_reader.py
@@ -20,7 +20,9 @@
 class Reader(store_reader.StoreReader):
     """Reader with given results, cancelled after the last one."""
 
-    def __init__(self, tmp_path, results, *, is_reader: bool = True) -> None:
+    def __init__(
+        self, tmp_path, results, *, is_reader: bool = True, leader=None
+    ) -> None:
         """Set the results of the reads, in order."""
         self.waits = []
         self.age_s = 0.0
@@ -36,6 +38,7 @@
                 log=json_log.JsonLog('d0', self.log_file.fileno()),
             ),
             max_age_s=2.0,
+            leader=leader,
         )
 
     @property
@@ -98,3 +101,30 @@
     assert reader._next_wait_s() is None
     reader.age_s = 1.5
     assert reader._next_wait_s() == 0.0
+
+
+# Pattern: the store turns many machines away while it serves the readers.
+def test_other_daemons_do_not_probe_a_store_that_turned_them_away(
+    tmp_path,
+) -> None:
+    """Peers pass on what they need; each call to the store has a price."""
+    lost = exceptions.LogUnavailableError('status 503')
+    reader = Reader(tmp_path, [lost, None], is_reader=False)
+    reader.age_s = 1.5
+    reader._note_failure(lost)
+    assert reader._next_wait_s() == 0.0
+    reader.age_s = 0.5
+    assert reader._next_wait_s() is None
+
+
+# Pattern: the store is down for seconds.
+def test_one_topic_probes_a_failing_store(tmp_path) -> None:
+    """The other one is read again once the store has responded."""
+    lost = exceptions.LogUnavailableError('status 503')
+    leader = Reader(tmp_path, [])
+    reader = Reader(tmp_path, [], leader=leader)
+    leader._note_failure(lost)
+    assert leader._next_wait_s() == 0.0
+    assert reader._next_wait_s() is None
+    leader._note_success()
+    assert reader._next_wait_s() == 1.0
