Reserve the ports of test processes until they listen

Tests failed once in a while with 'Address already in use', or with a daemon that never reached its store: the ports were bound, released and given to a process that started later, and an outgoing connection or another run of the tests took one meanwhile. lab.ports gives ports below the range of outgoing connections now and keeps each from other reservations by a UDP socket. A fleet of the laboratory waits as long as its argument says.

--- a/lab/check_build.py
+++ b/lab/check_build.py
@@ -13,6 +13,7 @@
 import zmq
 
 from lab import fleet
+from lab import ports as ports_module
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _BUILT_FILE = _ROOT / 'dist' / 'sassafraswood'
@@ -94,7 +95,7 @@
     directory: pathlib.Path, environment: dict[str, str], example: pathlib.Path
 ) -> None:
     """Start a daemon without a log, read its status, and stop it."""
-    ports = fleet.find_free_ports(4)
+    ports = ports_module.reserve_ports(4)
     caller, local, peer, log = (f'127.0.0.1:{port}' for port in ports)
     settings = json.loads(example.read_text()) | {
         'caller_listen': caller,
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -20,6 +20,7 @@
 import anyio.from_thread
 import zmq
 
+from lab import ports as ports_module
 from lab import relay
 
 OPERATOR_TOKEN = 'operator-token-of-the-laboratory'
@@ -92,17 +93,6 @@
     upstream_process: subprocess.Popen | None = None
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that are free at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    for bound_socket in sockets:
-        bound_socket.bind(('127.0.0.1', 0))
-    ports = [bound_socket.getsockname()[1] for bound_socket in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
-    return ports
-
-
 def request_json(
     method: str,
     url: str,
@@ -169,7 +159,7 @@
             'SASSAFRASWOOD_CURVE_SECRET_KEY': secret.decode(),
         }
         self._log_process: subprocess.Popen | None = None
-        ports = find_free_ports(1 + 6 * len(specs))
+        ports = ports_module.reserve_ports(1 + 6 * len(specs))
         self.log_address = f'127.0.0.1:{ports.pop()}'
         self.daemons: dict[str, RunningDaemon] = {}
         self._log_relays: dict[str, relay.Relay] = {}
@@ -456,7 +446,7 @@
 
     def _wait_until_listening(self, address: str) -> None:
         host, port = address.rsplit(':', 1)
-        deadline = time.monotonic() + START_TIMEOUT_S
+        deadline = time.monotonic() + self._start_timeout_s
         while True:
             try:
                 socket.create_connection((host, int(port)), 0.5).close()
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -6,7 +6,6 @@
 import dataclasses
 import json
 import re
-import socket
 import time
 
 import httpcore
@@ -14,6 +13,7 @@
 
 from lab import platform_store
 from lab import platform_upstream
+from lab import ports as ports_module
 from sassafraswood.platform import settings
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import process
@@ -53,15 +53,6 @@
 }
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
-        return [item.getsockname()[1] for item in sockets]
-
-
 class Fleet:
     """Two services with one upstream and one daemon each."""
 
@@ -77,7 +68,7 @@
         store_address = await self.store.async_start()
         self.publish(RULES)
         for service in ('status', 'billing'):
-            ports = find_free_ports(5)
+            ports = ports_module.reserve_ports(5)
             upstream = platform_upstream.PlatformUpstream(
                 f'i-{service}', service
             )
--- a/tests/transport/test_peer_mesh.py
+++ b/tests/transport/test_peer_mesh.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import socket as socket_module
 
 import anyio
 import pytest
 import zmq
 import zmq.utils.monitor
 
+from lab import ports
 from sassafraswood import clock as clock_module
 from sassafraswood import const
 from sassafraswood import exceptions
@@ -46,8 +46,8 @@
 
 def find_free_address() -> str:
     """Return a loopback address on which nothing listens."""
-    with socket_module.create_server(('127.0.0.1', 0)) as listener:
-        return f'127.0.0.1:{listener.getsockname()[1]}'
+    (port,) = ports.reserve_ports(1)
+    return f'{ports.HOST}:{port}'
 
 
 def make_run_call(remaining_s: float = 5.0) -> messages.RunCall:
