Take only clear refusals of the store as proof that nothing was appended

The client of the store took each status but 200 and 410 as 'nothing appended', also the 500 or 504 of something on the way. Only the statuses by which the store says so count now; others leave the outcome open. Callers of an append send it again in both cases, and a keyed record may be written twice.

--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -19,6 +19,11 @@
 # slow store takes about 0.3 s to respond.
 CALL_TIMEOUT_S: Final = 1.0
 MAX_READ_KB: Final = 4096
+# Statuses that say that a call had no effect; any other failure, such as that
+# of a gateway, says nothing of an append.
+_NOTHING_DONE_STATUSES: Final = frozenset(
+    {400, 403, 404, 409, 412, 429, 503, 507}
+)
 _LENGTH: Final = struct.Struct('>I')
 _RANGE: Final = struct.Struct('>QQ')
 
@@ -202,9 +207,10 @@
     if response.status == 410:
         first = wire_json.decode(_first_decoder, response.body).first
         raise exceptions.LogRetentionError(first)
-    raise exceptions.LogUnavailableError(
-        f'store responded with status {response.status}'
-    )
+    message = f'store responded with status {response.status}'
+    if response.status in _NOTHING_DONE_STATUSES:
+        raise exceptions.LogUnavailableError(message)
+    raise exceptions.LogOutcomeUnknownError(message)
 
 
 def _parse_page(body: bytes, start: int) -> Page:
