Log what a refusal by a rate limit was based on

The line of a 429 held no limit, share, loan or age, so an operator could not tell a true refusal from a wrong one.

--- a/sassafraswood/coordination/quota_shares.py
+++ b/sassafraswood/coordination/quota_shares.py
@@ -223,6 +223,26 @@
         share.borrowed += tokens
         share.borrowed_until = now + LOAN_LIFETIME_S
 
+    def describe(self, workspace: ids.Workspace) -> dict[str, float]:
+        """Return the limit and the state of the own share, for log lines."""
+        rules = self._workspaces.get(workspace)
+        if rules is None:
+            return {}
+        now = self._clock.monotonic()
+        share = self._get_share(workspace, now)
+        share.refill(now)
+        return {
+            'limit_per_s': rules.rate_per_s,
+            'burst': rules.burst,
+            'holders': len(self._holders.get(workspace, [])),
+            'share_per_s': round(share.rate_per_s, 3),
+            'share_tokens': round(share.tokens_left, 2),
+            'borrowed_tokens': round(
+                share.borrowed if now < share.borrowed_until else 0.0, 2
+            ),
+            'demand_per_s': round(share.demand_per_s, 2),
+        }
+
     def lenders(self, workspace: ids.Workspace) -> list[ids.DaemonId]:
         """Return the other holders of the limit in random order."""
         holders = [
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -340,7 +340,13 @@
     def _refuse_rate_exceeded(self, call: caller_call.CallerCall) -> None:
         if id(call) not in self._active:
             return
-        self._refuse(call, 429, enums.RefusalReason.RATE_EXCEEDED.value)
+        self._refuse(
+            call,
+            429,
+            enums.RefusalReason.RATE_EXCEEDED.value,
+            waited_s=round(self._clock.monotonic() - call.started_at, 3),
+            **self._quota_waits.describe(call.workspace),
+        )
 
     def _refuse_unavailable(self, call: caller_call.CallerCall) -> None:
         self._refuse(call, 503, enums.RefusalReason.NO_UPSTREAM.value)
@@ -601,7 +607,7 @@
         status: int,
         reason: str,
         retry_after_s: float | None = None,
-        **inputs: str,
+        **inputs: str | float,
     ) -> None:
         """Respond that the request has not run.
 
--- a/sassafraswood/sidecar/quota_wait.py
+++ b/sassafraswood/sidecar/quota_wait.py
@@ -165,6 +165,22 @@
             call.has_token = False
             self._shares.give_back(call.workspace)
 
+    def describe(self, workspace: ids.Workspace) -> dict[str, float]:
+        """Return why a call of a workspace gets no token, for log lines.
+
+        The loans without tokens are those since a lender had some, or since
+        the last pause.
+        """
+        queue = self._queues[workspace]
+        now = self._clock.monotonic()
+        return self._shares.describe(workspace) | {
+            'empty_loans': queue.empty_loan_count,
+            'empty_rounds': queue.empty_round_count,
+            'asked_s_ago': round(now - queue.asked_at, 3),
+            'calls_waiting': len(queue.waiting),
+            'members_age_s': round(min(self._knowledge.members_age_s, 1e9), 3),
+        }
+
     def handle_loan(self, loan: frames.LendTokens) -> None:
         """Add the tokens of a lender and give them to waiting calls."""
         workspace = ids.Workspace(loan.workspace)
--- a/tests/sidecar/test_quota_wait.py
+++ b/tests/sidecar/test_quota_wait.py
@@ -210,3 +210,19 @@
     fixture.waits.release(call)
     assert fixture.shares.retry_take('blue')
     assert not fixture.shares.retry_take('blue')
+
+
+# Guards against refusals whose log line does not tell right from wrong ones.
+def test_refusal_is_described_by_limit_share_loans_and_ages() -> None:
+    """An operator sees whether the limit or missing knowledge decided."""
+    fixture = Fixture()
+    fixture.knowledge.note_members(1, fixture.clock.monotonic())
+    fixture.clock.advance(0.5)
+    fixture.waits.acquire(FakeCall())
+    fixture.lend(0.0)
+    description = fixture.waits.describe('blue')
+    assert description['limit_per_s'] == 1.0
+    assert description['holders'] == quota_shares.MIN_HOLDERS
+    assert description['share_per_s'] == 0.0
+    assert description['empty_loans'] == 1
+    assert description['members_age_s'] == 0.5
