Let a call leave a full upstream for one that may have a free slot

On sites with 5 to 11 slots a target, calls waited and were refused 503 at one upstream while another one of the service was idle: a caller knows the load only from replies to its own calls, and at 60 callers for 5 slots that is old.

A daemon whose upstream is full refuses a call at once if its sender knows another daemon with a free slot; the sender asks at most two more, and the last one queues the call. The refusal is made before anything is sent to the upstream.

The new tests of gate and caller cover the pattern without a network.

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -276,6 +276,27 @@
             return chosen
         return self._draw_weighted(usable, comparison)
 
+    def has_spare(
+        self,
+        candidates: Iterable[Candidate],
+        tried: Sequence[ids.DaemonId],
+    ) -> bool:
+        """Return whether an untried daemon may have a free slot.
+
+        Args:
+            candidates: The daemons of the service.
+            tried: Daemons to leave out.
+        """
+        now = self._clock.monotonic()
+        return any(
+            candidate.is_reachable
+            and candidate.is_serving
+            and candidate.load < 1.0
+            and candidate.avoid_until <= now
+            and candidate.member.daemon_id not in tried
+            for candidate in candidates
+        )
+
     def _draw_weighted(
         self, candidates: list[Candidate], comparison: '_Comparison'
     ) -> Candidate:
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -52,6 +52,8 @@
         is_inner: Whether an upstream made the call while running another.
         attempt_id: Identifies this attempt of the call.
         target_s: Latency target; a later response has less value.
+        may_redirect: Whether the call is refused in place of waiting, since
+            another upstream may have a free slot.
         start: Called when the call is to be sent to the upstream.
         refuse: Called with the reason when the call is refused.
         state: State of the call in the gate.
@@ -71,6 +73,7 @@
         now: float,
         start: Callable[[], None],
         refuse: Callable[[enums.RefusalReason], None],
+        may_redirect: bool = False,
     ) -> None:
         """Create a waiting call.
 
@@ -85,6 +88,7 @@
             now: Monotonic time of submission.
             start: Callback that sends the call to the upstream.
             refuse: Callback that refuses the call.
+            may_redirect: Whether to refuse the call if it would wait.
         """
         super().__init__(
             workspace=workspace,
@@ -99,6 +103,7 @@
         self.is_inner = is_inner
         self.attempt_id = attempt_id
         self.target_s = target_s
+        self.may_redirect = may_redirect
         self.start = start
         self.refuse = refuse
         self.state = CallState.WAITING
@@ -229,6 +234,9 @@
             if self._in_flight < self._capacity:
                 self._start(call)
                 return
+            if call.may_redirect:
+                self._refuse(call, enums.RefusalReason.UPSTREAM_FULL)
+                return
             self._select_inner_queue(call).append(call)
             self._waiting_count += 1
             return
@@ -240,6 +248,9 @@
         ):
             self._start(call)
             return
+        if call.may_redirect:
+            self._refuse(call, enums.RefusalReason.UPSTREAM_FULL)
+            return
         displaced = route.queue.push(call)
         self._waiting_count += 1
         if displaced is not None:
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -47,6 +47,8 @@
         urgency: From 0 to 1; calls with the lowest urgency are shed first.
         is_inner: Whether an upstream made the call while running another.
         is_repeat: Whether another upstream may have run the call before.
+        may_redirect: Whether to refuse the call in place of queueing it,
+            because the sender knows another daemon that may have a free slot.
     """
 
     call_id: int
@@ -62,6 +64,7 @@
     is_idempotent: bool
     is_inner: bool
     is_repeat: bool = False
+    may_redirect: bool = False
 
 
 class Answer(Frame, tag=2):
--- a/sassafraswood/sidecar/caller_call.py
+++ b/sassafraswood/sidecar/caller_call.py
@@ -39,6 +39,7 @@
         attempt_count: Attempts that may have run.
         refusal_count: Attempts that were refused.
         upstream_refusal_count: Attempts that an upstream itself refused.
+        redirect_count: Attempts that found all slots of an upstream in use.
         tried_daemon_ids: Daemons to which the call was sent.
     """
 
@@ -54,6 +55,7 @@
         'is_inner',
         'latency_target_s',
         'parent_attempt_id',
+        'redirect_count',
         'refusal_count',
         'request',
         'route',
@@ -92,6 +94,7 @@
         self.sent_at = 0.0
         self.attempt_count = 0
         self.refusal_count = 0
+        self.redirect_count = 0
         self.upstream_refusal_count = 0
         self.tried_daemon_ids: list[ids.DaemonId] = []
 
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -32,6 +32,9 @@
 
 # A call is refused after this many refusals by daemons.
 MAX_REFUSALS: Final = 3
+# A call that finds all slots of an upstream in use goes to another one at most
+# this often; then it waits.
+MAX_REDIRECTS: Final = 2
 # A call is retried only if it has at least this fraction of its latency target
 # left; a later response would miss the target.
 MIN_RETRY_TIME_FRACTION: Final = 0.1
@@ -374,6 +377,9 @@
         assert self._peers is not None
         candidates = self._peers.candidates(call.service)
         candidate = self._choice.pick(candidates, call.tried_daemon_ids)
+        if candidate is None and call.redirect_count:
+            # The daemons with full upstreams are left.
+            candidate = self._choice.pick(candidates)
         if candidate is None:
             self._wait_for_daemon(call)
             return
@@ -389,6 +395,10 @@
         call.tried_daemon_ids.append(candidate.member.daemon_id)
         self._choice.note_start(candidate, call.call_id, call.route.name)
         run = self._build_run(call)
+        run.may_redirect = (
+            call.redirect_count < MAX_REDIRECTS
+            and self._choice.has_spare(candidates, call.tried_daemon_ids)
+        )
         call.cancel = None
         cancel = self._peers.start_call(
             candidate,
@@ -480,6 +490,9 @@
             self._note_depth(call, reply.depth, now)
             self._respond(call, reply, now)
         elif isinstance(reply, frames.Refused):
+            if reply.reason == enums.RefusalReason.UPSTREAM_FULL.value:
+                self._redirect(call)
+                return
             if call.counts_as_deep_load:
                 self._downstream_load.note(deep_load.REFUSED_CALL_LOAD, now)
             self._handle_refusal(call, candidate, reply)
@@ -506,6 +519,13 @@
             )
         call.request.reply(response.status, response.head, response.body)
 
+    def _redirect(self, call: caller_call.CallerCall) -> None:
+        """Send a call to another daemon, since an upstream is full."""
+        call.redirect_count += 1
+        call.attempt_count -= 1
+        self._metrics.count('redirected', call.service, 'upstream_full')
+        self._send(call)
+
     def _handle_refusal(
         self,
         call: caller_call.CallerCall,
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -207,6 +207,7 @@
             now=now,
             start=lambda: self._start(call),
             refuse=lambda reason: self._refuse(call, reason),
+            may_redirect=run.may_redirect,
         )
         call.run = run
         call.deliver = deliver
@@ -391,15 +392,9 @@
         *,
         has_reached_upstream: bool = False,
     ) -> None:
-        self._log.decision(
-            'upstream_refused',
-            attempt=call.run.attempt_id.decode('latin-1'),
-            route=call.run.route,
-            reason=reason.value,
-            waited_s=round(self._clock.monotonic() - call.queued_at, 4),
-            in_flight=self._gate.in_flight,
-            waiting=self._gate.waiting,
-        )
+        # A redirected call goes on; the daemon that sent it counts it.
+        if reason is not enums.RefusalReason.UPSTREAM_FULL:
+            self._log_refusal(call, reason)
         is_local = reason not in (
             enums.RefusalReason.OVERLOADED,
             enums.RefusalReason.DEADLINE_UNREACHABLE,
@@ -415,6 +410,19 @@
             )
         )
 
+    def _log_refusal(
+        self, call: UpstreamCall, reason: enums.RefusalReason
+    ) -> None:
+        self._log.decision(
+            'upstream_refused',
+            attempt=call.run.attempt_id.decode('latin-1'),
+            route=call.run.route,
+            reason=reason.value,
+            waited_s=round(self._clock.monotonic() - call.queued_at, 4),
+            in_flight=self._gate.in_flight,
+            waiting=self._gate.waiting,
+        )
+
     def _deliver_failure(self, call: UpstreamCall, reason: str) -> None:
         self._log.decision(
             'upstream_failed',
--- a/tests/coordination/test_upstream_gate.py
+++ b/tests/coordination/test_upstream_gate.py
@@ -166,3 +166,17 @@
         gate.gate.tick()
     gate.submit('more')
     assert 'more' not in gate.started
+
+
+# Pattern: a queue at one upstream while another one has free slots.
+def test_full_upstream_refuses_a_call_that_may_go_elsewhere() -> None:
+    """It would wait here; without another upstream it waits."""
+    gate = Gate()
+    gate.fill()
+    for is_inner in (True, False):
+        name = f'inner {is_inner}'
+        gate.submit(name, is_inner=is_inner, may_redirect=True)
+        assert gate.refused.pop(name) is enums.RefusalReason.UPSTREAM_FULL
+        gate.submit(f'stays {is_inner}', is_inner=is_inner)
+    assert gate.refused == {}
+    assert gate.gate.waiting == 2
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -443,3 +443,50 @@
     # The client may retry when the quarantine ends.
     assert b'Retry-After: 90.000' in head
     assert not fixture.send('pay').responses
+
+
+def full(run: frames.Run) -> frames.Refused:
+    """Return the refusal of a daemon whose upstream is full."""
+    return frames.Refused(
+        call_id=run.call_id,
+        reason='upstream_full',
+        is_local=True,
+        has_reached_upstream=False,
+        load=1.2,
+    )
+
+
+# Pattern: a queue at one upstream while another one has free slots.
+def test_call_leaves_a_full_upstream(tmp_path) -> None:
+    """It goes to the other daemon, which has to take it."""
+    case = Fixture(tmp_path)
+    connection = case.send('pay')
+    first, run, _ = case.peers.sent[0]
+    assert run.may_redirect
+    case.reply_to_call(0, full)
+    second, run, _ = case.peers.sent[1]
+    assert second is not first
+    assert not run.may_redirect and not run.is_repeat
+    case.reply_to_call(1, ok)
+    assert connection.responses[0][0] == 200
+
+
+def test_call_returns_if_the_other_daemon_is_lost(tmp_path) -> None:
+    """The full upstream is better than none."""
+    case = Fixture(tmp_path)
+    case.send('pay')
+    first, _, _ = case.peers.sent[0]
+    for candidate in case.peers.members:
+        candidate.is_reachable = candidate is first
+    case.reply_to_call(0, full)
+    again, run, _ = case.peers.sent[1]
+    assert again is first and not run.may_redirect
+
+
+def test_call_is_not_redirected_without_a_free_slot(tmp_path) -> None:
+    """Under overload, each call asks one daemon only."""
+    case = Fixture(tmp_path)
+    for candidate in case.peers.members:
+        candidate.record_reported_load(1.0)
+    case.send('pay')
+    assert not case.peers.sent[0][1].may_redirect
