Round the slots that are kept free, so that small upstreams lose none

One slot in twenty is kept free, since upstreams slow down when nearly full. It was rounded up: of 5 slots 4 were used, of 7 slots 6. It is rounded to the nearest now, which changes nothing at 17 or 20 slots.

--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -207,7 +207,7 @@
 
     def set_upstream(self, slots: int) -> None:
         """Set the slots of the upstream and start waiting calls."""
-        self._capacity = max(1, int(MAX_SLOT_FRACTION * slots))
+        self._capacity = max(1, round(MAX_SLOT_FRACTION * slots))
         self._is_serving = True
         for route in self._routes.values():
             route.limit.set_capacity(self._capacity)
--- a/tests/coordination/test_upstream_gate.py
+++ b/tests/coordination/test_upstream_gate.py
@@ -1,5 +1,7 @@
 """Tests of the admission of calls to an upstream."""
 
+import pytest
+
 from sassafraswood import clock
 from sassafraswood.coordination import call_tree
 from sassafraswood.coordination import deep_load
@@ -180,3 +182,10 @@
         gate.submit(f'stays {is_inner}', is_inner=is_inner)
     assert gate.refused == {}
     assert gate.gate.waiting == 2
+
+
+# Guards against a fifth of the capacity of a small upstream that is unused.
+@pytest.mark.parametrize(('slots', 'capacity'), [(5, 5), (7, 7), (20, 19)])
+def test_unused_slots_are_rounded(slots: int, capacity: int) -> None:
+    """One slot in twenty is kept free."""
+    assert Gate(slots=slots).gate.capacity == capacity
