Go on reading the store after an unexpected error

A fault while applying one record ended the task that follows its topic: the daemon lived on, but heard of no withdrawn key and no changed route any more. The error is logged with its traceback now and the topic read again. The new test fails before the change.

--- a/sassafraswood/sidecar/store_reader.py
+++ b/sassafraswood/sidecar/store_reader.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 import random as random_module
+import traceback
 from typing import Final
 
 from sassafraswood import clock as clock_module
@@ -169,6 +170,17 @@
                 self._note_failure(error)
                 await asyncio.sleep(self._backoff_s())
                 continue
+            except Exception:
+                # The task goes on, since without it this daemon would no
+                # longer learn of withdrawn keys and changed routes.
+                self._log.change(
+                    'read_failed',
+                    reading=self._name,
+                    error=traceback.format_exc(),
+                )
+                self._failure_count += 1
+                await asyncio.sleep(self._backoff_s())
+                continue
             self._note_success()
             if has_records:
                 await asyncio.sleep(BATCH_DELAY_S)
--- a/tests/sidecar/test_store_reader.py
+++ b/tests/sidecar/test_store_reader.py
@@ -128,3 +128,13 @@
     assert reader._next_wait_s() is None
     leader._note_success()
     assert reader._next_wait_s() == 1.0
+
+
+# Guards against a daemon that no longer follows the store after one record
+# that it fails to apply.
+def test_unexpected_error_does_not_end_the_reads(tmp_path) -> None:
+    """The error is logged and the topic is read again."""
+    reader = Reader(tmp_path, [ValueError('odd'), False, None])
+    assert follow(reader) == [1.0, 0.0, 1.0]
+    reader._log.flush()
+    assert b'read_failed' in (tmp_path / 'log').read_bytes()
