Do not send large bodies to several daemons

A call that leaves a full upstream takes its body along. With uploads that would load the links between daemons more than a short wait costs, so a call with a body above 16 KiB stays where it is sent first. The new test fails before.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -35,6 +35,9 @@
 # A call that finds all slots of an upstream in use goes to another one at most
 # this often; then it waits.
 MAX_REDIRECTS: Final = 2
+# A call with a larger body waits at once: sending the body again would load the
+# links between daemons.
+MAX_REDIRECTED_BODY_BYTES: Final = 16 * 1024
 # A call is retried only if it has at least this fraction of its latency target
 # left; a later response would miss the target.
 MIN_RETRY_TIME_FRACTION: Final = 0.1
@@ -397,6 +400,7 @@
         run = self._build_run(call)
         run.may_redirect = (
             call.redirect_count < MAX_REDIRECTS
+            and len(run.body) <= MAX_REDIRECTED_BODY_BYTES
             and self._choice.has_spare(candidates, call.tried_daemon_ids)
         )
         call.cancel = None
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -173,6 +173,7 @@
         name: str,
         key: bytes | None = b'k1',
         peer: str = '10.0.0.1',
+        body: bytes = b'',
     ) -> RecordingConnection:
         """Send a request and return its connection."""
         connection = RecordingConnection()
@@ -184,6 +185,7 @@
         request.deadline_ms = b'2000'
         request.attempt_id = b'abc'
         request.key = key
+        request.body = body
         request.received_at = self.clock.monotonic()
         self.caller.handle(request)
         return connection
@@ -490,3 +492,12 @@
         candidate.record_reported_load(1.0)
     case.send('pay')
     assert not case.peers.sent[0][1].may_redirect
+
+
+def test_call_with_a_large_body_is_not_redirected(tmp_path) -> None:
+    """An upload is sent to one daemon only."""
+    case = Fixture(tmp_path)
+    body = bytes(caller_side.MAX_REDIRECTED_BODY_BYTES)
+    for size_change, may_redirect in ((b'', True), (b'x', False)):
+        case.send('pay', body=body + size_change)
+        assert case.peers.sent[-1][1].may_redirect is may_redirect
