--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -35,8 +35,8 @@
 # A call that finds all slots of an upstream in use goes to another one at most
 # this often; then it waits.
 MAX_REDIRECTS: Final = 2
-# A call with a larger body waits at once: sending the body again would load the
-# links between daemons.
+# A call with a larger body waits at once: sending the body again would load
+# the links between daemons.
 MAX_REDIRECTED_BODY_BYTES: Final = 16 * 1024
 # A call is retried only if it has at least this fraction of its latency target
 # left; a later response would miss the target.
