--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -494,7 +494,10 @@
             self._note_depth(call, reply.depth, now)
             self._respond(call, reply, now)
         elif isinstance(reply, frames.Refused):
-            if reply.reason == enums.RefusalReason.UPSTREAM_FULL.value:
+            if (
+                reply.reason == enums.RefusalReason.UPSTREAM_FULL.value
+                and call.redirect_count < MAX_REDIRECTS
+            ):
                 self._redirect(call)
                 return
             if call.counts_as_deep_load:
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -501,3 +501,16 @@
     for size_change, may_redirect in ((b'', True), (b'x', False)):
         case.send('pay', body=body + size_change)
         assert case.peers.sent[-1][1].may_redirect is may_redirect
+
+
+# Guards against a call that is passed on without end by a faulty daemon.
+def test_redirects_of_a_call_are_bounded(tmp_path) -> None:
+    """Each daemon refuses it as full, also when it may not."""
+    case = Fixture(tmp_path)
+    connection = case.send('pay')
+    index = 0
+    while not connection.responses:
+        case.reply_to_call(index, full)
+        index += 1
+        assert index <= caller_side.MAX_REDIRECTS + caller_side.MAX_REFUSALS
+    assert connection.responses[0][0] == 503
