Use lossy upstreams again while all others are saturated

An avoided daemon is considered again, by the weights for errors, slowness and load, once all others have 3.5 times the load of their capacity. The new test fails before the change.

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -54,6 +54,9 @@
 # sequence doubles it up to the maximum.
 INITIAL_AVOID_S: Final = 0.25
 MAX_AVOID_S: Final = 4.0
+# Avoided daemons are considered again while all others have at least this
+# load: some failures cost less than a queue that fails the call trees above.
+MAX_TRUSTED_LOAD: Final = 3.5
 
 
 class Candidate:
@@ -262,7 +265,8 @@
         if not usable:
             return None
         trusted = [item for item in usable if item.avoid_until <= now]
-        usable = trusted or usable
+        if any(item.load < MAX_TRUSTED_LOAD for item in trusted):
+            usable = trusted
         if len(usable) == 1:
             return usable[0]
         comparison = _Comparison(usable, now)
--- a/tests/coordination/test_upstream_choice.py
+++ b/tests/coordination/test_upstream_choice.py
@@ -197,3 +197,19 @@
     assert measure_fractions(choice, [local, remote])['near'] == 1.0
     local.record_reported_health(1.0, 0.5)
     assert measure_fractions(choice, [local, remote])['near'] < 0.2
+
+
+# Pattern: upstreams that lose some answers, beside too few that lose none.
+def test_lossy_daemons_are_used_while_all_others_are_saturated() -> None:
+    """A queue of several times the capacity fails more calls than they do."""
+    manual_clock = clock.ManualClock()
+    choice = make_choice(manual_clock)
+    lossy = make_candidate('lossy', load=0.2)
+    for _ in range(3):
+        lossy.note_response(1.0, manual_clock.monotonic())
+    lossy.note_failure(manual_clock.monotonic())
+    full = make_candidate('full', load=4.0)
+    fractions = measure_fractions(choice, [lossy, full])
+    assert fractions['lossy'] >= 0.5
+    full.load = 3.0
+    assert measure_fractions(choice, [lossy, full])['lossy'] == 0.0
