Let all daemons of a small fleet hold a share of a limit

All daemons hold a share again if the fleet has at most 16 and each gets a token in 2 s. Large fleets keep few holders. The new test fails before the change (216 admitted of 252).

--- a/sassafraswood/coordination/quota_shares.py
+++ b/sassafraswood/coordination/quota_shares.py
@@ -26,6 +26,9 @@
 # part of a holder that is lost is not spent.
 HOLDER_REFILL_S: Final = 0.25
 MIN_HOLDERS: Final = 3
+# In a small fleet all daemons hold a share if each gets a token in this time:
+# then a workspace beyond its limit spends all of it without loans.
+ALL_HOLDERS_REFILL_S: Final = 2.0
 # Fractions of the tolerated excess that are added to the limits. The rest
 # covers calls that reach their upstream later than calls admitted after them.
 SLACK_FRACTION: Final = 0.6
@@ -312,12 +315,20 @@
         self, rules: traffic.WorkspaceRules
     ) -> list[ids.DaemonId]:
         tokens = self._limit_factor * rules.burst + self._extra_tokens
+        member_count = len(self._members)
         count = min(
             MAX_HOLDERS,
-            len(self._members),
+            member_count,
             max(1, int(tokens / MIN_TOKENS_PER_HOLDER)),
-            max(MIN_HOLDERS, int(rules.rate_per_s * HOLDER_REFILL_S)),
         )
+        if (
+            member_count > MAX_HOLDERS
+            or rules.rate_per_s * ALL_HOLDERS_REFILL_S < member_count
+        ):
+            count = min(
+                count,
+                max(MIN_HOLDERS, int(rules.rate_per_s * HOLDER_REFILL_S)),
+            )
         if count == len(self._members):
             return self._members
         return sorted(
--- a/tests/coordination/test_quota_shares.py
+++ b/tests/coordination/test_quota_shares.py
@@ -265,3 +265,18 @@
             if fleet.request(name):
                 admitted.append(fleet.clock.monotonic())
     assert largest_window(admitted) <= fleet.allowed
+
+
+# Pattern: a workspace of a small fleet sends several times its limit.
+def test_small_fleet_spends_its_limit_without_loans() -> None:
+    """Each daemon holds a share, and its callers use it up."""
+    fleet = Fleet(13, rate=12.0, burst=12.0)
+    fleet.clock.advance(20.0)
+    admitted = 0
+    for _ in range(72):
+        # Each daemon gets 3.6 calls a second.
+        fleet.clock.advance(20.0 / 72)
+        for name in fleet.names:
+            admitted += fleet.daemons[name].take(WORKSPACE)
+    # The rate for 20 s, and the burst.
+    assert admitted >= 0.95 * 12.0 * 21.0
