--- a/review/common.py
+++ b/review/common.py
@@ -128,6 +128,7 @@
         self._running = 0
         self._sequence = 0
         self._born = time.time_ns() // 1_000_000
+        self.is_leaving = False
         self.address = ('', 0)
         self._server: asyncio.Server | None = None
 
@@ -139,15 +140,16 @@
         )
 
     async def async_report(self, control: tuple[str, int], zone: str) -> None:
-        """Send heartbeats to the daemon of the machine, for ever."""
-        while True:
+        """Send heartbeats to the daemon of the machine until it leaves."""
+        while not self.is_leaving:
             with contextlib.suppress(OSError, TimeoutError, EOFError):
-                await self._async_beat(control, zone)
+                await self.async_send_beat(control, self.build_beat(zone))
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def _async_beat(self, control: tuple[str, int], zone: str) -> None:
+    def build_beat(self, zone: str) -> bytes:
+        """Return the body of the next heartbeat."""
         self._sequence += 1
-        body = json.dumps(
+        return json.dumps(
             {
                 'service': self.service,
                 'address': f'{self.address[0]}:{self.address[1]}',
@@ -160,18 +162,35 @@
                 'born': self._born,
             }
         ).encode()
+
+    async def async_send_beat(
+        self, control: tuple[str, int], body: bytes
+    ) -> int:
+        """Send a heartbeat; return the status of the response."""
+        return await self._async_call(control, 'heartbeat', body)
+
+    async def async_deregister(self, control: tuple[str, int]) -> int:
+        """Say that it leaves; return the status of the response."""
+        self.is_leaving = True
+        body = json.dumps({'born': self._born}).encode()
+        return await self._async_call(control, 'deregister', body)
+
+    async def _async_call(
+        self, control: tuple[str, int], call: str, body: bytes
+    ) -> int:
         async with asyncio.timeout(1.0):
             reader, writer = await asyncio.open_connection(*control)
             try:
                 writer.write(
-                    f'POST /rpc?call=instances.heartbeat&of={self.instance_id}'
+                    f'POST /rpc?call=instances.{call}&of={self.instance_id}'
                     f' HTTP/1.1\r\nHost: {control[0]}:{control[1]}\r\n'
                     'Content-Type: application/json\r\n'
                     f'Content-Length: {len(body)}\r\n\r\n'.encode() + body
                 )
-                await async_read_head(reader)
+                first, _ = await async_read_head(reader)
             finally:
                 writer.close()
+        return int(first.split(' ')[1])
 
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -196,7 +215,8 @@
 
     async def _async_answer(self, request: Request) -> bytes:
         if request.method == 'GET' and request.target == '/health':
-            return _message(200, f'X-Instance-Id: {self.instance_id}\r\n')
+            status = 503 if self.is_leaving else 200
+            return _message(status, f'X-Instance-Id: {self.instance_id}\r\n')
         expected = request.fields.get('x-expected-instance', self.instance_id)
         if expected != self.instance_id:
             return _message(421, f'X-Instance-Id: {self.instance_id}\r\n')
