--- a/review/common.py
+++ b/review/common.py
@@ -445,10 +445,11 @@
         await loop.sock_connect(
             connection, self._machine.address('outbound')
         )
-        # A small limit, so that the reader of the stream does not take more
-        # from the socket than the client reads.
+        # A small limit for slow clients, so that the stream does not take
+        # more from the socket than the client reads.
+        limit = 8 * 1024 if self._receive_buffer else 256 * 1024
         self._reader, self._writer = await asyncio.open_connection(
-            sock=connection, limit=8 * 1024
+            sock=connection, limit=limit
         )
 
     def close(self) -> None:
@@ -491,7 +492,7 @@
             left = int(fields.get('content-length', '0'))
             began_at = time.monotonic()
             while left:
-                part = await self._reader.read(min(left, 8 * 1024))
+                part = await self._reader.read(left)
                 if not part:
                     return Answer(status, fields, bytes(body), False)
                 body += part
