--- a/review/4/run.py
+++ b/review/4/run.py
@@ -3,7 +3,7 @@
 The upstream on machine b deregisters while the store refuses calls, and its
 daemon acknowledges that. The daemon is killed and starts again, the store
 returns, and a heartbeat that the upstream had sent before it left arrives
-late. The upstream serves on for some seconds, as upstreams do.
+late. The upstream serves on for some seconds, as upstreams do, and exits.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
 RESTART_S = 1.8
 STORE_BACK_S = 3.0
 BEAT_ARRIVES_S = 3.8
+EXIT_S = 8.2
 END_S = 9.0
 DRAIN_S = 2.0
 KEY = 'Authorization: Token k1\r\n'
@@ -32,7 +33,7 @@
 async def async_run(request: common.Request) -> tuple[int, bytes]:
     """Run a request."""
     del request
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(0.6)
     return 200, b'x' * 400
 
 
@@ -72,6 +73,7 @@
     # Machines are in touch this long after the last disruption.
     in_touch_at = begun_at + STORE_BACK_S + common.STABLE_WINDOW_S
     late: list[str] = []
+    lost: list[str] = []
 
     async def async_until(at_s: float) -> None:
         await asyncio.sleep(begun_at + at_s - time.monotonic())
@@ -103,6 +105,9 @@
         await async_until(BEAT_ARRIVES_S)
         status = await leaving.async_send_beat(control, beat)
         record.note('beat_arrived', at=leaving.instance_id, status=status)
+        await async_until(EXIT_S)
+        record.note('exits', at=leaving.instance_id)
+        leaving.crash()
 
     async def async_pay() -> None:
         client = common.Client(machine_a)
@@ -125,6 +130,8 @@
             and sent_at > acknowledged_at + DRAIN_S
         ):
             late.append(attempt)
+            if answer.status != 200:
+                lost.append(attempt)
 
     events = asyncio.create_task(async_events())
     payments = []
@@ -132,7 +139,11 @@
         payments.append(asyncio.create_task(async_pay()))
         await asyncio.sleep(0.05)
     await asyncio.gather(events, *payments)
-    record.note('summary', runs_at_leaving_upstream_too_late=len(late))
+    record.note(
+        'summary',
+        runs_at_leaving_upstream_too_late=len(late),
+        of_these_lost_by_its_exit=len(lost),
+    )
     return not late
 
 
--- a/review/common.py
+++ b/review/common.py
@@ -34,6 +34,9 @@
 GRACE_S = 6.0
 STABLE_WINDOW_S = 3.0
 START_TIMEOUT_S = 20.0
+# Window of a slow client, and the segment size of an Ethernet link.
+SLOW_WINDOW_BYTES = 8 * 1024
+SEGMENT_BYTES = 1460
 BOUNDS = (
     'seed-lag-s=3',
     'reuse-after-s=2',
@@ -131,6 +134,7 @@
         self.is_leaving = False
         self.address = ('', 0)
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def async_start(self, host: str, port: int) -> None:
         """Listen on an address."""
@@ -139,9 +143,27 @@
             self._async_serve, host, port, backlog=512
         )
 
+    def crash(self) -> None:
+        """End at once: reset all connections and refuse new ones."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def async_come_back(self, instance_id: str) -> None:
+        """Start again at the same address, as a new incarnation."""
+        self.instance_id = instance_id
+        self._sequence = 0
+        self._born = time.time_ns() // 1_000_000
+        await self.async_start(*self.address)
+
     async def async_report(self, control: tuple[str, int], zone: str) -> None:
         """Send heartbeats to the daemon of the machine until it leaves."""
         while not self.is_leaving:
+            if self._server is None:
+                await asyncio.sleep(0.1)
+                continue
             with contextlib.suppress(OSError, TimeoutError, EOFError):
                 await self.async_send_beat(control, self.build_beat(zone))
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
@@ -195,6 +217,7 @@
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 first, fields = await async_read_head(reader)
@@ -208,9 +231,10 @@
                 )
                 await writer.drain()
         except (EOFError, OSError):
-            # The daemon has closed the connection.
+            # The daemon has closed the connection, or the upstream crashed.
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _async_answer(self, request: Request) -> bytes:
@@ -413,17 +437,16 @@
 
     _ids = itertools.count(1)
 
-    def __init__(
-        self, machine: Machine, *, receive_buffer: int | None = None
-    ) -> None:
+    def __init__(self, machine: Machine, *, is_slow: bool = False) -> None:
         """Create a client without a connection.
 
         Args:
             machine: Machine on which the client is.
-            receive_buffer: Size of the socket's receive buffer in bytes.
+            is_slow: Whether it has a small window and the segments of an
+                ordinary network, so that few bytes are on their way to it.
         """
         self._machine = machine
-        self._receive_buffer = receive_buffer
+        self._is_slow = is_slow
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -436,9 +459,12 @@
         """Open the connection, from the address of the machine."""
         connection = socket.socket()
         connection.setblocking(False)
-        if self._receive_buffer is not None:
+        if self._is_slow:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_WINDOW_BYTES
+            )
             connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES
             )
         connection.bind((self._machine.host, 0))
         loop = asyncio.get_running_loop()
@@ -447,7 +473,7 @@
         )
         # A small limit for slow clients, so that the stream does not take
         # more from the socket than the client reads.
-        limit = 8 * 1024 if self._receive_buffer else 256 * 1024
+        limit = SLOW_WINDOW_BYTES if self._is_slow else 256 * 1024
         self._reader, self._writer = await asyncio.open_connection(
             sock=connection, limit=limit
         )
