--- a/review/common.py
+++ b/review/common.py
@@ -306,7 +306,6 @@
         zone: str,
         upstream: Upstream,
         store: tuple[str, int],
-        memory_mb: int = 300,
     ) -> None:
         """Reserve the ports of the machine."""
         self.name = name
@@ -317,7 +316,6 @@
         self._record = record
         self._folder = folder
         self._store = store
-        self._memory_mb = memory_mb
         self._is_first_start = True
         names = ('inbound', 'outbound', 'ready', 'control', 'app')
         self.ports = dict(zip(names, free_ports(host, 5), strict=True))
@@ -351,19 +349,6 @@
             self._record.note('signal', machine=self.name, name=number.name)
             self.process.send_signal(number)
 
-    def resident_mb(self) -> float:
-        """Return the resident memory of the daemon in MB."""
-        assert self.process is not None
-        try:
-            status = pathlib.Path(f'/proc/{self.process.pid}/status')
-            for line in status.read_text().splitlines():
-                if line.startswith('VmRSS:'):
-                    return int(line.split()[1]) / 1024
-        except OSError:
-            # The process has ended.
-            return 0.0
-        return 0.0
-
     def _settings(self) -> str:
         bounds = ','.join(f'"{bound}"' for bound in BOUNDS)
         return f"""
@@ -397,7 +382,7 @@
 [limits]
 cpu-share = 0.86
 cores = 2
-memory-mb = {self._memory_mb}
+memory-mb = 300
 max-fds = 4100
 link-mbps = 1000.0
 disk-mb = 0
