--- a/review/4/run.py
+++ b/review/4/run.py
@@ -113,6 +113,7 @@
         client = common.Client(machine_a)
         attempt = client.next_attempt_id()
         sent_at = time.monotonic()
+        record.note('sent', attempt=attempt)
         await client.async_send(
             attempt,
             method='POST',
