--- a/review/common.py
+++ b/review/common.py
@@ -118,7 +118,12 @@
     """A sound upstream: one request at a time on each kept connection."""
 
     def __init__(
-        self, record: Record, name: str, service: str, slots: int, on_run: OnRun
+        self,
+        record: Record,
+        name: str,
+        service: str,
+        slots: int,
+        on_run: OnRun,
     ) -> None:
         """Create the upstream without listening yet."""
         self.instance_id = f'i-{name}'
@@ -207,7 +212,8 @@
                     f'POST /rpc?call=instances.{call}&of={self.instance_id}'
                     f' HTTP/1.1\r\nHost: {control[0]}:{control[1]}\r\n'
                     'Content-Type: application/json\r\n'
-                    f'Content-Length: {len(body)}\r\n\r\n'.encode() + body
+                    f'Content-Length: {len(body)}\r\n\r\n'.encode()
+                    + body
                 )
                 first, _ = await async_read_head(reader)
             finally:
@@ -274,7 +280,8 @@
 def _message(status: int, fields: str, body: bytes = b'') -> bytes:
     return (
         f'HTTP/1.1 {status} Status\r\n{fields}'
-        f'Content-Length: {len(body)}\r\n\r\n'.encode() + body
+        f'Content-Length: {len(body)}\r\n\r\n'.encode()
+        + body
     )
 
 
@@ -453,9 +460,7 @@
             )
         connection.bind((self._machine.host, 0))
         loop = asyncio.get_running_loop()
-        await loop.sock_connect(
-            connection, self._machine.address('outbound')
-        )
+        await loop.sock_connect(connection, self._machine.address('outbound'))
         # A small limit for slow clients, so that the stream does not take
         # more from the socket than the client reads.
         limit = SLOW_WINDOW_BYTES if self._is_slow else 256 * 1024
@@ -488,7 +493,8 @@
             f'{method} {target} HTTP/1.1\r\nHost: shop.example\r\n'
             f'X-Attempt-Id: {attempt_id}\r\n'
             f'X-Deadline-Ms: {int(deadline_s * 1000)}\r\n'
-            f'{fields}{length}\r\n'.encode() + body
+            f'{fields}{length}\r\n'.encode()
+            + body
         )
 
     async def async_receive(
