Keep an acknowledged leave over a kill while the store is away

An upstream deregisters while the store refuses calls, its daemon acknowledges that, is killed and starts again. The store returns, one report from before the leave arrives late, and the upstream gets new requests until it exits; those that run then end with 502.

Cause: the acknowledgement does not wait for the store longer than 0.5 s, and from then on only the memory of the process holds the leave. The next process reads the records of the store, takes them for complete and trusts the first report. That the records are complete is what nobody keeps: the code at fault is the trust in record_leaves, not the bound of 0.5 s. An acknowledgement that waits for the store would help nobody, since the upstream exits all the same.

Change: the one who surely knows of the leave is the upstream. After a start that is not the first, a report makes no upstream ready before a health check has answered with its id; a leaving upstream fails it. The check that was made for the stored upstream serves for the reports too, and is repeated with each report until one succeeds, so a restart costs one check as before. Once an upstream was accepted, reports of processes that started earlier are ignored as always. A stored leave still binds, whatever a health check says.

Related paths: a planned stop ended before a leave was stored (the same loss with SIGTERM in place of SIGKILL); it now stays within its grace time. A report that is not accepted yet no longer replaces the stored upstream.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -116,14 +116,30 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    async def async_report(self, port: int, state: str = 'ready') -> int:
+    def restart_as(self, instance_id: str) -> None:
+        """Become the next process at the address, which is ready."""
+        self.instance_id = instance_id
+        self.is_leaving = False
+        self._sequence = 0
+        self._born_ms = max(self._born_ms + 1, time.time_ns() // 1_000_000)
+
+    async def async_report(
+        self, port: int, state: str = 'ready', *, is_delayed: bool = False
+    ) -> int:
         """Report to the daemon; return the status of its reply.
 
         The status is 0 if the daemon did not reply or is_dark is set.
+
+        Args:
+            port: Port of the daemon for reports.
+            state: State to report.
+            is_delayed: Whether the report was sent before the state of the
+                upstream changed.
         """
         if self.is_dark:
             return 0
-        self.is_leaving = state == 'draining'
+        if not is_delayed:
+            self.is_leaving = state == 'draining'
         self._sequence += 1
         body = (
             f'{{"service":"{self.service}","address":"{self.address}",'
--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -21,6 +21,10 @@
     has ended and whose address another process uses now. A restarted daemon
     does not know which upstreams have left until record_leaves is called.
     Until then, an upstream counts as ready only after a second report.
+
+    The former process of the daemon may have acknowledged a leave that it
+    could not store. Where a health check is needed, no report makes an
+    upstream ready before the upstream itself has said that it is.
     """
 
     def __init__(
@@ -31,6 +35,7 @@
         address: tuple[str, int],
         silence_s: float,
         are_leaves_known: bool,
+        needs_health_check: bool = False,
     ) -> None:
         """Create a registry without reports.
 
@@ -42,12 +47,15 @@
                 as crashed.
             are_leaves_known: Whether no upstream can have left before this
                 process started, so that no leaves need to be read.
+            needs_health_check: Whether the first upstream has to pass a health
+                check before it counts as ready.
         """
         self._clock = clock
         self._service = service
         self._address = address
         self.silence_s = silence_s
         self._are_leaves_known = are_leaves_known
+        self._needs_health_check = needs_health_check
         self._unconfirmed: fleet.UpstreamReport | None = None
         self._unconfirmed_at = 0.0
         self._report: fleet.UpstreamReport | None = None
@@ -61,6 +69,11 @@
         """Return the newest report of an upstream that has not left."""
         return self._report
 
+    @property
+    def unconfirmed_report(self) -> fleet.UpstreamReport | None:
+        """Return the newest report that awaits confirmation, if any."""
+        return self._unconfirmed
+
     @property
     def status(self) -> enums.UpstreamStatus:
         """Return the current status of the upstream."""
@@ -125,8 +138,23 @@
             or get_upstream_process(report) in self._left_upstreams
         ):
             return False
-        self._report = report
-        self._reported_at = self._clock.monotonic()
+        self._accept(report)
+        return True
+
+    def confirm(self, instance_id: str) -> bool:
+        """Accept the unconfirmed report of an upstream that is healthy.
+
+        Args:
+            instance_id: Identifier that the upstream gave in its response to a
+                health check.
+
+        Returns:
+            Whether there was a report of this upstream.
+        """
+        report = self._unconfirmed
+        if report is None or report.instance_id != instance_id:
+            return False
+        self._accept(report)
         return True
 
     def apply(self, report: fleet.UpstreamReport) -> bool:
@@ -137,10 +165,8 @@
             return False
         if not self._is_newer(report):
             return False
-        if not self._is_confirmed(report):
-            return True
-        self._report = report
-        self._reported_at = self._clock.monotonic()
+        if self._is_confirmed(report):
+            self._accept(report)
         return True
 
     def leave(
@@ -168,6 +194,11 @@
             and get_upstream_process(self._report) == leave
         ):
             self._report = None
+        if (
+            self._unconfirmed is not None
+            and get_upstream_process(self._unconfirmed) == leave
+        ):
+            self._unconfirmed = None
         return leave
 
     def note_crash(self) -> None:
@@ -183,6 +214,15 @@
             self._left_upstreams.add(get_upstream_process(self._report))
             self._report = None
 
+    def _accept(self, report: fleet.UpstreamReport) -> None:
+        """Make a report the current one."""
+        self._report = report
+        self._reported_at = self._clock.monotonic()
+        self._unconfirmed = None
+        if report.status is enums.UpstreamStatus.READY:
+            # Processes at the address that started earlier have ended.
+            self._needs_health_check = False
+
     def _add_start(
         self, leave: fleet.UpstreamProcess
     ) -> fleet.UpstreamProcess:
@@ -204,10 +244,13 @@
 
     def _is_confirmed(self, report: fleet.UpstreamReport) -> bool:
         """Return whether a report certainly shows the current state."""
-        if self._are_leaves_known:
-            return True
         if report.status is not enums.UpstreamStatus.READY:
             return True
+        if self._needs_health_check:
+            self._unconfirmed = report
+            return False
+        if self._are_leaves_known or self._is_current_process(report):
+            return True
         now = self._clock.monotonic()
         first = self._unconfirmed
         if (
@@ -220,6 +263,12 @@
             return False
         return now - self._unconfirmed_at >= MIN_CONFIRMATION_INTERVAL_S
 
+    def _is_current_process(self, report: fleet.UpstreamReport) -> bool:
+        """Return whether the current report is of the same process."""
+        return self._report is not None and get_upstream_process(
+            self._report
+        ) == get_upstream_process(report)
+
     def _is_newer(self, report: fleet.UpstreamReport) -> bool:
         current = self._report
         if current is None:
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -141,7 +141,8 @@
                 return fleet.UpstreamProcess(
                     instance_id=instance_id, born=report.born
                 )
-            self._upstream_log.record_present(report)
+            if self._registry.report is report:
+                self._upstream_log.record_present(report)
             return None
         self._log.decision(
             'report_ignored',
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -116,6 +116,7 @@
             address=settings.upstream_address,
             silence_s=SILENT_REPORT_INTERVALS * settings.report_interval_s,
             are_leaves_known=settings.is_first_start,
+            needs_health_check=not settings.is_first_start,
         )
         self._pool = exchange.ExchangePool(
             settings.upstream_address,
@@ -183,7 +184,7 @@
             names=names,
             registry=self._registry,
             log=self._log,
-            on_resumed=self._upstream.refresh,
+            on_ready=self._upstream.refresh,
         )
         self._upstream_log = upstream_log.UpstreamLog(
             daemon_id=settings.daemon_id,
@@ -253,7 +254,7 @@
                 self._registry,
                 self._upstream_log,
                 self._log,
-                self._upstream.refresh,
+                self._on_report,
             ),
             names,
         )
@@ -364,6 +365,7 @@
                 is_caller_drain_over
                 and not self._callers.active_count
                 and not self._upstream.running
+                and not self._upstream_log.has_unstored_leaves
             ):
                 break
             await asyncio.sleep(TICK_S)
@@ -460,6 +462,10 @@
         if service is not None:
             self._probe.set_health_path(service.health_path)
 
+    def _on_report(self) -> None:
+        self._upstream.refresh()
+        self._probe.check()
+
     def _on_upstream_known(
         self, upstream: fleet.StoredUpstream | None
     ) -> None:
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -30,9 +30,11 @@
     """Stores the state of upstreams for the next daemon process on this VM.
 
     A leave is stored before it is acknowledged, so that the next process
-    ignores reports that were sent before the leave and arrive late. The
-    present upstream is stored once, so that the next process need not wait for
-    its next report.
+    ignores reports that were sent before the leave and arrive late. While the
+    store is away, it is acknowledged without; then the next process is bound
+    by the health check of the upstream alone (upstream_probe). The present
+    upstream is stored once, so that the next process need not wait for its
+    next report.
     """
 
     def __init__(
@@ -77,6 +79,13 @@
         self._written_events: dict[fleet.UpstreamProcess, asyncio.Event] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def has_unstored_leaves(self) -> bool:
+        """Return whether a leave still has to be stored."""
+        return not all(
+            written.is_set() for written in self._written_events.values()
+        )
+
     def start(self, *, is_first_start: bool) -> None:
         """Start to load the records of former processes of this daemon.
 
--- a/sassafraswood/sidecar/upstream_probe.py
+++ b/sassafraswood/sidecar/upstream_probe.py
@@ -1,4 +1,4 @@
-"""Checks after a restart whether the former upstream still runs."""
+"""Checks after a restart which upstream runs and whether it is ready."""
 
 import asyncio
 from collections.abc import Callable
@@ -16,10 +16,14 @@
 
 
 class UpstreamProbe:
-    """Sends the upstream one health check and compares its instance id.
+    """Sends the upstream health checks and compares its instance id.
 
     A live upstream reports every second or two. Without the probe, a restarted
     daemon could not send calls to a ready upstream until its next report.
+
+    A report that arrives after the restart may have been sent before a leave
+    that the former process acknowledged but could not store. An upstream that
+    leaves fails its health check, so such a report has no effect.
     """
 
     def __init__(
@@ -30,7 +34,7 @@
         names: fields.FieldNames,
         registry: upstream_registry.UpstreamRegistry,
         log: json_log.JsonLog,
-        on_resumed: Callable[[], None],
+        on_ready: Callable[[], None],
     ) -> None:
         """Initialize the probe.
 
@@ -38,18 +42,19 @@
             pool: Connections to the upstream.
             host: Host header field of the health check.
             names: Names of header fields.
-            registry: Resumes the upstream if it is the same instance.
+            registry: State of the upstream by its reports.
             log: Log that events are written to.
-            on_resumed: Called after the registry has resumed the upstream.
+            on_ready: Called after a check has made the upstream ready.
         """
         self._pool = pool
         self._host = host.encode()
         self._names = names
         self._registry = registry
         self._log = log
-        self._on_resumed = on_resumed
+        self._on_ready = on_ready
         self._known_upstream: fleet.StoredUpstream | None = None
         self._health_path: str | None = None
+        # The check that waits for its response, and its timeout.
         self._exchange: exchange.Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -58,21 +63,28 @@
     ) -> None:
         """Set the upstream that the former process stored last, if any."""
         self._known_upstream = upstream
-        self._start_check()
+        self.check()
 
     def set_health_path(self, path: str | None) -> None:
         """Set the path of the health check from the traffic rules."""
         if path != self._health_path:
             self._health_path = path
-            self._start_check()
+            self.check()
 
-    def _start_check(self) -> None:
-        upstream = self._known_upstream
-        if upstream is None or self._health_path is None:
+    def check(self) -> None:
+        """Send a health check if the registry needs one.
+
+        It is called again with each report, so that a check that was lost or
+        rejected is repeated.
+        """
+        if self._health_path is None or self._exchange is not None:
             return
-        self._known_upstream = None
+        upstream = self._known_upstream
         if self._registry.report is not None:
+            upstream = None
+        if upstream is None and self._registry.unconfirmed_report is None:
             return
+        self._known_upstream = None
         payload = b'GET %b HTTP/1.1\r\nHost: %b\r\n\r\n' % (
             self._health_path.encode(),
             self._host,
@@ -87,11 +99,13 @@
     def _on_timeout(self) -> None:
         if self._exchange is not None:
             self._exchange.cancel()
+            self._exchange = None
         self._log.change('upstream_probe_unanswered', waited_s=TIMEOUT_S)
 
     def _on_outcome(
-        self, upstream: fleet.StoredUpstream, outcome: exchange.Outcome
+        self, stored: fleet.StoredUpstream | None, outcome: exchange.Outcome
     ) -> None:
+        self._exchange = None
         if self._timer is not None:
             self._timer.cancel()
         instance = b''
@@ -99,18 +113,25 @@
         if isinstance(outcome, exchange.Response):
             status = outcome.status
             instance = outcome.fields.get(self._names.instance_id, b'')
-        is_same = instance == upstream.instance_id.encode()
+        instance_id = instance.decode('latin-1')
+        is_healthy = status == _STATUS_OK
+        reported = self._registry.unconfirmed_report
+        is_confirmed = is_healthy and self._registry.confirm(instance_id)
         is_resumed = (
-            is_same
-            and status == _STATUS_OK
-            and self._registry.resume(upstream)
+            is_healthy
+            and not is_confirmed
+            and stored is not None
+            and stored.instance_id == instance_id
+            and self._registry.resume(stored)
         )
         self._log.change(
             'upstream_probed',
-            instance=instance.decode('latin-1'),
-            expected=upstream.instance_id,
+            instance=instance_id,
+            stored='' if stored is None else stored.instance_id,
+            reported='' if reported is None else reported.instance_id,
             status=status,
+            confirmed=is_confirmed,
             resumed=is_resumed,
         )
-        if is_resumed:
-            self._on_resumed()
+        if is_confirmed or is_resumed:
+            self._on_ready()
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -14,6 +14,7 @@
     manual_clock: clock.ManualClock | None = None,
     *,
     are_leaves_known: bool = True,
+    needs_health_check: bool = False,
 ):
     """Return a registry that allows 5 s without a report."""
     return upstream_registry.UpstreamRegistry(
@@ -22,6 +23,7 @@
         address=ADDRESS,
         silence_s=5.0,
         are_leaves_known=are_leaves_known,
+        needs_health_check=needs_health_check,
     )
 
 
@@ -214,3 +216,32 @@
         make_known_upstream(),
     )
     assert not registry.apply(make_report())
+
+
+# Guards against reports from before a leave that could not be stored.
+def test_reports_wait_for_a_health_check_after_a_restart() -> None:
+    """Neither known leaves nor further reports replace the health check."""
+    manual_clock = clock.ManualClock()
+    registry = make_registry(
+        manual_clock, are_leaves_known=False, needs_health_check=True
+    )
+    registry.record_leaves([], None)
+    for sequence in (5, 6, 7):
+        assert registry.apply(make_report(sequence=sequence))
+        assert registry.status is enums.UpstreamStatus.ABSENT
+        manual_clock.advance(1.5)
+    assert not registry.confirm('i2')
+    assert registry.confirm('i1')
+    assert registry.status is enums.UpstreamStatus.READY
+    assert registry.apply(make_report(instance_id='i2', born=200))
+    assert registry.report is not None
+    assert registry.report.instance_id == 'i2'
+
+
+def test_leave_discards_the_unconfirmed_report() -> None:
+    """A health check that began before the leave does not undo it."""
+    registry = make_registry(needs_health_check=True)
+    registry.apply(make_report())
+    registry.leave('i1', None)
+    assert not registry.confirm('i1')
+    assert registry.status is enums.UpstreamStatus.ABSENT
--- a/tests/sidecar/test_upstream_probe.py
+++ b/tests/sidecar/test_upstream_probe.py
@@ -6,6 +6,7 @@
 
 from sassafraswood import clock
 from sassafraswood.coordination import upstream_registry
+from sassafraswood.models import enums
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.platform import headers
@@ -33,10 +34,24 @@
         return self.exchange
 
 
+def make_report(sequence: int) -> fleet.UpstreamReport:
+    """Return a report of the ready upstream."""
+    return fleet.UpstreamReport(
+        instance_id='i1',
+        service=ids.ServiceName('billing'),
+        address=('10.0.0.1', 9000),
+        born=1,
+        sequence=sequence,
+        slots=8,
+        status=enums.UpstreamStatus.READY,
+        cold_left_s=0.0,
+    )
+
+
 class Case:
     """A probe with a fake connection to its upstream."""
 
-    def __init__(self, tmp_path) -> None:
+    def __init__(self, tmp_path, *, needs_health_check: bool = False) -> None:
         """Create the probe and its dependencies."""
         self.pool = FakePool()
         self.resumed = 0
@@ -47,6 +62,7 @@
             address=('10.0.0.1', 9000),
             silence_s=5.0,
             are_leaves_known=True,
+            needs_health_check=needs_health_check,
         )
         self.probe = upstream_probe.UpstreamProbe(
             pool=self.pool,
@@ -54,7 +70,7 @@
             names=headers.NAMES,
             registry=self.registry,
             log=json_log.JsonLog('d1', self.log_file.fileno()),
-            on_resumed=self._count,
+            on_ready=self._count,
         )
 
     def _count(self) -> None:
@@ -130,3 +146,30 @@
         assert case.pool.exchange.is_cancelled
 
     asyncio.run(async_case())
+
+
+# Guards against reports from before a leave that could not be stored.
+@pytest.mark.parametrize(('status', 'ready'), [(200, 1), (503, 0)])
+def test_report_is_confirmed_by_a_health_check(
+    tmp_path, status, ready
+) -> None:
+    """The check is repeated with each report until one succeeds."""
+
+    async def async_case() -> None:
+        case = Case(tmp_path, needs_health_check=True)
+        case.probe.set_health_path('/alive')
+        for sequence in (1, 2):
+            case.registry.apply(make_report(sequence))
+            case.probe.check()
+            assert len(case.pool.payloads) == sequence
+            case.respond(503, b'i1')
+        case.registry.apply(make_report(3))
+        case.probe.check()
+        # No second check starts before the end of the first.
+        case.probe.check()
+        assert len(case.pool.payloads) == 3
+        case.respond(status, b'i1')
+        assert case.resumed == ready
+        assert (case.registry.report is not None) == bool(ready)
+
+    asyncio.run(async_case())
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -14,7 +14,9 @@
 from lab import platform_store
 from lab import platform_upstream
 from lab import ports as ports_module
+from sassafraswood.models import ids
 from sassafraswood.platform import settings
+from sassafraswood.platform import upstream_records
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import process
 
@@ -119,10 +121,14 @@
         self.tasks[service] = asyncio.create_task(daemon.async_run())
         await asyncio.sleep(0.5)
 
-    async def async_report(self, service: str, state: str = 'ready') -> int:
+    async def async_report(
+        self, service: str, state: str = 'ready', *, is_delayed: bool = False
+    ) -> int:
         """Let an upstream report; return the status of the response."""
         port = self.daemons[service].settings.report_address[1]
-        return await self.upstreams[service].async_report(port, state)
+        return await self.upstreams[service].async_report(
+            port, state, is_delayed=is_delayed
+        )
 
     async def async_deregister(self, service: str) -> None:
         """Let an upstream deregister."""
@@ -304,6 +310,40 @@
         assert not fleet.upstreams['billing'].seen
 
 
+async def async_test_unstored_leave_and_restart() -> None:
+    """Kill a daemon that could not store a leave, then deliver old reports."""
+    async with running() as fleet:
+        fleet.store.is_down = True
+        assert await fleet.async_report('billing', 'draining') == 200
+        await fleet.async_restart('billing')
+        fleet.store.is_down = False
+        await asyncio.sleep(1.2)
+        for _ in range(2):
+            assert await fleet.async_report('billing', is_delayed=True) == 200
+            await asyncio.sleep(0.8)
+        refused = await fleet.async_request('status', '/pay/8', method='POST')
+        assert refused.status == 503
+        assert not fleet.upstreams['billing'].seen
+        # The next upstream at the address is served with its first report.
+        fleet.upstreams['billing'].restart_as('i-next')
+        assert await fleet.async_report('billing') == 200
+        await fleet.async_wait('status', 'billing')
+
+
+async def async_test_stop_stores_leave() -> None:
+    """Stop a daemon while the store is away, just after a leave."""
+    async with running() as fleet:
+        fleet.store.is_down = True
+        stopping = fleet.tasks['billing']
+        fleet.daemons['billing'].stop()
+        assert await fleet.async_report('billing', 'draining') == 200
+        await asyncio.sleep(process.CALLER_DRAIN_S + 0.6)
+        fleet.store.is_down = False
+        await asyncio.wait_for(stopping, timeout=3.0)
+        key = upstream_records.leaves_key(ids.DaemonId('d-billing'))
+        assert key in fleet.store.newest(upstream_records.TOPIC)
+
+
 async def async_test_restart_beside_live_upstream() -> None:
     """Restart a daemon whose upstream sends no report meanwhile."""
     async with running() as fleet:
@@ -494,6 +534,19 @@
     asyncio.run(async_test_leave_and_restart())
 
 
+# Guards against an acknowledged leave that is forgotten by a kill while the
+# store is away.
+def test_unstored_leave_binds_the_next_process() -> None:
+    """Delayed reports do not make the leaving upstream ready again."""
+    asyncio.run(async_test_unstored_leave_and_restart())
+
+
+# Guards against an acknowledged leave that is forgotten by a planned stop.
+def test_stop_waits_until_a_leave_is_stored() -> None:
+    """The process stays within its grace time until the store is back."""
+    asyncio.run(async_test_stop_stores_leave())
+
+
 def test_restarted_daemon_serves_the_upstream_that_was_there() -> None:
     """A health check shows it at once, without a report."""
     asyncio.run(async_test_restart_beside_live_upstream())
