Take only calls that can end in what is left of a stop

An upstream runs on beside a daemon that stops. Its calls are taken until 5.3 s after SIGTERM and those still at work then get a 504 of the daemon, so the runs that made them fail. Clients on open routes from the address of the VM met the same, and calls of peers that were taken until 2.8 s after SIGTERM were lost with the connection at the end.

Cause: a daemon that stops decides by the time since the signal and by who sends the call, and never asks whether the call can end before the process does. Calls of the local upstream were exempt from that altogether.

Change: StopPlan decides for each call, in both roles of the daemon, when it is about to be sent: a call begins if its own time limit, or the longest recent duration of its route and a quarter more, fits into what is left. Otherwise it is refused as not run; a call of a peer is then sent elsewhere. What is begun after the signal is handed to the upstream with the time that is left to this process, so that a call which takes longer than usual is ended by the upstream, with an answer of its own. Refusing by the time limits alone would have been simpler and worse for callers: calls of 15 ms with a limit of 2.5 s would fail their runs for 2.4 s of each stop.

test_calls_of_the_upstream_end_before_its_daemon fails on (no call is refused, the last ones are cut) and passes with the change: calls of 1 s are served for more than 3 s after the signal, later ones are refused and do not reach the upstream.

test_calls_that_outlast_a_stop_get_a_response sent a call of 7 s, with a limit of 8 s, just after the signal; such a call is refused now, as it cannot end in time. The call begins before the signal instead; the check is the same.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -12,6 +12,7 @@
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import repeat_budget
 from sassafraswood.coordination import route_order
+from sassafraswood.coordination import stop_plan as stop_plan_module
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.models import enums
@@ -82,6 +83,7 @@
         revoke_s: float,
         members_s: float,
         budget: repeat_budget.RepeatBudget,
+        stop_plan: stop_plan_module.StopPlan,
     ) -> None:
         """Create the caller side without rules and without connections.
 
@@ -105,6 +107,7 @@
             members_s: Age of the member records up to which the quota share
                 of this daemon is spent, in seconds.
             budget: Retry budget.
+            stop_plan: Decides which calls begin while the daemon stops.
         """
         self._clock = clock
         self._random = random
@@ -126,6 +129,7 @@
         # Levels of calls below each route, taken from responses.
         self._depth_by_route: dict[str, int] = {}
         self._budget = budget
+        self._stop_plan = stop_plan
         self._call_ids = itertools.count(1)
         self._active: dict[int, caller_call.CallerCall] = {}
         # Calls that wait for a daemon of a service, with the monotonic time in
@@ -171,8 +175,8 @@
     def refuse_new(self) -> None:
         """Refuse new requests of external callers, as a stop is near.
 
-        Calls of the local upstream are still served: refusing one would fail
-        the call that the upstream runs.
+        Calls of the local upstream are still served while they can end in
+        time: refusing one fails the call that the upstream runs.
         """
         self._is_refusing_new = True
 
@@ -254,6 +258,8 @@
         for call in list(self._active.values()):
             if call.expires_at <= now and id(call) in self._active:
                 self._expire(call)
+            elif self._stop_plan.is_stopping:
+                self._stop_plan.note_running(call.route.name, call.started_at)
         self._quota_waits.tick(now)
         for service, waiting in list(self._waiting.items()):
             expired = [call for until, call in waiting if until <= now]
@@ -378,6 +384,10 @@
 
     def _send(self, call: caller_call.CallerCall) -> None:
         assert self._peers is not None
+        time_left_s = call.expires_at - self._clock.monotonic()
+        if not self._stop_plan.may_begin(call.route.name, time_left_s):
+            self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
+            return
         candidates = self._peers.candidates(call.service)
         candidate = self._choice.pick(candidates, call.tried_daemon_ids)
         if candidate is None and call.redirect_count:
@@ -425,7 +435,11 @@
             head=self._build_head(call),
             body=request.body,
             attempt_id=request.attempt_id,
-            time_left_s=call.expires_at - self._clock.monotonic(),
+            # The upstream ends the call itself before this process ends.
+            time_left_s=min(
+                call.expires_at - self._clock.monotonic(),
+                self._stop_plan.left_s,
+            ),
             target_s=call.latency_target_s,
             urgency=call.urgency,
             workspace=call.workspace,
@@ -511,6 +525,7 @@
         self, call: caller_call.CallerCall, response: frames.Answer, now: float
     ) -> None:
         del self._active[id(call)]
+        self._stop_plan.note_end(call.route.name, call.started_at)
         elapsed_s = now - call.request.received_at
         self._metrics.observe(call.service, response.status, elapsed_s)
         if response.status >= 500:
@@ -604,6 +619,7 @@
         self._send(call)
 
     def _expire(self, call: caller_call.CallerCall) -> None:
+        self._stop_plan.note_end(call.route.name, call.started_at)
         cancel = call.cancel
         if cancel is not None:
             cancel()
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -18,6 +18,7 @@
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import repeat_budget
+from sassafraswood.coordination import stop_plan
 from sassafraswood.coordination import store_duty
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
@@ -126,6 +127,10 @@
         downstream_load = deep_load.DownstreamLoad()
         depth = call_depth.CallDepth()
         crashes = crash_counts.CrashCounts(self._clock)
+        # Calls of callers last longer than their runs at one upstream.
+        caller_stop_plan = stop_plan.StopPlan(self._clock)
+        upstream_stop_plan = stop_plan.StopPlan(self._clock)
+        self._stop_plans = (caller_stop_plan, upstream_stop_plan)
         self._upstream = upstream_side.UpstreamSide(
             clock=self._clock,
             gate=upstream_gate.UpstreamGate(self._clock, downstream_load),
@@ -141,6 +146,7 @@
             report_interval_s=settings.report_interval_s,
             on_serving=self._on_serving,
             on_crash=self._on_crash,
+            stop_plan=upstream_stop_plan,
         )
         self._shares = quota_shares.QuotaShares(
             clock=self._clock,
@@ -176,6 +182,7 @@
             revoke_s=bounds.key_age_s,
             members_s=MAX_MEMBERS_AGE_S,
             budget=self._budget,
+            stop_plan=caller_stop_plan,
         )
         self._store = store_module.StoreClient(settings.store_address)
         self._probe = upstream_probe.UpstreamProbe(
@@ -342,7 +349,10 @@
         loop = asyncio.get_running_loop()
         self._is_stopping = True
         started_at = loop.time()
-        end_at = started_at + self.settings.bounds.grace_s - GRACE_MARGIN_S
+        stop_s = self.settings.bounds.grace_s - GRACE_MARGIN_S
+        end_at = started_at + stop_s
+        for plan in self._stop_plans:
+            plan.begin(stop_s)
         self._log.change(
             'stopping',
             open_requests=self._callers.active_count,
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -7,6 +7,7 @@
 from sassafraswood.coordination import call_depth
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
+from sassafraswood.coordination import stop_plan as stop_plan_module
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_health
 from sassafraswood.coordination import upstream_registry
@@ -65,6 +66,7 @@
         report_interval_s: float,
         on_serving: Callable[[bool], None],
         on_crash: upstream_watch.OnCrash,
+        stop_plan: stop_plan_module.StopPlan,
     ) -> None:
         """Initialize the upstream side.
 
@@ -86,6 +88,7 @@
             on_serving: Called on each change of whether calls are accepted.
             on_crash: Called after a crash with the upstream and the suspects
                 among the requests in flight.
+            stop_plan: Decides which calls begin while the daemon stops.
         """
         self._clock = clock
         self._gate = gate
@@ -99,6 +102,7 @@
         self._log = log
         self._on_serving = on_serving
         self._crashes = crashes
+        self._stop_plan = stop_plan
         self._is_stopping = False
         self.running: set[UpstreamCall] = set()
         self._watch = upstream_watch.UpstreamWatch(
@@ -186,6 +190,8 @@
                 call.run.is_idempotent and call.deadline <= now
             ):
                 self._abort(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
+            elif self._stop_plan.is_stopping:
+                self._stop_plan.note_running(call.run.route, call.queued_at)
 
     def submit(self, run: frames.Run, deliver: Deliver) -> UpstreamCall:
         """Start, queue or refuse a call.
@@ -223,6 +229,10 @@
             call.state = upstream_gate.CallState.ENDED
             self._refuse(call, enums.RefusalReason.QUARANTINED)
             return call
+        if not self._stop_plan.may_begin(run.route, run.time_left_s):
+            call.state = upstream_gate.CallState.ENDED
+            self._refuse(call, enums.RefusalReason.DRAINING)
+            return call
         self._gate.submit(call)
         return call
 
@@ -301,6 +311,7 @@
             self.health.note_end(id(call), is_error=True)
         self._remove_running(call)
         if isinstance(outcome, exchange.Response):
+            self._stop_plan.note_end(call.run.route, call.queued_at)
             self._deliver_response(call, outcome)
             return
         if outcome in exchange.NOTHING_SENT:
@@ -375,6 +386,7 @@
 
     def _abort(self, call: UpstreamCall, reason: enums.RefusalReason) -> None:
         self._watch.record_lost_run(call, is_broken=False)
+        self._stop_plan.note_end(call.run.route, call.queued_at)
         self._remove_running(call)
         if call.running is not None:
             call.running.cancel()
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -4,6 +4,7 @@
 import random
 
 import msgspec
+import pytest
 
 from sassafraswood import clock
 from sassafraswood.coordination import call_depth
@@ -11,6 +12,7 @@
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import repeat_budget
+from sassafraswood.coordination import stop_plan
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.models import crash
@@ -20,6 +22,7 @@
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import fingerprints
 from sassafraswood.sidecar import measures
+from sassafraswood.state import route_durations
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
 
@@ -103,6 +106,7 @@
             service='desk',
         )
         self.log_file = open(tmp_path / 'log', 'wb')
+        self.stop_plan = stop_plan.StopPlan(self.clock)
         self.caller = caller_side.CallerSide(
             clock=self.clock,
             random=source,
@@ -130,6 +134,7 @@
             budget=repeat_budget.RepeatBudget(
                 clock=self.clock, ratio=0.2, slack=48.0, window_s=10.0
             ),
+            stop_plan=self.stop_plan,
         )
         self.caller.attach(self.peers)
         self.knowledge.note_rules(1, self.clock.monotonic())
@@ -514,3 +519,27 @@
         index += 1
         assert index <= caller_side.MAX_REDIRECTS + caller_side.MAX_REFUSALS
     assert connection.responses[0][0] == 503
+
+
+# Guards against calls that are taken late in a stop and cut off at its end.
+@pytest.mark.parametrize(('name', 'key'), [('peek', None), ('pay', b'k1')])
+def test_call_that_cannot_end_in_time_is_refused(tmp_path, name, key) -> None:
+    """It is not sent; one that can end is sent with the time that is left."""
+    fixture = Fixture(tmp_path)
+    fixture.stop_plan.begin(1.2)
+    fixture.send(name, key, peer='10.0.0.9')
+    assert len(fixture.peers.sent) == 1
+    fixture.clock.advance(0.3)
+    connection = fixture.send(name, key, peer='10.0.0.9')
+    assert [status for status, _, _ in connection.responses] == [503]
+    assert len(fixture.peers.sent) == 1
+
+
+def test_upstream_ends_a_call_before_the_daemon_does(tmp_path) -> None:
+    """The deadline of the call lies before the end of the process."""
+    fixture = Fixture(tmp_path)
+    for _ in range(route_durations.MIN_CALLS):
+        fixture.stop_plan.note_end('pay', fixture.clock.monotonic())
+    fixture.stop_plan.begin(0.5)
+    fixture.send('pay')
+    assert fixture.peers.sent[0][1].time_left_s < 0.5
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -9,6 +9,7 @@
 from sassafraswood.coordination import call_tree
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
+from sassafraswood.coordination import stop_plan
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_health
 from sassafraswood.coordination import upstream_registry
@@ -98,6 +99,7 @@
         downstream_load = deep_load.DownstreamLoad()
         self.depth = call_depth.CallDepth()
         self.log_file = open(tmp_path / 'log', 'wb')
+        self.stop_plan = stop_plan.StopPlan(self.clock)
         self.side = upstream_side.UpstreamSide(
             clock=self.clock,
             gate=upstream_gate.UpstreamGate(self.clock, downstream_load),
@@ -115,6 +117,7 @@
             on_crash=lambda upstream, found, age_s: self.crashed.append(
                 (upstream.instance_id, found)
             ),
+            stop_plan=self.stop_plan,
         )
         self.report()
 
@@ -521,3 +524,18 @@
     assert depths[0] is None
     assert depths[1] == 2
     assert depths[-1] == 0
+
+
+# Guards against calls of peers that are taken in a stop and lost at its end.
+def test_call_of_a_peer_that_cannot_end_in_time_is_refused(tmp_path) -> None:
+    """Its daemon may send it to another upstream, since it has not run."""
+    case = Case(tmp_path)
+    case.stop_plan.begin(5.0)
+    case.submit(time_left_s=6.0)
+    assert not case.pool.requests
+    refusal = case.replies[0]
+    assert isinstance(refusal, frames.Refused)
+    assert refusal.reason == enums.RefusalReason.DRAINING.value
+    assert refusal.is_local
+    case.submit(time_left_s=2.0)
+    assert len(case.pool.requests) == 1
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -1,7 +1,7 @@
 """Tests of daemons on loopback with a simulated store and upstreams."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
 import dataclasses
 import json
@@ -464,11 +464,63 @@
         daemon = fleet.daemons['status']
         fleet.upstreams['billing'].delay_s = 7.0
         async with connected(daemon) as (reader, writer):
-            daemon.stop()
             writer.write(build_payment(1).replace(b': 1500', b': 8000'))
+            await async_wait_until(lambda: fleet.upstreams['billing'].seen)
+            daemon.stop()
             assert await async_read_statuses(reader) == [504]
 
 
+async def async_test_inner_calls_late_in_the_stop() -> None:
+    """Let an upstream call through its stopping daemon till the end."""
+    async with running() as fleet:
+        routes = RULES['routes'] | {
+            'peek': RULES['routes']['status']
+            | {
+                'path-prefix': '/peek/',
+                'service': 'billing',
+                'timeout-s': 2.5,
+                'anonymous': True,
+            }
+        }
+        fleet.publish(RULES | {'version': 'r2', 'routes': routes})
+        await asyncio.sleep(0.5)
+        daemon = fleet.daemons['status']
+        billing = fleet.upstreams['billing']
+        billing.delay_s = 1.0
+        daemon.stop()
+        stop_s = daemon.settings.bounds.grace_s - process.GRACE_MARGIN_S
+        calls = []
+        # After that the daemon ends, since no call is left.
+        for _ in range(int((stop_s - 0.9) / 0.2)):
+            calls.append(asyncio.create_task(async_peek(daemon)))
+            await asyncio.sleep(0.2)
+        statuses = await asyncio.gather(*calls)
+        served = statuses.index(503)
+        # The upstream is served for as long as its calls can end in time.
+        assert served * 0.2 > process.CALLER_DRAIN_S
+        assert set(statuses[:served]) == {200}
+        assert set(statuses[served:]) == {503}
+        assert len(billing.seen) == served
+
+
+async def async_peek(daemon: process.Daemon) -> int:
+    """Make a call of the local upstream; return the status."""
+    async with connected(daemon) as (reader, writer):
+        writer.write(
+            b'GET /peek/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            b'X-Attempt-Id: peek\r\nX-Deadline-Ms: 4000\r\n\r\n'
+        )
+        line = await asyncio.wait_for(reader.readline(), timeout=8.0)
+        return int(line.split()[1]) if line else 0
+
+
+async def async_wait_until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(5.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 async def async_test_leave_without_store() -> None:
     """Report a leave while the store is unavailable."""
     async with running() as fleet:
@@ -584,6 +636,12 @@
     asyncio.run(async_test_call_at_the_end_of_the_stop())
 
 
+# Guards against calls of an upstream that its stopping daemon takes and cuts.
+def test_calls_of_the_upstream_end_before_its_daemon() -> None:
+    """A call that cannot end in what is left of the grace time is refused."""
+    asyncio.run(async_test_inner_calls_late_in_the_stop())
+
+
 def test_leave_is_acknowledged_without_the_store() -> None:
     """The upstream waits one second at most for the acknowledgement."""
     asyncio.run(async_test_leave_without_store())
