Free what ended connections and calls have received

Seen by operators: an upstream sends bytes without end, the daemon beside it runs out of memory, and the requests of others end with the process. It needs no fault: answers that end with their connection stay as well.

Cause: each exchange was ended in time, and its bytes were counted as released. But the connection and its parser refer to each other, so that both, with all that they had received, waited for a full garbage collection. The collector counts objects, not bytes, and hardly runs while few objects of many megabytes come. Calls at the upstream (their own callbacks), requests of clients (the state of their call, a request received in part) and idle connections (the last response) kept bodies in the same way.

Change: a connection drops its parser when it is lost, and what it received when its exchange ends; a call drops its callbacks when it has ended; a request drops the state of its handler. Connections between daemons had no such cycle.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -34,8 +34,24 @@
     ENDLESS_BODY = 'endless_body'
     # The refusal of a former request is sent again before the response.
     FORMER_REFUSAL = 'former_refusal'
+    # Header fields, chunks, trailer fields or a body of a great length, which
+    # never end.
+    ENDLESS_FIELDS = 'endless_fields'
+    ENDLESS_CHUNKS = 'endless_chunks'
+    ENDLESS_TRAILERS = 'endless_trailers'
+    ENDLESS_LENGTH = 'endless_length'
 
 
+_FIELDS = b'x-field: value\r\n' * 4096
+# Bytes that are sent again and again, by fault.
+_ENDLESS_PARTS = {
+    Fault.ENDLESS_HEAD: b'x' * 65536,
+    Fault.ENDLESS_BODY: b'x' * 65536,
+    Fault.ENDLESS_FIELDS: _FIELDS,
+    Fault.ENDLESS_CHUNKS: b'10000\r\n' + b'x' * 65536 + b'\r\n',
+    Fault.ENDLESS_TRAILERS: _FIELDS,
+    Fault.ENDLESS_LENGTH: b'x' * 65536,
+}
 _FORMER_REFUSAL = (
     b'HTTP/1.1 503 X\r\nX-Attempt-Id: former\r\nX-Not-Executed: 1\r\n'
     b'Content-Length: 0\r\n\r\n'
@@ -196,8 +212,8 @@
                 )
                 writer.write(response)
                 await writer.drain()
-                while self._is_endless:
-                    writer.write(b'x' * 65536)
+                while self.fault_share > 0.0 and self.fault in _ENDLESS_PARTS:
+                    writer.write(_ENDLESS_PARTS[self.fault])
                     await writer.drain()
                 if is_last:
                     return
@@ -251,13 +267,6 @@
             return self._apply_fault(response)
         return response, False
 
-    @property
-    def _is_endless(self) -> bool:
-        return self.fault_share > 0.0 and self.fault in (
-            Fault.ENDLESS_HEAD,
-            Fault.ENDLESS_BODY,
-        )
-
     def _apply_fault(self, response: bytes) -> tuple[bytes, bool]:
         if self.fault is Fault.LOST:
             return b'', True
@@ -267,11 +276,8 @@
             return b'\x00\x01 spoilt\r\n\r\n', True
         if self.fault is Fault.TWICE:
             return response + response, False
-        if self.fault is Fault.ENDLESS_HEAD:
-            return response.partition(b'\r\n')[0] + b'\r\nx: ', True
-        if self.fault is Fault.ENDLESS_BODY:
-            head = response.partition(b'\r\nContent-Length')[0]
-            return head + b'\r\n\r\n', True
+        if self.fault in _ENDLESS_PARTS:
+            return self._begin_endless(response), True
         if self.fault is Fault.FORMER_REFUSAL:
             return _FORMER_REFUSAL + response, False
         if self.fault is Fault.FOREIGN:
@@ -280,6 +286,21 @@
             ) + response, False
         return response, False
 
+    def _begin_endless(self, response: bytes) -> bytes:
+        """Return what precedes the bytes without end."""
+        head = response.partition(b'\r\nContent-Length')[0] + b'\r\n'
+        if self.fault is Fault.ENDLESS_HEAD:
+            return response.partition(b'\r\n')[0] + b'\r\nx: '
+        if self.fault is Fault.ENDLESS_FIELDS:
+            return head
+        if self.fault is Fault.ENDLESS_CHUNKS:
+            return head + b'Transfer-Encoding: chunked\r\n\r\n'
+        if self.fault is Fault.ENDLESS_TRAILERS:
+            return head + b'Transfer-Encoding: chunked\r\n\r\n0\r\n'
+        if self.fault is Fault.ENDLESS_LENGTH:
+            return head + b'Content-Length: 99999999999\r\n\r\n'
+        return head + b'\r\n'
+
 
 def _build_plain(status: int, field: str) -> bytes:
     return (
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -114,6 +114,25 @@
         """Return the allowed wait of a new call in seconds."""
         return WAIT_FRACTION * self.target_s
 
+    def end(self) -> None:
+        """Mark the call as ended, and drop its callbacks.
+
+        They usually refer to the call. Without this reference cycle, the call
+        and its body are freed without a garbage collection.
+        """
+        self.state = CallState.ENDED
+        self.start = _do_nothing
+        self.refuse = _ignore_reason
+
+
+def _do_nothing() -> None:
+    """Replace the callback that starts a call."""
+
+
+def _ignore_reason(reason: enums.RefusalReason) -> None:
+    """Replace the callback that refuses a call."""
+    del reason
+
 
 class _RouteState:
     """Queue and concurrency limit of the new calls of one kind."""
@@ -261,7 +280,7 @@
         """Record the end of a running call and start waiting calls."""
         if call.state is not CallState.RUNNING:
             return
-        call.state = CallState.ENDED
+        call.end()
         self._in_flight -= 1
         self.tree.end(call)
         if not call.is_inner:
@@ -276,7 +295,7 @@
         """Remove a waiting call whose response is no longer needed."""
         if call.state is not CallState.WAITING:
             return
-        call.state = CallState.ENDED
+        call.end()
         self._waiting_count -= 1
         if call.is_inner:
             self._select_inner_queue(call).remove(call)
@@ -384,5 +403,6 @@
         call.start()
 
     def _refuse(self, call: GateCall, reason: enums.RefusalReason) -> None:
-        call.state = CallState.ENDED
-        call.refuse(reason)
+        refuse = call.refuse
+        call.end()
+        refuse(reason)
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -220,17 +220,17 @@
         if run.service != self._service:
             # The address may have passed to a VM of another service since the
             # peer learned it.
-            call.state = upstream_gate.CallState.ENDED
+            call.end()
             self._refuse(call, enums.RefusalReason.UNKNOWN_SERVICE)
             return call
         if self._crashes.has_verdicts and self._crashes.is_refused(
             fingerprints.hash_run(run)
         ):
-            call.state = upstream_gate.CallState.ENDED
+            call.end()
             self._refuse(call, enums.RefusalReason.QUARANTINED)
             return call
         if not self._stop_plan.may_begin(run.route, run.time_left_s):
-            call.state = upstream_gate.CallState.ENDED
+            call.end()
             self._refuse(call, enums.RefusalReason.DRAINING)
             return call
         self._gate.submit(call)
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -137,7 +137,12 @@
         self._size = 0
         self._id_field = id_field
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        # The parser holds methods of this object; this reference is dropped
+        # with the connection, so that both are freed without a garbage
+        # collection.
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self._on_done: Callable[[Outcome], None] | None = None
         self._request_id: bytes | None = None
         self._result: Outcome | None = None
@@ -201,7 +206,7 @@
     def cancel(self) -> None:
         """Abort the exchange without calling on_done."""
         self._on_done = None
-        self._release_bytes()
+        self._discard_response()
         self.close()
 
     def close(self) -> None:
@@ -221,7 +226,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of the response."""
-        if self._on_done is None:
+        if self._on_done is None or self._parser is None:
             # Bytes after a complete response belong to no request.
             self.close()
             return
@@ -267,9 +272,12 @@
         """Fail the exchange whose response is incomplete, if any."""
         del exc
         self._is_closed = True
+        self._transport = None
+        self._parser = None
         if self._on_lost is not None:
             self._on_lost(self)
         if self._on_done is None:
+            self._discard_response()
             return
         self._fail_exchange(
             FailureKind.TRUNCATED
@@ -289,7 +297,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field."""
-        if self._result is not None:
+        if self._result is not None or self._on_done is None:
             return
         lower = name.lower()
         if lower in self._kept_fields:
@@ -320,6 +328,7 @@
         """Complete the response unless it is an interim one."""
         if self._result is not None or self._on_done is None:
             return
+        assert self._parser is not None
         if self._parser.get_status_code() < 200:
             # The end of the connection must not complete this response.
             self._has_header = False
@@ -349,6 +358,7 @@
                 self._has_response_begun = False
                 self._has_header = False
                 return
+        assert self._parser is not None
         self._result = Response(
             status=self._parser.get_status_code(),
             head=b''.join(self._head),
@@ -359,7 +369,7 @@
     def _finish_exchange(self) -> None:
         on_done, result = self._on_done, self._result
         self._on_done = None
-        self._release_bytes()
+        self._discard_response()
         self.idle_since = time.monotonic()
         if self._has_excess_data or not self._may_reuse:
             self.close()
@@ -369,7 +379,7 @@
     def _fail_exchange(self, kind: FailureKind) -> None:
         on_done = self._on_done
         self._on_done = None
-        self._release_bytes()
+        self._discard_response()
         if not self._is_closed:
             self.close()
         if on_done is not None:
@@ -380,6 +390,15 @@
             self._held.release(self._size)
             self._size = 0
 
+    def _discard_response(self) -> None:
+        """Drop what was received, since the exchange has ended.
+
+        The connection may stay open, or be referenced by calls that have
+        ended.
+        """
+        self._result = None
+        self._reset_response()
+
     def _reset_response(self) -> None:
         self._release_bytes()
         self._head: list[bytes] = []
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -123,7 +123,12 @@
         """
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        # The parser holds methods of this object; this reference is dropped
+        # with the connection, so that both are freed without a garbage
+        # collection.
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self._pending: collections.deque[IngressRequest] = collections.deque()
         self._current: IngressRequest | None = None
         self._incomplete: IngressRequest | None = None
@@ -133,6 +138,7 @@
         # a response was sent, whichever is latest.
         self.since = self._loop.time()
         self.peer = ''
+        self._body: list[bytes] = []
         self._body_bytes = 0
         # Bytes received since the parser last completed a header, a part of a
         # body or a request.
@@ -181,7 +187,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of requests."""
-        if self._is_closing:
+        if self._is_closing or self._parser is None:
             return
         try:
             self._parser.feed_data(data)
@@ -200,6 +206,9 @@
         del exc
         self._is_closing = True
         self._transport = None
+        self._parser = None
+        self._incomplete = None
+        self._body = []
         self._server.connections.discard(self)
         current, self._current = self._current, None
         self._release_incomplete()
@@ -209,6 +218,7 @@
         if current is not None:
             self._server.held.release(len(current.body))
             self._server.handler.abandon(current)
+            current.context = None
 
     def pause_writing(self) -> None:
         """Handle no further request while the client reads slowly."""
@@ -226,7 +236,7 @@
         self._incomplete = IngressRequest(self)
         self.since = self._loop.time()
         self._head: list[bytes] = []
-        self._body: list[bytes] = []
+        self._body = []
         self._removed_fields: set[bytes] = set()
         self._header_bytes = 0
 
@@ -294,7 +304,7 @@
         """Pass the request to the handler, or queue it after earlier ones."""
         self._unparsed_bytes = 0
         request = self._incomplete
-        if request is None or self._is_closing:
+        if request is None or self._is_closing or self._parser is None:
             return
         self._incomplete = None
         request.method = self._parser.get_method()
@@ -303,7 +313,7 @@
         request.head = b''.join(self._head)
         if self._removed_fields:
             request.head = _remove_fields(request.head, self._removed_fields)
-        body = self._body
+        body, self._body = self._body, []
         request.body = body[0] if len(body) == 1 else b''.join(body)
         # The body stays counted until the request gets its response or the
         # client disconnects.
@@ -353,6 +363,8 @@
             )
         )
         self._current = None
+        # The state of the handler refers to the request.
+        request.context = None
         self._server.held.release(len(request.body))
         self.since = self._loop.time()
         if is_closing:
