Bound the heads that the product's own interface reads

It uses the limits of the other connection now, which moved into a module of their own, and drops its parser when it is lost.

test_response_without_end_fails fails for four of its six kinds on (the bytes are read to their end, 32 MB) and passes with the change.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -15,6 +15,7 @@
 
 from sassafraswood.models import fields
 from sassafraswood.state import held_bytes
+from sassafraswood.transport import response_limits
 from sassafraswood.transport import tcp
 
 # Header fields that apply to a single connection (RFC 9110, section 7.6.1) and
@@ -33,15 +34,6 @@
 )
 # Larger responses are aborted; several must fit into memory.
 MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
-# Bytes of an exchange outside of bodies: headers, trailers and chunk framing.
-# Servers limit headers to 8 to 64 KiB.
-MAX_OVERHEAD_BYTES: Final = 128 * 1024
-# Framing bytes per body byte; a chunk that carries one byte takes six bytes in
-# total.
-MAX_FRAMING_RATIO: Final = 8
-# Interim responses, and responses to other requests, that may precede the
-# response to the current request.
-MAX_SKIPPED_RESPONSES: Final = 16
 # Idle timeout of connections whose server announces none; it is below the
 # usual timeouts of servers.
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -241,24 +233,14 @@
             self._finish_exchange()
             return
         self._received_bytes += len(data)
-        if self._on_done is not None and self._is_oversized:
+        if self._on_done is not None and response_limits.is_oversized(
+            received_bytes=self._received_bytes,
+            body_bytes=self._body_bytes,
+            skipped_count=self._skipped_count,
+            max_body_bytes=MAX_RESPONSE_BYTES,
+        ):
             self._fail_exchange(FailureKind.TOO_LARGE)
 
-    @property
-    def _is_oversized(self) -> bool:
-        """Return whether the exchange has exceeded its limits.
-
-        This ends responses that never complete.
-        """
-        overhead = self._received_bytes - self._body_bytes
-        return (
-            overhead
-            > MAX_OVERHEAD_BYTES + MAX_FRAMING_RATIO * self._body_bytes
-            or self._received_bytes
-            > (1 + MAX_FRAMING_RATIO) * MAX_RESPONSE_BYTES
-            or self._skipped_count > MAX_SKIPPED_RESPONSES
-        )
-
     def eof_received(self) -> bool:
         """Complete a response that the end of the connection delimits."""
         if self._on_done is not None and self._is_unframed_body():
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -9,6 +9,7 @@
 from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import enums
+from sassafraswood.transport import response_limits
 from sassafraswood.transport import tcp
 
 # Methods whose requests get no Content-Length if the body is empty (RFC 9110).
@@ -32,11 +33,20 @@
         self._host = host
         self._transport: asyncio.Transport | None = None
         self._response: asyncio.Future[call.Answer] | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        # The parser holds methods of this object; this reference is dropped
+        # with the connection, so that both are freed without a garbage
+        # collection.
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self._is_closed = False
         self._is_reusable = False
         self._method = ''
         self._max_body_bytes = 0
+        # Totals since the request was sent.
+        self._received_bytes = 0
+        self._all_body_bytes = 0
+        self._interim_count = 0
         self._reset_response()
 
     @property
@@ -65,6 +75,9 @@
         self._method = request.method
         self._max_body_bytes = max_body_bytes
         self._is_reusable = False
+        self._received_bytes = 0
+        self._all_body_bytes = 0
+        self._interim_count = 0
         # If the connection ends before the first byte of this response, the
         # state of the previous response must not make it count as truncated.
         self._reset_response()
@@ -89,7 +102,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of the response."""
-        if self._response is None or self._response.done():
+        if (
+            self._response is None
+            or self._response.done()
+            or self._parser is None
+        ):
             # No request is in progress, so the bytes belong to none.
             self.close()
             return
@@ -99,12 +116,25 @@
             self._fail_request(enums.RefusalReason.UPSTREAM_BROKE)
         except httptools.HttpParserError:
             self._fail_request(self._failure_reason())
+        self._received_bytes += len(data)
+        if not self._response.done() and response_limits.is_oversized(
+            received_bytes=self._received_bytes,
+            body_bytes=self._all_body_bytes,
+            skipped_count=self._interim_count,
+            max_body_bytes=max(
+                self._max_body_bytes, response_limits.MAX_OVERHEAD_BYTES
+            ),
+        ):
+            self._fail_request(enums.RefusalReason.ANSWER_TOO_LARGE)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request whose response is incomplete, if any."""
         del exc
         self._is_closed = True
+        self._transport = None
+        self._parser = None
         self._fail_request(self._failure_reason())
+        self._reset_response()
 
     # Callbacks of the parser.
 
@@ -122,6 +152,7 @@
     def on_headers_complete(self) -> None:
         """Complete the response to a HEAD request, which has no body."""
         self._has_headers = True
+        assert self._parser is not None
         status = self._parser.get_status_code()
         if self._method == 'HEAD' and status >= 200:
             # The parser would wait for a body, so the connection cannot be
@@ -131,6 +162,7 @@
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, or fail if the body is too large."""
         self._body_bytes += len(data)
+        self._all_body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
             self._fail_request(enums.RefusalReason.ANSWER_TOO_LARGE)
             return
@@ -138,8 +170,10 @@
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one."""
+        assert self._parser is not None
         status = self._parser.get_status_code()
         if status < 200:
+            self._interim_count += 1
             return
         if not self._is_framed and status not in (204, 304):
             self._fail_request(enums.RefusalReason.ANSWER_TRUNCATED)
--- a/setup.py
+++ b/setup.py
@@ -46,6 +46,7 @@
     'sassafraswood/transport/frame_link.py',
     'sassafraswood/transport/ingress.py',
     'sassafraswood/transport/json_log.py',
+    'sassafraswood/transport/response_limits.py',
 ]
 
 
--- /dev/null
+++ b/tests/transport/test_upstream_connection.py
@@ -0,0 +1,90 @@
+"""Tests of the product's own connection to an upstream."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from sassafraswood import exceptions
+from sassafraswood.models import call
+from sassafraswood.models import enums
+from sassafraswood.transport import response_limits
+from sassafraswood.transport import upstream_connection
+
+HEAD = b'HTTP/1.1 200 OK\r\n'
+PART_BYTES = 16 * 1024
+FIELDS = b'x-field: value\r\n' * (PART_BYTES // 16)
+MAX_BODY_BYTES = 64 * 1024
+
+
+class FakeTransport(asyncio.Transport):
+    """Discards what is written, and notes its end."""
+
+    def __init__(self) -> None:
+        """Start open."""
+        super().__init__()
+        self.is_aborted = False
+
+    def get_extra_info(self, name, default=None):
+        """Return a socket that accepts all options."""
+        del name, default
+        return self
+
+    def setsockopt(self, *options) -> None:
+        """Ignore an option of the socket."""
+
+    def write(self, data) -> None:
+        """Discard data."""
+
+    def abort(self) -> None:
+        """Note the end."""
+        self.is_aborted = True
+
+
+async def async_receive(parts) -> tuple[int, enums.RefusalReason]:
+    """Feed the parts of a response until it fails.
+
+    Returns:
+        Bytes that were received, and how the request failed.
+    """
+    connection = upstream_connection.UpstreamConnection('x')
+    transport = FakeTransport()
+    connection.connection_made(transport)
+    request = call.HttpRequest(method='GET', target='/', headers=[], body=b'')
+    sending = asyncio.create_task(
+        connection.async_send(request, MAX_BODY_BYTES)
+    )
+    await asyncio.sleep(0)
+    size = 0
+    for part in parts:
+        size += len(part)
+        connection.data_received(part)
+        if transport.is_aborted:
+            break
+    connection.connection_lost(None)
+    with pytest.raises(exceptions.UpstreamError) as error:
+        await sending
+    assert error.value.outcome is enums.Outcome.UNKNOWN
+    return size, error.value.reason
+
+
+# Guards against responses without end, which the daemon kept in memory.
+@pytest.mark.parametrize(
+    ('begin', 'part'),
+    [
+        (HEAD, FIELDS),
+        (HEAD + b'x: ', b'x' * PART_BYTES),
+        (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+        (HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n', FIELDS),
+        (HEAD + b'Transfer-Encoding: chunked\r\n\r\n', b'1\r\nx\r\n' * 2048),
+        (HEAD + b'Content-Length: 99999999999\r\n\r\n', b'x' * PART_BYTES),
+    ],
+)
+def test_response_without_end_fails(begin, part) -> None:
+    """The connection is closed after a bounded number of bytes."""
+    parts = itertools.chain([begin], itertools.repeat(part, 2000))
+    size, reason = asyncio.run(async_receive(parts))
+    assert reason is enums.RefusalReason.ANSWER_TOO_LARGE
+    assert size <= (1 + response_limits.MAX_FRAMING_RATIO) * max(
+        MAX_BODY_BYTES, response_limits.MAX_OVERHEAD_BYTES
+    )
