Wait in a stop until clients and peers have read their answers

A daemon ends 3.1 s after SIGTERM although clients still read answers that their upstreams had completed before it; what the kernel had not taken yet is gone with the process, within the body of a 200.

Cause: an answer counted as given once it was handed to the transport, and nothing that ends the process looked at what the transport still held. The same holds for answers to calls of peers.

Change: the stop ends once nothing is left that the end of the process would lose, or with the grace time: open calls, runs, unsent answers to clients and peers, and leaves that are not stored.

test_stop_waits_for_clients_that_read_slowly fails on (the daemon has ended before its client has read) and passes with the change.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -69,6 +69,8 @@
         fault: Fault in a fraction of the responses.
         fault_share: Fraction of the responses with the fault, from 0 to 1.
         seen: Heads of the requests that ran.
+        body: Body of each response; its id and the body of the request if
+            empty.
         slots: Requests that run at once; further ones are refused.
         is_dark: Whether it hangs: no reports and responses, but open
             connections.
@@ -97,6 +99,7 @@
         self.fault = Fault.NONE
         self.fault_share = 0.0
         self.seen: list[str] = []
+        self.body = b''
         self.slots = SLOTS
         self.is_dark = False
         self.address = ''
@@ -259,7 +262,7 @@
         attempt = fields.get('x-attempt-id', '')
         if not has_succeeded:
             return _build_sealed(500, attempt, b''), False
-        body = self.instance_id.encode() + b' ' + body
+        body = self.body or self.instance_id.encode() + b' ' + body
         response = _build_sealed(200, attempt, body)
         if self.loses_answers:
             return b'', True
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -125,6 +125,11 @@
         """Return the number of connections accepted from peers."""
         return len(self._accepted)
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether a peer has not read all replies to its calls."""
+        return any(connection.has_unsent_data for connection in self._accepted)
+
     def candidates(
         self, service: ids.ServiceName
     ) -> list[upstream_choice.Candidate]:
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -371,17 +371,23 @@
                 self._callers.refuse_new()
                 self._caller_server.is_closing = True
                 self._caller_server.close_idle()
-            if (
-                is_caller_drain_over
-                and not self._callers.active_count
-                and not self._upstream.running
-                and not self._upstream_log.has_unstored_leaves
-            ):
+            if is_caller_drain_over and not self._has_open_work:
                 break
             await asyncio.sleep(TICK_S)
         self._callers.end_all()
         self.close()
 
+    @property
+    def _has_open_work(self) -> bool:
+        """Return whether the end of the process would lose something."""
+        return bool(
+            self._callers.active_count
+            or self._upstream.running
+            or self._caller_server.has_unsent_data
+            or self._peers.has_unsent_data
+            or self._upstream_log.has_unstored_leaves
+        )
+
     def reload(self) -> None:
         """Apply the changed settings file, as SIGHUP does.
 
--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -43,6 +43,14 @@
         """Return whether frames can be sent."""
         return self._transport is not None
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether the peer has not read all frames."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     @property
     def silent_s(self) -> float:
         """Return the time since data was last received, in seconds."""
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -458,6 +458,13 @@
         }
         self._server: asyncio.Server | None = None
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether a client has not read all of its response."""
+        return any(
+            connection.has_unsent_data for connection in self.connections
+        )
+
     async def async_listen(self, address: tuple[str, int]) -> None:
         """Start accepting connections.
 
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -503,6 +503,23 @@
         assert len(billing.seen) == served
 
 
+async def async_test_slow_readers_in_the_stop() -> None:
+    """Let a client read its response until after the callers are drained."""
+    async with running() as fleet:
+        daemon = fleet.daemons['status']
+        billing = fleet.upstreams['billing']
+        billing.body = b'x' * (8 << 20)
+        async with connected(daemon) as (reader, writer):
+            writer.write(build_payment(1))
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 ')
+            daemon.stop()
+            await asyncio.sleep(process.CALLER_DRAIN_S + 0.5)
+            assert not fleet.tasks['status'].done()
+            assert len(await reader.readexactly(8 << 20)) == 8 << 20
+            await asyncio.wait_for(fleet.tasks['status'], timeout=1.0)
+
+
 async def async_peek(daemon: process.Daemon) -> int:
     """Make a call of the local upstream; return the status."""
     async with connected(daemon) as (reader, writer):
@@ -636,6 +653,12 @@
     asyncio.run(async_test_call_at_the_end_of_the_stop())
 
 
+# Guards against whole answers that a stop cuts while clients read them.
+def test_stop_waits_for_clients_that_read_slowly() -> None:
+    """The process ends once the last byte is sent, or with the grace time."""
+    asyncio.run(async_test_slow_readers_in_the_stop())
+
+
 # Guards against calls of an upstream that its stopping daemon takes and cuts.
 def test_calls_of_the_upstream_end_before_its_daemon() -> None:
     """A call that cannot end in what is left of the grace time is refused."""
