Answer every request that was read before a rejected one

A request that offers an upgrade to HTTP/2, as many clients do, runs, and its connection is closed without an answer.

Cause: the parser stops at such a request and reports it as complete without its body. It was handed on, the body was lost, the stop counted as an error, and an error closed the connection, whatever request was still running on it. The last part has nothing to do with upgrades: bytes that are no request, a header or body above the limits, or one request too many in the pipeline, all ended the requests before them.

Change: the offer is ignored (RFC 9110, section 7.8). A new parser takes over behind the head of the request and reads its body and the requests after it. A rejected request ends the reading; the requests before it get their responses, and then the connection is closed. CONNECT is rejected before it is handled.

test_bodies_of_all_clients_share_a_limit asked that the connection is closed at once when a second request exceeds the limit, while the first one runs: that is this fault. It asks now that the second one is not handled, that the first one gets its response, and that the connection is closed then.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -134,6 +134,12 @@
         self._incomplete: IngressRequest | None = None
         self._loop = asyncio.get_running_loop()
         self._is_closing = False
+        # Whether the bytes after the pending requests are not read.
+        self._has_rejected = False
+        # Header fields that delimit the body of the incomplete request.
+        self._framing: list[bytes] = []
+        # Whether the parser reads a head in place of one that is known.
+        self._is_behind_head = False
         # Time of the event loop when the connection began, a request began or
         # a response was sent, whichever is latest.
         self.since = self._loop.time()
@@ -187,20 +193,57 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of requests."""
-        if self._is_closing or self._parser is None:
-            return
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserCallbackError:
-            # The callback has sent the error response already.
+            # The callback has rejected the request already.
             return
-        except httptools.HttpParserUpgrade:
-            self._reject(501)
         except httptools.HttpParserError:
             self._reject(400)
         else:
             self._limit_unparsed_bytes(len(data))
 
+    def _parse(self, data: bytes) -> None:
+        """Pass received bytes to the parser.
+
+        Raises:
+            HttpParserError: The bytes are no request, or were rejected.
+        """
+        while not self._has_ended_reading and self._parser is not None:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                (head_size,) = upgrade.args
+                data = self._ignore_upgrade() + data[head_size:]
+            else:
+                return
+
+    def _ignore_upgrade(self) -> bytes:
+        """Start a new parser behind the head of a request.
+
+        The parser takes what follows the offer of another protocol for bytes
+        of that protocol. The offer is ignored, as RFC 9110 allows in section
+        7.8, so they are the body of the request.
+
+        Returns:
+            A head that makes the new parser read the body.
+        """
+        parser = self._parser
+        if parser is None or self._has_ended_reading:
+            return b''
+        self._parser = httptools.HttpRequestParser(self)
+        self._is_behind_head = True
+        return b'%b / HTTP/1.1\r\n%b%b\r\n' % (
+            parser.get_method(),
+            b'' if parser.should_keep_alive() else b'Connection: close\r\n',
+            b''.join(self._framing),
+        )
+
+    @property
+    def _has_ended_reading(self) -> bool:
+        """Return whether no further request is read."""
+        return self._is_closing or self._has_rejected
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the requests of the client and abandon the current one."""
         del exc
@@ -233,24 +276,27 @@
 
     def on_message_begin(self) -> None:
         """Start to receive a request."""
+        if self._is_behind_head:
+            return
         self._incomplete = IngressRequest(self)
         self.since = self._loop.time()
         self._head: list[bytes] = []
         self._body = []
+        self._framing = []
         self._removed_fields: set[bytes] = set()
         self._header_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Store a part of the request target."""
         request = self._incomplete
-        if request is not None:
+        if request is not None and not self._is_behind_head:
             request.target += url
             self._limit_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field, if it is to be forwarded or used here."""
         request = self._incomplete
-        if request is None:
+        if request is None or self._is_behind_head:
             return
         self._limit_header_bytes(len(name) + len(value) + 4)
         names = self._server.names
@@ -271,6 +317,8 @@
         elif lower in self._server.removed_fields:
             if lower == b'connection':
                 self._record_named_fields(value)
+            elif lower in (b'content-length', b'transfer-encoding'):
+                self._framing.append(b'%b: %b\r\n' % (name, value))
             return
         elif lower == b'expect':
             if value.lower() == b'100-continue' and self._transport:
@@ -281,6 +329,7 @@
     def on_headers_complete(self) -> None:
         """Record that the header is complete."""
         self._unparsed_bytes = 0
+        self._is_behind_head = False
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, or reject the request.
@@ -304,10 +353,17 @@
         """Pass the request to the handler, or queue it after earlier ones."""
         self._unparsed_bytes = 0
         request = self._incomplete
-        if request is None or self._is_closing or self._parser is None:
+        if request is None or self._has_ended_reading or not self._parser:
             return
-        self._incomplete = None
         request.method = self._parser.get_method()
+        if request.method == b'CONNECT':
+            # What follows such a request is not HTTP.
+            self._reject(501)
+            return
+        if self._parser.should_upgrade():
+            # The body follows, see _ignore_upgrade.
+            return
+        self._incomplete = None
         request.is_closing = not self._parser.should_keep_alive()
         request.received_at = self._loop.time()
         request.head = b''.join(self._head)
@@ -343,7 +399,10 @@
         is_closing = (
             close
             or request.is_closing
-            or (self._server.is_closing and not self._pending)
+            or (
+                (self._server.is_closing or self._has_rejected)
+                and not self._pending
+            )
         )
         line = _STATUS_LINES.get(status) or (
             f'HTTP/1.1 {status} Status\r\n'.encode()
@@ -416,17 +475,23 @@
             self._body_bytes = 0
 
     def _reject(self, status: int, head: bytes = b'') -> None:
-        """Send an error response to a rejected request and close."""
+        """Send an error response to a rejected request and close.
+
+        If earlier requests wait for their responses, the connection is closed
+        after these, and the rejected one gets none.
+        """
         self._incomplete = None
         self._release_incomplete()
-        if self._transport is None or self._is_closing:
+        if self._transport is None or self._has_ended_reading:
             return
-        if self._current is None:
-            self._transport.write(
-                _STATUS_LINES[status]
-                + head
-                + b'Content-Length: 0\r\nConnection: close\r\n\r\n'
-            )
+        self._has_rejected = True
+        if self._current is not None or self._pending:
+            return
+        self._transport.write(
+            _STATUS_LINES[status]
+            + head
+            + b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+        )
         self.close()
 
 
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import pytest
 
 from sassafraswood.models import traffic
 from sassafraswood.transport import ingress
@@ -13,6 +14,7 @@
 
 GET = b'GET /a/1 HTTP/1.1\r\nHost: x\r\n\r\n'
 POST = b'POST /a/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello'
+LONG_POST = POST.replace(b'5', b'20') + b'GET / HTTP/1.1\r\n'[:15]
 LIMITS = traffic.ClientLimits(
     max_header_bytes=500,
     max_body_bytes=50,
@@ -171,9 +173,12 @@
     client.connection.data_received(POST)
     assert client.server.held.count == 5
     client.connection.data_received(POST)
+    assert len(client.handler.requests) == 1
+    assert client.server.held.count == 5
+    client.handler.requests[0].reply(200)
     assert client.transport.is_closed
-    client.disconnect()
     assert client.server.held.count == 0
+    client.disconnect()
     other = Client()
     other.server.held.limit = 4
     other.connection.data_received(POST)
@@ -195,6 +200,86 @@
     assert client.server.held.count == 0
 
 
+# Guards against requests that run while their connection is closed without a
+# response, since they offer another protocol.
+@pytest.mark.parametrize('request_bytes', [GET, POST, LONG_POST])
+def test_offer_of_another_protocol_is_ignored(request_bytes) -> None:
+    """The request and the next one get responses, and the offer ends here."""
+    offering = request_bytes.replace(
+        b'Host: x\r\n',
+        b'Host: x\r\nConnection: Upgrade, HTTP2-Settings\r\n'
+        b'Upgrade: h2c\r\nHTTP2-Settings: AAMA\r\n',
+    )
+    client = Client(offering + POST)
+    first = client.handler.requests[0]
+    assert first.target == b'/a/1'
+    assert first.body == request_bytes.partition(b'\r\n\r\n')[2]
+    assert b'pgrade' not in first.head and b'HTTP2' not in first.head
+    first.reply(200)
+    client.handler.requests[1].reply(200)
+    assert client.transport.written.count(b'HTTP/1.1 200 ') == 2
+    assert not client.transport.is_closed
+    client.connection.data_received(GET)
+    assert len(client.handler.requests) == 3
+    client.disconnect()
+
+
+@pytest.mark.parametrize('size', [1, 7, 50])
+def test_offer_that_arrives_in_parts_is_ignored(size) -> None:
+    """Chunks follow it, and its client closes after the response."""
+    data = (
+        b'POST /a/1 HTTP/1.1\r\nHost: x\r\nUpgrade: h2c\r\n'
+        b'Connection: Upgrade, close\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+    )
+    client = Client()
+    for start in range(0, len(data), size):
+        client.connection.data_received(data[start : start + size])
+    (request,) = client.handler.requests
+    assert request.body == b'abcde'
+    request.reply(200)
+    assert client.transport.is_closed
+    client.disconnect()
+
+
+def test_connect_is_rejected() -> None:
+    """The bytes after it are not HTTP."""
+    client = Client(b'CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n\x16\x03')
+    assert b' 501 ' in client.transport.written
+    assert client.transport.is_closed
+    assert not client.handler.requests
+    client.disconnect()
+
+
+# Guards against requests that run while their connection is closed without a
+# response, since other bytes follow them.
+@pytest.mark.parametrize(
+    'following',
+    [
+        b'\x00\x01\r\n\r\n',
+        b'CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n',
+        b'GET / HTTP/1.1\r\na: ' + b'x' * 600 + b'\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n' + b'x' * 60,
+        GET * (ingress.MAX_PIPELINED_REQUESTS + 1),
+    ],
+)
+def test_requests_before_a_rejected_one_get_their_responses(following) -> None:
+    """The connection is closed after the last of them."""
+    client = Client(POST + following)
+    assert not client.transport.is_closed
+    client.connection.data_received(GET)
+    for number, request in enumerate(client.handler.requests, start=1):
+        assert not client.transport.is_closed
+        request.reply(200)
+        assert client.transport.written.count(b'HTTP/1.1 200 ') == number
+    assert client.transport.is_closed
+    assert b'Connection: close' in client.transport.written
+    assert client.transport.written.count(b'HTTP/1.1 ') == number
+    client.disconnect()
+    assert not client.handler.abandoned
+    assert client.server.held.count == 0
+
+
 def test_request_of_disconnected_client_is_abandoned() -> None:
     """The body bytes of its pipelined requests are released as well."""
     client = Client(POST + POST)
