Refuse a crashing request also when its query varies

A request that crashes each upstream it reaches comes with another query each time and is never stopped: 24 crashes in 20 s. Ordinary requests that run beside it are lost each time.

Cause: the fingerprint holds the whole target, so each arrival is another request with a single sighting.

Change: a target with a query has a second fingerprint, of its path alone, and the crashes show which of the two tells the request from harmless ones. Leaving the query out altogether would refuse a busy path for one of its queries: the rate of answers to the path keeps its evidence low, while the query that comes with each crash stands out. Rates are counted for both, too. Requests without a query are treated as before.

test_request_with_a_varying_query_is_refused on six real daemons: on 19 arrivals, 10 of them after all daemons must refuse it (3 allowed); it passes with the change, as do the tests of the parts, one of them for one bad query of a busy path.

--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -38,6 +38,7 @@
         after_s: Time that it runs before the crash, in seconds.
         is_inner: Whether an inner call by its upstream causes the crash,
             instead of the request itself.
+        varies_query: Whether each send has another query.
     """
 
     route: str = 'read'
@@ -45,6 +46,7 @@
     body: str = ''
     after_s: float = 0.0
     is_inner: bool = False
+    varies_query: bool = False
 
     @property
     def fields(self) -> str:
@@ -110,8 +112,11 @@
             machine, crash.route, 'blue', self._keys.in_use['blue']
         )
         attempt.crashes = True
+        target = crash.target
+        if crash.varies_query:
+            target += f'?attempt={attempt.attempt_id}'
         await self._async_send_on_new_connection(
-            attempt, machine, crash.target, crash.body, crash.fields
+            attempt, machine, target, crash.body, crash.fields
         )
 
     async def async_send_unique(self, machine: machine_module.Machine) -> None:
--- a/lab/soak/ledger.py
+++ b/lab/soak/ledger.py
@@ -153,7 +153,11 @@
         return problems
 
     def record_crash(self, target: str, attempt_id: str) -> None:
-        """Record the arrival of a request that crashes the upstream."""
+        """Record the arrival of a request that crashes the upstream.
+
+        Requests whose targets differ only in the query count as one.
+        """
+        target = target.partition('?')[0]
         attempt = self.attempts.get(attempt_id)
         # The id of a call by an upstream begins with its machine name.
         machine = (
--- a/sassafraswood/coordination/lost_runs.py
+++ b/sassafraswood/coordination/lost_runs.py
@@ -11,8 +11,8 @@
 from sassafraswood import clock as clock_module
 
 CallT = TypeVar('CallT')
-# Identifies equal requests within this process: request line, workspace and
-# hash of the body.
+# Identifies equal requests within this process: method and target, or its
+# path alone, workspace and hash of the body.
 RequestKind = tuple[bytes, str, int]
 # The end of an upstream is detected within this time, after three missing
 # reports.
@@ -113,7 +113,7 @@
             and connection <= lost[0].last_connection
         ):
             lost.popleft()
-        self._count_response(kind)
+        self.count_response(kind)
 
     def record_lost_run(
         self,
@@ -194,7 +194,8 @@
         mean = (count + PRIOR_RESPONSE_COUNT) / max(1.0, elapsed_s)
         return max(mean, peak / PEAK_WINDOW_S if peak > 1 else 0.0)
 
-    def _count_response(self, kind: RequestKind) -> None:
+    def count_response(self, kind: RequestKind) -> None:
+        """Count a response for the rate of a kind of request."""
         now = self._clock.monotonic()
         if (
             now - self._period_started_at >= RATE_PERIOD_S
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -229,8 +229,10 @@
 
     def _refuse_if_quarantined(self, call: caller_call.CallerCall) -> bool:
         """Refuse the call if its fingerprint is quarantined for crashes."""
-        fingerprint = fingerprints.hash_run(self._build_run(call))
-        left_s = self._crashes.refusal_left_s(fingerprint)
+        left_s, fingerprint = max(
+            (self._crashes.refusal_left_s(item), item)
+            for item in fingerprints.hash_all(self._build_run(call))
+        )
         if left_s <= 0.0:
             return False
         self._refuse(
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -223,8 +223,9 @@
             call.end()
             self._refuse(call, enums.RefusalReason.UNKNOWN_SERVICE)
             return call
-        if self._crashes.has_verdicts and self._crashes.is_refused(
-            fingerprints.hash_run(run)
+        if self._crashes.has_verdicts and any(
+            self._crashes.is_refused(fingerprint)
+            for fingerprint in fingerprints.hash_all(run)
         ):
             call.end()
             self._refuse(call, enums.RefusalReason.QUARANTINED)
--- a/sassafraswood/sidecar/upstream_watch.py
+++ b/sassafraswood/sidecar/upstream_watch.py
@@ -125,9 +125,10 @@
         number = 0
         if call.running is not None:
             number = call.running.connection_number
-        self._lost_runs.note_response(
-            fingerprints.build_local_key(call.run), call.started_at, number
-        )
+        kind, *path_kinds = fingerprints.build_local_keys(call.run)
+        self._lost_runs.note_response(kind, call.started_at, number)
+        for path_kind in path_kinds:
+            self._lost_runs.count_response(path_kind)
         if call.upstream == self._upstream:
             self._has_crashed = False
 
@@ -301,18 +302,17 @@
         lost_calls.sort(key=lambda item: item[0].started_at)
         suspects: dict[ids.Fingerprint, crash.Suspect] = {}
         for call, ended_at in lost_calls[-MAX_SUSPECTS:]:
-            fingerprint = fingerprints.hash_run(call.run)
-            former = suspects.pop(fingerprint, None)
-            suspects[fingerprint] = crash.Suspect(
-                fingerprint=fingerprint,
-                rate_per_s=round(
-                    self._lost_runs.rate_per_s(
-                        fingerprints.build_local_key(call.run)
-                    ),
-                    3,
-                ),
-                age_s=round(max(min_age_s, ended_at - call.started_at), 4),
-                is_repeat=call.run.is_repeat
-                and (former is None or former.is_repeat),
-            )
+            for fingerprint, key in zip(
+                fingerprints.hash_all(call.run),
+                fingerprints.build_local_keys(call.run),
+                strict=True,
+            ):
+                former = suspects.pop(fingerprint, None)
+                suspects[fingerprint] = crash.Suspect(
+                    fingerprint=fingerprint,
+                    rate_per_s=round(self._lost_runs.rate_per_s(key), 3),
+                    age_s=round(max(min_age_s, ended_at - call.started_at), 4),
+                    is_repeat=call.run.is_repeat
+                    and (former is None or former.is_repeat),
+                )
         return list(suspects.values())
--- a/tests/lab/soak/test_crash_scenario.py
+++ b/tests/lab/soak/test_crash_scenario.py
@@ -75,6 +75,13 @@
     check(tmp_path, crash=callers.CrashRequest(target='/read/1'))
 
 
+# Guards against a request that escapes its refusal by another query each time.
+@pytest.mark.process
+def test_request_with_a_varying_query_is_refused(tmp_path) -> None:
+    """Its path alone tells it from other requests."""
+    check(tmp_path, crash=callers.CrashRequest(varies_query=True))
+
+
 # Guards against a suspect list that is truncated to a few requests.
 @pytest.mark.process
 @pytest.mark.parametrize('after_s', [0.0, 0.3])
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -539,3 +539,59 @@
     assert refusal.is_local
     case.submit(time_left_s=2.0)
     assert len(case.pool.requests) == 1
+
+
+def report_crash(case: Case, target: str, number: int) -> list[crash.Verdict]:
+    """Let a request crash its upstream; return the verdicts that follow."""
+    call = case.submit(head=f'POST {target} HTTP/1.1\r\n'.encode())
+    case.clock.advance(0.05)
+    case.pool.requests.pop()[2](exchange.FailureKind.BROKEN)
+    case.report(sequence=1, instance_id=f'n{number}', born=number + 1)
+    _, suspects = case.crashed.pop()
+    assert fingerprints.hash_run(call.run) == suspects[0].fingerprint
+    verdicts = case.crashes.add(
+        crash.CrashRecord(
+            record_id=f'c{number}',
+            service=SERVICE,
+            ended_at=0.0,
+            suspects=tuple(suspects),
+        )
+    )
+    # A request that follows at once counts as a retry by its caller.
+    case.clock.advance(1.0)
+    return verdicts
+
+
+# Guards against a request that escapes its refusal by another query each time.
+def test_request_with_a_varying_query_is_refused(tmp_path) -> None:
+    """Its path is refused; other paths are served."""
+    case = Case(tmp_path)
+    for number in range(1, 4):
+        verdicts = report_crash(case, f'/odd?at={number}', number)
+        if verdicts:
+            break
+    assert len(verdicts) == 1
+    case.submit(head=b'POST /odd?at=99 HTTP/1.1\r\n')
+    assert not case.pool.requests
+    assert case.replies[-1].reason == enums.RefusalReason.QUARANTINED.value
+    case.submit(head=b'POST /other?at=99 HTTP/1.1\r\n')
+    assert len(case.pool.requests) == 1
+
+
+def test_one_query_of_a_busy_path_is_refused_alone(tmp_path) -> None:
+    """Requests with other queries succeed, so the path is not the cause."""
+    case = Case(tmp_path)
+    for number in range(1, 4):
+        for served in range(40):
+            case.submit(head=f'POST /busy?of={served} HTTP/1.1\r\n'.encode())
+            case.respond()
+            case.pool.requests.clear()
+            case.clock.advance(0.02)
+        verdicts = report_crash(case, '/busy?of=odd', number)
+        if verdicts:
+            break
+    assert len(verdicts) == 1
+    case.submit(head=b'POST /busy?of=odd HTTP/1.1\r\n')
+    assert not case.pool.requests
+    case.submit(head=b'POST /busy?of=1 HTTP/1.1\r\n')
+    assert len(case.pool.requests) == 1
