Bound the memory of bodies that others read slowly

Clients that read large answers slowly fill the daemons that they ask until these are ended, and uploads to a slow upstream do the same beside it; all requests there end with the process.

Cause: the budget of held bytes ends where the daemon hands the bytes over. An answer counted until it was complete, a body of a call not at all, and what a transport holds for a slow reader was bounded by nothing. The transport itself reports too little: an answer is freed only when its last byte is sent.

Change: a call begins only if there is room for its answer, by the largest recent one of its route; otherwise it is refused as not run, with Retry-After. An answer that does not fit at all is dropped only beyond twice the limit, which needs many calls of a route whose answers were not known to be large. Daemons refuse calls of a peer that does not read its replies, and calls whose bodies do not fit beside those that the upstream has not taken. A single body may exceed each limit. Large answers are no longer copied behind their head. The largest recent value of a route is one class for sizes and durations now.

Not tested on processes: uploads and peers that do not read.

--- a/sassafraswood/coordination/stop_plan.py
+++ b/sassafraswood/coordination/stop_plan.py
@@ -4,8 +4,10 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
-from sassafraswood.state import route_durations
+from sassafraswood.state import route_maxima
 
+# With fewer recent calls of a route, the longest one says little of the next.
+MIN_CALLS: Final = 5
 # A call may take this many times as long as the longest recent one of its
 # route.
 DURATION_MARGIN_FACTOR: Final = 1.25
@@ -31,7 +33,7 @@
             clock: Monotonic clock.
         """
         self._clock = clock
-        self._durations = route_durations.RouteDurations(clock.monotonic())
+        self._durations = route_maxima.RouteMaxima(clock.monotonic())
         self._end_at = math.inf
 
     @property
@@ -62,7 +64,7 @@
             started_at: Monotonic time of its start in seconds.
         """
         now = self._clock.monotonic()
-        self._durations.note_end(route, now - started_at, now)
+        self._durations.note_call(route, now - started_at, now)
 
     def note_running(self, route: str, started_at: float) -> None:
         """Note that a call has not ended yet.
@@ -72,7 +74,7 @@
             started_at: Monotonic time of its start in seconds.
         """
         now = self._clock.monotonic()
-        self._durations.note_running(route, now - started_at, now)
+        self._durations.note_at_least(route, now - started_at, now)
 
     def may_begin(self, route: str, time_left_s: float) -> bool:
         """Return whether a call can be expected to end in time.
@@ -83,5 +85,8 @@
         """
         if not self.is_stopping:
             return True
-        expected_s = DURATION_MARGIN_FACTOR * self._durations.longest_s(route)
-        return min(time_left_s, expected_s) <= self.left_s
+        needed_s = time_left_s
+        if self._durations.count(route) >= MIN_CALLS:
+            longest_s = self._durations.largest(route)
+            needed_s = min(time_left_s, DURATION_MARGIN_FACTOR * longest_s)
+        return needed_s <= self.left_s
--- a/sassafraswood/models/enums.py
+++ b/sassafraswood/models/enums.py
@@ -84,6 +84,8 @@
     QUEUE_FULL = 'queue_full'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
     CALLEE_BUSY = 'callee_busy'
+    # Bodies that others have not read yet fill the memory.
+    MEMORY_FULL = 'memory_full'
     # All slots of this upstream are in use; the call goes to another one.
     UPSTREAM_FULL = 'upstream_full'
     UPSTREAM_SHED = 'upstream_shed'
--- a/sassafraswood/sidecar/caller_call.py
+++ b/sassafraswood/sidecar/caller_call.py
@@ -40,6 +40,7 @@
         refusal_count: Attempts that were refused.
         upstream_refusal_count: Attempts that an upstream itself refused.
         redirect_count: Attempts that found all slots of an upstream in use.
+        reserved_bytes: Memory that is reserved for its answer.
         tried_daemon_ids: Daemons to which the call was sent.
     """
 
@@ -58,6 +59,7 @@
         'redirect_count',
         'refusal_count',
         'request',
+        'reserved_bytes',
         'route',
         'sent_at',
         'service',
@@ -94,6 +96,7 @@
         self.sent_at = 0.0
         self.attempt_count = 0
         self.refusal_count = 0
+        self.reserved_bytes = 0
         self.redirect_count = 0
         self.upstream_refusal_count = 0
         self.tried_daemon_ids: list[ids.DaemonId] = []
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import answer_memory as answer_memory_module
 from sassafraswood.coordination import call_depth
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
@@ -84,6 +85,7 @@
         members_s: float,
         budget: repeat_budget.RepeatBudget,
         stop_plan: stop_plan_module.StopPlan,
+        answer_memory: answer_memory_module.AnswerMemory,
     ) -> None:
         """Create the caller side without rules and without connections.
 
@@ -108,6 +110,8 @@
                 of this daemon is spent, in seconds.
             budget: Retry budget.
             stop_plan: Decides which calls begin while the daemon stops.
+            answer_memory: Decides which calls begin while clients have not
+                read their answers.
         """
         self._clock = clock
         self._random = random
@@ -130,6 +134,7 @@
         self._depth_by_route: dict[str, int] = {}
         self._budget = budget
         self._stop_plan = stop_plan
+        self._answer_memory = answer_memory
         self._call_ids = itertools.count(1)
         self._active: dict[int, caller_call.CallerCall] = {}
         # Calls that wait for a daemon of a service, with the monotonic time in
@@ -223,6 +228,11 @@
         self._budget.count_request(call.service, self._depth_of(call))
         if self._crashes.has_verdicts and self._refuse_if_quarantined(call):
             return
+        reserved_bytes = self._answer_memory.reserve(call.route.name)
+        if reserved_bytes is None:
+            self._refuse(call, 503, enums.RefusalReason.MEMORY_FULL.value)
+            return
+        call.reserved_bytes = reserved_bytes
         if call.workspace and not self._quota_waits.acquire(call):
             return
         self._send(call)
@@ -249,7 +259,7 @@
         call = request.context
         if call is None or id(call) not in self._active:
             return
-        del self._active[id(call)]
+        self._forget(call)
         self._metrics.count('abandoned', call.service, 'client_left')
         if call.cancel is not None:
             call.cancel()
@@ -526,8 +536,13 @@
     def _respond(
         self, call: caller_call.CallerCall, response: frames.Answer, now: float
     ) -> None:
-        del self._active[id(call)]
+        size = len(response.body)
         self._stop_plan.note_end(call.route.name, call.started_at)
+        self._answer_memory.note_answer(call.route.name, size)
+        if not self._answer_memory.has_room(size):
+            self._fail(call, 502, enums.RefusalReason.MEMORY_FULL.value)
+            return
+        self._forget(call)
         elapsed_s = now - call.request.received_at
         self._metrics.observe(call.service, response.status, elapsed_s)
         if response.status >= 500:
@@ -629,6 +644,13 @@
             call.candidate.note_failure(self._clock.monotonic())
         self._fail(call, 504, 'timeout')
 
+    def _forget(self, call: caller_call.CallerCall) -> bool:
+        """End a call; return False if it had ended already."""
+        if self._active.pop(id(call), None) is None:
+            return False
+        self._answer_memory.release(call.reserved_bytes)
+        return True
+
     # Responses that this daemon generates.
 
     def _compute_retry_after_s(self, call: caller_call.CallerCall) -> float:
@@ -670,7 +692,7 @@
             # An earlier attempt may have run; a refusal would deny that.
             self._fail(call, 502, reason)
             return
-        if self._active.pop(id(call), None) is None:
+        if not self._forget(call):
             return
         self._quota_waits.release(call)
         if retry_after_s is None:
@@ -689,7 +711,7 @@
         self, call: caller_call.CallerCall, status: int, reason: str
     ) -> None:
         """Respond with an error; the request may have run."""
-        if self._active.pop(id(call), None) is None:
+        if not self._forget(call):
             return
         self._metrics.count('failed', call.service, reason)
         waited_s = 0.0
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+import sys
 from typing import Final
 
 from sassafraswood import clock as clock_module
@@ -92,6 +93,9 @@
         self._members: dict[ids.DaemonId, fleet.Member] = {}
         self._links: dict[ids.DaemonId, peer_link.PeerLink] = {}
         self._accepted: set[frame_link.FrameConnection] = set()
+        # Bytes of replies that are held for one peer before its further calls
+        # are refused.
+        self.max_unsent_bytes = sys.maxsize
         self._running: dict[
             tuple[frame_link.FrameConnection, int],
             upstream_side.UpstreamCall,
@@ -126,9 +130,9 @@
         return len(self._accepted)
 
     @property
-    def has_unsent_data(self) -> bool:
-        """Return whether a peer has not read all replies to its calls."""
-        return any(connection.has_unsent_data for connection in self._accepted)
+    def unsent_bytes(self) -> int:
+        """Return the bytes of replies that are still held for peers."""
+        return sum(connection.unsent_bytes for connection in self._accepted)
 
     def candidates(
         self, service: ids.ServiceName
@@ -508,6 +512,18 @@
     def _handle_call(
         self, connection: frame_link.FrameConnection, run: frames.Run
     ) -> None:
+        if connection.unsent_bytes > self.max_unsent_bytes:
+            # Another daemon or the caller may send the call again.
+            connection.send(
+                frames.Refused(
+                    call_id=run.call_id,
+                    reason=enums.RefusalReason.MEMORY_FULL.value,
+                    is_local=True,
+                    has_reached_upstream=False,
+                    load=0.0,
+                )
+            )
+            return
         key = (connection, run.call_id)
 
         def deliver(reply: upstream_side.Reply) -> None:
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -12,6 +12,7 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood import const
+from sassafraswood.coordination import answer_memory
 from sassafraswood.coordination import call_depth
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
@@ -69,9 +70,10 @@
 # before it is killed.
 GRACE_MARGIN_S: Final = 0.7
 METRICS_PORT: Final = 9464
-# Fraction of the memory for request bodies, and as much for response bodies.
-# Each body is held twice while it is forwarded, and the process itself takes a
-# tenth of the memory.
+# Fraction of the memory for bodies of requests of clients, and as much each
+# for answers that are being received, for answers that clients or peers have
+# not read, and for bodies of calls at the upstream. Each body is held twice
+# while it is forwarded, and the process itself takes a tenth of the memory.
 BODY_MEMORY_FRACTION: Final = 0.15
 # Settings that a running process applies from a changed file.
 RELOADABLE_SETTINGS: Final = ('bounds', 'report_interval_s')
@@ -131,6 +133,9 @@
         caller_stop_plan = stop_plan.StopPlan(self._clock)
         upstream_stop_plan = stop_plan.StopPlan(self._clock)
         self._stop_plans = (caller_stop_plan, upstream_stop_plan)
+        caller_answer_memory = answer_memory.AnswerMemory(
+            self._clock, lambda: self._caller_server.unsent_bytes
+        )
         self._upstream = upstream_side.UpstreamSide(
             clock=self._clock,
             gate=upstream_gate.UpstreamGate(self._clock, downstream_load),
@@ -183,6 +188,7 @@
             members_s=MAX_MEMBERS_AGE_S,
             budget=self._budget,
             stop_plan=caller_stop_plan,
+            answer_memory=caller_answer_memory,
         )
         self._store = store_module.StoreClient(settings.store_address)
         self._probe = upstream_probe.UpstreamProbe(
@@ -272,10 +278,12 @@
             local_servers.MetricsHandler(self._metrics, self._set_gauges),
             names,
         )
-        for held_bytes in (self._caller_server.held, self._pool.held):
-            held_bytes.limit = int(
-                BODY_MEMORY_FRACTION * settings.memory_bytes
-            )
+        body_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
+        self._caller_server.held.limit = body_bytes
+        self._pool.held.limit = body_bytes
+        self._upstream.bodies.limit = body_bytes
+        self._peers.max_unsent_bytes = body_bytes
+        caller_answer_memory.limit = body_bytes
         self._has_rules = False
         self._is_stopping = False
         self._slow_tick_at = 0.0
@@ -383,8 +391,8 @@
         return bool(
             self._callers.active_count
             or self._upstream.running
-            or self._caller_server.has_unsent_data
-            or self._peers.has_unsent_data
+            or self._caller_server.unsent_bytes
+            or self._peers.unsent_bytes
             or self._upstream_log.has_unstored_leaves
         )
 
@@ -550,6 +558,11 @@
         metrics.gauge('upstream_connects', self._pool.connect_count)
         metrics.gauge('request_bytes_held', self._caller_server.held.count)
         metrics.gauge('answer_bytes_held', self._pool.held.count)
+        metrics.gauge('call_bytes_held', self._upstream.bodies.count)
+        metrics.gauge(
+            'answer_bytes_unsent',
+            self._caller_server.unsent_bytes + self._peers.unsent_bytes,
+        )
         metrics.gauge('peers_reachable', self._peers.reachable_count)
         metrics.gauge('peers_accepted', self._peers.accepted_count)
         metrics.gauge('store_calls', self._store.calls)
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -1,6 +1,7 @@
 """Admits calls to the upstream beside this daemon and forwards them."""
 
 from collections.abc import Callable
+import sys
 from typing import Final
 
 from sassafraswood import clock as clock_module
@@ -18,6 +19,7 @@
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import fingerprints
 from sassafraswood.sidecar import upstream_watch
+from sassafraswood.state import held_bytes
 from sassafraswood.transport import exchange
 from sassafraswood.transport import json_log
 
@@ -37,6 +39,8 @@
         running: The exchange with the upstream, once it has begun.
         upstream: The process of the upstream that it was sent to.
         is_abandoned: Whether its caller no longer waits for the reply.
+        bodies: The budget in which its body is counted; None if it is not.
+        held_bytes: Bytes that are counted there.
     """
 
     run: frames.Run
@@ -44,6 +48,15 @@
     running: exchange.Exchange | None = None
     upstream: fleet.UpstreamProcess | None = None
     is_abandoned = False
+    bodies: held_bytes.ByteBudget | None = None
+    held_bytes = 0
+
+    def end(self) -> None:
+        """Mark the call as ended, and release its body."""
+        super().end()
+        if self.bodies is not None:
+            self.bodies.release(self.held_bytes)
+            self.bodies = None
 
 
 class UpstreamSide:
@@ -105,6 +118,8 @@
         self._stop_plan = stop_plan
         self._is_stopping = False
         self.running: set[UpstreamCall] = set()
+        # Bodies of calls that have not ended.
+        self.bodies = held_bytes.ByteBudget(limit=sys.maxsize)
         self._watch = upstream_watch.UpstreamWatch(
             clock=clock,
             registry=registry,
@@ -223,6 +238,10 @@
             call.end()
             self._refuse(call, enums.RefusalReason.UNKNOWN_SERVICE)
             return call
+        if not self._take_body(call):
+            call.end()
+            self._refuse(call, enums.RefusalReason.MEMORY_FULL)
+            return call
         if self._crashes.has_verdicts and any(
             self._crashes.is_refused(fingerprint)
             for fingerprint in fingerprints.hash_all(run)
@@ -237,6 +256,23 @@
         self._gate.submit(call)
         return call
 
+    def _take_body(self, call: UpstreamCall) -> bool:
+        """Return whether the body of a call may be held until its end.
+
+        A single call may exceed the limit.
+        """
+        # It is copied behind the head of the request.
+        size = 2 * len(call.run.body)
+        if not size:
+            return True
+        if not self.bodies.count:
+            self.bodies.take_anyway(size)
+        elif not self.bodies.take(size):
+            return False
+        call.held_bytes = size
+        call.bodies = self.bodies
+        return True
+
     @property
     def makes_calls(self) -> bool:
         """Return whether the upstream itself makes calls."""
--- a/sassafraswood/state/held_bytes.py
+++ b/sassafraswood/state/held_bytes.py
@@ -26,6 +26,10 @@
         self._count += size
         return True
 
+    def take_anyway(self, size: int) -> None:
+        """Reserve bytes even if they exceed the limit."""
+        self._count += size
+
     def release(self, size: int) -> None:
         """Release reserved bytes."""
         self._count -= size
--- a/sassafraswood/state/route_durations.py
+++ b/sassafraswood/state/route_maxima.py
@@ -1,28 +1,25 @@
-"""Longest recent duration of the calls of each route."""
+"""Largest recent value, such as a duration, of the calls of each route."""
 
-import math
 from typing import Final
 
-# Durations count for at least this time, and for at most twice as long.
+# Values count for at least this time, and for at most twice as long.
 WINDOW_S: Final = 60.0
-# With fewer calls in the window, the longest one says little of the next.
-MIN_CALLS: Final = 5
 # Routes that are kept; further ones count as unknown.
 MAX_ROUTES: Final = 1024
 
 
 class _Window:
-    """Number and longest duration of the calls of one route."""
+    """Number of the calls of one route, and their largest value."""
 
-    __slots__ = ('count', 'longest_s')
+    __slots__ = ('count', 'largest')
 
     def __init__(self) -> None:
         self.count = 0
-        self.longest_s = 0.0
+        self.largest = 0.0
 
 
-class RouteDurations:
-    """Keeps the longest duration of each route in a sliding window."""
+class RouteMaxima:
+    """Keeps the largest value of each route in a sliding window."""
 
     def __init__(self, now: float) -> None:
         """Start without calls.
@@ -34,46 +31,50 @@
         self._previous: dict[str, _Window] = {}
         self._current_since = now
 
-    def note_end(self, route: str, duration_s: float, now: float) -> None:
-        """Count a call that has ended.
+    def note_call(self, route: str, value: float, now: float) -> None:
+        """Count a call with its value.
 
         Args:
             route: Name of the route.
-            duration_s: Duration in seconds.
+            value: Value of the call.
             now: Monotonic time in seconds.
         """
         window = self._get_window(route, now)
         if window is None:
             return
         window.count += 1
-        if duration_s > window.longest_s:
-            window.longest_s = duration_s
+        if value > window.largest:
+            window.largest = value
 
-    def note_running(self, route: str, age_s: float, now: float) -> None:
-        """Note how long a call has lasted that has not ended.
+    def note_at_least(self, route: str, value: float, now: float) -> None:
+        """Note that a call that has not ended will have at least this value.
 
         Args:
             route: Name of the route.
-            age_s: Time since its start in seconds.
+            value: Value so far.
             now: Monotonic time in seconds.
         """
         window = self._get_window(route, now)
-        if window is not None and age_s > window.longest_s:
-            window.longest_s = age_s
-
-    def longest_s(self, route: str) -> float:
-        """Return the longest recent duration of a route, in seconds.
-
-        It is infinite if there were too few calls.
-        """
-        windows = [
-            window
+        if window is not None and value > window.largest:
+            window.largest = value
+
+    def count(self, route: str) -> int:
+        """Return the number of recent calls of a route."""
+        return sum(window.count for window in self._find_windows(route))
+
+    def largest(self, route: str) -> float:
+        """Return the largest recent value of a route, or 0."""
+        return max(
+            (window.largest for window in self._find_windows(route)),
+            default=0.0,
+        )
+
+    def _find_windows(self, route: str) -> list[_Window]:
+        return [
+            windows[route]
             for windows in (self._previous, self._current)
-            if (window := windows.get(route)) is not None
+            if route in windows
         ]
-        if sum(window.count for window in windows) < MIN_CALLS:
-            return math.inf
-        return max(window.longest_s for window in windows)
 
     def _get_window(self, route: str, now: float) -> _Window | None:
         """Return the current window of a route, or None if there are too many.
--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -44,12 +44,11 @@
         return self._transport is not None
 
     @property
-    def has_unsent_data(self) -> bool:
-        """Return whether the peer has not read all frames."""
-        return (
-            self._transport is not None
-            and self._transport.get_write_buffer_size() > 0
-        )
+    def unsent_bytes(self) -> int:
+        """Return the bytes of frames that are still held for the peer."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
 
     @property
     def silent_s(self) -> float:
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -17,6 +17,8 @@
 # Requests on one connection that may wait for the response to an earlier one.
 MAX_PIPELINED_REQUESTS: Final = 16
 LISTEN_BACKLOG: Final = 1024
+# Larger bodies are not copied behind the head of their response.
+MAX_COPIED_BYTES: Final = 64 * 1024
 # Allowed beyond the header limit, since the event loop reads up to 256 KiB at
 # a time.
 MAX_READ_BYTES: Final = 256 * 1024
@@ -150,6 +152,8 @@
         # body or a request.
         self._unparsed_bytes = 0
         self._is_paused = False
+        # Bytes of the responses since the client had last read all of them.
+        self._written_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -161,6 +165,16 @@
         """Return whether a request has been received in part."""
         return self._incomplete is not None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that are still held for the client.
+
+        A response is held as a whole until its last byte is sent.
+        """
+        if not self.has_unsent_data:
+            self._written_bytes = 0
+        return self._written_bytes
+
     @property
     def has_unsent_data(self) -> bool:
         """Return whether the client has not read all of its response."""
@@ -253,6 +267,7 @@
         self._incomplete = None
         self._body = []
         self._server.connections.discard(self)
+        self._server.forget_unsent(self)
         current, self._current = self._current, None
         self._release_incomplete()
         for request in self._pending:
@@ -411,16 +426,21 @@
         length = (
             b'Content-Length: %d\r\n' % len(body) if has_body or body else b''
         )
-        self._transport.write(
-            b'%b%b%b%b\r\n%b'
-            % (
-                line,
-                head,
-                length,
-                b'Connection: close\r\n' if is_closing else b'',
-                body if has_body else b'',
-            )
+        begin = b'%b%b%b%b\r\n' % (
+            line,
+            head,
+            length,
+            b'Connection: close\r\n' if is_closing else b'',
         )
+        if not has_body:
+            self._transport.write(begin)
+        elif len(body) <= MAX_COPIED_BYTES:
+            self._transport.write(begin + body)
+        else:
+            self._transport.write(begin)
+            self._transport.write(body)
+        self._written_bytes += len(begin) + len(body)
+        self._server.note_unsent(self)
         self._current = None
         # The state of the handler refers to the request.
         request.context = None
@@ -514,6 +534,8 @@
         self.held = held_bytes.ByteBudget()
         self.is_closing = False
         self.connections: set[IngressConnection] = set()
+        # Connections that had unsent data when they were last looked at.
+        self._unsent: set[IngressConnection] = set()
         # Fields that are not forwarded: those of a connection, and those that
         # this system sets itself.
         self.removed_fields = exchange.CONNECTION_FIELDS | {
@@ -524,11 +546,23 @@
         self._server: asyncio.Server | None = None
 
     @property
-    def has_unsent_data(self) -> bool:
-        """Return whether a client has not read all of its response."""
-        return any(
-            connection.has_unsent_data for connection in self.connections
-        )
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that are still held for clients."""
+        total = 0
+        for connection in list(self._unsent):
+            size = connection.unsent_bytes
+            if not size:
+                self._unsent.discard(connection)
+            total += size
+        return total
+
+    def forget_unsent(self, connection: IngressConnection) -> None:
+        """Note that a connection has ended."""
+        self._unsent.discard(connection)
+
+    def note_unsent(self, connection: IngressConnection) -> None:
+        """Note that a client may not have read its response yet."""
+        self._unsent.add(connection)
 
     async def async_listen(self, address: tuple[str, int]) -> None:
         """Start accepting connections.
--- a/setup.py
+++ b/setup.py
@@ -9,6 +9,7 @@
 
 COMPILED = [
     'sassafraswood/clock.py',
+    'sassafraswood/coordination/answer_memory.py',
     'sassafraswood/coordination/call_depth.py',
     'sassafraswood/coordination/call_tree.py',
     'sassafraswood/coordination/crash_counts.py',
@@ -40,8 +41,8 @@
     'sassafraswood/sidecar/upstream_watch.py',
     'sassafraswood/state/fair_queue.py',
     'sassafraswood/state/held_bytes.py',
-    'sassafraswood/state/route_durations.py',
     'sassafraswood/state/route_index.py',
+    'sassafraswood/state/route_maxima.py',
     'sassafraswood/transport/exchange.py',
     'sassafraswood/transport/frame_link.py',
     'sassafraswood/transport/ingress.py',
--- a/tests/coordination/test_stop_plan.py
+++ b/tests/coordination/test_stop_plan.py
@@ -2,11 +2,11 @@
 
 from sassafraswood import clock
 from sassafraswood.coordination import stop_plan
-from sassafraswood.state import route_durations
+from sassafraswood.state import route_maxima
 
 
 def make_plan(
-    duration_s: float, calls: int = route_durations.MIN_CALLS
+    duration_s: float, calls: int = stop_plan.MIN_CALLS
 ) -> tuple[clock.ManualClock, stop_plan.StopPlan]:
     """Return a plan after some calls of one route."""
     manual_clock = clock.ManualClock()
@@ -40,7 +40,7 @@
 
 def test_call_of_an_unknown_duration_needs_its_whole_time_limit() -> None:
     """Few calls say nothing of the next one."""
-    _, plan = make_plan(0.01, calls=route_durations.MIN_CALLS - 1)
+    _, plan = make_plan(0.01, calls=stop_plan.MIN_CALLS - 1)
     plan.begin(5.0)
     assert not plan.may_begin('read', 6.0)
     assert not plan.may_begin('other', 6.0)
@@ -61,8 +61,8 @@
 def test_old_durations_are_forgotten() -> None:
     """An upstream that was slow minutes ago delays no later stop."""
     manual_clock, plan = make_plan(4.0)
-    for _ in range(2 * route_durations.MIN_CALLS):
-        manual_clock.advance(route_durations.WINDOW_S / 4)
+    for _ in range(2 * stop_plan.MIN_CALLS):
+        manual_clock.advance(route_maxima.WINDOW_S / 4)
         plan.note_end('read', manual_clock.monotonic() - 0.01)
     plan.begin(3.0)
     assert plan.may_begin('read', 60.0)
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sassafraswood import clock
+from sassafraswood.coordination import answer_memory
 from sassafraswood.coordination import call_depth
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
@@ -22,7 +23,6 @@
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import fingerprints
 from sassafraswood.sidecar import measures
-from sassafraswood.state import route_durations
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
 
@@ -107,6 +107,10 @@
         )
         self.log_file = open(tmp_path / 'log', 'wb')
         self.stop_plan = stop_plan.StopPlan(self.clock)
+        self.unsent_bytes = 0
+        self.answer_memory = answer_memory.AnswerMemory(
+            self.clock, lambda: self.unsent_bytes
+        )
         self.caller = caller_side.CallerSide(
             clock=self.clock,
             random=source,
@@ -135,6 +139,7 @@
                 clock=self.clock, ratio=0.2, slack=48.0, window_s=10.0
             ),
             stop_plan=self.stop_plan,
+            answer_memory=self.answer_memory,
         )
         self.caller.attach(self.peers)
         self.knowledge.note_rules(1, self.clock.monotonic())
@@ -538,7 +543,7 @@
 def test_upstream_ends_a_call_before_the_daemon_does(tmp_path) -> None:
     """The deadline of the call lies before the end of the process."""
     fixture = Fixture(tmp_path)
-    for _ in range(route_durations.MIN_CALLS):
+    for _ in range(stop_plan.MIN_CALLS):
         fixture.stop_plan.note_end('pay', fixture.clock.monotonic())
     fixture.stop_plan.begin(0.5)
     fixture.send('pay')
--- a/tests/sidecar/test_endless_responses.py
+++ b/tests/sidecar/test_process_memory.py
@@ -1,4 +1,7 @@
-"""Tests of the memory of daemon processes beside a faulty upstream."""
+"""Tests of the memory of daemon processes.
+
+Their upstreams send bytes without end, or their clients read slowly.
+"""
 
 import asyncio
 import contextlib
@@ -7,6 +10,7 @@
 import os
 import pathlib
 import signal
+import socket
 
 import pytest
 
@@ -21,6 +25,11 @@
 # Ends a daemon that grows without bound, before the VM suffers.
 GUARD_MB = 600.0
 LENGTH_S = 6.0
+# Slow clients, the size of their answers, and how fast they read these.
+SLOW_CLIENTS = 24
+ANSWER_BYTES = 8 << 20
+SLOW_READ_BYTES = 32 * 1024
+SLOW_READ_S = 0.03
 START_TIMEOUT_S = 10.0
 CLIENTS = 8
 _attempts = itertools.count(1)
@@ -59,6 +68,16 @@
     ).encode()
 
 
+def build_request(service: str) -> bytes:
+    """Return an encoded request to a service."""
+    return (
+        f'GET /{service}/1 HTTP/1.1\r\nHost: shop.example\r\n'
+        f'X-Attempt-Id: a{next(_attempts)}\r\n'
+        'Connection: close\r\n'
+        'X-Deadline-Ms: 3000\r\n\r\n'
+    ).encode()
+
+
 class Site:
     """Two VMs: one with a sound and one with a faulty upstream."""
 
@@ -101,19 +120,33 @@
         caller = http_caller.HttpCaller(
             (self.machines['sound'].host, machine_module.CALLER)
         )
-        payload = (
-            f'GET /{service}/1 HTTP/1.1\r\nHost: shop.example\r\n'
-            f'X-Attempt-Id: a{next(_attempts)}\r\n'
-            'X-Deadline-Ms: 3000\r\n\r\n'
-        )
         try:
-            response = await caller.async_call(payload.encode(), 4.0)
+            response = await caller.async_call(build_request(service), 4.0)
         except (ConnectionError, TimeoutError):
             return 0
         finally:
             caller.close()
         return response.status
 
+    async def async_read_slowly(self) -> int:
+        """Send a request and read the response slowly; return its status."""
+        connection = socket.socket()
+        connection.setblocking(False)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        address = (self.machines['sound'].host, machine_module.CALLER)
+        await asyncio.get_running_loop().sock_connect(connection, address)
+        reader, writer = await asyncio.open_connection(
+            sock=connection, limit=SLOW_READ_BYTES
+        )
+        try:
+            writer.write(build_request('faulty'))
+            head = await reader.readuntil(b'\r\n\r\n')
+            while await reader.read(SLOW_READ_BYTES):
+                await asyncio.sleep(SLOW_READ_S)
+        finally:
+            writer.transport.abort()
+        return int(head.split()[1])
+
     async def async_send_repeatedly(
         self, service: str, statuses: list[int]
     ) -> None:
@@ -195,3 +228,44 @@
     assert set(flooded) <= {502, 503, 504}
     assert 502 in flooded
     assert set(sound) == {200}
+
+
+async def async_test_slow_clients(folder: pathlib.Path) -> None:
+    """Let clients read large answers slowly, and others send requests."""
+    site = Site(folder)
+    try:
+        await site.async_start()
+        upstream = site.machines['faulty'].upstream
+        assert upstream is not None
+        upstream.body = b'x' * ANSWER_BYTES
+        sound: list[int] = []
+        guards = [
+            asyncio.create_task(site.async_send_repeatedly('sound', sound)),
+            asyncio.create_task(site.async_guard()),
+        ]
+        reading = []
+        for _ in range(SLOW_CLIENTS):
+            reading.append(asyncio.create_task(site.async_read_slowly()))
+            await asyncio.sleep(LENGTH_S / SLOW_CLIENTS)
+        peaks_mb = {
+            name: machine.peak_mb for name, machine in site.machines.items()
+        }
+        statuses = set(await asyncio.gather(*reading))
+        for task in guards:
+            task.cancel()
+        await asyncio.gather(*guards, return_exceptions=True)
+        assert max(peaks_mb.values()) < MAX_PEAK_MB, peaks_mb
+        # The others are told that they have not run.
+        assert statuses == {200, 503}
+        assert set(sound) == {200}
+        upstream.body = b''
+        assert await site.async_get('faulty') == 200
+    finally:
+        await site.async_stop()
+
+
+# Guards against daemons that run out of memory for clients that read slowly.
+@pytest.mark.process
+def test_answers_that_are_not_read_do_not_fill_the_memory(tmp_path) -> None:
+    """Calls begin only while there is room for their answers."""
+    asyncio.run(async_test_slow_clients(tmp_path))
