Name the peer of a connection before its first message

The Hello of the peer arrived before the task that connects had noted whom it connects to. The name is set when the connection is created, before any byte can arrive.

The new test makes the message arrive first; on the former code there was no name then.

--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -211,11 +211,7 @@
         try:
             async with asyncio.timeout(self._timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: frame_link.FrameConnection(
-                        self._on_message, _wait_for_task, self._on_lost
-                    ),
-                    host,
-                    port,
+                    self._create_connection, host, port
                 )
         except OSError:
             # The VM may be down and come back. TimeoutError is an OSError.
@@ -224,6 +220,15 @@
             return
         self._use_connection(connection)
 
+    def _create_connection(self) -> frame_link.FrameConnection:
+        connection = frame_link.FrameConnection(
+            self._on_message, _wait_for_task, self._on_lost
+        )
+        # The first message of the peer may arrive before the task that
+        # connects goes on.
+        connection.daemon_id = self.member.daemon_id
+        return connection
+
     def _on_attempt_done(self, task: asyncio.Task[None]) -> None:
         if self._connecting is task:
             self._connecting = None
@@ -237,7 +242,6 @@
             return
         self._connection = connection
         self.connection_count += 1
-        connection.daemon_id = self.member.daemon_id
         connection.send(self._hello())
         self._send_ping(self._clock.monotonic())
 
--- a/tests/sidecar/test_peer_link.py
+++ b/tests/sidecar/test_peer_link.py
@@ -142,3 +142,28 @@
         fixture.link.close('test')
 
     asyncio.run(async_test())
+
+
+# Guards against a first connection that fails on a fast network.
+def test_peer_is_known_when_its_first_message_arrives(tmp_path) -> None:
+    """The message may arrive before the task that connects goes on."""
+
+    async def async_test() -> None:
+        names = []
+        log_file = open(tmp_path / 'log', 'wb')
+        link = peer_link.PeerLink(
+            MEMBER,
+            clock=clock.SystemClock(),
+            hello=lambda: frames.Hello(daemon_id='d1', started_at=1),
+            log=json_log.JsonLog('d1', log_file.fileno()),
+            on_message=lambda connection, message: names.append(
+                connection.daemon_id
+            ),
+        )
+        connection = link._create_connection()
+        connection.data_received(
+            frames.encode(frames.Hello(daemon_id='d2', started_at=1))
+        )
+        assert names == [MEMBER.daemon_id]
+
+    asyncio.run(async_test())
