Accept request targets in absolute form

Found by the review: such a request got 404. RFC 9112 requires servers to accept the form. Host and path are taken from the target; the rest is as before.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -379,6 +379,8 @@
             # The body follows, see _ignore_upgrade.
             return
         self._incomplete = None
+        if not request.target.startswith(b'/'):
+            _resolve_absolute_form(request)
         request.is_closing = not self._parser.should_keep_alive()
         request.received_at = self._loop.time()
         request.head = b''.join(self._head)
@@ -613,6 +615,22 @@
             self._server.close()
 
 
+def _resolve_absolute_form(request: IngressRequest) -> None:
+    """Take host and path from a target in absolute form.
+
+    Its host replaces that of the Host field (RFC 9112, section 3.2.2).
+    """
+    scheme, separator, rest = request.target.partition(b'://')
+    if not separator or scheme.lower() not in (b'http', b'https'):
+        return
+    size = min(
+        (rest.index(mark) for mark in (b'/', b'?') if mark in rest),
+        default=len(rest),
+    )
+    request.host, path = rest[:size], rest[size:]
+    request.target = path if path.startswith(b'/') else b'/' + path
+
+
 def _remove_fields(head: bytes, names: set[bytes]) -> bytes:
     """Return encoded header fields without those with the given names."""
     return b''.join(
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -311,3 +311,20 @@
             request.reply(200)
     client.disconnect()
     assert client.server.held.count == 0
+
+
+@pytest.mark.parametrize(
+    ('target', 'host', 'path'),
+    [
+        (b'http://shop.example/a/1?b=c', b'shop.example', b'/a/1?b=c'),
+        (b'HTTP://shop.example:80', b'shop.example:80', b'/'),
+        (b'http://shop.example?b=/c', b'shop.example', b'/?b=/c'),
+        (b'/a/http://other/', b'x', b'/a/http://other/'),
+    ],
+)
+def test_target_in_absolute_form(target, host, path) -> None:
+    """Guards against a 404 for a target that names the host as well."""
+    client = Client(b'GET %b HTTP/1.1\r\nHost: x\r\n\r\n' % target)
+    (request,) = client.handler.requests
+    assert (request.host, request.target) == (host, path)
+    client.disconnect()
