--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -141,6 +141,10 @@
         self._accept(report)
         return True
 
+    def waive_health_check(self) -> None:
+        """Let reports alone make an upstream ready, as it has no check."""
+        self._needs_health_check = False
+
     def confirm(self, instance_id: str) -> bool:
         """Accept the unconfirmed report of an upstream that is healthy.
 
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -483,7 +483,10 @@
         self._callers.set_rules(rules)
         self._shares.set_workspaces(rules.workspaces)
         service = rules.services.get(self.settings.service)
-        if service is not None:
+        if service is None:
+            # The rules name no health check for it.
+            self._registry.waive_health_check()
+        else:
             self._probe.set_health_path(service.health_path)
 
     def _on_report(self) -> None:
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -40,7 +40,7 @@
         upstream: The process of the upstream that it was sent to.
         is_abandoned: Whether its caller no longer waits for the reply.
         bodies: The budget in which its body is counted; None if it is not.
-        held_bytes: Bytes that are counted there.
+        counted_bytes: Bytes that are counted there.
     """
 
     run: frames.Run
@@ -49,13 +49,13 @@
     upstream: fleet.UpstreamProcess | None = None
     is_abandoned = False
     bodies: held_bytes.ByteBudget | None = None
-    held_bytes = 0
+    counted_bytes = 0
 
     def end(self) -> None:
         """Mark the call as ended, and release its body."""
         super().end()
         if self.bodies is not None:
-            self.bodies.release(self.held_bytes)
+            self.bodies.release(self.counted_bytes)
             self.bodies = None
 
 
@@ -269,7 +269,7 @@
             self.bodies.take_anyway(size)
         elif not self.bodies.take(size):
             return False
-        call.held_bytes = size
+        call.counted_bytes = size
         call.bodies = self.bodies
         return True
 
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -152,7 +152,7 @@
         # body or a request.
         self._unparsed_bytes = 0
         self._is_paused = False
-        # Bytes of the responses since the client had last read all of them.
+        # Bytes of the responses since the transport was last empty.
         self._written_bytes = 0
 
     @property
@@ -434,6 +434,8 @@
             length,
             b'Connection: close\r\n' if is_closing else b'',
         )
+        if not self.has_unsent_data:
+            self._written_bytes = 0
         if not has_body:
             self._transport.write(begin)
         elif len(body) <= MAX_COPIED_BYTES:
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -245,3 +245,13 @@
     registry.leave('i1', None)
     assert not registry.confirm('i1')
     assert registry.status is enums.UpstreamStatus.ABSENT
+
+
+def test_upstream_without_a_health_check_is_confirmed_by_reports() -> None:
+    """A service that the rules do not name has no health path."""
+    registry = make_registry(needs_health_check=True)
+    registry.apply(make_report())
+    assert registry.status is enums.UpstreamStatus.ABSENT
+    registry.waive_health_check()
+    registry.apply(make_report(sequence=6))
+    assert registry.status is enums.UpstreamStatus.READY
