--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -140,7 +140,8 @@
         self._has_rejected = False
         # Header fields that delimit the body of the incomplete request.
         self._framing: list[bytes] = []
-        # Whether the parser reads a head in place of one that is known.
+        # Whether the parser reads the head that _ignore_upgrade returned; the
+        # head of the client was read before.
         self._is_behind_head = False
         # Time of the event loop when the connection began, a request began or
         # a response was sent, whichever is latest.
