Reproduce faults of real processes from outside

Users who ran the daemons as processes of their own saw some not start or end by themselves, and requests that were read and got no answer.

The new tests play such conditions and look at exit codes, at what each client got and at what the upstreams ran.

No product code changes.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -69,6 +69,7 @@
         fault: Fault in a fraction of the responses.
         fault_share: Fraction of the responses with the fault, from 0 to 1.
         seen: Heads of the requests that ran.
+        streams: Stream of the connection of each attempt that runs.
         body: Body of each response; its id and the body of the request if
             empty.
         slots: Requests that run at once; further ones are refused.
@@ -99,6 +100,7 @@
         self.fault = Fault.NONE
         self.fault_share = 0.0
         self.seen: list[str] = []
+        self.streams: dict[str, asyncio.StreamReader] = {}
         self.body = b''
         self.slots = SLOTS
         self.is_dark = False
@@ -135,6 +137,15 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def is_running(self, attempt_id: str) -> bool:
+        """Return whether an attempt runs whose connection has not ended."""
+        stream = self.streams.get(attempt_id)
+        return (
+            stream is not None
+            and not stream.at_eof()
+            and stream.exception() is None
+        )
+
     def restart_as(self, instance_id: str) -> None:
         """Become the next process at the address, which is ready."""
         self.instance_id = instance_id
@@ -210,9 +221,17 @@
                 body = await reader.readexactly(
                     int(fields.get('content-length', '0'))
                 )
-                response, is_last = await self._async_handle_request(
-                    head, fields, body
-                )
+                attempt = fields.get('x-attempt-id', '')
+                self.streams[attempt] = reader
+                try:
+                    response, is_last = await self._async_handle_request(
+                        head, fields, body
+                    )
+                finally:
+                    self.streams.pop(attempt, None)
+                if head.startswith('HEAD '):
+                    response = response.partition(b'\r\n\r\n')[0]
+                    response += b'\r\n\r\n'
                 writer.write(response)
                 await writer.drain()
                 while self.fault_share > 0.0 and self.fault in _ENDLESS_PARTS:
--- a/lab/soak/http_caller.py
+++ b/lab/soak/http_caller.py
@@ -52,14 +52,30 @@
             )
         assert self._writer is not None
         self._writer.write(payload)
-        head = await self._reader.readuntil(b'\r\n\r\n')
-        line, *rows = head.decode('latin-1').split('\r\n')
-        fields = {
-            name.lower(): value
-            for name, _, value in (row.partition(': ') for row in rows if row)
-        }
-        length = int(fields.get('content-length', '0'))
-        body = await self._reader.readexactly(length)
-        if fields.get('connection', '').lower() == 'close':
+        response = await async_read_response(self._reader)
+        if response.fields.get('connection', '').lower() == 'close':
             self.close()
-        return Response(status=int(line.split()[1]), fields=fields, body=body)
+        return response
+
+
+async def async_read_response(
+    reader: asyncio.StreamReader, *, has_body: bool = True
+) -> Response:
+    """Return the next response on a connection.
+
+    Args:
+        reader: Stream of the connection.
+        has_body: Whether a body follows, unlike in a response to HEAD.
+
+    Raises:
+        IncompleteReadError: The connection ended before.
+    """
+    head = await reader.readuntil(b'\r\n\r\n')
+    line, *rows = head.decode('latin-1').split('\r\n')
+    fields = {
+        name.lower(): value
+        for name, _, value in (row.partition(': ') for row in rows if row)
+    }
+    length = int(fields.get('content-length', '0')) if has_body else 0
+    body = await reader.readexactly(length)
+    return Response(status=int(line.split()[1]), fields=fields, body=body)
--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -92,6 +92,7 @@
         folder: pathlib.Path,
         ledger: ledger_module.Ledger,
         deployed: bool,
+        code: pathlib.Path = _ROOT,
     ) -> None:
         """Initialize the VM without starting anything.
 
@@ -104,6 +105,7 @@
             folder: Folder of the settings and log files.
             ledger: Ledger that records the runs.
             deployed: Whether to run the daemon that deploy/build installed.
+            code: Source tree of the daemon, unless it is deployed.
         """
         self.name = name
         self.service = service
@@ -129,7 +131,7 @@
         self._domain = domain
         self._folder = folder
         self._ledger = ledger
-        self._code_path = str(_DEPLOYED if deployed else _ROOT)
+        self._code_path = str(_DEPLOYED if deployed else code)
         self._is_ending = False
         self._is_first = True
         # Held while the daemon is stopped and started again.
@@ -140,12 +142,20 @@
 
     async def async_start(self) -> None:
         """Start the relays, the upstream, the daemon and the reports."""
+        await self.async_start_surroundings()
+        self.start_daemon()
+        self.watch_process()
+
+    def watch_process(self) -> None:
+        """Restart the daemon after unexpected exits; record its memory."""
+        self._spawn(self._async_watch_process())
+
+    async def async_start_surroundings(self) -> None:
+        """Start what surrounds the daemon: relays, upstream and reports."""
         for item in self.relays.values():
             self._spawn(item.async_run())
         await self.async_start_upstream()
-        self.start_daemon()
         self._spawn(self._async_report())
-        self._spawn(self._async_watch_process())
 
     async def async_stop(self) -> None:
         """Stop everything that was started."""
@@ -164,26 +174,41 @@
     def start_daemon(self) -> None:
         """Start the daemon process."""
         self.write_settings()
+        self.process = self.launch()
+        self._is_ending = False
+        self._ledger.started_at[self.name].append(time.monotonic())
+
+    def launch(self, **options: Any) -> subprocess.Popen[bytes]:
+        """Start a process with the settings file as it is.
+
+        The caller ends the process.
+
+        Args:
+            options: Replace or add arguments of subprocess.Popen.
+        """
         environment = dict(
             os.environ,
-            SASSAFRASWOOD_SETTINGS=str(self._settings_path),
+            SASSAFRASWOOD_SETTINGS=str(self.settings_path),
             PYTHONPATH=self._code_path,
         )
-        with self._log_path.open('ab') as log:
-            self.process = subprocess.Popen(
+        with self.log_path.open('ab') as log:
+            arguments: dict[str, Any] = {
+                'cwd': _ROOT,
+                'env': environment,
+                'stdout': log,
+                'stderr': log,
+                **options,
+            }
+            process: subprocess.Popen[bytes] = subprocess.Popen(
                 [sys.executable, '-P', '-m', 'sassafraswood.sidecar'],
-                cwd=_ROOT,
-                env=environment,
-                stdout=log,
-                stderr=log,
+                **arguments,
             )
         self._is_first = False
-        self._is_ending = False
-        self._ledger.started_at[self.name].append(time.monotonic())
+        return process
 
     def write_settings(self) -> None:
         """Write the settings file of the daemon."""
-        self._settings_path.write_text(
+        self.settings_path.write_text(
             _SETTINGS.format(
                 name=self.name,
                 domain=self._domain,
@@ -413,11 +438,13 @@
         return relay.Relay(listen=f'{self.host}:{port}', target=target)
 
     @property
-    def _settings_path(self) -> pathlib.Path:
+    def settings_path(self) -> pathlib.Path:
+        """Return the path of the settings file of the daemon."""
         return self._folder / f'{self.name}.toml'
 
     @property
-    def _log_path(self) -> pathlib.Path:
+    def log_path(self) -> pathlib.Path:
+        """Return the path of the output of all processes of the daemon."""
         return self._folder / f'{self.name}.log'
 
     def _spawn(self, routine: Coroutine[Any, Any, None]) -> None:
--- /dev/null
+++ b/tests/sidecar/test_process_conditions.py
@@ -0,0 +1,299 @@
+"""Tests of daemon processes under conditions that only real ones meet.
+
+They look from outside only: at exit codes, at what each client got for each
+request, and at what the upstreams ran.
+"""
+
+import asyncio
+import signal
+
+import pytest
+
+from lab import process_site
+from lab.soak import machine as machine_module
+
+pytestmark = [pytest.mark.process, pytest.mark.anyio]
+
+# Delays of a signal after the start. Until the interpreter runs the program,
+# in the first of them at least, the system itself handles the signal.
+START_DELAYS_S = [
+    pytest.param(ms / 1000.0, id=f'{ms}ms') for ms in (0, 20, 50, 100)
+]
+SERVICES = ('near', 'far')
+PIPELINED = 50
+# Planned stops at once, and busy connections of each daemon.
+STOPPED = ('stop-1', 'stop-2', 'stop-3')
+BUSY_CONNECTIONS = 12
+CALL_PAUSE_S = 0.01
+# Time within which work at the upstream ends once the client has left.
+ABANDON_S = 0.5
+SHORT_LIMITS = {'header_timeout_s': 1.0, 'idle_timeout_s': 1.5}
+ANSWER_BYTES = 8 << 20
+READ_BYTES = 64 * 1024
+READ_INTERVAL_S = 0.035
+
+
+def get_status(response) -> int:
+    """Return the status of a response, 0 without one."""
+    return 0 if response is None else response.status
+
+
+# Guards against daemons that end by a reload of their settings.
+@pytest.mark.parametrize('delay_s', START_DELAYS_S)
+async def test_reloads_at_the_start_do_not_end_it(tmp_path, delay_s) -> None:
+    """A daemon gets ready although SIGHUPs come while it starts."""
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], has_daemons=False
+    ) as site:
+        process = site.launch('near')
+        await asyncio.sleep(delay_s)
+        for _ in range(5):
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.01)
+        await site.async_wait_ready('near', process)
+
+
+# Guards against daemons that end by a signal in place of an orderly stop.
+@pytest.mark.parametrize('delay_s', START_DELAYS_S)
+async def test_stop_at_the_start_is_orderly(tmp_path, delay_s) -> None:
+    """A daemon exits with 0 although it is stopped while it starts."""
+    numbers = {'near': signal.SIGTERM, 'far': signal.SIGINT}
+    async with process_site.async_site(
+        tmp_path, SERVICES, has_daemons=False
+    ) as site:
+
+        async def async_stop(name: str) -> int | None:
+            process = site.launch(name)
+            await asyncio.sleep(delay_s)
+            return await site.async_end(
+                process, numbers[name], process_site.START_TIMEOUT_S
+            )
+
+        codes = await asyncio.gather(*map(async_stop, numbers))
+        assert dict(zip(numbers, codes, strict=True)) == {'near': 0, 'far': 0}
+
+
+# Guards against VMs that stay without a daemon after a quick restart.
+async def test_start_waits_for_the_ports_of_the_former(tmp_path) -> None:
+    """A daemon serves once its predecessor has ended."""
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], has_daemons=False
+    ) as site:
+        former = site.launch('near')
+        await site.async_wait_ready('near', former)
+        former.send_signal(signal.SIGTERM)
+        site.first.write_settings()
+        process = site.launch('near')
+        assert await site.async_end(former, None) == 0
+        await site.async_wait_ready('near', process)
+        await site.async_wait_served('near')
+
+
+# Guards against VMs without a daemon if it starts while its file is written.
+@pytest.mark.parametrize('share', [0.0, 0.5], ids=['empty', 'cut'])
+async def test_start_waits_for_whole_settings(tmp_path, share) -> None:
+    """A daemon serves once its settings file is whole."""
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], has_daemons=False
+    ) as site:
+        path = site.first.settings_path
+        whole = path.read_bytes()
+        path.write_bytes(whole[: int(share * len(whole))])
+        process = site.launch('near')
+        await asyncio.sleep(0.5)
+        path.write_bytes(whole)
+        await site.async_wait_ready('near', process)
+        await site.async_wait_served('near')
+
+
+# Guards against HEAD requests that end as 504.
+@pytest.mark.parametrize('service', SERVICES)
+async def test_head_gets_the_length_of_a_get(tmp_path, service) -> None:
+    """The length in an answer to HEAD announces no bytes."""
+    async with process_site.async_site(tmp_path, SERVICES) as site:
+        site.upstream(service).body = b'x' * 5000
+        client = await site.async_connect()
+        client.send(process_site.build_request(service, method='HEAD'))
+        response = await client.async_receive(has_body=False)
+        assert get_status(response) == 200
+        assert response.fields['content-length'] == '5000'
+        client.send(process_site.build_request(service))
+        response = await client.async_receive()
+        assert get_status(response) == 200
+        assert response.body == b'x' * 5000
+
+
+# Guards against pipelined requests that are read and not answered.
+async def test_all_pipelined_requests_are_answered(tmp_path) -> None:
+    """However many come at once, each is answered, in order."""
+    rules = process_site.build_rules(SERVICES[:1], 20.0)
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], rules=rules
+    ) as site:
+        client = await site.async_connect()
+        sent = [process_site.create_attempt_id() for _ in range(PIPELINED)]
+        client.send(
+            b''.join(
+                process_site.build_request(
+                    'near', attempt_id=attempt, deadline='20000'
+                )
+                for attempt in sent
+            )
+        )
+        answered = []
+        while len(answered) < PIPELINED:
+            response = await client.async_receive(timeout_s=20.0)
+            if response is None:
+                break
+            answered.append(response.fields.get('x-attempt-id'))
+        assert answered == sent
+
+
+# Guards against requests that run and are lost since their client ended its
+# sending side after the last of them.
+@pytest.mark.parametrize('length', [0, 1000], ids=['empty', 'body'])
+@pytest.mark.parametrize('service', SERVICES)
+async def test_answer_follows_a_half_close(tmp_path, service, length) -> None:
+    """A client that has sent all of its requests still gets answers."""
+    async with process_site.async_site(tmp_path, SERVICES) as site:
+        site.upstream(service).delay_s = 0.3
+        client = await site.async_connect()
+        head = process_site.build_request(
+            service, method='POST' if length else 'GET', length=length
+        )
+        client.send(head + b'x' * length)
+        client.end_sending()
+        assert get_status(await client.async_receive()) == 200
+
+
+# Guards against upstreams that work on for clients that have left.
+@pytest.mark.parametrize('how', ['close', 'reset'])
+@pytest.mark.parametrize('service', SERVICES)
+async def test_full_close_breaks_the_request_off(
+    tmp_path, service, how
+) -> None:
+    """An idempotent request ends at the upstream with its connection."""
+    rules = process_site.build_rules(SERVICES, 20.0)
+    async with process_site.async_site(
+        tmp_path, SERVICES, rules=rules
+    ) as site:
+        upstream = site.upstream(service)
+        upstream.delay_s = 10.0
+        client = await site.async_connect()
+        attempt = process_site.create_attempt_id()
+        client.send(
+            process_site.build_request(
+                service, attempt_id=attempt, deadline='20000'
+            )
+        )
+        await site.async_wait_until(lambda: upstream.is_running(attempt), 5.0)
+        getattr(client, how)()
+        await site.async_wait_until(
+            lambda: not upstream.is_running(attempt), ABANDON_S
+        )
+
+
+async def async_call_until_told(site: process_site.Site, name: str) -> bool:
+    """Call until an answer says close; return whether one has said so."""
+    client = await site.async_connect(name=name)
+    while True:
+        client.send(process_site.build_request('far'))
+        response = await client.async_receive()
+        if response is None:
+            return False
+        if response.fields.get('connection', '').lower() == 'close':
+            client.close()
+            return True
+        await asyncio.sleep(CALL_PAUSE_S)
+
+
+# Guards against requests that cross the close of their kept connection.
+async def test_stop_announces_the_close_of_busy_connections(tmp_path) -> None:
+    """Each busy connection ends with an answer that says so."""
+    async with process_site.async_site(
+        tmp_path, [*STOPPED, 'far'], has_daemons=False
+    ) as site:
+        processes = {name: site.launch(name) for name in site.machines}
+        for name, process in processes.items():
+            await site.async_wait_ready(name, process)
+            await site.async_wait_served('far', name)
+        calls = [
+            asyncio.create_task(async_call_until_told(site, name))
+            for name in STOPPED
+            for _ in range(BUSY_CONNECTIONS)
+        ]
+        await asyncio.sleep(0.5)
+        codes = await asyncio.gather(
+            *(site.async_end(processes[name]) for name in STOPPED)
+        )
+        assert codes == [0, 0, 0]
+        told = await asyncio.gather(*calls)
+        assert told.count(False) == 0
+
+
+# Guards against requests without an answer behind a value that fails inside.
+@pytest.mark.parametrize(
+    ('port', 'data'),
+    [
+        (
+            machine_module.CALLER,
+            process_site.build_request('near', deadline='9' * 400),
+        ),
+        (
+            machine_module.REPORT,
+            b'POST //[x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n',
+        ),
+    ],
+    ids=['deadline', 'target'],
+)
+async def test_odd_value_gets_an_answer(tmp_path, port, data) -> None:
+    """It is answered in time; a refusal leaves a line with its reason."""
+    async with process_site.async_site(tmp_path, SERVICES[:1]) as site:
+        client = await site.async_connect(port)
+        client.send(data)
+        response = await client.async_receive(timeout_s=4.0)
+        assert response is not None
+        if response.status != 200:
+            await site.async_wait_until(
+                lambda: any('error' in line for line in site.read_log('near')),
+                2.0,
+            )
+
+
+# Guards against answers that are cut off although their client reads them.
+async def test_steady_reader_gets_its_answer(tmp_path) -> None:
+    """The idle timeout does not end an answer that is being read."""
+    rules = process_site.build_rules(SERVICES[:1], 10.0, **SHORT_LIMITS)
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], rules=rules
+    ) as site:
+        site.upstream('near').body = b'x' * ANSWER_BYTES
+        client = await site.async_connect(receive_bytes=READ_BYTES)
+        client.send(process_site.build_request('near', deadline='10000'))
+        head = await client.reader.readuntil(b'\r\n\r\n')
+        assert b' 200 ' in head
+        received = 0
+        while received < ANSWER_BYTES:
+            part = await client.reader.read(READ_BYTES)
+            if not part:
+                break
+            received += len(part)
+            await asyncio.sleep(len(part) / READ_BYTES * READ_INTERVAL_S)
+        assert received == ANSWER_BYTES
+
+
+# Guards against uploads that are cut off although they make progress.
+async def test_steady_upload_gets_its_answer(tmp_path) -> None:
+    """The timeouts of a request do not end one that is being sent."""
+    rules = process_site.build_rules(SERVICES[:1], 10.0, **SHORT_LIMITS)
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], rules=rules
+    ) as site:
+        client = await site.async_connect()
+        client.send(
+            process_site.build_request('near', method='POST', length=50_000)
+        )
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            client.send(b'x' * 1000)
+        assert get_status(await client.async_receive()) == 200
