Reproduce the abort of daemons without a standard stream

A daemon that is started with its input, output or errors closed serves, but ends by SIGABRT at its stop, and not with 0. The event loop gets the free descriptor (0 was eventpoll), and libuv asserts that it closes none of the first three: "uv__close: Assertion `fd > STDERR_FILENO' failed". With the output closed, the log is written to that descriptor, too.

--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import signal
 
 import pytest
@@ -106,6 +107,20 @@
         await site.async_wait_served('near')
 
 
+# Guards against processes that end by SIGABRT, since the event loop asserts
+# that it closes no descriptor of a standard stream.
+@pytest.mark.parametrize('descriptor', [0, 1, 2])
+async def test_start_without_standard_stream(tmp_path, descriptor) -> None:
+    """A daemon serves and stops although a standard stream is closed."""
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], has_daemons=False
+    ) as site:
+        process = site.launch('near', preexec_fn=lambda: os.close(descriptor))
+        await site.async_wait_ready('near', process)
+        await site.async_wait_served('near')
+        assert await site.async_end(process) == 0
+
+
 # Guards against HEAD requests that end as 504.
 @pytest.mark.parametrize('service', SERVICES)
 async def test_head_gets_the_length_of_a_get(tmp_path, service) -> None:
