Reproduce silent connections that are never closed

Only the port of the callers closes connections on which nothing is sent. On those of readiness, reports and metrics they stay, each with a descriptor.

--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -32,6 +32,7 @@
 ANSWER_BYTES = 8 << 20
 READ_BYTES = 64 * 1024
 READ_INTERVAL_S = 0.035
+METRICS_PORT = 9464
 
 
 def get_status(response) -> int:
@@ -121,6 +122,22 @@
         assert await site.async_end(process) == 0
 
 
+# Guards against descriptors that are held for ever by silent connections.
+@pytest.mark.parametrize(
+    'port',
+    [machine_module.READY, machine_module.REPORT, METRICS_PORT],
+    ids=['ready', 'report', 'metrics'],
+)
+async def test_silent_connection_ends(tmp_path, port) -> None:
+    """A connection on which nothing is sent ends, as that of a client."""
+    rules = process_site.build_rules(SERVICES[:1], **SHORT_LIMITS)
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], rules=rules
+    ) as site:
+        client = await site.async_connect(port)
+        assert await client.async_receive(timeout_s=5.0) is None
+
+
 # Guards against HEAD requests that end as 504.
 @pytest.mark.parametrize('service', SERVICES)
 async def test_head_gets_the_length_of_a_get(tmp_path, service) -> None:
