Reproduce resets of uploads that are refused

A request whose body exceeds the limit is answered with 413 and its connection closed while bytes of it are unread, so that the kernel resets it. A client that is still sending then meets an error, and many give up without reading.

--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import signal
+import socket
 
 import pytest
 
@@ -33,6 +34,9 @@
 READ_BYTES = 64 * 1024
 READ_INTERVAL_S = 0.035
 METRICS_PORT = 9464
+# Clients whose request is rejected before they have sent all of it.
+REJECTED = 40
+REJECTED_BYTES = 4 << 20
 
 
 def get_status(response) -> int:
@@ -329,3 +333,35 @@
             await asyncio.sleep(0.1)
             client.send(b'x' * 1000)
         assert get_status(await client.async_receive()) == 200
+
+
+def send_whole(host: str) -> int:
+    """Send a good and a rejected request on one connection.
+
+    Returns:
+        The status of the second one; 0 if it cannot be sent as a whole.
+    """
+    address = host, machine_module.CALLER
+    with socket.create_connection(address, 10.0) as connection:
+        connection.sendall(process_site.build_request('near'))
+        connection.recv(READ_BYTES)
+        head = process_site.build_request(
+            'near', method='POST', length=REJECTED_BYTES
+        )
+        try:
+            connection.sendall(head + b'x' * REJECTED_BYTES)
+        except ConnectionError:
+            return 0
+        return int(connection.recv(READ_BYTES).split()[1])
+
+
+# Guards against clients that see a reset in place of the refusal, since the
+# daemon closes the connection while bytes of the request are unread.
+async def test_rejected_upload_meets_no_reset(tmp_path) -> None:
+    """Each client can send its whole request and then read the refusal."""
+    async with process_site.async_site(tmp_path, SERVICES[:1]) as site:
+        statuses = [
+            await asyncio.to_thread(send_whole, site.first.host)
+            for _ in range(REJECTED)
+        ]
+        assert statuses == [413] * REJECTED
