Handle signals from the start of the process until it is gone

A SIGHUP within the first 0.2 s of a daemon ended it (-1), SIGTERM and SIGINT ended it by the signal (-15, -2) in place of exit 0, and so did a signal that came in the last milliseconds of a stop.

Cause: handlers existed only while the event loop ran. Before that lie all imports; after it uvloop restores the default handling.

Change: __main__ imports process_signals only and installs the handlers before anything else. They remember what came, the event loop takes it over, and at the end the signals are ignored until the process is gone (the interpreter would replace handlers written in Python by the default). A stop before the loop ends with exit 0 and the line stopped_at_start; a SIGHUP before the settings are read does nothing, one after that is applied by the loop.

--- a/sassafraswood/cli/sidecar.py
+++ b/sassafraswood/cli/sidecar.py
@@ -1,6 +1,7 @@
 """Command that runs the daemon on the platform."""
 
 from sassafraswood.platform import settings
+from sassafraswood import process_signals
 from sassafraswood.sidecar import process
 
 
@@ -9,4 +10,7 @@
 
     The variable SASSAFRASWOOD_SETTINGS names the settings file.
     """
-    process.run(settings.load(settings.path_from_environment()))
+    signals = process_signals.ProcessSignals()
+    signals.install()
+    process.run(settings.load(settings.path_from_environment()), signals)
+    signals.ignore()
--- a/sassafraswood/sidecar/__main__.py
+++ b/sassafraswood/sidecar/__main__.py
@@ -5,9 +5,7 @@
 
 import sys
 
-from sassafraswood import exceptions
-from sassafraswood.platform import settings
-from sassafraswood.sidecar import process
+from sassafraswood import process_signals
 
 
 def main() -> int:
@@ -16,14 +14,15 @@
     Returns:
         The exit code; 2 after problems of the settings, written to stderr.
     """
+    signals = process_signals.ProcessSignals()
+    signals.install()
     try:
-        loaded = settings.load(settings.path_from_environment())
-    except exceptions.SettingsError as error:
-        for problem in error.problems:
-            sys.stderr.write(f'{problem}\n')
-        return 2
-    process.run(loaded)
-    return 0
+        # Imports all modules of the daemon, which takes most of the start.
+        from sassafraswood.sidecar import startup
+
+        return startup.run(signals)
+    finally:
+        signals.ignore()
 
 
 if __name__ == '__main__':
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -4,7 +4,6 @@
 import dataclasses
 import math
 import random as random_module
-import signal
 import traceback
 from typing import Final
 
@@ -34,6 +33,7 @@
 from sassafraswood.platform import headers
 from sassafraswood.platform import settings as settings_module
 from sassafraswood.platform import store as store_module
+from sassafraswood import process_signals
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import crash_exchange
@@ -289,16 +289,46 @@
         self._slow_tick_at = 0.0
         self._stop_requested = asyncio.Event()
 
-    async def async_run(self) -> None:
+    async def async_run(
+        self, signals: process_signals.ProcessSignals | None = None
+    ) -> None:
         """Serve until a stop is requested and all calls have ended.
 
+        Args:
+            signals: Signals of the process, also those that came before the
+                event loop ran; None if others handle them.
+
         Raises:
             OSError: A port other than that of the metrics cannot be opened.
         """
+        if signals is None:
+            await self._async_serve()
+            return
+        loop = asyncio.get_running_loop()
+        signals.set_callback(
+            lambda: loop.call_soon_threadsafe(self._apply_signals, signals)
+        )
+        try:
+            self._apply_signals(signals)
+            if signals.stop_signal:
+                self._log.change(
+                    'stopped_at_start', signal=signals.stop_signal
+                )
+                return
+            await self._async_serve()
+        finally:
+            # The event loop is closed next.
+            signals.set_callback(None)
+            self._log.flush()
+
+    def _apply_signals(self, signals: process_signals.ProcessSignals) -> None:
+        if signals.stop_signal:
+            self.stop()
+        if signals.take_reload():
+            self.reload()
+
+    async def _async_serve(self) -> None:
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stop)
-        loop.add_signal_handler(signal.SIGINT, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         settings = self.settings
         self._log.change(
             'started', version=const.VERSION, service=settings.service
@@ -573,11 +603,22 @@
         metrics.gauge('rules_age_seconds', self._knowledge.rules_age_s)
 
 
-async def _async_main(settings: settings_module.PlatformSettings) -> None:
-    await Daemon(settings).async_run()
+async def _async_main(
+    settings: settings_module.PlatformSettings,
+    signals: process_signals.ProcessSignals,
+) -> None:
+    await Daemon(settings).async_run(signals)
+
 
+def run(
+    settings: settings_module.PlatformSettings,
+    signals: process_signals.ProcessSignals,
+) -> None:
+    """Run the daemon until it has stopped after a stop signal.
 
-def run(settings: settings_module.PlatformSettings) -> None:
-    """Run the daemon until it has stopped after a stop signal."""
+    Args:
+        settings: Settings of the platform.
+        signals: Signals of the process, whose handlers are installed.
+    """
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_async_main(settings))
+        runner.run(_async_main(settings, signals))
--- /dev/null
+++ b/tests/sidecar/test_process_life.py
@@ -0,0 +1,143 @@
+"""Tests of the start and the end of real daemon processes."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import sysconfig
+import time
+
+import pytest
+
+TIMEOUT_S = 20.0
+# Libraries that are loaded one after the other while a process starts.
+START_LIBRARIES = ('/uvloop/', '/httptools/', '/msgspec/')
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+LISTENERS = {'outbound': 7001, 'inbound': 7002, 'ready': 7004, 'control': 7005}
+METRICS_PORT = 9464
+pytestmark = pytest.mark.process
+
+
+class DaemonProcess:
+    """A daemon on a loopback address of its own, started as on a VM."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Write the settings, without starting the daemon."""
+        self.host = f'127.{1 + os.getpid() % 254}.7.1'
+        self.settings_path = folder / 'boot.toml'
+        self.log_path = folder / 'daemon.log'
+        listen = '\n'.join(
+            f'{name} = "{self.host}:{port}"'
+            for name, port in LISTENERS.items()
+        )
+        self.settings = (
+            'node = "d1"\nzone = "a"\nservice = "status"\nbounds = []\n'
+            f'app-addr = "{self.host}:7006"\n[listen]\n{listen}\n'
+            f'[platform]\naddress = "{self.host}:7008"\n'
+        )
+        self.settings_path.write_text(self.settings)
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> subprocess.Popen[bytes]:
+        """Start the daemon with its log in a file."""
+        paths = (str(ROOT), sysconfig.get_path('platlib'))
+        with self.log_path.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-S', '-P', '-m', 'sassafraswood.sidecar'],
+                env={
+                    'PYTHONPATH': ':'.join(paths),
+                    'SASSAFRASWOOD_SETTINGS': str(self.settings_path),
+                },
+                stdout=log,
+                stderr=log,
+            )
+        return self.process
+
+    def events(self) -> list[str]:
+        """Return the events of the log so far."""
+        lines = self.log_path.read_bytes().splitlines()
+        return [json.loads(line)['event'] for line in lines if line[:1] == b'{']
+
+    def accepts(self, port: int) -> bool:
+        """Return whether connections to a port are accepted."""
+        with contextlib.suppress(OSError):
+            socket.create_connection((self.host, port), 1.0).close()
+            return True
+        return False
+
+    def has_loaded(self, library: str) -> bool:
+        """Return whether the process has loaded a library."""
+        assert self.process is not None
+        maps = pathlib.Path(f'/proc/{self.process.pid}/maps')
+        return library in maps.read_text()
+
+    def wait(self) -> int:
+        """Wait until the process is gone and return its exit code."""
+        assert self.process is not None
+        return self.process.wait(TIMEOUT_S)
+
+
+@pytest.fixture
+def daemon(tmp_path):
+    """Return a daemon that is killed after the test."""
+    daemon = DaemonProcess(tmp_path)
+    yield daemon
+    if daemon.process is not None:
+        daemon.process.kill()
+        daemon.process.wait()
+
+
+def wait_until(is_true) -> None:
+    """Wait until a condition holds."""
+    end_at = time.monotonic() + TIMEOUT_S
+    while not is_true():
+        assert time.monotonic() < end_at, 'condition does not hold in time'
+        time.sleep(0.001)
+
+
+# Guards against a start that a signal ends, before the event loop runs.
+@pytest.mark.parametrize('library', START_LIBRARIES)
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+def test_stop_signal_during_the_start_ends_with_exit_0(
+    daemon, library, number
+) -> None:
+    """The process serves nothing and says why."""
+    process = daemon.start()
+    wait_until(lambda: daemon.has_loaded(library))
+    process.send_signal(number)
+    assert daemon.wait() == 0
+    assert daemon.events() == ['stopped_at_start']
+
+
+# Guards against a start that a change of the settings ends.
+@pytest.mark.parametrize('library', START_LIBRARIES)
+def test_reload_signals_during_the_start_do_not_end_it(
+    daemon, library
+) -> None:
+    """The process serves and stops as usual."""
+    process = daemon.start()
+    wait_until(lambda: daemon.has_loaded(library))
+    while not daemon.accepts(LISTENERS['ready']):
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.005)
+        assert process.poll() is None
+    process.send_signal(signal.SIGTERM)
+    assert daemon.wait() == 0
+
+
+# Guards against the default handling of signals behind the event loop.
+def test_signals_until_the_process_is_gone_do_not_end_it(daemon) -> None:
+    """The stop ends with exit 0, whatever follows the first signal."""
+    process = daemon.start()
+    wait_until(lambda: daemon.accepts(LISTENERS['ready']))
+    numbers = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+    while process.poll() is None:
+        for number in numbers:
+            process.send_signal(number)
+            time.sleep(0.0005)
+    assert process.returncode == 0
+    assert daemon.events()[-1] == 'stopped'
--- a/tests/sidecar/test_reload.py
+++ b/tests/sidecar/test_reload.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 import os
+import signal
 
 from sassafraswood.platform import settings as settings_module
+from sassafraswood import process_signals
 from sassafraswood.sidecar import process
 
 TEXT = """
@@ -71,3 +73,39 @@
     assert daemon.settings.daemon_id == 'd1'
     assert events[-1]['event'] == 'settings_rejected'
     assert 'node' in events[-1]['error']
+
+
+# Guards against a change that is lost between the settings and the loop.
+def test_signals_before_the_loop_are_applied(tmp_path, monkeypatch) -> None:
+    """A reload and a stop that came early are applied, in this order."""
+    path = tmp_path / 'boot.toml'
+    path.write_text(TEXT)
+    monkeypatch.setenv(settings_module.PATH_VARIABLE, str(path))
+    former = {
+        number: signal.getsignal(number)
+        for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+    }
+    signals = process_signals.ProcessSignals()
+    reader, writer = os.pipe()
+
+    async def async_main() -> process.Daemon:
+        daemon = process.Daemon(
+            settings_module.load(path), log_descriptor=writer
+        )
+        path.write_text(TEXT.replace('grace-s=6', 'grace-s=9'))
+        os.kill(os.getpid(), signal.SIGHUP)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await daemon.async_run(signals)
+        return daemon
+
+    signals.install()
+    try:
+        daemon = asyncio.run(async_main())
+    finally:
+        for number, handler in former.items():
+            signal.signal(number, handler)
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        events = [json.loads(line)['event'] for line in lines]
+    assert daemon.settings.bounds.grace_s == 9.0
+    assert events == ['settings_read', 'stopped_at_start']
