Wait for listening addresses that are taken or not there yet

A daemon that started while its former process still held a port ended with exit 1, for good; nothing was served until somebody started it again.

Cause: any failure of a bind but that of the metrics ended the process.

Change: ListenerGroup binds all addresses, retries every 0.02 to 0.25 s, and accepts on none before all are bound, so that no report or peer reaches a part of a daemon. It calls listen() itself and opens the listeners in order, so that of two waiting processes one gets all. The first failure of each address is logged, and when it is bound. Stop signals end the wait with exit 0. The metrics address is retried in the background.

--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+import socket
 import sys
 from typing import Final
 
@@ -46,7 +47,6 @@
         *,
         clock: clock_module.Clock,
         own: fleet.Member,
-        address: tuple[str, int],
         plan: peer_plan.PeerPlan,
         upstream: upstream_side.UpstreamSide,
         knowledge: store_knowledge.StoreKnowledge,
@@ -63,7 +63,6 @@
         Args:
             clock: Clock that also counts time while the VM is suspended.
             own: Member record of this daemon.
-            address: Host and port to listen on.
             plan: Selects the daemons to connect to.
             upstream: Runs calls at the local upstream.
             knowledge: Versions and ages of the data known from the store.
@@ -78,7 +77,6 @@
         """
         self._clock = clock
         self._own = own
-        self._address = address
         self._plan = plan
         self._upstream = upstream
         self._knowledge = knowledge
@@ -269,18 +267,19 @@
         if link is not None:
             link.tick(now)
 
-    async def async_listen(self) -> None:
-        """Start to accept connections of peers."""
+    async def async_accept(self, bound: socket.socket) -> None:
+        """Start to accept connections of peers on a bound socket.
+
+        Raises:
+            OSError: Another socket listens on the address.
+        """
         loop = asyncio.get_running_loop()
-        host, port = self._address
         self._server = await loop.create_server(
             lambda: frame_link.FrameConnection(
                 self._on_message, self._on_accepted, self._on_accepted_lost
             ),
-            host,
-            port,
+            sock=bound,
             backlog=1024,
-            reuse_address=True,
         )
 
     def tick(self) -> None:
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -49,6 +49,7 @@
 from sassafraswood.transport import exchange
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
+from sassafraswood.transport import listeners
 
 TICK_S: Final = 0.025
 SLOW_TICK_S: Final = 0.5
@@ -248,7 +249,6 @@
         self._peers = peers.Peers(
             clock=self._clock,
             own=own_member,
-            address=settings.peer_address,
             plan=plan,
             upstream=self._upstream,
             knowledge=self._knowledge,
@@ -297,9 +297,6 @@
         Args:
             signals: Signals of the process, also those that came before the
                 event loop ran; None if others handle them.
-
-        Raises:
-            OSError: A port other than that of the metrics cannot be opened.
         """
         if signals is None:
             await self._async_serve()
@@ -333,28 +330,75 @@
         self._log.change(
             'started', version=const.VERSION, service=settings.service
         )
-        await self._report_server.async_listen(settings.report_address)
-        await self._peers.async_listen()
-        await self._caller_server.async_listen(settings.caller_address)
-        await self._ready_server.async_listen(settings.ready_address)
-        try:
-            await self._metrics_server.async_listen(
-                (settings.caller_address[0], METRICS_PORT)
-            )
-        except OSError as error:
-            # The daemon serves calls without its metrics, too.
-            self._log.change('metrics_unavailable', error=str(error))
+        if not await self._async_listen():
+            self.close()
+            self._log.change('stopped', open_requests=0)
+            return
         self._upstream_log.start(is_first_start=settings.is_first_start)
         self._rules.start()
         self._membership.start()
         self._log.flush()
-        ticker = loop.create_task(self._async_tick())
-        await self._stop_requested.wait()
-        await self._async_stop()
-        ticker.cancel()
+        tasks = (
+            loop.create_task(self._async_tick()),
+            loop.create_task(self._async_listen_for_metrics()),
+        )
+        try:
+            await self._stop_requested.wait()
+            await self._async_stop()
+        finally:
+            for task in tasks:
+                task.cancel()
         self._log.change('stopped', open_requests=self._callers.active_count)
         self._log.flush()
 
+    async def _async_listen(self) -> bool:
+        """Listen on all addresses but that of the metrics.
+
+        A former process may still hold them, and an address may not exist yet.
+
+        Returns:
+            False if a stop was requested before all could be bound.
+        """
+        settings = self.settings
+        return await listeners.ListenerGroup(
+            (
+                listeners.Listener(
+                    name='report',
+                    address=settings.report_address,
+                    async_accept=self._report_server.async_accept,
+                ),
+                listeners.Listener(
+                    name='peer',
+                    address=settings.peer_address,
+                    async_accept=self._peers.async_accept,
+                ),
+                listeners.Listener(
+                    name='caller',
+                    address=settings.caller_address,
+                    async_accept=self._caller_server.async_accept,
+                ),
+                listeners.Listener(
+                    name='ready',
+                    address=settings.ready_address,
+                    async_accept=self._ready_server.async_accept,
+                ),
+            ),
+            self._log,
+        ).async_open(self._stop_requested)
+
+    async def _async_listen_for_metrics(self) -> None:
+        """Listen for scrapes; calls are served without that, too."""
+        await listeners.ListenerGroup(
+            (
+                listeners.Listener(
+                    name='metrics',
+                    address=(self.settings.caller_address[0], METRICS_PORT),
+                    async_accept=self._metrics_server.async_accept,
+                ),
+            ),
+            self._log,
+        ).async_open(self._stop_requested)
+
     def stop(self) -> None:
         """Request a stop, as SIGTERM and SIGINT do."""
         self._stop_requested.set()
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -13,6 +13,7 @@
 from sassafraswood.models import traffic
 from sassafraswood.state import held_bytes
 from sassafraswood.transport import exchange
+from sassafraswood.transport import tcp
 
 # Requests on one connection that may wait for the response to an earlier one.
 MAX_PIPELINED_REQUESTS: Final = 16
@@ -578,14 +579,19 @@
         Raises:
             OSError: If the address cannot be bound.
         """
+        await self.async_accept(tcp.bind(address))
+
+    async def async_accept(self, bound: socket.socket) -> None:
+        """Start accepting connections on a bound socket.
+
+        Raises:
+            OSError: Another socket listens on the address.
+        """
         loop = asyncio.get_running_loop()
-        host, port = address
         self._server = await loop.create_server(
             lambda: IngressConnection(self),
-            host,
-            port,
+            sock=bound,
             backlog=LISTEN_BACKLOG,
-            reuse_address=True,
         )
 
     def close_slow_connections(self, now: float) -> None:
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -25,3 +25,20 @@
     """
     for level, option, value in _KEEPALIVE_OPTIONS:
         connection.setsockopt(level, option, value)
+
+
+def bind(address: tuple[str, int]) -> socket.socket:
+    """Return a socket that is bound to an address and not listening yet.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.setblocking(False)
+        bound.bind(address)
+    except OSError:
+        bound.close()
+        raise
+    return bound
--- a/tests/sidecar/test_process_life.py
+++ b/tests/sidecar/test_process_life.py
@@ -25,9 +25,9 @@
 class DaemonProcess:
     """A daemon on a loopback address of its own, started as on a VM."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, host: str = '') -> None:
         """Write the settings, without starting the daemon."""
-        self.host = f'127.{1 + os.getpid() % 254}.7.1'
+        self.host = host or f'127.{1 + os.getpid() % 254}.7.1'
         self.settings_path = folder / 'boot.toml'
         self.log_path = folder / 'daemon.log'
         listen = '\n'.join(
@@ -141,3 +141,95 @@
             time.sleep(0.0005)
     assert process.returncode == 0
     assert daemon.events()[-1] == 'stopped'
+
+
+def listen(daemon: DaemonProcess, port: int) -> socket.socket:
+    """Return a socket that listens on an address of the daemon."""
+    return socket.create_server((daemon.host, port))
+
+
+# Guards against a start that ends because a former process is not gone yet.
+@pytest.mark.parametrize('taken', [*LISTENERS.values(), METRICS_PORT])
+def test_start_waits_for_an_address_that_is_taken(daemon, taken) -> None:
+    """Nothing is served before, and all is served once it is free."""
+    former = listen(daemon, taken)
+    process = daemon.start()
+    wait_until(lambda: 'address_unavailable' in daemon.events())
+    free = [port for port in LISTENERS.values() if port != taken]
+    if taken == METRICS_PORT:
+        wait_until(lambda: all(daemon.accepts(port) for port in free))
+    else:
+        time.sleep(0.5)
+        assert not any(daemon.accepts(port) for port in free)
+    former.close()
+    wait_until(
+        lambda: all(
+            daemon.accepts(port) for port in (*LISTENERS.values(), taken)
+        )
+    )
+    process.send_signal(signal.SIGTERM)
+    assert daemon.wait() == 0
+    assert daemon.events().count('address_unavailable') == 1
+    assert daemon.events().count('address_bound') == 1
+
+
+# Guards against a wait for an address that no signal ends.
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+def test_stop_signal_ends_the_wait_for_an_address(daemon, number) -> None:
+    """The process ends at once with exit 0."""
+    with listen(daemon, LISTENERS['inbound']):
+        process = daemon.start()
+        wait_until(lambda: 'address_unavailable' in daemon.events())
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(number)
+        assert daemon.wait() == 0
+    assert daemon.events()[-1] == 'stopped'
+
+
+# Guards against a start that ends because its addresses are not there yet.
+def test_start_waits_for_an_address_that_does_not_exist(tmp_path) -> None:
+    """Each address is named once, and a stop signal ends the wait."""
+    daemon = DaemonProcess(tmp_path, '192.0.2.7')
+    process = daemon.start()
+    try:
+        wait_until(lambda: 'address_unavailable' in daemon.events())
+        time.sleep(0.5)
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        assert daemon.wait() == 0
+    finally:
+        process.kill()
+        process.wait()
+    assert daemon.events().count('address_unavailable') == len(LISTENERS)
+
+
+# Guards against processes that each hold a part of the same addresses.
+def test_one_of_two_waiting_processes_gets_all_addresses(
+    daemon, tmp_path
+) -> None:
+    """The other one takes over when the first is gone."""
+    (tmp_path / 'other').mkdir()
+    other = DaemonProcess(tmp_path / 'other')
+    with listen(daemon, LISTENERS['control']):
+        processes = [daemon.start(), other.start()]
+        for item in (daemon, other):
+            wait_until(
+                lambda item=item: 'address_unavailable' in item.events()
+            )
+    try:
+        for _ in range(2):
+            wait_until(
+                lambda: all(map(daemon.accepts, LISTENERS.values()))
+            )
+            serving = next(
+                item
+                for item in (daemon, other)
+                if 'address_bound' in item.events()
+                and item.process in processes
+            )
+            serving.process.send_signal(signal.SIGKILL)
+            processes.remove(serving.process)
+            assert serving.wait() == -signal.SIGKILL
+    finally:
+        other.process.kill()
+        other.wait()
