Wait for a settings file that is being written at the start

A daemon whose settings file was missing, empty or cut when it started ended at once with exit 2, and its log had no line with the reason.

Cause: the file was read once.

Change: the start reads it again every 0.05 s for 5 s (settings_awaited), then ends with exit 2, the problems on stderr as before and the line settings_rejected. A stop signal ends the wait with exit 0. `sassafraswood check platform-settings` parses once, as before. A file that was cut where the rest is optional is valid, and is not waited for.

--- a/sassafraswood/platform/settings.py
+++ b/sassafraswood/platform/settings.py
@@ -1,11 +1,13 @@
 """Settings file that the platform provides to a daemon."""
 
+from collections.abc import Callable
 import dataclasses
 import ipaddress
 import math
 import os
 import pathlib
 import re
+import time
 import tomllib
 from typing import Any, Final
 
@@ -15,6 +17,10 @@
 # Memory of the smallest VMs.
 DEFAULT_MEMORY_MB: Final = 200
 PATH_VARIABLE: Final = 'SASSAFRASWOOD_SETTINGS'
+# Time for which a start waits for a file that is missing or invalid, because
+# it may be written at that moment, and the interval between two reads.
+START_WAIT_S: Final = 5.0
+START_READ_INTERVAL_S: Final = 0.05
 _PORT: Final = re.compile('[0-9]{1,5}')
 
 
@@ -291,3 +297,33 @@
             [exceptions.Problem(str(path), str(error), 'a readable file')]
         ) from error
     return parse(text)
+
+
+def load_at_start(
+    path: pathlib.Path,
+    *,
+    is_stopping: Callable[[], bool],
+    on_wait: Callable[[exceptions.SettingsError], None],
+) -> PlatformSettings:
+    """Return the settings that a file holds, or will hold soon.
+
+    Args:
+        path: Path of the file.
+        is_stopping: Returns whether to wait no longer.
+        on_wait: Called once with the problems of the first read, if any.
+
+    Raises:
+        SettingsError: The file cannot be read or is invalid after the wait.
+    """
+    wait_until = time.monotonic() + START_WAIT_S
+    is_waiting = False
+    while True:
+        try:
+            return load(path)
+        except exceptions.SettingsError as error:
+            if is_stopping() or time.monotonic() > wait_until:
+                raise
+            if not is_waiting:
+                on_wait(error)
+            is_waiting = True
+        time.sleep(START_READ_INTERVAL_S)
--- a/sassafraswood/sidecar/startup.py
+++ b/sassafraswood/sidecar/startup.py
@@ -15,25 +15,41 @@
     Returns:
         The exit code; 2 after problems of the settings, written to stderr.
     """
-    if signals.stop_signal:
-        return _stop_at_start(signals, json_log.JsonLog(''))
+    log = json_log.JsonLog('')
     # The settings are read only now.
     signals.take_reload()
     try:
-        settings = settings_module.load(
-            settings_module.path_from_environment()
-        )
+        settings = _read_settings(signals, log)
     except exceptions.SettingsError as error:
-        for problem in error.problems:
-            sys.stderr.write(f'{problem}\n')
-        return 2
+        if not signals.stop_signal:
+            _report_problems(error, log)
+            return 2
+    if signals.stop_signal:
+        log.change('stopped_at_start', signal=signals.stop_signal)
+        log.flush()
+        return 0
     process.run(settings, signals)
     return 0
 
 
-def _stop_at_start(
+def _read_settings(
     signals: process_signals.ProcessSignals, log: json_log.JsonLog
-) -> int:
-    log.change('stopped_at_start', signal=signals.stop_signal)
+) -> settings_module.PlatformSettings:
+    def note_wait(error: exceptions.SettingsError) -> None:
+        log.change('settings_awaited', error=str(error))
+        log.flush()
+
+    return settings_module.load_at_start(
+        settings_module.path_from_environment(),
+        is_stopping=lambda: bool(signals.stop_signal),
+        on_wait=note_wait,
+    )
+
+
+def _report_problems(
+    error: exceptions.SettingsError, log: json_log.JsonLog
+) -> None:
+    log.change('settings_rejected', error=str(error))
     log.flush()
-    return 0
+    for problem in error.problems:
+        sys.stderr.write(f'{problem}\n')
--- a/tests/sidecar/test_process_life.py
+++ b/tests/sidecar/test_process_life.py
@@ -221,6 +221,13 @@
             wait_until(
                 lambda: all(map(daemon.accepts, LISTENERS.values()))
             )
+            wait_until(
+                lambda: any(
+                    'address_bound' in item.events()
+                    for item in (daemon, other)
+                    if item.process in processes
+                )
+            )
             serving = next(
                 item
                 for item in (daemon, other)
@@ -233,3 +240,40 @@
     finally:
         other.process.kill()
         other.wait()
+
+
+# Guards against a start that ends because its settings are being written.
+@pytest.mark.parametrize('size', [None, 0, 40, -12])
+def test_start_waits_for_whole_settings(daemon, size) -> None:
+    """The file is missing, empty or cut at first."""
+    daemon.settings_path.unlink()
+    if size is not None:
+        daemon.settings_path.write_text(daemon.settings[:size])
+    process = daemon.start()
+    wait_until(lambda: 'settings_awaited' in daemon.events())
+    process.send_signal(signal.SIGHUP)
+    daemon.settings_path.write_text(daemon.settings)
+    wait_until(lambda: daemon.accepts(LISTENERS['ready']))
+    process.send_signal(signal.SIGTERM)
+    assert daemon.wait() == 0
+
+
+# Guards against a wait for settings that no signal ends.
+def test_stop_signal_ends_the_wait_for_settings(daemon) -> None:
+    """The process ends at once with exit 0."""
+    daemon.settings_path.unlink()
+    process = daemon.start()
+    wait_until(lambda: 'settings_awaited' in daemon.events())
+    process.send_signal(signal.SIGTERM)
+    assert daemon.wait() == 0
+    assert daemon.events()[-1] == 'stopped_at_start'
+
+
+# Guards against an end by itself that leaves no line with its reason.
+def test_settings_that_stay_invalid_end_the_process(daemon) -> None:
+    """The exit code is 2, and the log and stderr name the problem."""
+    daemon.settings_path.write_text(daemon.settings.replace('"d1"', '7'))
+    daemon.start()
+    assert daemon.wait() == 2
+    assert daemon.events() == ['settings_awaited', 'settings_rejected']
+    assert daemon.log_path.read_text().count('node: found 7') == 3
