Log unexpected errors, and keep periodic work alive after them

An end by itself left a traceback on stderr at most, and several errors left a process that lived and did a part of its work only.

Causes found by reading every task and callback of the daemon: - an error in one tick (upstream, callers, peers) kept the later ones from running, 40 times a second; - the tasks that load and store leaves, the present upstream and crashes ended at the first error that was not one of the store; later leaves were never stored; - the choice of the next read of the store lay outside the guard of the loop; - an error that a deregistration did not expect ended a stop with calls open; - errors of callbacks went to stderr, where a write blocks the event loop when nobody reads it; - memory-mb = inf raised OverflowError.

Change: each tick has its own guard; the loops above go on; the event loop logs unhandled errors as unhandled_error; an error that ends the process is logged as one line (failed: type, text, traceback) before exit 1, also if an import failed.

test_process_life.py::test_unexpected_error_is_logged (four cases) and the three tests of test_unexpected_errors.py failed before and pass. The cases of the deregistration, the choice of the next read and inf have no test of their own.

--- a/sassafraswood/platform/settings.py
+++ b/sassafraswood/platform/settings.py
@@ -153,7 +153,7 @@
         if (
             isinstance(value, int | float)
             and not isinstance(value, bool)
-            and value > 0
+            and 0 < value < math.inf
         ):
             return float(value)
         self._add_problem(path, value, 'a number above 0')
--- a/sassafraswood/sidecar/__main__.py
+++ b/sassafraswood/sidecar/__main__.py
@@ -12,7 +12,8 @@
     """Run the daemon.
 
     Returns:
-        The exit code; 2 after problems of the settings, written to stderr.
+        The exit code; 1 after an unexpected error, and 2 after problems of
+        the settings, written to stderr.
     """
     signals = process_signals.ProcessSignals()
     signals.install()
@@ -21,6 +22,11 @@
         from sassafraswood.sidecar import startup
 
         return startup.run(signals)
+    except Exception as error:
+        from sassafraswood.sidecar import last_line
+
+        last_line.write(error)
+        return 1
     finally:
         signals.ignore()
 
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -5,7 +5,7 @@
 import math
 import random as random_module
 import traceback
-from typing import Final
+from typing import Any, Final
 
 import uvloop
 
@@ -298,10 +298,11 @@
             signals: Signals of the process, also those that came before the
                 event loop ran; None if others handle them.
         """
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._log_unhandled_error)
         if signals is None:
             await self._async_serve()
             return
-        loop = asyncio.get_running_loop()
         signals.set_callback(
             lambda: loop.call_soon_threadsafe(self._apply_signals, signals)
         )
@@ -406,26 +407,45 @@
     async def _async_tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            try:
-                self._tick()
-            except Exception:
-                # The ticks go on, since without them nothing would expire and
-                # no connection would be opened any more.
-                self._log.change('tick_failed', error=traceback.format_exc())
-
-    def _tick(self) -> None:
-        self._upstream.tick()
-        self._callers.tick()
-        self._peers.tick()
+            for tick in (
+                self._upstream.tick,
+                self._callers.tick,
+                self._peers.tick,
+                self._tick_slowly,
+            ):
+                try:
+                    tick()
+                except Exception:
+                    # The other ticks go on, since without them nothing would
+                    # expire and no connection would be opened any more.
+                    self._log.decision(
+                        'tick_failed', error=traceback.format_exc()
+                    )
+
+    def _tick_slowly(self) -> None:
         now = asyncio.get_running_loop().time()
         if now < self._slow_tick_at:
             return
         self._slow_tick_at = now + SLOW_TICK_S
-        self._upstream.log_load()
-        self._log.flush()
+        try:
+            self._upstream.log_load()
+        finally:
+            self._log.flush()
         if not self._is_stopping:
             self._caller_server.close_slow_connections(now)
 
+    def _log_unhandled_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an error that a callback, task or connection did not handle."""
+        del loop
+        error = context.get('exception')
+        self._log.decision(
+            'unhandled_error',
+            message=context.get('message', ''),
+            error=''.join(traceback.format_exception(error)) if error else '',
+        )
+
     async def _async_stop(self) -> None:
         """Drain: refuse new calls, finish the accepted ones, then close."""
         loop = asyncio.get_running_loop()
@@ -511,9 +531,10 @@
         try:
             async with asyncio.timeout(DEREGISTRATION_TIMEOUT_S):
                 await self._membership.async_deregister()
-        except (exceptions.LogError, TimeoutError) as error:
-            # Another daemon deletes the record once it has expired.
-            self._log.change('not_deregistered', error=str(error))
+        except Exception as error:
+            # Another daemon deletes the record once it has expired. The stop
+            # goes on, since accepted calls are still to be finished.
+            self._log.change('not_deregistered', error=repr(error))
 
     def close(self) -> None:
         """Stop all followers, close the connections and stop listening."""
--- a/sassafraswood/sidecar/store_reader.py
+++ b/sassafraswood/sidecar/store_reader.py
@@ -156,20 +156,8 @@
 
     async def _async_follow(self) -> None:
         while True:
-            wait_s = self._next_wait_s()
-            if wait_s is None:
-                await asyncio.sleep(POLL_INTERVAL_S)
-                continue
             try:
-                has_records = await self._async_read(wait_s)
-            except exceptions.LogRetentionError:
-                self._log.change('store_history_gone', reading=self._name)
-                self._reset_offset()
-                continue
-            except (exceptions.LogError, exceptions.DecodeError) as error:
-                self._note_failure(error)
-                await asyncio.sleep(self._backoff_s())
-                continue
+                await self._async_read_if_due()
             except Exception:
                 # The task goes on, since without it this daemon would no
                 # longer learn of withdrawn keys and changed routes.
@@ -179,11 +167,26 @@
                     error=traceback.format_exc(),
                 )
                 self._failure_count += 1
-                await asyncio.sleep(self._backoff_s())
-                continue
-            self._note_success()
-            if has_records:
-                await asyncio.sleep(BATCH_DELAY_S)
+                await asyncio.sleep(self._limited_backoff_s(MAX_BACKOFF_S))
+
+    async def _async_read_if_due(self) -> None:
+        wait_s = self._next_wait_s()
+        if wait_s is None:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            return
+        try:
+            has_records = await self._async_read(wait_s)
+        except exceptions.LogRetentionError:
+            self._log.change('store_history_gone', reading=self._name)
+            self._reset_offset()
+            return
+        except (exceptions.LogError, exceptions.DecodeError) as error:
+            self._note_failure(error)
+            await asyncio.sleep(self._backoff_s())
+            return
+        self._note_success()
+        if has_records:
+            await asyncio.sleep(BATCH_DELAY_S)
 
     def _next_wait_s(self) -> float | None:
         """Return the wait of the next read; None if no read is due."""
@@ -215,6 +218,9 @@
         longest_s = (
             READER_MAX_BACKOFF_S if self._duty.is_reader else MAX_BACKOFF_S
         )
+        return self._limited_backoff_s(longest_s)
+
+    def _limited_backoff_s(self, longest_s: float) -> float:
         doublings = min(8, self._failure_count - 1)
         backoff_s = min(longest_s, FIRST_BACKOFF_S * 2**doublings)
         return backoff_s * (
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 import random as random_module
+import traceback
 from typing import Any, Final
 
 from sassafraswood.coordination import crash_counts
@@ -182,7 +183,7 @@
             )
             try:
                 await self._store.async_append(upstream_records.TOPIC, record)
-            except exceptions.LogError as error:
+            except Exception as error:
                 await self._async_pause('leave_write_failed', error)
                 continue
             break
@@ -200,7 +201,7 @@
         while upstream == self._present:
             try:
                 await self._store.async_append(upstream_records.TOPIC, record)
-            except exceptions.LogError as error:
+            except Exception as error:
                 await self._async_pause('upstream_write_failed', error)
                 continue
             self._log.change('upstream_stored', instance=upstream.instance_id)
@@ -213,7 +214,7 @@
         while asyncio.get_running_loop().time() < retry_until:
             try:
                 await self._store.async_append(upstream_records.TOPIC, record)
-            except exceptions.LogError as error:
+            except Exception as error:
                 await self._async_pause('end_write_failed', error)
                 continue
             self._log.change('end_stored', key=record.key)
@@ -223,11 +224,16 @@
         while True:
             try:
                 page = await self._store.async_newest(upstream_records.TOPIC)
-            except (exceptions.LogError, exceptions.DecodeError) as error:
+            except Exception as error:
                 await self._async_pause('upstreams_not_read', error)
                 continue
             break
-        self._on_loaded(self._apply_records(page.records))
+        try:
+            present = self._apply_records(page.records)
+        finally:
+            # Leaves are stored even if the former ones cannot be applied.
+            self._is_loaded.set()
+        self._on_loaded(present)
 
     def _apply_records(
         self, records: list[store_module.StoredRecord]
@@ -255,7 +261,6 @@
         self._leaves[:0] = leaves
         if self._present is None:
             self._present = present
-        self._is_loaded.set()
         self._registry.record_leaves(leaves, present)
         self._log.change(
             'upstreams_known',
@@ -266,10 +271,16 @@
         self._on_crashes_loaded(crashes)
         return present
 
-    async def _async_pause(
-        self, event: str, error: exceptions.SassafraswoodError
-    ) -> None:
-        self._log.decision(event, error=str(error))
+    async def _async_pause(self, event: str, error: Exception) -> None:
+        """Log a failed call of the store and wait before the next one.
+
+        An unexpected error does not end the task either, because nothing else
+        would store the record.
+        """
+        text = str(error)
+        if not isinstance(error, exceptions.SassafraswoodError):
+            text = ''.join(traceback.format_exception(error))
+        self._log.decision(event, error=text)
         await asyncio.sleep(
             RETRY_PAUSE_S + RETRY_JITTER_S * self._random.random()
         )
--- a/tests/sidecar/test_process_life.py
+++ b/tests/sidecar/test_process_life.py
@@ -42,9 +42,13 @@
         self.settings_path.write_text(self.settings)
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> subprocess.Popen[bytes]:
-        """Start the daemon with its log in a file."""
-        paths = (str(ROOT), sysconfig.get_path('platlib'))
+    def start(self, *paths: str) -> subprocess.Popen[bytes]:
+        """Start the daemon with its log in a file.
+
+        Args:
+            paths: Folders of modules that replace others.
+        """
+        paths = (*paths, str(ROOT), sysconfig.get_path('platlib'))
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-S', '-P', '-m', 'sassafraswood.sidecar'],
@@ -60,7 +64,9 @@
     def events(self) -> list[str]:
         """Return the events of the log so far."""
         lines = self.log_path.read_bytes().splitlines()
-        return [json.loads(line)['event'] for line in lines if line[:1] == b'{']
+        return [
+            json.loads(line)['event'] for line in lines if line[:1] == b'{'
+        ]
 
     def accepts(self, port: int) -> bool:
         """Return whether connections to a port are accepted."""
@@ -218,9 +224,7 @@
             )
     try:
         for _ in range(2):
-            wait_until(
-                lambda: all(map(daemon.accepts, LISTENERS.values()))
-            )
+            wait_until(lambda: all(map(daemon.accepts, LISTENERS.values())))
             wait_until(
                 lambda: any(
                     'address_bound' in item.events()
@@ -277,3 +281,32 @@
     assert daemon.wait() == 2
     assert daemon.events() == ['settings_awaited', 'settings_rejected']
     assert daemon.log_path.read_text().count('node: found 7') == 3
+
+
+# A module that cannot be imported, and an event loop that cannot listen.
+FAILING_MODULES = {
+    'httptools': "raise {error}('odd')\n",
+    'uvloop': (
+        'import asyncio\n'
+        'class new_event_loop(asyncio.SelectorEventLoop):\n'
+        '    async def create_server(self, *args, **kwargs):\n'
+        "        raise {error}('odd')\n"
+    ),
+}
+
+
+# Guards against an end by itself that leaves no line with its reason.
+@pytest.mark.parametrize('module', FAILING_MODULES)
+@pytest.mark.parametrize('error', ['RuntimeError', 'MemoryError'])
+def test_unexpected_error_is_logged(daemon, tmp_path, module, error) -> None:
+    """The last line has type, text and traceback; the exit code is 1."""
+    folder = tmp_path / 'modules'
+    folder.mkdir()
+    text = FAILING_MODULES[module].format(error=error)
+    (folder / f'{module}.py').write_text(text)
+    daemon.start(str(folder))
+    assert daemon.wait() == 1
+    line = json.loads(daemon.log_path.read_bytes().splitlines()[-1])
+    assert (line['event'], line['type']) == ('failed', error)
+    assert line['error'] == 'odd'
+    assert f'{module}.py' in line['traceback']
--- /dev/null
+++ b/tests/sidecar/test_unexpected_errors.py
@@ -0,0 +1,141 @@
+"""Tests of errors that nobody expected, while a daemon serves."""
+
+import asyncio
+import json
+import os
+import random
+
+from sassafraswood.models import fleet
+from sassafraswood.platform import settings as settings_module
+from sassafraswood.platform import store as store_module
+from sassafraswood.sidecar import process
+from sassafraswood.sidecar import upstream_log
+from sassafraswood.transport import json_log
+from tests.sidecar import test_reload
+
+TICK_COUNT = 3
+
+
+class FailingTick:
+    """Counts its calls and fails in each."""
+
+    def __init__(self) -> None:
+        """Initialize the count."""
+        self.count = 0
+
+    def __call__(self) -> None:
+        """Fail."""
+        self.count += 1
+        raise RuntimeError(f'tick {self.count}')
+
+
+# Guards against a process that lives and does nothing after an error.
+def test_other_ticks_follow_a_failed_one(monkeypatch) -> None:
+    """Each part of the daemon is called in each tick, and errors logged."""
+    reader, writer = os.pipe()
+    ticks = [FailingTick() for _ in range(3)]
+
+    async def async_main() -> None:
+        daemon = process.Daemon(
+            settings_module.parse(test_reload.TEXT), log_descriptor=writer
+        )
+        parts = (daemon._upstream, daemon._callers, daemon._peers)
+        for part, tick in zip(parts, ticks, strict=True):
+            monkeypatch.setattr(part, 'tick', tick)
+        task = asyncio.create_task(daemon._async_tick())
+        while ticks[-1].count < TICK_COUNT:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        daemon.close()
+
+    asyncio.run(asyncio.wait_for(async_main(), 10.0))
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        events = [json.loads(line) for line in lines]
+    assert min(tick.count for tick in ticks) >= TICK_COUNT
+    assert 'RuntimeError: tick 1' in events[0]['error']
+
+
+# Guards against errors of callbacks that block on stderr or leave no line.
+def test_error_of_a_callback_is_logged(monkeypatch) -> None:
+    """The log has the traceback, and the daemon runs until its stop."""
+    reader, writer = os.pipe()
+
+    async def async_main() -> None:
+        daemon = process.Daemon(
+            settings_module.parse(test_reload.TEXT), log_descriptor=writer
+        )
+        task = asyncio.create_task(daemon.async_run())
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(FailingTick())
+        await asyncio.sleep(0.1)
+        daemon.stop()
+        await task
+
+    asyncio.run(asyncio.wait_for(async_main(), 10.0))
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        events = [json.loads(line) for line in lines]
+    errors = [item for item in events if item['event'] == 'unhandled_error']
+    assert 'RuntimeError: tick 1' in errors[0]['error']
+    assert events[-1]['event'] == 'stopped'
+
+
+class FailingStore:
+    """Fails the first calls with errors that are not of the store."""
+
+    def __init__(self) -> None:
+        """Initialize without stored records."""
+        self.errors: list[Exception] = [ValueError('odd'), MemoryError()]
+        self.keys: list[str] = []
+
+    async def async_newest(self, topic: str) -> store_module.Page:
+        """Fail, or return no records."""
+        if self.errors:
+            raise self.errors.pop()
+        self.errors = [ValueError('odd')]
+        return store_module.Page(records=[], next_offset=0)
+
+    async def async_append(
+        self, topic: str, record: store_module.StoredRecord
+    ) -> None:
+        """Fail, or note the key."""
+        if self.errors:
+            raise self.errors.pop()
+        self.keys.append(record.key)
+
+
+# Guards against leaves that are never stored after an unexpected error.
+def test_leave_is_stored_after_unexpected_errors(
+    monkeypatch, tmp_path
+) -> None:
+    """The records are read and written again."""
+    monkeypatch.setattr(upstream_log, 'RETRY_PAUSE_S', 0.01)
+    store = FailingStore()
+
+    class Registry:
+        def record_leaves(self, leaves, present) -> None:
+            """Do nothing."""
+
+    async def async_main(descriptor: int) -> None:
+        stored = upstream_log.UpstreamLog(
+            daemon_id='d1',
+            random=random.Random(1),
+            registry=Registry(),
+            store=store,
+            log=json_log.JsonLog('d1', descriptor),
+            on_loaded=lambda present: None,
+            on_crashes_loaded=lambda records: None,
+        )
+        stored.start(is_first_start=False)
+        leave = fleet.UpstreamProcess(instance_id='i1', born=1)
+        done = asyncio.Event()
+        stored.record_leave(leave, done.set)
+        while stored.has_unstored_leaves:
+            await asyncio.sleep(0.01)
+        await done.wait()
+
+    with (tmp_path / 'log').open('wb') as log:
+        asyncio.run(asyncio.wait_for(async_main(log.fileno()), 10.0))
+    assert len(store.keys) == 1
