Handle signals during start and stop of the product's own daemon, too

`sassafraswood run` ended by SIGTERM or SIGINT (-15, -2) while it started, and by a second SIGTERM while it drained, which lost the calls in flight.

Cause: as with the daemon on the platform, handlers existed only while the event loop waited for the first signal.

Change: it uses process_signals, without SIGHUP, which it doesn't handle. Commands no longer import the daemon of the platform, which had taken most of the time before the handlers. The imports of the command line tool stay uncovered. Its ports are not retried: its three listeners open in three libraries.

test_daemon_life.py: the three cases of signals failed before (-15, -2, -15) and pass.

--- a/sassafraswood/cli/run.py
+++ b/sassafraswood/cli/run.py
@@ -6,6 +6,7 @@
 import typer
 
 from sassafraswood.cli import check
+from sassafraswood import process_signals
 
 
 def run(
@@ -15,8 +16,11 @@
 
     Example: sassafraswood run settings.json
     """
+    signals = process_signals.ProcessSignals(handles_reload=False)
+    signals.install()
     loaded = check.load_settings(settings)
     # Imported here, so that other commands do not load the servers.
     from sassafraswood import daemon
 
-    daemon.run(loaded)
+    daemon.run(loaded, signals)
+    signals.ignore()
--- a/sassafraswood/cli/sidecar.py
+++ b/sassafraswood/cli/sidecar.py
@@ -2,7 +2,6 @@
 
 from sassafraswood.platform import settings
 from sassafraswood import process_signals
-from sassafraswood.sidecar import process
 
 
 def sidecar() -> None:
@@ -12,5 +11,8 @@
     """
     signals = process_signals.ProcessSignals()
     signals.install()
+    # Imported here, so that other commands do not load the servers.
+    from sassafraswood.sidecar import process
+
     process.run(settings.load(settings.path_from_environment()), signals)
     signals.ignore()
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -41,6 +41,7 @@
 from sassafraswood.models import ids
 from sassafraswood.models import messages
 from sassafraswood.models import records
+from sassafraswood import process_signals
 from sassafraswood.protocol import codec
 from sassafraswood.protocol import documents
 from sassafraswood.protocol import settings as settings_module
@@ -87,9 +88,19 @@
 class Daemon:
     """A daemon: its state, connections, coordination and HTTP servers."""
 
-    def __init__(self, settings: settings_module.Settings) -> None:
-        """Build all parts from the settings, without starting them."""
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        signals: process_signals.ProcessSignals,
+    ) -> None:
+        """Build all parts from the settings, without starting them.
+
+        Args:
+            settings: Settings of this daemon.
+            signals: Signals of the process, whose handlers are installed.
+        """
         self._settings = settings
+        self._signals = signals
         self._clock = clock_module.SystemClock()
         self._is_baseline = settings.control is enums.ControlMode.BASELINE
         random = random_module.Random(secrets.randbits(64))
@@ -347,6 +358,9 @@
 
     async def async_run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
+        if self._signals.stop_signal:
+            events.log_change('stopped_at_start')
+            return
         async with anyio.create_task_group() as tasks:
             self._runs.start(tasks)
             dispatch = self._build_dispatch(tasks)
@@ -412,12 +426,19 @@
         )
 
     async def _async_wait_for_signal(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for received in signals:
-                events.log_change('signal_received', signal=received.name)
-                return
+        loop = asyncio.get_running_loop()
+        received = asyncio.Event()
+        self._signals.set_callback(
+            lambda: loop.call_soon_threadsafe(received.set)
+        )
+        if not self._signals.stop_signal:
+            await received.wait()
+        # Later signals change nothing, and the loop may be closed by then.
+        self._signals.set_callback(None)
+        events.log_change(
+            'signal_received',
+            signal=signal.Signals(self._signals.stop_signal).name,
+        )
 
     async def _async_stop(self) -> None:
         """Drain and leave the fleet.
@@ -738,9 +759,17 @@
         tick()
 
 
-def run(settings: settings_module.Settings) -> None:
-    """Run a daemon until it receives SIGTERM or SIGINT."""
+def run(
+    settings: settings_module.Settings,
+    signals: process_signals.ProcessSignals,
+) -> None:
+    """Run a daemon until it receives SIGTERM or SIGINT.
+
+    Args:
+        settings: Settings of the daemon.
+        signals: Signals of the process, whose handlers are installed.
+    """
     events.start_logging()
-    daemon = Daemon(settings)
+    daemon = Daemon(settings, signals)
     main: Callable[[], Awaitable[None]] = daemon.async_run
     anyio.run(main, backend_options={'use_uvloop': True})
--- a/sassafraswood/process_signals.py
+++ b/sassafraswood/process_signals.py
@@ -19,15 +19,22 @@
             there was none.
     """
 
-    def __init__(self) -> None:
-        """Initialize without changing how the process handles signals."""
+    def __init__(self, *, handles_reload: bool = True) -> None:
+        """Initialize without changing how the process handles signals.
+
+        Args:
+            handles_reload: Whether RELOAD_SIGNAL is handled, too.
+        """
         self.stop_signal = 0
+        self._numbers = (
+            (*STOP_SIGNALS, RELOAD_SIGNAL) if handles_reload else STOP_SIGNALS
+        )
         self._is_reload_requested = False
         self._on_signal: Callable[[], object] | None = None
 
     def install(self) -> None:
         """Handle the signals from now on; only the main thread may do so."""
-        for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
+        for number in self._numbers:
             signal.signal(number, self._note)
 
     def ignore(self) -> None:
@@ -36,7 +43,7 @@
         Handlers written in Python do not last: the end of the interpreter
         replaces them by the default, which ends the process by the signal.
         """
-        for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
+        for number in self._numbers:
             signal.signal(number, signal.SIG_IGN)
 
     def set_callback(self, on_signal: Callable[[], object] | None) -> None:
