Go on with the periodic work of the own daemon after an error

One error in one tick of `sassafraswood run` ended all its tasks and the process.

Cause: the ticks run in one task group, which ends with its first error.

Change: the error is logged as tick_failed, and the next tick follows.

test_daemon_life.py::test_tick_goes_on_after_an_error failed before and passes.

--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -7,6 +7,7 @@
 import secrets
 import signal
 import time
+import traceback
 from typing import Any
 
 import anyio
@@ -756,7 +757,11 @@
 async def _async_repeat(interval_s: float, tick: Callable[[], Any]) -> None:
     while True:
         await anyio.sleep(interval_s)
-        tick()
+        try:
+            tick()
+        except Exception:
+            # The error would end all tasks, and the process with them.
+            events.log_change('tick_failed', error=traceback.format_exc())
 
 
 def run(
--- a/tests/test_daemon_life.py
+++ b/tests/test_daemon_life.py
@@ -1,5 +1,7 @@
-"""Tests of signals to processes of the product's own daemon."""
+"""Tests of the life of the product's own daemon."""
 
+import asyncio
+import contextlib
 import pathlib
 import signal
 import time
@@ -7,6 +9,7 @@
 import pytest
 
 from lab import fleet
+from sassafraswood import daemon as daemon_module
 
 NAME = 'van-1'
 TIMEOUT_S = 30.0
@@ -60,3 +63,21 @@
         one_daemon.signal_daemon(NAME, signal.SIGTERM)
         time.sleep(0.001)
     assert process.poll() == 0
+
+
+# Guards against a daemon that ends because of one error in periodic work.
+def test_tick_goes_on_after_an_error() -> None:
+    """The next tick follows."""
+    calls: list[int] = []
+
+    def fail() -> None:
+        calls.append(1)
+        raise RuntimeError('odd')
+
+    async def async_main() -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await daemon_module._async_repeat(0.01, fail)
+
+    asyncio.run(async_main())
+    assert len(calls) > 1
