Read a deadline of any number of digits

A request whose X-Deadline-Ms has 400 digits got no answer: `int(...) / 1000.0` overflows, and from 4301 digits on `int` itself raises ValueError.

A number that long is a deadline years ahead, so the caller expects the timeout of the route, not a refusal. Only the first 12 digits behind leading zeros are read now; the rest makes no difference to min(deadline, timeout). A field that is no number still counts as none.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -60,6 +60,9 @@
 RETRY_AFTER_MIN_S: Final = 0.05
 # Deadline of a request that states none.
 DEFAULT_DEADLINE_S: Final = 30.0
+# Digits of a deadline in milliseconds that are read. A longer one lies years
+# ahead, beyond the timeout of any route, even if its end is left out.
+MAX_DEADLINE_DIGITS: Final = 12
 
 
 class CallerSide:
@@ -331,7 +334,9 @@
         deadline_text = call.request.deadline_ms
         time_s = DEFAULT_DEADLINE_S
         if deadline_text.isdigit():
-            time_s = int(deadline_text) / 1000.0
+            if len(deadline_text) > MAX_DEADLINE_DIGITS:
+                deadline_text = deadline_text.lstrip(b'0') or b'0'
+            time_s = int(deadline_text[:MAX_DEADLINE_DIGITS]) / 1000.0
         call.deadline = now + time_s
         call.expires_at = now + min(time_s, call.route.timeout_s)
         call.latency_target_s = min(
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -184,6 +184,7 @@
         key: bytes | None = b'k1',
         peer: str = '10.0.0.1',
         body: bytes = b'',
+        deadline_ms: bytes = b'2000',
     ) -> RecordingConnection:
         """Send a request and return its connection."""
         connection = RecordingConnection()
@@ -192,7 +193,7 @@
         request.method = b'GET'
         request.host = b'shop.example'
         request.target = f'/{name}/7'.encode()
-        request.deadline_ms = b'2000'
+        request.deadline_ms = deadline_ms
         request.attempt_id = b'abc'
         request.key = key
         request.body = body
@@ -548,3 +549,24 @@
     fixture.stop_plan.begin(0.5)
     fixture.send('pay')
     assert fixture.peers.sent[0][1].time_left_s < 0.5
+
+
+# Guards against requests without an answer whose deadline is no number that
+# the arithmetic can hold.
+@pytest.mark.parametrize(
+    ('deadline_ms', 'status'),
+    [
+        (b'9' * 400, 200),
+        (b'9' * 5000, 200),
+        (b'0' * 5000 + b'900', 200),
+        (b'0' * 5000, 504),
+    ],
+)
+def test_long_deadline_is_read(tmp_path, deadline_ms, status) -> None:
+    """It lies years ahead, unless its first digits are zeros."""
+    fixture = Fixture(tmp_path)
+    connection = fixture.send('read', deadline_ms=deadline_ms)
+    if status == 200:
+        fixture.reply_to_call(0, ok)
+    assert [item[0] for item in connection.responses] == [status]
+    assert not fixture.caller.active_count
