Answer and log a request whose handler raises an error

After an unexpected error in a handler the client got no answer, no line was logged, and its connection stayed as if the request were being handled: the parser turns any error of a callback into HttpParserCallbackError, which `data_received` took for a rejection that was answered before. A call that had been registered stayed in flight until its timeout.

Rejections have an error of their own now. Any other error of a handler is logged with its traceback (`request_raised`, within the rate of its event), also when the handler is called outside the parser or to abandon a request. The handler is told to abandon the request, which cancels what was sent for it, and the client gets 500, not 503, since the request may have run. Requests received before it are answered, then the connection closes; other connections go on.

The load that an error between the choice of a daemon and the send leaves counted there is not taken back.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -261,7 +261,9 @@
             on_borrow=self._lend_tokens,
         )
         self._callers.attach(self._peers)
-        self._caller_server = ingress.IngressServer(self._callers, names)
+        self._caller_server = ingress.IngressServer(
+            self._callers, names, self._log
+        )
         self._report_server = ingress.IngressServer(
             local_servers.ReportHandler(
                 self._registry,
@@ -270,13 +272,15 @@
                 self._on_report,
             ),
             names,
+            self._log,
         )
         self._ready_server = ingress.IngressServer(
-            local_servers.ReadyHandler(self._is_ready), names
+            local_servers.ReadyHandler(self._is_ready), names, self._log
         )
         self._metrics_server = ingress.IngressServer(
             local_servers.MetricsHandler(self._metrics, self._set_gauges),
             names,
+            self._log,
         )
         body_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
         self._caller_server.held.limit = body_bytes
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -4,6 +4,7 @@
 import collections
 import http
 import socket
+import traceback
 import typing
 from typing import Final, Protocol
 
@@ -13,6 +14,7 @@
 from sassafraswood.models import traffic
 from sassafraswood.state import held_bytes
 from sassafraswood.transport import exchange
+from sassafraswood.transport import json_log
 from sassafraswood.transport import tcp
 
 # Requests on one connection that may wait for the response to an earlier one.
@@ -38,6 +40,10 @@
 )
 
 
+class RequestRejectedError(Exception):
+    """Stops the parser behind the request that was rejected."""
+
+
 class IngressRequest:
     """A complete request of a client.
 
@@ -112,7 +118,10 @@
         """Handle a complete request; its reply may be sent later."""
 
     def abandon(self, request: IngressRequest) -> None:
-        """Stop handling a request whose client has disconnected."""
+        """Stop handling a request that gets no response of the handler.
+
+        Its client has disconnected, or `handle` has raised an error.
+        """
 
 
 class IngressConnection(asyncio.Protocol):
@@ -211,9 +220,10 @@
         """Parse received bytes of requests."""
         try:
             self._parse(data)
-        except httptools.HttpParserCallbackError:
-            # The callback has rejected the request already.
-            return
+        except httptools.HttpParserCallbackError as error:
+            if not isinstance(error.__context__, RequestRejectedError):
+                self._server.log_failure(self._incomplete)
+                self._reject(500)
         except httptools.HttpParserError:
             self._reject(400)
         else:
@@ -277,7 +287,7 @@
         self._pending.clear()
         if current is not None:
             self._server.held.release(len(current.body))
-            self._server.handler.abandon(current)
+            self._abandon(current)
             current.context = None
 
     def pause_writing(self) -> None:
@@ -293,7 +303,7 @@
 
     def on_message_begin(self) -> None:
         """Start to receive a request."""
-        if self._is_behind_head:
+        if self._is_behind_head or self._has_ended_reading:
             return
         self._incomplete = IngressRequest(self)
         self.since = self._loop.time()
@@ -352,17 +362,18 @@
         """Store a part of the body, or reject the request.
 
         Raises:
-            ValueError: If the body or all bodies exceed their limit; this
-                stops the parser.
+            RequestRejectedError: The body or all bodies exceed their limit.
         """
         self._unparsed_bytes = 0
+        if self._incomplete is None:
+            return
         if self._body_bytes + len(data) > self._server.limits.max_body_bytes:
             self._reject(413)
-            raise ValueError('request body exceeds max_body_bytes')
+            raise RequestRejectedError('body exceeds max_body_bytes')
         if not self._server.held.take(len(data)):
             # Nothing was forwarded, so the client may send the request again.
             self._reject(503, b'Retry-After: %.3f\r\n' % RETRY_AFTER_S)
-            raise ValueError('request bodies exceed the limit of held bytes')
+            raise RequestRejectedError('all bodies exceed their limit')
         self._body_bytes += len(data)
         self._body.append(data)
 
@@ -400,8 +411,7 @@
                 return
             self._pending.append(request)
             return
-        self._current = request
-        self._server.handler.handle(request)
+        self._start(request)
 
     def reply(
         self,
@@ -459,8 +469,31 @@
 
     def _handle_next(self) -> None:
         if self._pending and self._current is None and not self._is_paused:
-            self._current = self._pending.popleft()
-            self._server.handler.handle(self._current)
+            self._start(self._pending.popleft())
+
+    def _start(self, request: IngressRequest) -> None:
+        """Pass a request to the handler.
+
+        If the handler raises an error, the request may have run; the client
+        gets a 500, and the connection closes after the requests that were
+        received before the error.
+        """
+        self._current = request
+        try:
+            self._server.handler.handle(request)
+        except Exception:
+            self._server.log_failure(request)
+            if self._current is request:
+                self._has_rejected = True
+                self._abandon(request)
+                self.reply(request, 500, b'', b'', close=False)
+
+    def _abandon(self, request: IngressRequest) -> None:
+        """Let the handler forget a request that it will not answer."""
+        try:
+            self._server.handler.abandon(request)
+        except Exception:
+            self._server.log_failure(request)
 
     def _limit_unparsed_bytes(self, size: int) -> None:
         """Reject a request if the parser buffers too much of it.
@@ -481,7 +514,7 @@
         self._header_bytes += size
         if self._header_bytes > self._server.limits.max_header_bytes:
             self._reject(431)
-            raise ValueError('request header exceeds max_header_bytes')
+            raise RequestRejectedError('header exceeds max_header_bytes')
 
     def _record_named_fields(self, value: bytes) -> None:
         """Record the fields that the Connection field names, to remove them.
@@ -525,14 +558,19 @@
     """Accepts client connections on one address."""
 
     def __init__(
-        self, handler: RequestHandler, names: fields.FieldNames
+        self,
+        handler: RequestHandler,
+        names: fields.FieldNames,
+        log: json_log.JsonLog | None = None,
     ) -> None:
         """Initialize a server that does not listen yet.
 
         Args:
             handler: Handler of the requests.
             names: Names of the header fields that this system uses.
+            log: Log of errors that the handler raises; None for no log.
         """
+        self._log = log
         self.handler = handler
         self.names = names
         self.limits = DEFAULT_LIMITS
@@ -562,6 +600,22 @@
             total += size
         return total
 
+    def log_failure(self, request: IngressRequest | None) -> None:
+        """Log the error that is being handled, with its traceback.
+
+        Args:
+            request: Request that caused it, if one was being received.
+        """
+        if self._log is None:
+            return
+        self._log.decision(
+            'request_raised',
+            request=(
+                '' if request is None else request.attempt_id.decode('latin-1')
+            ),
+            error=traceback.format_exc(),
+        )
+
     def forget_unsent(self, connection: IngressConnection) -> None:
         """Note that a connection has ended."""
         self._unsent.discard(connection)
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -570,3 +570,15 @@
         fixture.reply_to_call(0, ok)
     assert [item[0] for item in connection.responses] == [status]
     assert not fixture.caller.active_count
+
+
+def test_call_that_cannot_be_sent_is_forgotten(tmp_path) -> None:
+    """Guards against calls that stay in flight after an unexpected error."""
+    fixture = Fixture(tmp_path)
+    # A candidate without the attributes that are needed.
+    fixture.peers.members = [object()]
+    with pytest.raises(AttributeError):
+        fixture.send('read')
+    (call,) = fixture.caller._active.values()
+    fixture.caller.abandon(call.request)
+    assert not fixture.caller.active_count
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -9,6 +9,7 @@
 
 from sassafraswood.models import traffic
 from sassafraswood.transport import ingress
+from sassafraswood.transport import json_log
 
 from tests.sidecar.test_upstream_side import NAMES
 
@@ -75,13 +76,33 @@
         self.abandoned.append(request)
 
 
+class RaisingHandler(Handler):
+    """Raises errors for requests with a body."""
+
+    def handle(self, request) -> None:
+        """Record a request and raise an error."""
+        super().handle(request)
+        if request.body:
+            raise OverflowError('not expected')
+
+    def abandon(self, request) -> None:
+        """Record a request and raise an error."""
+        super().abandon(request)
+        raise KeyError('not expected')
+
+
 class Client:
     """A connection with a fake transport."""
 
-    def __init__(self, data: bytes = b'') -> None:
+    def __init__(
+        self,
+        data: bytes = b'',
+        handler: Handler | None = None,
+        log: json_log.JsonLog | None = None,
+    ) -> None:
         """Connect and send data."""
-        self.handler = Handler()
-        self.server = ingress.IngressServer(self.handler, NAMES)
+        self.handler = handler or Handler()
+        self.server = ingress.IngressServer(self.handler, NAMES, log)
         self.server.limits = LIMITS
         self.transport = FakeTransport()
         self.loop = asyncio.new_event_loop()
@@ -328,3 +349,40 @@
     (request,) = client.handler.requests
     assert (request.host, request.target) == (host, path)
     client.disconnect()
+
+
+# Guards against requests without an answer, whose connection stays open and of
+# which no log line tells, after an error that nobody expected.
+@pytest.mark.parametrize(
+    ('data', 'statuses'),
+    [
+        (POST, [b'500']),
+        (GET + POST, [b'200', b'500']),
+        (GET + POST + GET, [b'200', b'500', b'200']),
+    ],
+)
+def test_error_of_the_handler_is_answered(data, statuses, tmp_path) -> None:
+    """The request is abandoned, and earlier and later ones are answered."""
+    with open(tmp_path / 'log', 'wb') as file:
+        log = json_log.JsonLog('d1', file.fileno())
+        client = Client(data, RaisingHandler(), log)
+        for request in client.handler.requests:
+            request.reply(200)
+        log.flush()
+    answers = client.transport.written.split(b'HTTP/1.1 ')[1:]
+    assert [answer[:3] for answer in answers] == statuses
+    assert b'Connection: close' in answers[-1]
+    assert client.transport.is_closed
+    assert [item.body for item in client.handler.abandoned] == [b'hello']
+    assert client.server.held.count == 0
+    logged = (tmp_path / 'log').read_text()
+    assert 'not expected' in logged and 'Traceback' in logged
+    client.disconnect()
+
+
+def test_error_while_a_request_is_abandoned_ends_its_connection() -> None:
+    """Guards against an error that leaves a part of the connection open."""
+    client = Client(GET, RaisingHandler())
+    client.disconnect()
+    assert client.handler.abandoned == client.handler.requests
+    assert not client.server.connections
