Answer clients that end their sending side

A client that ended its sending side after a whole request got no answer, though the request ran: the protocol had no `eof_received`, and the transport closes by default. The end of a closed connection looks the same, and its requests must be broken off within 0.5 s.

While requests are open, the connection stays open for writing now, and the first nine bytes of the answer, "HTTP/1.1 " for each status, are sent ahead, one each 0.1 s. A client that has closed resets the connection at the first of them, and the next write meets the reset, as the event loop no longer polls a socket behind its end. Interim responses (100) would serve as well, but clients of HTTP/1.0 must not get them and some clients accept only a few; bytes of the answer itself are valid for all. They are sent only while a request waits and nothing is unsent. After the last answer the connection closes; an incomplete request is dropped, and without open requests the connection closes, as before.

A client that ends its sending side and leaves over 0.8 s later is not noticed.

Ended connections are still freed.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -28,6 +28,11 @@
 # Retry-After of requests that are refused because the bodies held reach their
 # limit; large bodies take about that long to be forwarded.
 RETRY_AFTER_S: Final = 1.0
+# Interval at which bytes of a response are sent ahead; a client that has gone
+# is noticed after two of them.
+PROBE_INTERVAL_S: Final = 0.1
+# Begin of each response, whatever its status.
+_RESPONSE_BEGIN: Final = b'HTTP/1.1 '
 _STATUS_LINES: Final = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
     for status in http.HTTPStatus
@@ -146,8 +151,11 @@
         self._incomplete: IngressRequest | None = None
         self._loop = asyncio.get_running_loop()
         self._is_closing = False
-        # Whether the bytes after the pending requests are not read.
-        self._has_rejected = False
+        # Whether no request is read after the pending ones.
+        self._is_input_over = False
+        # Bytes of the response to the current request that were sent ahead.
+        self._sent_ahead_bytes = 0
+        self._probe_timer: asyncio.TimerHandle | None = None
         # Header fields that delimit the body of the incomplete request.
         self._framing: list[bytes] = []
         # Whether the parser reads the head that _ignore_upgrade returned; the
@@ -229,6 +237,42 @@
         else:
             self._limit_unparsed_bytes(len(data))
 
+    def eof_received(self) -> bool:
+        """Answer the requests that were read, then close.
+
+        A client that has closed its connection sends the same as one that
+        only sends no further request. It answers any byte with a reset, and
+        the next write meets the reset. So the first bytes of the response,
+        which are the same for each status, are sent ahead one at a time; an
+        interim response would not suit clients of HTTP/1.0.
+
+        Returns:
+            Whether the connection stays open.
+        """
+        self._incomplete = None
+        self._release_incomplete()
+        if self._is_closing or (self._current is None and not self._pending):
+            return False
+        self._is_input_over = True
+        self._probe()
+        return True
+
+    def _probe(self) -> None:
+        """Send a byte of the response ahead, and go on until the close."""
+        if self._transport is None or self._is_closing:
+            return
+        if (
+            self._current is not None
+            and not self.has_unsent_data
+            and self._sent_ahead_bytes < len(_RESPONSE_BEGIN)
+        ):
+            start = self._sent_ahead_bytes
+            self._sent_ahead_bytes += 1
+            self._transport.write(_RESPONSE_BEGIN[start : start + 1])
+        self._probe_timer = self._loop.call_later(
+            PROBE_INTERVAL_S, self._probe
+        )
+
     def _parse(self, data: bytes) -> None:
         """Pass received bytes to the parser.
 
@@ -268,7 +312,7 @@
     @property
     def _has_ended_reading(self) -> bool:
         """Return whether no further request is read."""
-        return self._is_closing or self._has_rejected
+        return self._is_closing or self._is_input_over
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the requests of the client and abandon the current one."""
@@ -276,6 +320,9 @@
         self._is_closing = True
         self._transport = None
         self._parser = None
+        if self._probe_timer is not None:
+            self._probe_timer.cancel()
+            self._probe_timer = None
         self._incomplete = None
         self._body = []
         self._server.connections.discard(self)
@@ -429,7 +476,7 @@
             close
             or request.is_closing
             or (
-                (self._server.is_closing or self._has_rejected)
+                (self._server.is_closing or self._is_input_over)
                 and not self._pending
             )
         )
@@ -446,6 +493,9 @@
             length,
             b'Connection: close\r\n' if is_closing else b'',
         )
+        if self._sent_ahead_bytes:
+            begin = begin[self._sent_ahead_bytes :]
+            self._sent_ahead_bytes = 0
         if not self.has_unsent_data:
             self._written_bytes = 0
         if not has_body:
@@ -484,7 +534,7 @@
         except Exception:
             self._server.log_failure(request)
             if self._current is request:
-                self._has_rejected = True
+                self._is_input_over = True
                 self._abandon(request)
                 self.reply(request, 500, b'', b'', close=False)
 
@@ -543,7 +593,7 @@
         self._release_incomplete()
         if self._transport is None or self._has_ended_reading:
             return
-        self._has_rejected = True
+        self._is_input_over = True
         if self._current is not None or self._pending:
             return
         self._transport.write(
--- a/tests/transport/test_freed_connections.py
+++ b/tests/transport/test_freed_connections.py
@@ -124,6 +124,20 @@
         """Do nothing."""
 
 
+class RecordingSet(set):
+    """Records weak references of the connections that are added."""
+
+    def __init__(self, references) -> None:
+        """Set the list for the references."""
+        super().__init__()
+        self.references = references
+
+    def add(self, item) -> None:
+        """Add a connection."""
+        super().add(item)
+        self.references.append(weakref.ref(item))
+
+
 class Body:
     """Stands for the body of a request, which weak references cannot hold."""
 
@@ -132,19 +146,21 @@
         request.context.append(self)
 
 
-async def async_send_request(data: bytes) -> None:
+async def async_send_request(data: bytes, *, ends: bool) -> None:
     """Send bytes to a server and wait until their connection is freed."""
     handler = RecordingHandler()
     server = ingress.IngressServer(handler, headers.NAMES)
+    server.connections = RecordingSet(handler.references)
     await server.async_listen(('127.0.0.1', 0))
     address = server._server.sockets[0].getsockname()
     _, writer = await asyncio.open_connection(*address)
     writer.write(data)
+    if ends:
+        writer.write_eof()
     async with asyncio.timeout(2.0):
-        while not server.connections:
+        while not handler.references:
             await asyncio.sleep(0.01)
     await asyncio.sleep(0.05)
-    handler.references += [weakref.ref(item) for item in server.connections]
     writer.transport.abort()
     for reference in handler.references:
         await async_wait_freed(reference)
@@ -160,9 +176,10 @@
         b'GET /ok HTTP/1.1\r\nHost: ' + b'x' * 1000,
     ],
 )
-def test_connection_of_a_client_is_freed(data) -> None:
+@pytest.mark.parametrize('ends', [False, True])
+def test_connection_of_a_client_is_freed(data, ends) -> None:
     """With its last request, whether it was answered or not."""
-    asyncio.run(async_send_request(data))
+    asyncio.run(async_send_request(data, ends=ends))
 
 
 def test_connections_between_daemons_are_freed() -> None:
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -1,11 +1,14 @@
 """Tests of the HTTP server for clients."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
 import pytest
+import uvloop
 
 from sassafraswood.models import traffic
 from sassafraswood.transport import ingress
@@ -386,3 +389,101 @@
     client.disconnect()
     assert client.handler.abandoned == client.handler.requests
     assert not client.server.connections
+
+
+class DelayedHandler(Handler):
+    """Responds with the target after a time."""
+
+    def __init__(self, delay_s: float) -> None:
+        """Set the time from a request to its response, in seconds."""
+        super().__init__()
+        self.delay_s = delay_s
+
+    def handle(self, request) -> None:
+        """Record a request and respond later."""
+        super().handle(request)
+        asyncio.get_running_loop().call_later(
+            self.delay_s, request.reply, 200, b'', request.target
+        )
+
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def run_client(
+    handler: Handler,
+    async_use: Callable[[ingress.IngressServer, Streams], Awaitable[None]],
+) -> None:
+    """Connect a client to a server, on the event loop of the daemons."""
+
+    async def async_case() -> None:
+        server = ingress.IngressServer(handler, NAMES)
+        server.limits = LIMITS
+        await server.async_listen(('127.0.0.1', 0))
+        address = server._server.sockets[0].getsockname()
+        streams = await asyncio.open_connection(*address)
+        async with asyncio.timeout(10.0):
+            await async_use(server, streams)
+        streams[1].transport.abort()
+        server.stop_listening()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(async_case())
+
+
+# Guards against requests that run without an answer, since their client sends
+# no further one.
+@pytest.mark.parametrize('delay_s', [0.0, 0.25, 1.2])
+@pytest.mark.parametrize(
+    ('data', 'count'),
+    [
+        (GET, 1),
+        (POST * 3, 3),
+        (GET.replace(b'1.1', b'1.0'), 1),
+        (GET.replace(b'GET', b'HEAD') + GET, 2),
+        (POST + POST[:-2], 1),
+        (POST[:-2], 0),
+    ],
+)
+def test_client_that_ends_its_side_is_answered(data, count, delay_s) -> None:
+    """Its complete requests are, with whole responses and nothing else."""
+    handler = DelayedHandler(delay_s)
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        writer.write(data)
+        writer.write_eof()
+        written = await reader.read()
+        assert written.count(b'HTTP/1.1 200 OK\r\n') == count
+        assert written.count(b'HTTP') == count
+        while written:
+            head, _, rest = written.partition(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 OK\r\n')
+            written = rest.removeprefix(b'/a/1')
+        assert len(handler.requests) == count and not handler.abandoned
+        assert server.held.count == 0
+
+    run_client(handler, async_use)
+
+
+# Guards against upstreams that work on for clients that have gone, where a
+# connection stays open for clients that only end their sending side.
+@pytest.mark.parametrize(
+    'data', [GET, POST * 3, GET.replace(b'1.1', b'1.0'), POST + POST[:-2]]
+)
+def test_client_that_closes_is_abandoned(data) -> None:
+    """Its request is, within 0.5 s."""
+    handler = DelayedHandler(3.0)
+
+    async def async_use(server, streams) -> None:
+        streams[1].write(data)
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        streams[1].close()
+        async with asyncio.timeout(0.5):
+            while not handler.abandoned:
+                await asyncio.sleep(0.01)
+        assert len(handler.requests) == 1
+        assert not server.connections and server.held.count == 0
+
+    run_client(handler, async_use)
