Keep pipelined requests in place of closing their connection

Of 50 requests pipelined on one connection, 17 were answered; then the connection was closed. The 18th was rejected, as memory has to be bounded.

Beyond 16 waiting requests, received bytes are kept unparsed now and parsed as answers are sent. Reads of over 16 KiB are parsed in parts, so that one read cannot hold thousands of requests. Nothing more is received while over 64 KiB are kept, or while all bodies exceed their limit; otherwise the end of the connection is still noticed. Kept bytes count as bodies of requests. Requests are handled in a loop, not by recursion, so their number is not bounded by the stack. A connection with waiting requests is not idle any more.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -17,8 +17,13 @@
 from sassafraswood.transport import json_log
 from sassafraswood.transport import tcp
 
-# Requests on one connection that may wait for the response to an earlier one.
+# Requests on one connection that wait for the response to an earlier one; from
+# this number on, received bytes are kept unparsed.
 MAX_PIPELINED_REQUESTS: Final = 16
+# Bytes that are parsed at once, so that they hold few requests.
+MAX_PARSED_BYTES: Final = 16 * 1024
+# Unparsed bytes of one client above which nothing more is received from it.
+MAX_KEPT_BYTES: Final = 64 * 1024
 LISTEN_BACKLOG: Final = 1024
 # Larger bodies are not copied behind the head of their response.
 MAX_COPIED_BYTES: Final = 64 * 1024
@@ -171,13 +176,24 @@
         # body or a request.
         self._unparsed_bytes = 0
         self._is_paused = False
+        # Received bytes that are not parsed until earlier requests have their
+        # responses. The end of input applies after them.
+        self._kept = bytearray()
+        self._is_receiving_paused = False
+        self._has_eof = False
+        self._is_advancing = False
         # Bytes of the responses since the transport was last empty.
         self._written_bytes = 0
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received or handled."""
-        return self._current is None and self._incomplete is None
+        return (
+            self._current is None
+            and self._incomplete is None
+            and not self._pending
+            and not self._kept
+        )
 
     @property
     def is_reading(self) -> bool:
@@ -225,7 +241,33 @@
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes of requests."""
+        """Parse received bytes of requests, or keep them for later."""
+        if (
+            self._kept
+            or len(data) > MAX_PARSED_BYTES
+            or len(self._pending) >= MAX_PIPELINED_REQUESTS
+        ):
+            self._keep(data)
+            self._advance()
+        else:
+            self._receive(data)
+
+    def _keep(self, data: bytes) -> None:
+        """Keep received bytes until earlier requests have their responses."""
+        if self._has_ended_reading:
+            return
+        self._kept += data
+        self._server.held.take_anyway(len(data))
+
+    def _take_kept(self, size: int) -> bytes:
+        """Return the first kept bytes, which are kept no longer."""
+        data = bytes(self._kept[:size])
+        del self._kept[:size]
+        self._server.held.release(len(data))
+        return data
+
+    def _receive(self, data: bytes) -> None:
+        """Parse received bytes; answer what is no valid request."""
         try:
             self._parse(data)
         except httptools.HttpParserCallbackError as error:
@@ -249,11 +291,10 @@
         Returns:
             Whether the connection stays open.
         """
-        self._incomplete = None
-        self._release_incomplete()
-        if self._is_closing or (self._current is None and not self._pending):
+        self._has_eof = True
+        self._advance()
+        if self._is_closing:
             return False
-        self._is_input_over = True
         self._probe()
         return True
 
@@ -329,6 +370,7 @@
         self._server.forget_unsent(self)
         current, self._current = self._current, None
         self._release_incomplete()
+        self._take_kept(len(self._kept))
         for request in self._pending:
             self._server.held.release(len(request.body))
         self._pending.clear()
@@ -344,7 +386,7 @@
     def resume_writing(self) -> None:
         """Handle the pipelined requests of the client again."""
         self._is_paused = False
-        self._handle_next()
+        self._advance()
 
     # Callbacks of the parser.
 
@@ -395,7 +437,11 @@
                 self._framing.append(b'%b: %b\r\n' % (name, value))
             return
         elif lower == b'expect':
-            if value.lower() == b'100-continue' and self._transport:
+            if (
+                value.lower() == b'100-continue'
+                and self._transport
+                and not self._has_eof
+            ):
                 self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
             return
         self._head.append(b'%b: %b\r\n' % (name, value))
@@ -451,11 +497,7 @@
         # The body stays counted until the request gets its response or the
         # client disconnects.
         self._body_bytes = 0
-        if self._current is not None or self._is_paused:
-            if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-                self._server.held.release(len(request.body))
-                self._reject(503)
-                return
+        if self._current is not None or self._pending or self._is_paused:
             self._pending.append(request)
             return
         self._start(request)
@@ -478,6 +520,7 @@
             or (
                 (self._server.is_closing or self._is_input_over)
                 and not self._pending
+                and not self._kept
             )
         )
         line = _STATUS_LINES.get(status) or (
@@ -515,11 +558,61 @@
         if is_closing:
             self.close()
             return
-        self._handle_next()
+        if self._pending or self._kept:
+            self._advance()
+
+    def _advance(self) -> None:
+        """Handle and parse what was received, until a request has to wait."""
+        if self._is_advancing:
+            return
+        self._is_advancing = True
+        try:
+            while not self._is_closing:
+                if (
+                    self._pending
+                    and self._current is None
+                    and not self._is_paused
+                ):
+                    self._start(self._pending.popleft())
+                elif (
+                    self._kept and len(self._pending) < MAX_PIPELINED_REQUESTS
+                ):
+                    self._receive(self._take_kept(MAX_PARSED_BYTES))
+                else:
+                    break
+        finally:
+            self._is_advancing = False
+        if self._has_eof and not self._kept:
+            self._end_input()
+            if self._current is None and not self._pending:
+                self.close()
+        self._limit_kept()
+
+    def _end_input(self) -> None:
+        """Read no request after those that are handled or pending."""
+        self._is_input_over = True
+        self._take_kept(len(self._kept))
+        self._incomplete = None
+        self._release_incomplete()
 
-    def _handle_next(self) -> None:
-        if self._pending and self._current is None and not self._is_paused:
-            self._start(self._pending.popleft())
+    def _limit_kept(self) -> None:
+        """Receive nothing while too many bytes are kept.
+
+        Otherwise the end of the connection has to be noticed.
+        """
+        if self._transport is None or self._has_eof:
+            return
+        held = self._server.held
+        is_paused = len(self._kept) > MAX_KEPT_BYTES or (
+            len(self._kept) > 0 and held.count > held.limit
+        )
+        if is_paused == self._is_receiving_paused:
+            return
+        self._is_receiving_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def _start(self, request: IngressRequest) -> None:
         """Pass a request to the handler.
@@ -534,7 +627,7 @@
         except Exception:
             self._server.log_failure(request)
             if self._current is request:
-                self._is_input_over = True
+                self._end_input()
                 self._abandon(request)
                 self.reply(request, 500, b'', b'', close=False)
 
@@ -589,11 +682,11 @@
         If earlier requests wait for their responses, the connection is closed
         after these, and the rejected one gets none.
         """
-        self._incomplete = None
-        self._release_incomplete()
         if self._transport is None or self._has_ended_reading:
+            self._incomplete = None
+            self._release_incomplete()
             return
-        self._is_input_over = True
+        self._end_input()
         if self._current is not None or self._pending:
             return
         self._transport.write(
