Announce the close of connections from the stop signal on

In 6 of 10 planned stops, 1 to 5 requests of 12 busy kept connections met the close 3.0 s after the signal, without a notice in any answer before. None had run, but their clients saw a closed connection.

From the signal on, each answer on a client connection says that it closes, so that only connections without a request since then are left to be closed after 3 s. An idle connection is closed 10 ms after the decision, unless a request is read meanwhile: the event loop may not have read what has arrived. At the last moment the process stops listening, reads for one tick what has arrived on accepted connections, refuses it and only then ends.

A connection in the accept queue that is established in the moment in which the listening socket closes is reset, as before; no request of it was read.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -454,6 +454,10 @@
         """Drain: refuse new calls, finish the accepted ones, then close."""
         loop = asyncio.get_running_loop()
         self._is_stopping = True
+        # Each answer says that its connection closes, so that clients don't
+        # send a request on it when it is closed for good.
+        self._caller_server.is_closing = True
+        is_caller_drain_over = False
         started_at = loop.time()
         stop_s = self.settings.bounds.grace_s - GRACE_MARGIN_S
         end_at = started_at + stop_s
@@ -470,17 +474,20 @@
             since_stop_s = loop.time() - started_at
             if since_stop_s >= PEER_DRAIN_S:
                 self._upstream.stop()
-            is_caller_drain_over = since_stop_s >= CALLER_DRAIN_S
-            if is_caller_drain_over and not self._caller_server.is_closing:
+            if since_stop_s >= CALLER_DRAIN_S and not is_caller_drain_over:
                 # Late requests get a refusal, which says that they have not
                 # run, in place of a refused connection.
+                is_caller_drain_over = True
                 self._callers.refuse_new()
-                self._caller_server.is_closing = True
                 self._caller_server.close_idle()
             if is_caller_drain_over and not self._has_open_work:
                 break
             await asyncio.sleep(TICK_S)
         self._callers.end_all()
+        self._caller_server.stop_listening()
+        # Requests that have arrived on accepted connections get a refusal.
+        await asyncio.sleep(TICK_S)
+        self._callers.end_all()
         self.close()
 
     @property
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -30,6 +30,9 @@
 # Allowed beyond the header limit, since the event loop reads up to 256 KiB at
 # a time.
 MAX_READ_BYTES: Final = 256 * 1024
+# Time between the decision to close an idle connection and its close, in which
+# a request is read that arrived before the decision.
+IDLE_CLOSE_DELAY_S: Final = 0.01
 # Retry-After of requests that are refused because the bodies held reach their
 # limit; large bodies take about that long to be forwarded.
 RETRY_AFTER_S: Final = 1.0
@@ -229,6 +232,16 @@
             self._is_closing = True
             self._transport.close()
 
+    def close_idle_soon(self) -> None:
+        """Close the connection, unless a request has arrived meanwhile."""
+        self._loop.call_later(
+            IDLE_CLOSE_DELAY_S, self._close_if_idle, self.since
+        )
+
+    def _close_if_idle(self, since: float) -> None:
+        if self.is_idle and self.since == since:
+            self.close()
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -719,6 +732,7 @@
         self.limits = DEFAULT_LIMITS
         # Counts body bytes of requests that have no response yet.
         self.held = held_bytes.ByteBudget()
+        # Whether connections close after their next response.
         self.is_closing = False
         self.connections: set[IngressConnection] = set()
         # Connections that had unsent data when they were last looked at.
@@ -807,13 +821,13 @@
                 if age_s > limits.header_timeout_s + limits.idle_timeout_s:
                     connection.close()
             elif connection.is_idle and age_s > limits.idle_timeout_s:
-                connection.close()
+                connection.close_idle_soon()
 
     def close_idle(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections on which no request has arrived."""
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.close()
+                connection.close_idle_soon()
 
     def stop_listening(self) -> None:
         """Stop accepting connections; established ones stay open."""
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import re
 import time
 
@@ -520,6 +521,40 @@
             await asyncio.wait_for(fleet.tasks['status'], timeout=1.0)
 
 
+async def async_test_notice_in_the_stop() -> None:
+    """Send requests on a kept and on new connections until the end."""
+    async with running() as fleet:
+        daemon = fleet.daemons['status']
+        async with connected(daemon) as (reader, writer):
+            writer.write(build_payment(1))
+            await reader.readuntil(b'\r\n\r\n')
+            daemon.stop()
+            await asyncio.sleep(0.1)
+            writer.write(build_payment(2))
+            answer = await asyncio.wait_for(reader.read(), timeout=1.0)
+            assert b'HTTP/1.1 200 ' in answer
+            assert b'\r\nConnection: close\r\n' in answer
+        await asyncio.sleep(process.CALLER_DRAIN_S - 0.3)
+        fleet.upstreams['billing'].delay_s = 0.9
+        async with connected(daemon) as (reader, writer):
+            writer.write(build_payment(3))
+            await asyncio.sleep(0.5)
+            async with connected(daemon) as (last_reader, last_writer):
+                await asyncio.sleep(0.1)
+                end_all = daemon._callers.end_all
+
+                def send() -> None:
+                    connection = last_writer.get_extra_info('socket')
+                    os.write(connection.fileno(), build_payment(4))
+                    daemon._callers.end_all = end_all
+                    end_all()
+
+                daemon._callers.end_all = send
+                assert await async_read_statuses(reader) == [200]
+                assert await async_read_statuses(last_reader) == [503]
+        await asyncio.wait_for(fleet.tasks['status'], timeout=1.0)
+
+
 async def async_peek(daemon: process.Daemon) -> int:
     """Make a call of the local upstream; return the status."""
     async with connected(daemon) as (reader, writer):
@@ -647,6 +682,13 @@
     asyncio.run(async_test_requests_late_in_the_stop())
 
 
+# Guards against requests that meet the close of their connection in a stop,
+# without a notice in any answer before.
+def test_answers_in_a_stop_announce_the_close() -> None:
+    """A request that has arrived when the process ends gets a refusal."""
+    asyncio.run(async_test_notice_in_the_stop())
+
+
 # Guards against calls that end without a response at the end of a stop.
 def test_calls_that_outlast_a_stop_get_a_response() -> None:
     """It does not say that the call has not run."""
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import os
 
 from hypothesis import given
 from hypothesis import settings
@@ -118,6 +119,10 @@
         connection.connection_made(self.transport)
         return connection
 
+    def wait(self, duration_s: float) -> None:
+        """Run the event loop for a time in seconds."""
+        self.loop.run_until_complete(asyncio.sleep(duration_s))
+
     def disconnect(self) -> None:
         """Close the connection and the event loop."""
         self.connection.connection_lost(None)
@@ -540,3 +545,37 @@
         assert len(handler.requests) == 1 and server.held.count == 0
 
     run_client(handler, async_use)
+
+
+# Guards against a connection that is closed when its request has arrived.
+@pytest.mark.parametrize('close', ['close_idle', 'close_slow_connections'])
+def test_request_that_meets_the_close_is_answered(close) -> None:
+    """The connection was idle until then, and the request was not read."""
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        await asyncio.sleep(0.05)
+        os.write(writer.get_extra_info('socket').fileno(), GET)
+        if close == 'close_idle':
+            server.is_closing = True
+            server.close_idle()
+        else:
+            now = asyncio.get_running_loop().time()
+            server.close_slow_connections(now + 16.0)
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+
+    run_client(DelayedHandler(0.0), async_use)
+
+
+def test_pending_requests_keep_a_connection_open() -> None:
+    """Guards against requests that are dropped, since their client is slow."""
+    client = Client(GET + POST)
+    client.connection.pause_writing()
+    client.handler.requests[0].reply(200)
+    client.server.close_idle()
+    client.server.close_slow_connections(client.connection.since + 16.0)
+    client.wait(2 * ingress.IDLE_CLOSE_DELAY_S)
+    assert not client.transport.is_closed
+    client.connection.resume_writing()
+    assert client.handler.requests[1].body == b'hello'
+    client.disconnect()
