Count the time limits of clients from their last progress

A client that read its answer steadily for longer than the idle timeout was cut off, as was an upload of longer than header and idle timeout together, and a connection whose request was being handled while a further one was half received. A request that was given up half received ended without a word.

The limit on a header still counts from its begin, or one byte at a time would hold a connection. A connection whose request is being handled is not closed. A half-received request that is given up gets 408, which is true: it has not run.

test_time_limits_count_from_the_last_progress: all three cases failed before the change. It uses a transport without a socket.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -172,6 +172,12 @@
         # Time of the event loop when the connection began, a request began or
         # a response was sent, whichever is latest.
         self.since = self._loop.time()
+        # Bytes received and bytes unsent when the progress was last looked at,
+        # the time at which they had changed, and `since` at that time.
+        self._received_bytes = 0
+        self._progress = (0, 0)
+        self._progress_at = self.since
+        self._progress_since = self.since
         self.peer = ''
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -198,11 +204,6 @@
             and not self._kept
         )
 
-    @property
-    def is_reading(self) -> bool:
-        """Return whether a request has been received in part."""
-        return self._incomplete is not None
-
     @property
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that are still held for the client.
@@ -232,6 +233,45 @@
             self._is_closing = True
             self._transport.close()
 
+    def close_if_slow(self, now: float, limits: traffic.ClientLimits) -> None:
+        """Close the connection if it is idle or its client is too slow.
+
+        A request that is handled or pending is never cut off.
+
+        Args:
+            now: Time of the event loop, in seconds.
+            limits: Limits on the time of a client.
+        """
+        if self._current is not None:
+            return
+        if self.has_unsent_data:
+            if self._measure_stall_s(now) > limits.idle_timeout_s:
+                self.abort()
+        elif self._incomplete is not None:
+            if (
+                self._measure_stall_s(now) > limits.idle_timeout_s
+                if self._body_bytes
+                else now - self.since
+                > limits.header_timeout_s + limits.idle_timeout_s
+            ):
+                self._reject(408)
+        elif self.is_idle and now - self.since > limits.idle_timeout_s:
+            self.close_idle_soon()
+
+    def _measure_stall_s(self, now: float) -> float:
+        """Return the time without progress of the client, in seconds."""
+        unsent_bytes = 0
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+        progress = (self._received_bytes, unsent_bytes)
+        if self._progress_since != self.since:
+            self._progress_since = self._progress_at = self.since
+            self._progress = progress
+        elif self._progress != progress:
+            self._progress_at = now
+            self._progress = progress
+        return now - self._progress_at
+
     def close_idle_soon(self) -> None:
         """Close the connection, unless a request has arrived meanwhile."""
         self._loop.call_later(
@@ -255,6 +295,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of requests, or keep them for later."""
+        self._received_bytes += len(data)
         if (
             self._kept
             or len(data) > MAX_PARSED_BYTES
@@ -811,17 +852,8 @@
         Args:
             now: Time of the event loop, in seconds.
         """
-        limits = self.limits
         for connection in list(self.connections):
-            age_s = now - connection.since
-            if connection.has_unsent_data:
-                if age_s > limits.idle_timeout_s:
-                    connection.abort()
-            elif connection.is_reading:
-                if age_s > limits.header_timeout_s + limits.idle_timeout_s:
-                    connection.close()
-            elif connection.is_idle and age_s > limits.idle_timeout_s:
-                connection.close_idle_soon()
+            connection.close_if_slow(now, self.limits)
 
     def close_idle(self) -> None:
         """Close the idle connections on which no request has arrived."""
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -579,3 +579,41 @@
     client.connection.resume_writing()
     assert client.handler.requests[1].body == b'hello'
     client.disconnect()
+
+
+# Guards against responses and uploads that are cut off while they make
+# progress, and against a request that is given up without a word.
+@pytest.mark.parametrize(
+    ('begin', 'part', 'ending'),
+    [
+        # Further bytes of an upload, of a header and of an unread response.
+        (POST.replace(b'5', b'50')[:-5], b'x', b' 408 '),
+        (GET[:8], b'y', b' 408 '),
+        (GET, b'', b''),
+    ],
+)
+def test_time_limits_count_from_the_last_progress(begin, part, ending) -> None:
+    """Other than for a header, and never while a request is handled."""
+    client = Client(begin)
+    for request in client.handler.requests:
+        client.connection.data_received(POST[:-1])
+        client.server.close_slow_connections(client.connection.since + 99.0)
+        assert not client.transport.is_closed
+        request.reply(200)
+        client.transport.unread = 100
+    now = client.connection.since
+    is_header = begin == GET[:8]
+    for _ in range(1 if is_header else 6):
+        now += 10.0
+        client.connection.data_received(part)
+        client.transport.unread -= bool(client.transport.unread)
+        client.server.close_slow_connections(now)
+        assert not client.transport.is_closed
+    client.server.close_slow_connections(now + (7.0 if is_header else 14.0))
+    assert not client.transport.is_closed
+    client.server.close_slow_connections(now + (9.0 if is_header else 16.0))
+    assert client.transport.is_closed
+    assert ending in client.transport.written
+    assert client.transport.written.count(b'HTTP/1.1') == 1
+    client.disconnect()
+    assert client.server.held.count == 0
