Forward the host of a target in absolute form

A request with a target in absolute form was routed by its host, but the Host field that the upstream got was the client's, which may name another one. RFC 9112, section 3.2.2, wants it replaced.

test_target_in_absolute_form: its three cases in absolute form failed before the change with the former field in the head.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -540,7 +540,7 @@
             return
         self._incomplete = None
         if not request.target.startswith(b'/'):
-            _resolve_absolute_form(request)
+            self._resolve_absolute_form(request)
         request.is_closing = not self._parser.should_keep_alive()
         request.received_at = self._loop.time()
         request.head = b''.join(self._head)
@@ -713,6 +713,26 @@
             self._reject(431)
             raise RequestRejectedError('header exceeds max_header_bytes')
 
+    def _resolve_absolute_form(self, request: IngressRequest) -> None:
+        """Take host and path from a target in absolute form.
+
+        Its host replaces the Host field (RFC 9112, section 3.2.2), also in
+        the head that is forwarded.
+        """
+        scheme, separator, rest = request.target.partition(b'://')
+        if not separator or scheme.lower() not in (b'http', b'https'):
+            return
+        size = min(
+            (rest.index(mark) for mark in (b'/', b'?') if mark in rest),
+            default=len(rest),
+        )
+        request.host, path = rest[:size], rest[size:]
+        request.target = path if path.startswith(b'/') else b'/' + path
+        self._head = [
+            b'Host: %b\r\n' % request.host,
+            *(line for line in self._head if line[:5].lower() != b'host:'),
+        ]
+
     def _record_named_fields(self, value: bytes) -> None:
         """Record the fields that the Connection field names, to remove them.
 
@@ -867,22 +887,6 @@
             self._server.close()
 
 
-def _resolve_absolute_form(request: IngressRequest) -> None:
-    """Take host and path from a target in absolute form.
-
-    Its host replaces that of the Host field (RFC 9112, section 3.2.2).
-    """
-    scheme, separator, rest = request.target.partition(b'://')
-    if not separator or scheme.lower() not in (b'http', b'https'):
-        return
-    size = min(
-        (rest.index(mark) for mark in (b'/', b'?') if mark in rest),
-        default=len(rest),
-    )
-    request.host, path = rest[:size], rest[size:]
-    request.target = path if path.startswith(b'/') else b'/' + path
-
-
 def _remove_fields(head: bytes, names: set[bytes]) -> bytes:
     """Return encoded header fields without those with the given names."""
     return b''.join(
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -351,10 +351,11 @@
     ],
 )
 def test_target_in_absolute_form(target, host, path) -> None:
-    """Guards against a 404 for a target that names the host as well."""
+    """Guards against a 404 for it, and against another host upstream."""
     client = Client(b'GET %b HTTP/1.1\r\nHost: x\r\n\r\n' % target)
     (request,) = client.handler.requests
     assert (request.host, request.target) == (host, path)
+    assert request.head == b'Host: %b\r\n' % host
     client.disconnect()
 
 
