End an answer to HEAD at the end of its head

Callers of HEAD got 504 at the deadline, through the daemon beside the upstream and through another one, where the upstream stated the length that GET would have (RFC 9110, section 9.3.2). So did callers of GET that got 304 with a length.

Cause: the parser of httptools cannot be told that an answer has no body. It waited for the bytes that the length, the chunks or the open connection announced.

An answer to HEAD, or one with status 204 or 304 that announces a body, is now complete at the end of its head, if it echoes the id of the request. Its connection is closed: bytes behind the head belong to no request, and the state of the parser is of no use. So every earlier answer on a connection is framed as its fields say, and a late one is still told apart by its id. The length reaches the caller unchanged where it is that of another answer (HEAD, 304); no answer to HEAD gets a length that the upstream did not state.

Ruled out: the health check and the store client send GET and POST only; the ingress writes neither body nor length for HEAD, and needs no change.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -283,6 +283,8 @@
             return _build_sealed(500, attempt, b''), False
         body = self.body or self.instance_id.encode() + b' ' + body
         response = _build_sealed(200, attempt, body)
+        if head.startswith('HEAD '):
+            response = response.removesuffix(body)
         if self.loses_answers:
             return b'', True
         if self._random.random() < self.fault_share:
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -50,6 +50,10 @@
 # The idle limit doubles in this time, so that it recovers within half a minute
 # once the server no longer drops idle connections.
 IDLE_LIMIT_DOUBLING_S: Final = 5.0
+# Statuses of final responses that have no body, whatever their fields say
+# (RFC 9112, section 6.3).
+_BODILESS_STATUSES: Final = frozenset({204, 304})
+_STATUS_NOT_MODIFIED: Final = 304
 # An attempt to connect that takes longer counts as failed.
 CONNECT_TIMEOUT_S: Final = 1.0
 
@@ -80,7 +84,9 @@
 
     Attributes:
         status: HTTP status code.
-        head: Encoded header fields without CONNECTION_FIELDS.
+        head: Encoded header fields without CONNECTION_FIELDS. A response to
+            HEAD, and one with status 304, keeps its content length: it is that
+            of another response (RFC 9110, section 8.6).
         fields: Values of the kept fields by lower-case name.
         body: Body without its transfer encoding.
     """
@@ -100,6 +106,11 @@
     A response that carries the id of another request is discarded: a server
     may respond twice, and the second response can arrive where the response to
     the next request is expected.
+
+    The parser can't be told that a response has no body although its fields
+    announce one. Such a response is complete at the end of its head, and its
+    connection is closed, since bytes that follow the head belong to no
+    request. So all earlier responses on a connection are framed as they say.
     """
 
     def __init__(
@@ -137,6 +148,8 @@
         )
         self._on_done: Callable[[Outcome], None] | None = None
         self._request_id: bytes | None = None
+        # Whether the method of the request is HEAD.
+        self._is_head = False
         self._result: Outcome | None = None
         # Totals of this exchange: all bytes, body bytes and skipped responses.
         self._received_bytes = 0
@@ -188,6 +201,7 @@
             return
         self._on_done = on_done
         self._request_id = request_id
+        self._is_head = payload.startswith(b'HEAD ')
         self._result = None
         self._received_bytes = 0
         self._body_bytes = 0
@@ -286,12 +300,20 @@
             self._fields[lower] = value
         if lower in CONNECTION_FIELDS:
             self._process_connection_field(lower, value)
-            return
+            if lower != b'content-length' or not self._keeps_length():
+                return
         self._head.append(b'%b: %b\r\n' % (name, value))
 
     def on_headers_complete(self) -> None:
-        """Record that the header is complete."""
+        """Record that the header is complete, and with it maybe all."""
         self._has_header = True
+        if self._result is not None or self._on_done is None:
+            return
+        if (
+            self._is_head or self._announces_body
+        ) and self._is_bodiless_response():
+            self._may_reuse = False
+            self._complete_response()
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, or fail if the body is too large."""
@@ -323,11 +345,37 @@
     def _process_connection_field(self, name: bytes, value: bytes) -> None:
         if name in (b'content-length', b'transfer-encoding'):
             self._is_framed = True
+            if value != b'0':
+                self._announces_body = True
         elif name == b'connection' and b'close' in value.lower():
             self._may_reuse = False
         elif name == b'keep-alive':
             self._idle_timeout_s = _parse_idle_timeout_s(value)
 
+    def _keeps_length(self) -> bool:
+        """Return whether the length is that of another response."""
+        if self._is_head:
+            return True
+        assert self._parser is not None
+        return self._parser.get_status_code() == _STATUS_NOT_MODIFIED
+
+    def _is_bodiless_response(self) -> bool:
+        """Return whether this is the response and has no body by its kind.
+
+        The response to another request is framed as its fields say.
+        """
+        assert self._parser is not None
+        status = self._parser.get_status_code()
+        if status not in _BODILESS_STATUSES and (
+            not self._is_head or status < 200
+        ):
+            return False
+        return (
+            self._id_field is None
+            or self._request_id is None
+            or self._fields.get(self._id_field) == self._request_id
+        )
+
     def _is_unframed_body(self) -> bool:
         return (
             self._has_header and not self._is_framed and self._result is None
@@ -387,6 +435,8 @@
         self._fields: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
         self._is_framed = False
+        # Whether a length above 0 or a transfer encoding is stated.
+        self._announces_body = False
         self._has_response_begun = False
         self._has_header = False
 
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -212,6 +212,16 @@
         assert wrong.status == 401
 
 
+async def async_test_head() -> None:
+    """Send HEAD to the own upstream and to that of the other daemon."""
+    async with running() as fleet:
+        for path, service in (('/status/1', 'status'), ('/pay/7', 'billing')):
+            response = await fleet.async_request('status', path, method='HEAD')
+            assert (response.status, response.content) == (200, b'')
+            length = str(len(f'i-{service} ')).encode()
+            assert dict(response.headers)[b'Content-Length'] == length
+
+
 async def async_test_withdrawal() -> None:
     """Withdraw a key, then make the store unavailable for a while."""
     async with running() as fleet:
@@ -599,6 +609,11 @@
     asyncio.run(async_test_path())
 
 
+def test_head_gets_the_head_of_the_answer_alone() -> None:
+    """Guards against waiting for a body that an answer to HEAD announces."""
+    asyncio.run(async_test_head())
+
+
 def test_withdrawn_key_stops_with_and_without_the_store() -> None:
     """A daemon whose rules are too old to trust a key refuses the request."""
     asyncio.run(async_test_withdrawal())
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -14,8 +14,12 @@
 )
 
 
+REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+
+
 async def async_exchange(
     *responses: bytes,
+    requests: list[bytes] | None = None,
     close: bool = False,
     reset: bool = False,
     held: int = 1000,
@@ -51,11 +55,9 @@
     pool = exchange.ExchangePool(address, KEPT_FIELDS, b'attempt')
     pool.held.limit = held
     outcomes = []
-    for _ in responses:
+    for request in requests or [REQUEST] * len(responses):
         done = asyncio.get_running_loop().create_future()
-        pool.start(
-            b'GET / HTTP/1.1\r\nHost: x\r\n\r\n', b'a1', done.set_result
-        )
+        pool.start(request, b'a1', done.set_result)
         outcomes.append(await asyncio.wait_for(done, 5.0))
         await asyncio.sleep(0.02)
     pool.close_idle()
@@ -306,3 +308,44 @@
     first, second = run(COMPLETE + REFUSAL % b'a0', COMPLETE)
     assert isinstance(first, exchange.Response)
     assert second.status == 200
+
+
+BEGIN = b'HTTP/1.1 %d X\r\nattempt: a1\r\nseal: s\r\n'
+LENGTH = b'Content-Length: 5\r\n'
+CHUNKS = b'Transfer-Encoding: chunked\r\n'
+EARLIER = COMPLETE.replace(b'a1', b'a0')
+
+
+# Guards against waiting for a body that never comes: a response to HEAD, and
+# one with status 204 or 304, has none whatever its fields say.
+@pytest.mark.parametrize(
+    ('method', 'status', 'before', 'framing', 'after', 'has_length'),
+    [
+        (b'HEAD', 200, b'', LENGTH, b'', True),
+        (b'HEAD', 404, b'', LENGTH, b'hello', True),
+        (b'HEAD', 200, b'', b'', b'', False),
+        (b'HEAD', 200, b'', b'', b'hello', False),
+        (b'HEAD', 200, b'', CHUNKS, b'', False),
+        (b'HEAD', 200, b'', CHUNKS, b'5\r\nhello\r\n0\r\n\r\n', False),
+        (b'HEAD', 200, b'HTTP/1.1 103 X\r\na: b\r\n\r\n', LENGTH, b'', True),
+        (b'HEAD', 200, EARLIER, LENGTH, b'', True),
+        (b'GET', 304, b'', LENGTH, b'', True),
+        (b'GET', 304, b'', b'', b'', False),
+        (b'GET', 204, b'', LENGTH, b'hello', False),
+        (b'GET', 204, b'', b'Content-Length: 0\r\n', b'', False),
+    ],
+)
+def test_response_without_body_ends_with_its_head(
+    method, status, before, framing, after, has_length
+) -> None:
+    """The next request gets its own response."""
+    first, second = run(
+        before + BEGIN % status + framing + b'\r\n' + after,
+        COMPLETE,
+        requests=[REQUEST.replace(b'GET', method), REQUEST],
+    )
+    assert isinstance(first, exchange.Response)
+    assert (first.status, first.body) == (status, b'')
+    assert (LENGTH in first.head) == has_length
+    assert isinstance(second, exchange.Response)
+    assert second.body == b'ok'
