End one call, not a connection, when a message fails

One message of a peer that could not be decoded or handled ended the connection, and with it all calls on it: callers of calls that may not run twice got 502, and the same message sent again ended the next connection. A reply callback that raised while a connection was lost, or a call that raised while calls were ended at their deadline or refused as the upstream left, kept the later ones from their replies. Nothing but a traceback of the event loop told of it.

A message whose type this version does not know ended the connection too, which a newer daemon would cause in a rolling update. A call whose message came twice ran twice, and an age below 0, which means unknown, made rules look newer than they are.

Now all numbers in messages have bounds. A message that cannot be decoded is left out, since the framing does not depend on it: a call is refused as not run, a lost reply ends its call as failed, and a connection whose peer has not named itself is closed. A repeated call is ignored. An exception in a message, reply, send or outcome is logged once with its traceback (`message_failed`, `reply_failed`, `upstream_call_failed`) and ends its own call only.

Not covered: the end of the member records and the version that a peer announces are believed.

--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -7,7 +7,7 @@
 """
 
 import struct
-from typing import Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -17,6 +17,15 @@
 MAX_FRAME_BYTES: Final = 72 * 1024 * 1024
 _LENGTH: Final = struct.Struct('>I')
 
+# Bounds of all numbers, so that none is infinite, not a number, or overflows
+# where it is used.
+MAX_NUMBER: Final = 1e9
+# Verdicts double their time with each round; a year takes fewer rounds.
+MAX_ROUND: Final = 64
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NUMBER)]
+SignedAmount = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Round = Annotated[int, msgspec.Meta(ge=0, le=MAX_ROUND)]
+
 
 class Frame(msgspec.Struct, array_like=True, gc=False):
     """Base of all messages."""
@@ -56,9 +65,9 @@
     head: bytes
     body: bytes
     attempt_id: bytes
-    time_left_s: float
-    target_s: float
-    urgency: float
+    time_left_s: SignedAmount
+    target_s: Amount
+    urgency: SignedAmount
     workspace: str
     route: str
     is_idempotent: bool
@@ -84,8 +93,8 @@
     status: int
     head: bytes
     body: bytes
-    load: float
-    deep_load: float
+    load: Amount
+    deep_load: Amount
     depth: int | None = None
 
 
@@ -102,7 +111,7 @@
     call_id: int
     reason: str
     is_local: bool
-    load: float
+    load: Amount
     has_reached_upstream: bool = False
 
 
@@ -111,7 +120,7 @@
 
     call_id: int
     reason: str
-    load: float
+    load: Amount
 
 
 class Cancel(Frame, tag=5):
@@ -149,14 +158,14 @@
 
     sequence: int
     rules_version: int
-    rules_age_s: float
+    rules_age_s: SignedAmount
     members_end_offset: int
-    members_age_s: float
+    members_age_s: SignedAmount
     is_serving: bool
-    load: float
+    load: Amount
     has_store_access: bool = False
-    slowness: float = 1.0
-    errors: float = 0.0
+    slowness: Amount = 1.0
+    errors: Amount = 0.0
     verdicts: int = 0
 
 
@@ -197,14 +206,14 @@
     """Requests tokens from another daemon's share of a workspace limit."""
 
     workspace: str
-    tokens: float
+    tokens: Amount
 
 
 class LendTokens(Frame, tag=13):
     """Transfers tokens to the daemon that requested them."""
 
     workspace: str
-    tokens: float
+    tokens: Amount
 
 
 class Status(Frame, tag=14):
@@ -218,9 +227,9 @@
     """
 
     is_serving: bool
-    load: float
-    slowness: float = 1.0
-    errors: float = 0.0
+    load: Amount
+    slowness: Amount = 1.0
+    errors: Amount = 0.0
 
 
 class CrashReport(Frame, tag=17):
@@ -236,8 +245,8 @@
 
     record_id: str
     service: str
-    age_s: float
-    suspects: list[tuple[str, float, float, bool]]
+    age_s: SignedAmount
+    suspects: list[tuple[str, Amount, Amount, bool]]
 
 
 class CrashConfirmation(Frame, tag=18):
@@ -255,7 +264,7 @@
         wants_reply: Whether the sender lacks rows that the receiver has.
     """
 
-    rows: list[tuple[str, int, float]]
+    rows: list[tuple[str, Round, SignedAmount]]
     wants_reply: bool = False
 
 
@@ -280,6 +289,36 @@
     | Verdicts
 )
 
+
+class Invalid(msgspec.Struct, gc=False):
+    """Stands for a frame whose message cannot be decoded.
+
+    Attributes:
+        error: Why it cannot be decoded.
+        kind: Tag of the message; None if it has none.
+        call_id: Call that it belongs to; None if there is none.
+    """
+
+    error: str
+    kind: int | None = None
+    call_id: int | None = None
+
+    @property
+    def is_run(self) -> bool:
+        """Return whether it requests to run a call."""
+        return self.kind == _RUN_TAG and self.call_id is not None
+
+    @property
+    def is_reply(self) -> bool:
+        """Return whether it ends a call."""
+        return self.kind in _REPLY_TAGS and self.call_id is not None
+
+
+Received = AnyFrame | Invalid
+
+_RUN_TAG: Final = 1
+_REPLY_TAGS: Final = frozenset({2, 3, 4})
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[AnyFrame] = msgspec.msgpack.Decoder(AnyFrame)
 
@@ -293,22 +332,28 @@
 class FrameReader:
     """Incremental parser that splits a byte stream into messages."""
 
-    def __init__(self) -> None:
-        """Initialize the parser at the beginning of a frame."""
+    def __init__(self, *, skips_invalid: bool = False) -> None:
+        """Initialize the parser at the beginning of a frame.
+
+        Args:
+            skips_invalid: Whether an Invalid is returned in place of a message
+                that cannot be decoded.
+        """
         self._buffer = bytearray()
+        self._skips_invalid = skips_invalid
 
-    def feed(self, data: bytes) -> list[AnyFrame]:
+    def feed(self, data: bytes) -> list[Received]:
         """Add received bytes and return the messages completed by them.
 
         Raises:
-            DecodeError: A frame is too long or its message is invalid; the
-                rest of the stream cannot be parsed.
+            DecodeError: A frame is too long, so that the rest of the stream
+                cannot be parsed, or a message is invalid and not skipped.
         """
         buffer = self._buffer
         buffer += data
         size = len(buffer)
         start = 0
-        messages = []
+        messages: list[Received] = []
         while size - start >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(buffer, start)
             if length > MAX_FRAME_BYTES:
@@ -325,8 +370,30 @@
                     )
                 )
             except (msgspec.MsgspecError, RecursionError) as error:
-                raise exceptions.DecodeError(str(error)) from error
+                if not self._skips_invalid:
+                    raise exceptions.DecodeError(str(error)) from error
+                messages.append(
+                    _describe_invalid(
+                        bytes(buffer[start + _LENGTH.size : end]), str(error)
+                    )
+                )
             start = end
         if start:
             del buffer[:start]
         return messages
+
+
+def _describe_invalid(payload: bytes, error: str) -> Invalid:
+    """Return what is known of a message that cannot be decoded."""
+    parts: Any = None
+    try:
+        parts = msgspec.msgpack.decode(payload)
+    except (msgspec.MsgspecError, RecursionError, TypeError, ValueError):
+        return Invalid(error=error)
+    if not isinstance(parts, list):
+        return Invalid(error=error)
+    kind, call_id = [
+        part if type(part) is int else None
+        for part in [*parts[:2], None, None][:2]
+    ]
+    return Invalid(error=error, kind=kind, call_id=call_id)
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -30,7 +30,7 @@
 RECONNECT_BACKOFF_S: Final = 0.1
 RECONNECT_BACKOFF_MAX_S: Final = 0.8
 
-OnMessage = Callable[[frame_link.FrameConnection, frames.AnyFrame], None]
+OnMessage = Callable[[frame_link.FrameConnection, frames.Received], None]
 OnReply = Callable[[upstream_side.Reply | None], None]
 
 
@@ -274,8 +274,13 @@
         if connection is not None and connection.is_open:
             connection.close(reason)
         calls, self._reply_callbacks = self._reply_callbacks, {}
-        for on_reply in calls.values():
-            on_reply(None)
+        for call_id, on_reply in calls.items():
+            try:
+                on_reply(None)
+            except Exception:
+                self._log.unexpected(
+                    'reply_failed', peer=self.member.daemon_id, call=call_id
+                )
 
     def _send_ping(self, now: float) -> None:
         self._sequence += 1
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -392,14 +392,42 @@
         self._accepted.discard(connection)
         lost = [key for key in self._running if key[0] is connection]
         for key in lost:
-            self._upstream.cancel(self._running.pop(key))
+            call = self._running.pop(key)
+            try:
+                self._upstream.cancel(call)
+            except Exception:
+                self._log.unexpected('cancel_failed', call=key[1])
 
     # Messages.
 
     def _on_message(
         self,
         connection: frame_link.FrameConnection,
-        message: frames.AnyFrame,
+        message: frames.Received,
+    ) -> None:
+        """Handle a message; a failure to do so concerns its call alone."""
+        try:
+            self._dispatch(connection, message)
+        except Exception:
+            self._log.unexpected(
+                'message_failed',
+                peer=connection.daemon_id or '',
+                kind=type(message).__name__,
+            )
+            if isinstance(message, frames.Run):
+                self._running.pop((connection, message.call_id), None)
+                connection.send(
+                    frames.CallFailed(
+                        call_id=message.call_id,
+                        reason=upstream_side.INTERNAL_ERROR,
+                        load=0.0,
+                    )
+                )
+
+    def _dispatch(
+        self,
+        connection: frame_link.FrameConnection,
+        message: frames.Received,
     ) -> None:
         if isinstance(message, frames.Run):
             self._handle_call(connection, message)
@@ -417,9 +445,47 @@
             connection.send(self._build_pong(message.sequence))
         elif isinstance(message, frames.Pong):
             self._handle_pong(connection, message)
+        elif isinstance(message, frames.Invalid):
+            self._handle_invalid(connection, message)
         else:
             self._on_control_message(connection, message)
 
+    def _handle_invalid(
+        self,
+        connection: frame_link.FrameConnection,
+        message: frames.Invalid,
+    ) -> None:
+        """End the call of an undecodable message; the others go on."""
+        self._log.decision(
+            'message_rejected',
+            peer=connection.daemon_id or '',
+            kind=message.kind,
+            call=message.call_id,
+            error=message.error,
+        )
+        if connection.daemon_id is None:
+            connection.close(f'cannot decode frames: {message.error}')
+        elif message.call_id is not None and message.is_run:
+            connection.send(
+                frames.Refused(
+                    call_id=message.call_id,
+                    reason=enums.RefusalReason.MALFORMED_REQUEST.value,
+                    is_local=True,
+                    has_reached_upstream=False,
+                    load=min(self._upstream.load, frames.MAX_NUMBER),
+                )
+            )
+        elif message.call_id is not None and message.is_reply:
+            link = self._find_link(connection)
+            if link is not None:
+                link.handle_reply(
+                    frames.CallFailed(
+                        call_id=message.call_id,
+                        reason='malformed_reply',
+                        load=link.candidate.load,
+                    )
+                )
+
     def _on_control_message(
         self,
         connection: frame_link.FrameConnection,
@@ -524,6 +590,14 @@
             )
             return
         key = (connection, run.call_id)
+        if key in self._running:
+            # Its first message is answered; a second run could run it twice.
+            self._log.decision(
+                'call_repeated',
+                peer=connection.daemon_id or '',
+                call=run.call_id,
+            )
+            return
 
         def deliver(reply: upstream_side.Reply) -> None:
             self._running.pop(key, None)
@@ -570,11 +644,18 @@
             self._fetch('members', pong.members_end_offset, link)
         if pinged_at is None:
             return
-        if pong.rules_version == knowledge.rules_version:
+        # An age below 0 is unknown.
+        if (
+            pong.rules_version == knowledge.rules_version
+            and pong.rules_age_s >= 0.0
+        ):
             knowledge.note_rules(
                 pong.rules_version, pinged_at - pong.rules_age_s
             )
-        if pong.members_end_offset == knowledge.members_end_offset:
+        if (
+            pong.members_end_offset == knowledge.members_end_offset
+            and pong.members_age_s >= 0.0
+        ):
             knowledge.note_members(
                 pong.members_end_offset, pinged_at - pong.members_age_s
             )
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -26,6 +26,8 @@
 Reply = frames.Answer | frames.Refused | frames.CallFailed
 Deliver = Callable[[Reply], None]
 
+# Reason of a failure by an unexpected exception, whose traceback is logged.
+INTERNAL_ERROR: Final = 'internal_error'
 # Status of an upstream that is not the expected instance.
 _STATUS_MISDIRECTED: Final = 421
 
@@ -204,7 +206,7 @@
             if call.deadline + 0.5 <= now or (
                 call.run.is_idempotent and call.deadline <= now
             ):
-                self._abort(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
+                self._expire(call)
             elif self._stop_plan.is_stopping:
                 self._stop_plan.note_running(call.run.route, call.queued_at)
 
@@ -307,6 +309,36 @@
                 call.running.cancel()
 
     def _start(self, call: UpstreamCall) -> None:
+        """Send a call to the upstream; if that fails, only this call ends."""
+        try:
+            self._send(call)
+        except Exception:
+            self._end_after_error(call)
+
+    def _end_after_error(self, call: UpstreamCall) -> None:
+        """Log the exception being handled, and end the call that raised it."""
+        self._log.unexpected(
+            'upstream_call_failed',
+            attempt=call.run.attempt_id.decode('latin-1'),
+            route=call.run.route,
+        )
+        self._remove_running(call)
+        if call.running is not None:
+            call.running.cancel()
+        self._deliver_failure(call, INTERNAL_ERROR)
+
+    def _deliver(self, call: UpstreamCall, reply: Reply) -> None:
+        """Pass on the reply to a call; a failure concerns this call alone."""
+        try:
+            call.deliver(reply)
+        except Exception:
+            self._log.unexpected(
+                'reply_failed',
+                attempt=call.run.attempt_id.decode('latin-1'),
+                route=call.run.route,
+            )
+
+    def _send(self, call: UpstreamCall) -> None:
         report = self._registry.report
         run = call.run
         if report is None:
@@ -342,6 +374,14 @@
     ) -> None:
         if call not in self.running:
             return
+        try:
+            self._handle_outcome(call, outcome)
+        except Exception:
+            self._end_after_error(call)
+
+    def _handle_outcome(
+        self, call: UpstreamCall, outcome: exchange.Outcome
+    ) -> None:
         if isinstance(outcome, exchange.Response):
             self.health.note_end(id(call), is_error=outcome.status >= 500)
         elif outcome not in exchange.NOTHING_SENT:
@@ -398,7 +438,8 @@
         if not is_sealed or b'content-encoding' in response.fields:
             self._deliver_failure(call, 'answer_without_seal')
             return
-        call.deliver(
+        self._deliver(
+            call,
             frames.Answer(
                 call_id=run.call_id,
                 status=response.status,
@@ -411,7 +452,7 @@
                     * self._downstream_load.load(self._clock.monotonic()),
                 ),
                 depth=self._depth_of(run.route),
-            )
+            ),
         )
 
     def _depth_of(self, route: str) -> int | None:
@@ -421,6 +462,15 @@
         levels = self._depth.depth
         return None if levels is None else levels + 1
 
+    def _expire(self, call: UpstreamCall) -> None:
+        """End a call past its deadline, unless an earlier one has ended it."""
+        if call not in self.running:
+            return
+        try:
+            self._abort(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
+        except Exception:
+            self._end_after_error(call)
+
     def _abort(self, call: UpstreamCall, reason: enums.RefusalReason) -> None:
         self._watch.record_lost_run(call, is_broken=False)
         self._stop_plan.note_end(call.run.route, call.queued_at)
@@ -449,14 +499,15 @@
             enums.RefusalReason.DEADLINE_UNREACHABLE,
             enums.RefusalReason.QUARANTINED,
         )
-        call.deliver(
+        self._deliver(
+            call,
             frames.Refused(
                 call_id=call.run.call_id,
                 reason=reason.value,
                 is_local=is_local,
                 has_reached_upstream=has_reached_upstream,
                 load=self._gate.compute_kind_load(call),
-            )
+            ),
         )
 
     def _log_refusal(
@@ -480,12 +531,13 @@
             reason=reason,
             ran_s=round(self._clock.monotonic() - call.started_at, 4),
         )
-        call.deliver(
+        self._deliver(
+            call,
             frames.CallFailed(
                 call_id=call.run.call_id,
                 reason=reason,
                 load=self._gate.compute_kind_load(call),
-            )
+            ),
         )
 
     def _set_serving(
--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -15,21 +15,22 @@
 
     def __init__(
         self,
-        on_message: Callable[['FrameConnection', frames.AnyFrame], None],
+        on_message: Callable[['FrameConnection', frames.Received], None],
         on_open: Callable[['FrameConnection'], None],
         on_lost: Callable[['FrameConnection', str], None],
     ) -> None:
         """Initialize a connection without a transport.
 
         Args:
-            on_message: Called with each received frame.
+            on_message: Called with each received frame; must not raise, since
+                that would end the connection and all calls on it.
             on_open: Called when the connection is established.
             on_lost: Called with the reason when the connection has ended.
         """
         self._on_message = on_message
         self._on_open = on_open
         self._on_lost = on_lost
-        self._reader = frames.FrameReader()
+        self._reader = frames.FrameReader(skips_invalid=True)
         self._transport: asyncio.Transport | None = None
         self._reason = 'closed by peer'
         # Time of the event loop at the most recent receipt of data.
--- a/sassafraswood/transport/json_log.py
+++ b/sassafraswood/transport/json_log.py
@@ -7,6 +7,7 @@
 
 import os
 import time
+import traceback
 from typing import Any, Final
 
 import msgspec
@@ -69,6 +70,10 @@
         bucket.tokens -= 1.0
         self._write(event, fields)
 
+    def unexpected(self, event: str, **fields: Any) -> None:
+        """Log the exception that is being handled, with its traceback."""
+        self.decision(event, error=traceback.format_exc(), **fields)
+
     def flush(self) -> None:
         """Write buffered lines as far as the output accepts them."""
         for event, bucket in self._buckets.items():
--- a/tests/sidecar/test_peer_link.py
+++ b/tests/sidecar/test_peer_link.py
@@ -167,3 +167,24 @@
         assert names == [MEMBER.daemon_id]
 
     asyncio.run(async_test())
+
+
+def test_reply_that_raises_leaves_the_others(tmp_path, monkeypatch) -> None:
+    """Guards against calls without an end when a connection is lost."""
+
+    async def async_test() -> None:
+        link = LinkFixture(tmp_path, monkeypatch).link
+        ended = []
+
+        def end(reply) -> None:
+            ended.append(reply)
+            if len(ended) == 1:
+                raise RuntimeError('unexpected')
+
+        for call_id in range(3):
+            link._reply_callbacks[call_id] = end
+        link.close('test')
+        assert ended == [None] * 3
+        assert not link.has_calls
+
+    asyncio.run(async_test())
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -595,3 +595,45 @@
     assert not case.pool.requests
     case.submit(head=b'POST /busy?of=1 HTTP/1.1\r\n')
     assert len(case.pool.requests) == 1
+
+
+# Guards against calls that stay without a reply, since that to an earlier one
+# raised.
+@pytest.mark.parametrize('ending', ['deadline', 'leave'])
+def test_reply_that_raises_concerns_its_own_call(tmp_path, ending) -> None:
+    """All calls end, whether they run or wait."""
+    case = Case(tmp_path)
+    replies = []
+
+    class Replies:
+        def append(self, reply) -> None:
+            replies.append(reply)
+            if len(replies) == 1:
+                raise RuntimeError('unexpected')
+
+    case.replies = Replies()
+    for number in range(40):
+        case.submit(call_id=number)
+    assert not replies
+    if ending == 'deadline':
+        case.clock.advance(9.0)
+        case.side.tick()
+    else:
+        case.report(sequence=2, status=enums.UpstreamStatus.DRAINING)
+        for index in range(len(case.pool.requests)):
+            case.respond(index)
+    assert {reply.call_id for reply in replies} == set(range(40))
+
+
+def test_outcome_that_raises_ends_its_call(tmp_path, monkeypatch) -> None:
+    """Guards against a call without a reply after an unexpected exception."""
+    case = Case(tmp_path)
+    case.submit()
+
+    def fail(*args):
+        raise RuntimeError('unexpected')
+
+    monkeypatch.setattr(case.side, '_deliver_response', fail)
+    case.respond()
+    assert isinstance(case.replies[0], frames.CallFailed)
+    assert not case.side.running
