Answer a request whose handling raises

An unexpected exception while a request was taken, sent or answered left it without an answer: the parser of the client connection took it for a rejection, and the request waited for its deadline, or for ever if it was in no table yet. At the stop, the first call that raised kept all others from their answers and the process from closing its connections in order. In a tick, a fault beside the upstream kept the deadlines of requests from being checked.

The exception is now logged once (`request_failed`, with the traceback) and its request answered: 503 if it was not sent, 502 if it may have run. Tasks that write to the store log the exception that ends them (`upstream_log_failed`), and crash records that cannot be applied no longer keep the daemon from resuming its upstream.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -191,12 +191,18 @@
     def end_all(self) -> None:
         """Respond to all calls, since the process ends."""
         for call in list(self._active.values()):
-            if call.cancel is not None:
-                call.cancel()
-            if call.attempt_count > 0:
-                self._fail(call, 504, enums.RefusalReason.DRAINING.value)
-            else:
-                self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
+            try:
+                self._end(call)
+            except Exception:
+                self._end_after_error(call.request)
+
+    def _end(self, call: caller_call.CallerCall) -> None:
+        if call.cancel is not None:
+            call.cancel()
+        if call.attempt_count > 0:
+            self._fail(call, 504, enums.RefusalReason.DRAINING.value)
+        else:
+            self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
 
     def set_max_rules_age_s(self, revoke_s: float) -> None:
         """Set the age of rules, in seconds, up to which keys are accepted."""
@@ -206,6 +212,33 @@
 
     def handle(self, request: ingress.IngressRequest) -> None:
         """Start a call for a request that was received completely."""
+        try:
+            self._handle(request)
+        except Exception:
+            self._end_after_error(request)
+
+    def _end_after_error(self, request: ingress.IngressRequest) -> None:
+        """Log the exception being handled, and respond to its request.
+
+        The request may have run only if it was sent.
+        """
+        call: caller_call.CallerCall | None = request.context
+        attempt_count = 0 if call is None else call.attempt_count
+        self._log.unexpected(
+            'request_failed',
+            request=request.attempt_id.decode('latin-1'),
+            route='' if call is None else call.route.name,
+            sends=attempt_count,
+        )
+        cancel = None
+        if call is not None:
+            self._forget(call)
+            cancel = call.cancel
+        request.reply(502 if attempt_count else 503, close=True)
+        if cancel is not None:
+            cancel()
+
+    def _handle(self, request: ingress.IngressRequest) -> None:
         rules = self._rules
         if rules is None or self._peers is None:
             self._refuse_request(request, 503, 'no_rules', retry_after_s=0.5)
@@ -272,7 +305,10 @@
         now = self._clock.monotonic()
         for call in list(self._active.values()):
             if call.expires_at <= now and id(call) in self._active:
-                self._expire(call)
+                try:
+                    self._expire(call)
+                except Exception:
+                    self._end_after_error(call.request)
             elif self._stop_plan.is_stopping:
                 self._stop_plan.note_running(call.route.name, call.started_at)
         self._quota_waits.tick(now)
@@ -283,7 +319,8 @@
                     item for item in waiting if item[0] > now
                 ]
                 for call in expired:
-                    self._refuse_unavailable(call)
+                    if id(call) in self._active:
+                        self._refuse_unavailable(call)
 
     def _authorize(
         self, call: caller_call.CallerCall, rules: traffic.TrafficRules
@@ -363,8 +400,12 @@
     # Attempts.
 
     def _send_if_active(self, call: caller_call.CallerCall) -> None:
-        if id(call) in self._active:
+        if id(call) not in self._active:
+            return
+        try:
             self._send(call)
+        except Exception:
+            self._end_after_error(call.request)
 
     def _refuse_rate_exceeded(self, call: caller_call.CallerCall) -> None:
         if id(call) not in self._active:
@@ -507,6 +548,17 @@
         call.cancel = None
         if id(call) not in self._active:
             return
+        try:
+            self._process_reply(call, candidate, reply)
+        except Exception:
+            self._end_after_error(call.request)
+
+    def _process_reply(
+        self,
+        call: caller_call.CallerCall,
+        candidate: upstream_choice.Candidate,
+        reply: upstream_side.Reply | None,
+    ) -> None:
         now = self._clock.monotonic()
         if reply is None:
             candidate.note_failure(now)
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -151,7 +151,15 @@
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._log.change(
+                'upstream_log_failed',
+                error=''.join(traceback.format_exception(error)),
+            )
 
     async def _async_acknowledge(
         self,
@@ -268,7 +276,11 @@
             present='' if present is None else present.instance_id,
             ends=len(crashes),
         )
-        self._on_crashes_loaded(crashes)
+        try:
+            self._on_crashes_loaded(crashes)
+        except Exception:
+            # Odd records of crashes must not keep the upstream from serving.
+            self._log.unexpected('crashes_not_applied')
         return present
 
     async def _async_pause(self, event: str, error: Exception) -> None:
