Open the null device for standard streams that are closed at the start

A daemon that was started with its input, output or errors closed served, and ended by SIGABRT (-6) at its stop in place of exit 0.

Cause: the event loop got the free descriptor, and libuv asserts that it closes none of the first three. With the output closed, the log was written to it, too.

Change: before anything else is opened, the null device takes the place of each closed stream, in both daemons.

--- a/sassafraswood/cli/run.py
+++ b/sassafraswood/cli/run.py
@@ -7,6 +7,7 @@
 
 from sassafraswood.cli import check
 from sassafraswood import process_signals
+from sassafraswood import standard_streams
 
 
 def run(
@@ -18,6 +19,7 @@
     """
     signals = process_signals.ProcessSignals(handles_reload=False)
     signals.install()
+    standard_streams.open_missing()
     loaded = check.load_settings(settings)
     # Imported here, so that other commands do not load the servers.
     from sassafraswood import daemon
--- a/sassafraswood/cli/sidecar.py
+++ b/sassafraswood/cli/sidecar.py
@@ -2,6 +2,7 @@
 
 from sassafraswood.platform import settings
 from sassafraswood import process_signals
+from sassafraswood import standard_streams
 
 
 def sidecar() -> None:
@@ -11,6 +12,7 @@
     """
     signals = process_signals.ProcessSignals()
     signals.install()
+    standard_streams.open_missing()
     # Imported here, so that other commands do not load the servers.
     from sassafraswood.sidecar import process
 
--- a/sassafraswood/sidecar/__main__.py
+++ b/sassafraswood/sidecar/__main__.py
@@ -6,6 +6,7 @@
 import sys
 
 from sassafraswood import process_signals
+from sassafraswood import standard_streams
 
 
 def main() -> int:
@@ -17,6 +18,7 @@
     """
     signals = process_signals.ProcessSignals()
     signals.install()
+    standard_streams.open_missing()
     try:
         # Imports all modules of the daemon, which takes most of the start.
         from sassafraswood.sidecar import startup
