Close silent connections on every port

Connections on which nothing is sent stayed open on the ports of readiness, reports and metrics. With as many of them as descriptors, calls of callers ended as 503, or were closed without an answer.

Cause: the time limits of clients were applied to the port of callers only.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -282,6 +282,12 @@
             names,
             self._log,
         )
+        self._servers = (
+            self._caller_server,
+            self._report_server,
+            self._ready_server,
+            self._metrics_server,
+        )
         body_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
         self._caller_server.held.limit = body_bytes
         self._pool.held.limit = body_bytes
@@ -436,7 +442,8 @@
         finally:
             self._log.flush()
         if not self._is_stopping:
-            self._caller_server.close_slow_connections(now)
+            for server in self._servers:
+                server.close_slow_connections(now)
 
     def _log_unhandled_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
@@ -553,12 +560,7 @@
         self._membership.stop()
         self._upstream_log.stop()
         self._peers.close()
-        for server in (
-            self._caller_server,
-            self._report_server,
-            self._ready_server,
-            self._metrics_server,
-        ):
+        for server in self._servers:
             server.stop_listening()
         self._log.flush()
 
@@ -585,6 +587,8 @@
 
     def _on_rules(self, rules: traffic.TrafficRules) -> None:
         self._has_rules = True
+        for server in self._servers:
+            server.set_time_limits(rules.limits)
         self._caller_server.limits = rules.limits
         self._callers.set_rules(rules)
         self._shares.set_workspaces(rules.workspaces)
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import http
 import socket
 import traceback
@@ -866,6 +867,18 @@
             backlog=LISTEN_BACKLOG,
         )
 
+    def set_time_limits(self, limits: traffic.ClientLimits) -> None:
+        """Set how long a client may take or be idle; sizes stay as they are.
+
+        Args:
+            limits: Limits whose times apply.
+        """
+        self.limits = dataclasses.replace(
+            self.limits,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+
     def close_slow_connections(self, now: float) -> None:
         """Close connections that are idle or whose client is too slow.
 
