Let calls end at a daemon that is no longer a member

Callers of requests that may not run twice got 502 during a planned stop, although their upstream was at work and answered.

Cause: a daemon whose upstream has left deletes its member record as soon as it is told to stop, and then finishes the calls that run. The other daemons learn of the deletion within milliseconds and closed the connection to it, with all calls on it ("peer_lost"). Calls that may run twice were sent to another upstream and counted against the retry budget.

Seen with daemons as processes, two services, two clients on kept connections: the upstream deregisters, its daemon gets SIGTERM. One of two such runs gave one 502 for a POST, 4 ms after "deregistered".

A connection to a former member is now closed when its last call has ended. It gets no new calls, and is still pinged, so that its silence is noticed.

test_call_goes_on_when_its_daemon_is_no_longer_a_member failed before the change (502 in place of 200), and passes with it.

--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -90,6 +90,9 @@
         self._started_at = int(clock.wall() * 1e6)
         self._members: dict[ids.DaemonId, fleet.Member] = {}
         self._links: dict[ids.DaemonId, peer_link.PeerLink] = {}
+        # Links to daemons that are no longer members, until their calls have
+        # ended; a daemon removes its record before it ends its last calls.
+        self._retiring_links: list[peer_link.PeerLink] = []
         self._accepted: set[frame_link.FrameConnection] = set()
         # Bytes of replies that are held for one peer before its further calls
         # are refused.
@@ -168,7 +171,10 @@
         return link is not None and link.has_store_access
 
     def set_members(self, members: Iterable[fleet.Member]) -> None:
-        """Set the members; close connections to removed or changed ones."""
+        """Set the members; close connections to removed or changed ones.
+
+        Calls that are in flight on such a connection end before.
+        """
         self._members = {
             member.daemon_id: member
             for member in members
@@ -178,7 +184,7 @@
         for daemon_id, link in list(self._links.items()):
             if self._members.get(daemon_id) != link.member:
                 del self._links[daemon_id]
-                link.close('daemon is no longer a member')
+                self._retiring_links.append(link)
         self._review(self._clock.monotonic())
 
     def set_serving(self, is_serving: bool) -> None:
@@ -298,7 +304,7 @@
         """Close all connections."""
         if self._server is not None:
             self._server.close()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._retiring_links):
             link.close('stopped')
         for connection in list(self._accepted):
             connection.close('stopped')
@@ -338,6 +344,7 @@
                 if (link := self._use_link(daemon_id, now)) is not None
             ]
         self._index_candidates()
+        self._close_retired_links(now)
         for daemon_id, link in list(self._links.items()):
             link.is_store_source = daemon_id in sources
             if now - link.used_at > UNUSED_S and not link.has_calls:
@@ -346,6 +353,16 @@
                 continue
             link.tick(now)
 
+    def _close_retired_links(self, now: float) -> None:
+        """Close the links to former members whose calls have ended."""
+        retiring, self._retiring_links = self._retiring_links, []
+        for link in retiring:
+            if link.has_calls:
+                self._retiring_links.append(link)
+                link.tick(now)
+            else:
+                link.close('daemon is no longer a member')
+
     def _index_candidates(self) -> None:
         self._candidates = {
             service: [link.candidate for link in links]
@@ -570,9 +587,12 @@
         self, connection: frame_link.FrameConnection
     ) -> peer_link.PeerLink | None:
         link = self._links.get(ids.DaemonId(connection.daemon_id or ''))
-        if link is None or not link.is_current(connection):
-            return None
-        return link
+        if link is not None and link.is_current(connection):
+            return link
+        for link in self._retiring_links:
+            if link.is_current(connection):
+                return link
+        return None
 
     def _handle_call(
         self, connection: frame_link.FrameConnection, run: frames.Run
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -307,6 +307,20 @@
         assert len(billing.seen) == 1
 
 
+async def async_test_removed_member() -> None:
+    """Remove the record of a daemon while it runs a request."""
+    async with running() as fleet:
+        fleet.upstreams['billing'].delay_s = 0.6
+        running_call = asyncio.create_task(
+            fleet.async_request('status', '/pay/7', method='POST')
+        )
+        await asyncio.sleep(0.2)
+        fleet.store.put('keyed.members', 'd-billing', b'')
+        assert (await running_call).status == 200
+        await asyncio.sleep(0.2)
+        assert not fleet.daemons['status']._peers._retiring_links
+
+
 async def async_test_leave_and_restart() -> None:
     """Deliver a report sent before the leave to the next process."""
     async with running() as fleet:
@@ -614,6 +628,15 @@
     asyncio.run(async_test_head())
 
 
+def test_call_goes_on_when_its_daemon_is_no_longer_a_member() -> None:
+    """Guards against calls that are cut off by a planned stop.
+
+    A daemon whose upstream has left removes its record when it stops, and
+    finishes the calls that run.
+    """
+    asyncio.run(async_test_removed_member())
+
+
 def test_withdrawn_key_stops_with_and_without_the_store() -> None:
     """A daemon whose rules are too old to trust a key refuses the request."""
     asyncio.run(async_test_withdrawal())
