Start test daemons with the flags of the deploy file

The tests started daemons with the site module, so that the interpreter took longer to run the first line of the program than it does on the platform.

What the system does with a signal before that line runs is not the program's to decide.

--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -9,6 +9,7 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 import time
 from typing import Any, Final
 
@@ -131,7 +132,13 @@
         self._domain = domain
         self._folder = folder
         self._ledger = ledger
-        self._code_path = str(_DEPLOYED if deployed else code)
+        # As on the platform, the daemon starts without the site module, which
+        # would add the installed packages.
+        self._code_path = (
+            str(_DEPLOYED)
+            if deployed
+            else f'{code}:{sysconfig.get_path("platlib")}'
+        )
         self._is_ending = False
         self._is_first = True
         # Held while the daemon is stopped and started again.
@@ -200,7 +207,7 @@
                 **options,
             }
             process: subprocess.Popen[bytes] = subprocess.Popen(
-                [sys.executable, '-P', '-m', 'sassafraswood.sidecar'],
+                [sys.executable, '-S', '-P', '-m', 'sassafraswood.sidecar'],
                 **arguments,
             )
         self._is_first = False
