Let clients read the refusal of an upload before the close

A client whose upload is refused before its end (413, 431, 400, 501) met a reset while it sent, and could lose the refusal: 18 of 100 asyncio clients that read only after they had sent all.

Cause: the connection was closed with unread bytes of the client, which resets it.

Change: the sending side is closed behind the response, and what the client still sends is read and dropped until it closes, for 2 s at most (RFC 9112, section 9.6). The stand-in of the transport in test_ingress.py takes the end of the sending side for the end that the client sees, which it is.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -40,6 +40,8 @@
 # Interval at which bytes of a response are sent ahead; a client that has gone
 # is noticed after two of them.
 PROBE_INTERVAL_S: Final = 0.1
+# Time for which the rest of a rejected request is read and dropped.
+LINGER_S: Final = 2.0
 # Begin of each response, whatever its status.
 _RESPONSE_BEGIN: Final = b'HTTP/1.1 '
 _STATUS_LINES: Final = {
@@ -165,6 +167,7 @@
         # Bytes of the response to the current request that were sent ahead.
         self._sent_ahead_bytes = 0
         self._probe_timer: asyncio.TimerHandle | None = None
+        self._close_timer: asyncio.TimerHandle | None = None
         # Header fields that delimit the body of the incomplete request.
         self._framing: list[bytes] = []
         # Whether the parser reads the head that _ignore_upgrade returned; the
@@ -416,9 +419,10 @@
         self._is_closing = True
         self._transport = None
         self._parser = None
-        if self._probe_timer is not None:
-            self._probe_timer.cancel()
-            self._probe_timer = None
+        for timer in (self._probe_timer, self._close_timer):
+            if timer is not None:
+                timer.cancel()
+        self._probe_timer = self._close_timer = None
         self._incomplete = None
         self._body = []
         self._server.connections.discard(self)
@@ -610,6 +614,9 @@
         request.context = None
         self._server.held.release(len(request.body))
         self.since = self._loop.time()
+        if is_closing and self._is_input_over:
+            self._close_after_input()
+            return
         if is_closing:
             self.close()
             return
@@ -769,7 +776,22 @@
             + head
             + b'Content-Length: 0\r\nConnection: close\r\n\r\n'
         )
-        self.close()
+        self._close_after_input()
+
+    def _close_after_input(self) -> None:
+        """Close once the client has ended its side, or after LINGER_S.
+
+        A close with unread bytes resets the connection, and the client might
+        lose its response (RFC 9112, section 9.6).
+        """
+        if self._transport is None or self._is_closing:
+            return
+        if self._has_eof:
+            self.close()
+            return
+        self._is_closing = True
+        self._transport.write_eof()
+        self._close_timer = self._loop.call_later(LINGER_S, self.abort)
 
 
 class IngressServer:
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -60,7 +60,8 @@
         """Record that the transport is closed."""
         self.is_closed = True
 
-    abort = close
+    # The client sees the end of the connection after each of them.
+    abort = write_eof = close
 
 
 class Handler:
