Send whole responses that are still read when a later request is rejected

The connection is closed behind what is unsent; a client that does not read is still aborted by the idle limit.

test_slow_reader_gets_the_response_before_a_rejected_request failed before and passes.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -791,7 +791,11 @@
             return
         self._is_closing = True
         self._transport.write_eof()
-        self._close_timer = self._loop.call_later(LINGER_S, self.abort)
+        # A response that the client still reads is sent whole; one that it does
+        # not read is aborted by close_if_slow.
+        self._close_timer = self._loop.call_later(
+            LINGER_S, self._transport.close
+        )
 
 
 class IngressServer:
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -43,6 +43,7 @@
         self.written = b''
         self.unread = 0
         self.is_closed = False
+        self.is_aborted = False
 
     def get_extra_info(self, name: str):
         """Return a fake socket or the address of the client."""
@@ -60,8 +61,12 @@
         """Record that the transport is closed."""
         self.is_closed = True
 
-    # The client sees the end of the connection after each of them.
-    abort = write_eof = close
+    # The client sees the end of the connection, behind what was written.
+    write_eof = close
+
+    def abort(self) -> None:
+        """Record that what was not read yet is lost."""
+        self.is_closed = self.is_aborted = True
 
 
 class Handler:
@@ -230,6 +235,21 @@
     assert client.server.held.count == 0
 
 
+# Guards against responses that are cut although their client reads them, since
+# a rejected request came behind the one that they answer.
+def test_slow_reader_gets_the_response_before_a_rejected_request(
+    monkeypatch,
+) -> None:
+    """The wait for the end of a client does not abort its response."""
+    monkeypatch.setattr(ingress, 'LINGER_S', 0.01)
+    client = Client(GET + b'\x00\x01\r\n\r\n')
+    client.handler.requests[0].reply(200, b'', b'x' * 100)
+    client.transport.unread = 50
+    client.wait(0.05)
+    assert client.transport.is_closed
+    assert not client.transport.is_aborted
+
+
 # Guards against requests that run while their connection is closed without a
 # response, since they offer another protocol.
 @pytest.mark.parametrize('request_bytes', [GET, POST, LONG_POST])
