Keep the other links to former members when one of them raises

If the tick of one link to a former member raised, those behind it were forgotten: neither ticked nor closed, and the end of a malformed reply on them was dropped (found by review, in a trial with three stand-ins). Each link stays in the list until it is closed.

--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -355,12 +355,11 @@
 
     def _close_retired_links(self, now: float) -> None:
         """Close the links to former members whose calls have ended."""
-        retiring, self._retiring_links = self._retiring_links, []
-        for link in retiring:
+        for link in list(self._retiring_links):
             if link.has_calls:
-                self._retiring_links.append(link)
                 link.tick(now)
             else:
+                self._retiring_links.remove(link)
                 link.close('daemon is no longer a member')
 
     def _index_candidates(self) -> None:
