--- a/sassafraswood/sidecar/__main__.py
+++ b/sassafraswood/sidecar/__main__.py
@@ -18,8 +18,8 @@
     """
     signals = process_signals.ProcessSignals()
     signals.install()
-    standard_streams.open_missing()
     try:
+        standard_streams.open_missing()
         # Imports all modules of the daemon, which takes most of the start.
         from sassafraswood.sidecar import startup
 
--- a/sassafraswood/sidecar/startup.py
+++ b/sassafraswood/sidecar/startup.py
@@ -1,5 +1,6 @@
 """Start of the daemon process, from its settings to the event loop."""
 
+import contextlib
 import sys
 
 from sassafraswood import exceptions
@@ -51,5 +52,8 @@
 ) -> None:
     log.change('settings_rejected', error=str(error))
     log.flush()
-    for problem in error.problems:
-        sys.stderr.write(f'{problem}\n')
+    # The log line names them, too, if nobody reads stderr.
+    with contextlib.suppress(OSError, AttributeError):
+        for problem in error.problems:
+            sys.stderr.write(f'{problem}\n')
+        sys.stderr.flush()
