--- a/sassafraswood/cli/run.py
+++ b/sassafraswood/cli/run.py
@@ -19,10 +19,12 @@
     """
     signals = process_signals.ProcessSignals(handles_reload=False)
     signals.install()
-    standard_streams.open_missing()
-    loaded = check.load_settings(settings)
-    # Imported here, so that other commands do not load the servers.
-    from sassafraswood import daemon
+    try:
+        standard_streams.open_missing()
+        loaded = check.load_settings(settings)
+        # Imported here, so that other commands do not load the servers.
+        from sassafraswood import daemon
 
-    daemon.run(loaded, signals)
-    signals.ignore()
+        daemon.run(loaded, signals)
+    finally:
+        signals.ignore()
--- a/sassafraswood/cli/sidecar.py
+++ b/sassafraswood/cli/sidecar.py
@@ -1,6 +1,7 @@
 """Command that runs the daemon on the platform."""
 
-from sassafraswood.platform import settings
+import typer
+
 from sassafraswood import process_signals
 from sassafraswood import standard_streams
 
@@ -12,9 +13,12 @@
     """
     signals = process_signals.ProcessSignals()
     signals.install()
-    standard_streams.open_missing()
-    # Imported here, so that other commands do not load the servers.
-    from sassafraswood.sidecar import process
+    try:
+        standard_streams.open_missing()
+        # Imported here, so that other commands do not load the servers.
+        from sassafraswood.sidecar import startup
 
-    process.run(settings.load(settings.path_from_environment()), signals)
-    signals.ignore()
+        code = startup.run(signals)
+    finally:
+        signals.ignore()
+    raise typer.Exit(code)
