--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -801,8 +801,8 @@
             return
         self._is_closing = True
         self._transport.write_eof()
-        # A response that the client still reads is sent whole; one that it does
-        # not read is aborted by close_if_slow.
+        # A response that the client still reads is sent whole; close_if_slow
+        # aborts one that it does not read.
         self._close_timer = self._loop.call_later(
             LINGER_S, self._transport.close
         )
