--- a/sassafraswood/cli/run.py
+++ b/sassafraswood/cli/run.py
@@ -6,6 +6,8 @@
 import typer
 
 from sassafraswood.cli import check
+from sassafraswood import process_signals
+from sassafraswood import standard_streams
 
 
 def run(
@@ -15,8 +17,14 @@
 
     Example: sassafraswood run settings.json
     """
-    loaded = check.load_settings(settings)
-    # Imported here, so that other commands do not load the servers.
-    from sassafraswood import daemon
+    signals = process_signals.ProcessSignals(handles_reload=False)
+    signals.install()
+    try:
+        standard_streams.open_missing()
+        loaded = check.load_settings(settings)
+        # Imported here, so that other commands do not load the servers.
+        from sassafraswood import daemon
 
-    daemon.run(loaded)
+        daemon.run(loaded, signals)
+    finally:
+        signals.ignore()
--- a/sassafraswood/cli/sidecar.py
+++ b/sassafraswood/cli/sidecar.py
@@ -1,7 +1,9 @@
 """Command that runs the daemon on the platform."""
 
-from sassafraswood.platform import settings
-from sassafraswood.sidecar import process
+import typer
+
+from sassafraswood import process_signals
+from sassafraswood import standard_streams
 
 
 def sidecar() -> None:
@@ -9,4 +11,14 @@
 
     The variable SASSAFRASWOOD_SETTINGS names the settings file.
     """
-    process.run(settings.load(settings.path_from_environment()))
+    signals = process_signals.ProcessSignals()
+    signals.install()
+    try:
+        standard_streams.open_missing()
+        # Imported here, so that other commands do not load the servers.
+        from sassafraswood.sidecar import startup
+
+        code = startup.run(signals)
+    finally:
+        signals.ignore()
+    raise typer.Exit(code)
--- a/sassafraswood/sidecar/__main__.py
+++ b/sassafraswood/sidecar/__main__.py
@@ -5,25 +5,32 @@
 
 import sys
 
-from sassafraswood import exceptions
-from sassafraswood.platform import settings
-from sassafraswood.sidecar import process
+from sassafraswood import process_signals
+from sassafraswood import standard_streams
 
 
 def main() -> int:
     """Run the daemon.
 
     Returns:
-        The exit code; 2 after problems of the settings, written to stderr.
+        The exit code; 1 after an unexpected error, and 2 after problems of
+        the settings, written to stderr.
     """
+    signals = process_signals.ProcessSignals()
+    signals.install()
     try:
-        loaded = settings.load(settings.path_from_environment())
-    except exceptions.SettingsError as error:
-        for problem in error.problems:
-            sys.stderr.write(f'{problem}\n')
-        return 2
-    process.run(loaded)
-    return 0
+        standard_streams.open_missing()
+        # Imports all modules of the daemon, which takes most of the start.
+        from sassafraswood.sidecar import startup
+
+        return startup.run(signals)
+    except Exception as error:
+        from sassafraswood.sidecar import last_line
+
+        last_line.write(error)
+        return 1
+    finally:
+        signals.ignore()
 
 
 if __name__ == '__main__':
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+import socket
 import sys
 from typing import Final
 
@@ -46,7 +47,6 @@
         *,
         clock: clock_module.Clock,
         own: fleet.Member,
-        address: tuple[str, int],
         plan: peer_plan.PeerPlan,
         upstream: upstream_side.UpstreamSide,
         knowledge: store_knowledge.StoreKnowledge,
@@ -63,7 +63,6 @@
         Args:
             clock: Clock that also counts time while the VM is suspended.
             own: Member record of this daemon.
-            address: Host and port to listen on.
             plan: Selects the daemons to connect to.
             upstream: Runs calls at the local upstream.
             knowledge: Versions and ages of the data known from the store.
@@ -78,7 +77,6 @@
         """
         self._clock = clock
         self._own = own
-        self._address = address
         self._plan = plan
         self._upstream = upstream
         self._knowledge = knowledge
@@ -92,6 +90,9 @@
         self._started_at = int(clock.wall() * 1e6)
         self._members: dict[ids.DaemonId, fleet.Member] = {}
         self._links: dict[ids.DaemonId, peer_link.PeerLink] = {}
+        # Links to daemons that are no longer members, until their calls have
+        # ended; a daemon removes its record before it ends its last calls.
+        self._retiring_links: list[peer_link.PeerLink] = []
         self._accepted: set[frame_link.FrameConnection] = set()
         # Bytes of replies that are held for one peer before its further calls
         # are refused.
@@ -170,7 +171,10 @@
         return link is not None and link.has_store_access
 
     def set_members(self, members: Iterable[fleet.Member]) -> None:
-        """Set the members; close connections to removed or changed ones."""
+        """Set the members; close connections to removed or changed ones.
+
+        Calls that are in flight on such a connection end before.
+        """
         self._members = {
             member.daemon_id: member
             for member in members
@@ -180,7 +184,7 @@
         for daemon_id, link in list(self._links.items()):
             if self._members.get(daemon_id) != link.member:
                 del self._links[daemon_id]
-                link.close('daemon is no longer a member')
+                self._retiring_links.append(link)
         self._review(self._clock.monotonic())
 
     def set_serving(self, is_serving: bool) -> None:
@@ -269,18 +273,19 @@
         if link is not None:
             link.tick(now)
 
-    async def async_listen(self) -> None:
-        """Start to accept connections of peers."""
+    async def async_accept(self, bound: socket.socket) -> None:
+        """Start to accept connections of peers on a bound socket.
+
+        Raises:
+            OSError: Another socket listens on the address.
+        """
         loop = asyncio.get_running_loop()
-        host, port = self._address
         self._server = await loop.create_server(
             lambda: frame_link.FrameConnection(
                 self._on_message, self._on_accepted, self._on_accepted_lost
             ),
-            host,
-            port,
+            sock=bound,
             backlog=1024,
-            reuse_address=True,
         )
 
     def tick(self) -> None:
@@ -299,7 +304,7 @@
         """Close all connections."""
         if self._server is not None:
             self._server.close()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._retiring_links):
             link.close('stopped')
         for connection in list(self._accepted):
             connection.close('stopped')
@@ -339,6 +344,7 @@
                 if (link := self._use_link(daemon_id, now)) is not None
             ]
         self._index_candidates()
+        self._close_retired_links(now)
         for daemon_id, link in list(self._links.items()):
             link.is_store_source = daemon_id in sources
             if now - link.used_at > UNUSED_S and not link.has_calls:
@@ -347,6 +353,15 @@
                 continue
             link.tick(now)
 
+    def _close_retired_links(self, now: float) -> None:
+        """Close the links to former members whose calls have ended."""
+        for link in list(self._retiring_links):
+            if link.has_calls:
+                link.tick(now)
+            else:
+                self._retiring_links.remove(link)
+                link.close('daemon is no longer a member')
+
     def _index_candidates(self) -> None:
         self._candidates = {
             service: [link.candidate for link in links]
@@ -393,14 +408,42 @@
         self._accepted.discard(connection)
         lost = [key for key in self._running if key[0] is connection]
         for key in lost:
-            self._upstream.cancel(self._running.pop(key))
+            call = self._running.pop(key)
+            try:
+                self._upstream.cancel(call)
+            except Exception:
+                self._log.unexpected('cancel_failed', call=key[1])
 
     # Messages.
 
     def _on_message(
         self,
         connection: frame_link.FrameConnection,
-        message: frames.AnyFrame,
+        message: frames.Received,
+    ) -> None:
+        """Handle a message; a failure to do so concerns its call alone."""
+        try:
+            self._dispatch(connection, message)
+        except Exception:
+            self._log.unexpected(
+                'message_failed',
+                peer=connection.daemon_id or '',
+                kind=type(message).__name__,
+            )
+            if isinstance(message, frames.Run):
+                self._running.pop((connection, message.call_id), None)
+                connection.send(
+                    frames.CallFailed(
+                        call_id=message.call_id,
+                        reason=upstream_side.INTERNAL_ERROR,
+                        load=0.0,
+                    )
+                )
+
+    def _dispatch(
+        self,
+        connection: frame_link.FrameConnection,
+        message: frames.Received,
     ) -> None:
         if isinstance(message, frames.Run):
             self._handle_call(connection, message)
@@ -418,9 +461,47 @@
             connection.send(self._build_pong(message.sequence))
         elif isinstance(message, frames.Pong):
             self._handle_pong(connection, message)
+        elif isinstance(message, frames.Invalid):
+            self._handle_invalid(connection, message)
         else:
             self._on_control_message(connection, message)
 
+    def _handle_invalid(
+        self,
+        connection: frame_link.FrameConnection,
+        message: frames.Invalid,
+    ) -> None:
+        """End the call of an undecodable message; the others go on."""
+        self._log.decision(
+            'message_rejected',
+            peer=connection.daemon_id or '',
+            kind=message.kind,
+            call=message.call_id,
+            error=message.error,
+        )
+        if connection.daemon_id is None:
+            connection.close(f'cannot decode frames: {message.error}')
+        elif message.call_id is not None and message.is_run:
+            connection.send(
+                frames.Refused(
+                    call_id=message.call_id,
+                    reason=enums.RefusalReason.MALFORMED_REQUEST.value,
+                    is_local=True,
+                    has_reached_upstream=False,
+                    load=min(self._upstream.load, frames.MAX_NUMBER),
+                )
+            )
+        elif message.call_id is not None and message.is_reply:
+            link = self._find_link(connection)
+            if link is not None:
+                link.handle_reply(
+                    frames.CallFailed(
+                        call_id=message.call_id,
+                        reason='malformed_reply',
+                        load=link.candidate.load,
+                    )
+                )
+
     def _on_control_message(
         self,
         connection: frame_link.FrameConnection,
@@ -505,9 +586,12 @@
         self, connection: frame_link.FrameConnection
     ) -> peer_link.PeerLink | None:
         link = self._links.get(ids.DaemonId(connection.daemon_id or ''))
-        if link is None or not link.is_current(connection):
-            return None
-        return link
+        if link is not None and link.is_current(connection):
+            return link
+        for link in self._retiring_links:
+            if link.is_current(connection):
+                return link
+        return None
 
     def _handle_call(
         self, connection: frame_link.FrameConnection, run: frames.Run
@@ -525,6 +609,14 @@
             )
             return
         key = (connection, run.call_id)
+        if key in self._running:
+            # Its first message is answered; a second run could run it twice.
+            self._log.decision(
+                'call_repeated',
+                peer=connection.daemon_id or '',
+                call=run.call_id,
+            )
+            return
 
         def deliver(reply: upstream_side.Reply) -> None:
             self._running.pop(key, None)
@@ -571,11 +663,18 @@
             self._fetch('members', pong.members_end_offset, link)
         if pinged_at is None:
             return
-        if pong.rules_version == knowledge.rules_version:
+        # An age below 0 is unknown.
+        if (
+            pong.rules_version == knowledge.rules_version
+            and pong.rules_age_s >= 0.0
+        ):
             knowledge.note_rules(
                 pong.rules_version, pinged_at - pong.rules_age_s
             )
-        if pong.members_end_offset == knowledge.members_end_offset:
+        if (
+            pong.members_end_offset == knowledge.members_end_offset
+            and pong.members_age_s >= 0.0
+        ):
             knowledge.note_members(
                 pong.members_end_offset, pinged_at - pong.members_age_s
             )
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -4,9 +4,8 @@
 import dataclasses
 import math
 import random as random_module
-import signal
 import traceback
-from typing import Final
+from typing import Any, Final
 
 import uvloop
 
@@ -34,6 +33,7 @@
 from sassafraswood.platform import headers
 from sassafraswood.platform import settings as settings_module
 from sassafraswood.platform import store as store_module
+from sassafraswood import process_signals
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import crash_exchange
@@ -49,6 +49,7 @@
 from sassafraswood.transport import exchange
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
+from sassafraswood.transport import listeners
 
 TICK_S: Final = 0.025
 SLOW_TICK_S: Final = 0.5
@@ -248,7 +249,6 @@
         self._peers = peers.Peers(
             clock=self._clock,
             own=own_member,
-            address=settings.peer_address,
             plan=plan,
             upstream=self._upstream,
             knowledge=self._knowledge,
@@ -261,7 +261,9 @@
             on_borrow=self._lend_tokens,
         )
         self._callers.attach(self._peers)
-        self._caller_server = ingress.IngressServer(self._callers, names)
+        self._caller_server = ingress.IngressServer(
+            self._callers, names, self._log
+        )
         self._report_server = ingress.IngressServer(
             local_servers.ReportHandler(
                 self._registry,
@@ -270,13 +272,21 @@
                 self._on_report,
             ),
             names,
+            self._log,
         )
         self._ready_server = ingress.IngressServer(
-            local_servers.ReadyHandler(self._is_ready), names
+            local_servers.ReadyHandler(self._is_ready), names, self._log
         )
         self._metrics_server = ingress.IngressServer(
             local_servers.MetricsHandler(self._metrics, self._set_gauges),
             names,
+            self._log,
+        )
+        self._servers = (
+            self._caller_server,
+            self._report_server,
+            self._ready_server,
+            self._metrics_server,
         )
         body_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
         self._caller_server.held.limit = body_bytes
@@ -289,42 +299,117 @@
         self._slow_tick_at = 0.0
         self._stop_requested = asyncio.Event()
 
-    async def async_run(self) -> None:
+    async def async_run(
+        self, signals: process_signals.ProcessSignals | None = None
+    ) -> None:
         """Serve until a stop is requested and all calls have ended.
 
-        Raises:
-            OSError: A port other than that of the metrics cannot be opened.
+        Args:
+            signals: Signals of the process, also those that came before the
+                event loop ran; None if others handle them.
         """
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stop)
-        loop.add_signal_handler(signal.SIGINT, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.set_exception_handler(self._log_unhandled_error)
+        if signals is None:
+            await self._async_serve()
+            return
+        signals.set_callback(
+            lambda: loop.call_soon_threadsafe(self._apply_signals, signals)
+        )
+        try:
+            self._apply_signals(signals)
+            if signals.stop_signal:
+                self._log.change(
+                    'stopped_at_start', signal=signals.stop_signal
+                )
+                return
+            await self._async_serve()
+        finally:
+            # The event loop is closed next.
+            signals.set_callback(None)
+            self._log.flush()
+
+    def _apply_signals(self, signals: process_signals.ProcessSignals) -> None:
+        if signals.stop_signal:
+            self.stop()
+        if signals.take_reload():
+            self.reload()
+
+    async def _async_serve(self) -> None:
+        loop = asyncio.get_running_loop()
         settings = self.settings
         self._log.change(
             'started', version=const.VERSION, service=settings.service
         )
-        await self._report_server.async_listen(settings.report_address)
-        await self._peers.async_listen()
-        await self._caller_server.async_listen(settings.caller_address)
-        await self._ready_server.async_listen(settings.ready_address)
-        try:
-            await self._metrics_server.async_listen(
-                (settings.caller_address[0], METRICS_PORT)
-            )
-        except OSError as error:
-            # The daemon serves calls without its metrics, too.
-            self._log.change('metrics_unavailable', error=str(error))
+        if not await self._async_listen():
+            self.close()
+            self._log.change('stopped', open_requests=0)
+            return
         self._upstream_log.start(is_first_start=settings.is_first_start)
         self._rules.start()
         self._membership.start()
         self._log.flush()
-        ticker = loop.create_task(self._async_tick())
-        await self._stop_requested.wait()
-        await self._async_stop()
-        ticker.cancel()
+        tasks = (
+            loop.create_task(self._async_tick()),
+            loop.create_task(self._async_listen_for_metrics()),
+        )
+        try:
+            await self._stop_requested.wait()
+            await self._async_stop()
+        finally:
+            for task in tasks:
+                task.cancel()
         self._log.change('stopped', open_requests=self._callers.active_count)
         self._log.flush()
 
+    async def _async_listen(self) -> bool:
+        """Listen on all addresses but that of the metrics.
+
+        A former process may still hold them, and an address may not exist yet.
+
+        Returns:
+            False if a stop was requested before all could be bound.
+        """
+        settings = self.settings
+        return await listeners.ListenerGroup(
+            (
+                listeners.Listener(
+                    name='report',
+                    address=settings.report_address,
+                    async_accept=self._report_server.async_accept,
+                ),
+                listeners.Listener(
+                    name='peer',
+                    address=settings.peer_address,
+                    async_accept=self._peers.async_accept,
+                ),
+                listeners.Listener(
+                    name='caller',
+                    address=settings.caller_address,
+                    async_accept=self._caller_server.async_accept,
+                ),
+                listeners.Listener(
+                    name='ready',
+                    address=settings.ready_address,
+                    async_accept=self._ready_server.async_accept,
+                ),
+            ),
+            self._log,
+        ).async_open(self._stop_requested)
+
+    async def _async_listen_for_metrics(self) -> None:
+        """Listen for scrapes; calls are served without that, too."""
+        await listeners.ListenerGroup(
+            (
+                listeners.Listener(
+                    name='metrics',
+                    address=(self.settings.caller_address[0], METRICS_PORT),
+                    async_accept=self._metrics_server.async_accept,
+                ),
+            ),
+            self._log,
+        ).async_open(self._stop_requested)
+
     def stop(self) -> None:
         """Request a stop, as SIGTERM and SIGINT do."""
         self._stop_requested.set()
@@ -332,30 +417,54 @@
     async def _async_tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            try:
-                self._tick()
-            except Exception:
-                # The ticks go on, since without them nothing would expire and
-                # no connection would be opened any more.
-                self._log.change('tick_failed', error=traceback.format_exc())
-
-    def _tick(self) -> None:
-        self._upstream.tick()
-        self._callers.tick()
-        self._peers.tick()
+            for tick in (
+                self._upstream.tick,
+                self._callers.tick,
+                self._peers.tick,
+                self._tick_slowly,
+            ):
+                try:
+                    tick()
+                except Exception:
+                    # The other ticks go on, since without them nothing would
+                    # expire and no connection would be opened any more.
+                    self._log.decision(
+                        'tick_failed', error=traceback.format_exc()
+                    )
+
+    def _tick_slowly(self) -> None:
         now = asyncio.get_running_loop().time()
         if now < self._slow_tick_at:
             return
         self._slow_tick_at = now + SLOW_TICK_S
-        self._upstream.log_load()
-        self._log.flush()
+        try:
+            self._upstream.log_load()
+        finally:
+            self._log.flush()
         if not self._is_stopping:
-            self._caller_server.close_slow_connections(now)
+            for server in self._servers:
+                server.close_slow_connections(now)
+
+    def _log_unhandled_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an error that a callback, task or connection did not handle."""
+        del loop
+        error = context.get('exception')
+        self._log.decision(
+            'unhandled_error',
+            message=context.get('message', ''),
+            error=''.join(traceback.format_exception(error)) if error else '',
+        )
 
     async def _async_stop(self) -> None:
         """Drain: refuse new calls, finish the accepted ones, then close."""
         loop = asyncio.get_running_loop()
         self._is_stopping = True
+        # Each answer says that its connection closes, so that clients don't
+        # send a request on it when it is closed for good.
+        self._caller_server.is_closing = True
+        is_caller_drain_over = False
         started_at = loop.time()
         stop_s = self.settings.bounds.grace_s - GRACE_MARGIN_S
         end_at = started_at + stop_s
@@ -372,17 +481,20 @@
             since_stop_s = loop.time() - started_at
             if since_stop_s >= PEER_DRAIN_S:
                 self._upstream.stop()
-            is_caller_drain_over = since_stop_s >= CALLER_DRAIN_S
-            if is_caller_drain_over and not self._caller_server.is_closing:
+            if since_stop_s >= CALLER_DRAIN_S and not is_caller_drain_over:
                 # Late requests get a refusal, which says that they have not
                 # run, in place of a refused connection.
+                is_caller_drain_over = True
                 self._callers.refuse_new()
-                self._caller_server.is_closing = True
                 self._caller_server.close_idle()
             if is_caller_drain_over and not self._has_open_work:
                 break
             await asyncio.sleep(TICK_S)
         self._callers.end_all()
+        self._caller_server.stop_listening()
+        # Requests that have arrived on accepted connections get a refusal.
+        await asyncio.sleep(TICK_S)
+        self._callers.end_all()
         self.close()
 
     @property
@@ -437,9 +549,10 @@
         try:
             async with asyncio.timeout(DEREGISTRATION_TIMEOUT_S):
                 await self._membership.async_deregister()
-        except (exceptions.LogError, TimeoutError) as error:
-            # Another daemon deletes the record once it has expired.
-            self._log.change('not_deregistered', error=str(error))
+        except Exception as error:
+            # Another daemon deletes the record once it has expired. The stop
+            # goes on, since accepted calls are still to be finished.
+            self._log.change('not_deregistered', error=repr(error))
 
     def close(self) -> None:
         """Stop all followers, close the connections and stop listening."""
@@ -447,12 +560,7 @@
         self._membership.stop()
         self._upstream_log.stop()
         self._peers.close()
-        for server in (
-            self._caller_server,
-            self._report_server,
-            self._ready_server,
-            self._metrics_server,
-        ):
+        for server in self._servers:
             server.stop_listening()
         self._log.flush()
 
@@ -479,6 +587,8 @@
 
     def _on_rules(self, rules: traffic.TrafficRules) -> None:
         self._has_rules = True
+        for server in self._servers:
+            server.set_time_limits(rules.limits)
         self._caller_server.limits = rules.limits
         self._callers.set_rules(rules)
         self._shares.set_workspaces(rules.workspaces)
@@ -573,11 +683,22 @@
         metrics.gauge('rules_age_seconds', self._knowledge.rules_age_s)
 
 
-async def _async_main(settings: settings_module.PlatformSettings) -> None:
-    await Daemon(settings).async_run()
+async def _async_main(
+    settings: settings_module.PlatformSettings,
+    signals: process_signals.ProcessSignals,
+) -> None:
+    await Daemon(settings).async_run(signals)
+
 
+def run(
+    settings: settings_module.PlatformSettings,
+    signals: process_signals.ProcessSignals,
+) -> None:
+    """Run the daemon until it has stopped after a stop signal.
 
-def run(settings: settings_module.PlatformSettings) -> None:
-    """Run the daemon until it has stopped after a stop signal."""
+    Args:
+        settings: Settings of the platform.
+        signals: Signals of the process, whose handlers are installed.
+    """
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_async_main(settings))
+        runner.run(_async_main(settings, signals))
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+import dataclasses
 import http
 import socket
+import traceback
 import typing
 from typing import Final, Protocol
 
@@ -13,18 +15,35 @@
 from sassafraswood.models import traffic
 from sassafraswood.state import held_bytes
 from sassafraswood.transport import exchange
+from sassafraswood.transport import json_log
+from sassafraswood.transport import tcp
 
-# Requests on one connection that may wait for the response to an earlier one.
+# Requests on one connection that wait for the response to an earlier one; from
+# this number on, received bytes are kept unparsed.
 MAX_PIPELINED_REQUESTS: Final = 16
+# Bytes that are parsed at once, so that they hold few requests.
+MAX_PARSED_BYTES: Final = 16 * 1024
+# Unparsed bytes of one client above which nothing more is received from it.
+MAX_KEPT_BYTES: Final = 64 * 1024
 LISTEN_BACKLOG: Final = 1024
 # Larger bodies are not copied behind the head of their response.
 MAX_COPIED_BYTES: Final = 64 * 1024
 # Allowed beyond the header limit, since the event loop reads up to 256 KiB at
 # a time.
 MAX_READ_BYTES: Final = 256 * 1024
+# Time between the decision to close an idle connection and its close, in which
+# a request is read that arrived before the decision.
+IDLE_CLOSE_DELAY_S: Final = 0.01
 # Retry-After of requests that are refused because the bodies held reach their
 # limit; large bodies take about that long to be forwarded.
 RETRY_AFTER_S: Final = 1.0
+# Interval at which bytes of a response are sent ahead; a client that has gone
+# is noticed after two of them.
+PROBE_INTERVAL_S: Final = 0.2
+# Time for which the rest of a rejected request is read and dropped.
+LINGER_S: Final = 2.0
+# Begin of each response, whatever its status.
+_RESPONSE_BEGIN: Final = b'HTTP/1.1 '
 _STATUS_LINES: Final = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
     for status in http.HTTPStatus
@@ -37,6 +56,10 @@
 )
 
 
+class RequestRejectedError(Exception):
+    """Stops the parser behind the request that was rejected."""
+
+
 class IngressRequest:
     """A complete request of a client.
 
@@ -111,7 +134,10 @@
         """Handle a complete request; its reply may be sent later."""
 
     def abandon(self, request: IngressRequest) -> None:
-        """Stop handling a request whose client has disconnected."""
+        """Stop handling a request that gets no response of the handler.
+
+        Its client has disconnected, or `handle` has raised an error.
+        """
 
 
 class IngressConnection(asyncio.Protocol):
@@ -136,8 +162,12 @@
         self._incomplete: IngressRequest | None = None
         self._loop = asyncio.get_running_loop()
         self._is_closing = False
-        # Whether the bytes after the pending requests are not read.
-        self._has_rejected = False
+        # Whether no request is read after the pending ones.
+        self._is_input_over = False
+        # Bytes of the response to the current request that were sent ahead.
+        self._sent_ahead_bytes = 0
+        self._probe_timer: asyncio.TimerHandle | None = None
+        self._close_timer: asyncio.TimerHandle | None = None
         # Header fields that delimit the body of the incomplete request.
         self._framing: list[bytes] = []
         # Whether the parser reads the head that _ignore_upgrade returned; the
@@ -146,6 +176,12 @@
         # Time of the event loop when the connection began, a request began or
         # a response was sent, whichever is latest.
         self.since = self._loop.time()
+        # Bytes received and bytes unsent when the progress was last looked at,
+        # the time at which they had changed, and `since` at that time.
+        self._received_bytes = 0
+        self._progress = (0, 0)
+        self._progress_at = self.since
+        self._progress_since = self.since
         self.peer = ''
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -153,18 +189,24 @@
         # body or a request.
         self._unparsed_bytes = 0
         self._is_paused = False
+        # Received bytes that are not parsed until earlier requests have their
+        # responses. The end of input applies after them.
+        self._kept = bytearray()
+        self._is_receiving_paused = False
+        self._has_eof = False
+        self._is_advancing = False
         # Bytes of the responses since the transport was last empty.
         self._written_bytes = 0
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received or handled."""
-        return self._current is None and self._incomplete is None
-
-    @property
-    def is_reading(self) -> bool:
-        """Return whether a request has been received in part."""
-        return self._incomplete is not None
+        return (
+            self._current is None
+            and self._incomplete is None
+            and not self._pending
+            and not self._kept
+        )
 
     @property
     def unsent_bytes(self) -> int:
@@ -195,6 +237,55 @@
             self._is_closing = True
             self._transport.close()
 
+    def close_if_slow(self, now: float, limits: traffic.ClientLimits) -> None:
+        """Close the connection if it is idle or its client is too slow.
+
+        A request that is handled or pending is never cut off.
+
+        Args:
+            now: Time of the event loop, in seconds.
+            limits: Limits on the time of a client.
+        """
+        if self._current is not None:
+            return
+        if self.has_unsent_data:
+            if self._measure_stall_s(now) > limits.idle_timeout_s:
+                self.abort()
+        elif self._incomplete is not None:
+            if (
+                self._measure_stall_s(now) > limits.idle_timeout_s
+                if self._body_bytes
+                else now - self.since
+                > limits.header_timeout_s + limits.idle_timeout_s
+            ):
+                self._reject(408)
+        elif self.is_idle and now - self.since > limits.idle_timeout_s:
+            self.close_idle_soon()
+
+    def _measure_stall_s(self, now: float) -> float:
+        """Return the time without progress of the client, in seconds."""
+        unsent_bytes = 0
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+        progress = (self._received_bytes, unsent_bytes)
+        if self._progress_since != self.since:
+            self._progress_since = self._progress_at = self.since
+            self._progress = progress
+        elif self._progress != progress:
+            self._progress_at = now
+            self._progress = progress
+        return now - self._progress_at
+
+    def close_idle_soon(self) -> None:
+        """Close the connection, unless a request has arrived meanwhile."""
+        self._loop.call_later(
+            IDLE_CLOSE_DELAY_S, self._close_if_idle, self.since
+        )
+
+    def _close_if_idle(self, since: float) -> None:
+        if self.is_idle and self.since == since:
+            self.close()
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -207,17 +298,87 @@
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes of requests."""
+        """Parse received bytes of requests, or keep them for later."""
+        self._received_bytes += len(data)
+        if (
+            self._kept
+            or len(data) > MAX_PARSED_BYTES
+            or len(self._pending) >= MAX_PIPELINED_REQUESTS
+        ):
+            self._keep(data)
+            self._advance()
+        else:
+            self._receive(data)
+
+    def _keep(self, data: bytes) -> None:
+        """Keep received bytes until earlier requests have their responses."""
+        if self._has_ended_reading:
+            return
+        self._kept += data
+        self._server.held.take_anyway(len(data))
+
+    def _take_kept(self, size: int) -> bytes:
+        """Return the first kept bytes, which are kept no longer."""
+        data = bytes(self._kept[:size])
+        del self._kept[:size]
+        self._server.held.release(len(data))
+        return data
+
+    def _receive(self, data: bytes) -> None:
+        """Parse received bytes; answer what is no valid request."""
         try:
             self._parse(data)
-        except httptools.HttpParserCallbackError:
-            # The callback has rejected the request already.
-            return
+        except httptools.HttpParserCallbackError as error:
+            if not isinstance(error.__context__, RequestRejectedError):
+                self._server.log_failure(self._incomplete)
+                self._reject(500)
         except httptools.HttpParserError:
             self._reject(400)
         else:
             self._limit_unparsed_bytes(len(data))
 
+    def eof_received(self) -> bool:
+        """Answer the requests that were read, then close.
+
+        A client that has closed its connection sends the same as one that
+        only sends no further request. It answers any byte with a reset, and
+        the next write meets the reset. So the first bytes of the response,
+        which are the same for each status, are sent ahead one at a time; an
+        interim response would not suit clients of HTTP/1.0.
+
+        Returns:
+            Whether the connection stays open.
+        """
+        self._has_eof = True
+        self._advance()
+        if self._is_closing:
+            return False
+        if self._probe_timer is None:
+            self._probe()
+        return True
+
+    def _probe(self) -> None:
+        """Send a byte of the response ahead, and go on while that is needed.
+
+        It is until the close, or until the client is read from again.
+        """
+        self._probe_timer = None
+        if self._transport is None or self._is_closing:
+            return
+        if not self._has_eof and not self._is_receiving_paused:
+            return
+        if (
+            self._current is not None
+            and not self.has_unsent_data
+            and self._sent_ahead_bytes < len(_RESPONSE_BEGIN)
+        ):
+            start = self._sent_ahead_bytes
+            self._sent_ahead_bytes += 1
+            self._transport.write(_RESPONSE_BEGIN[start : start + 1])
+        self._probe_timer = self._loop.call_later(
+            PROBE_INTERVAL_S, self._probe
+        )
+
     def _parse(self, data: bytes) -> None:
         """Pass received bytes to the parser.
 
@@ -257,7 +418,7 @@
     @property
     def _has_ended_reading(self) -> bool:
         """Return whether no further request is read."""
-        return self._is_closing or self._has_rejected
+        return self._is_closing or self._is_input_over
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the requests of the client and abandon the current one."""
@@ -265,18 +426,23 @@
         self._is_closing = True
         self._transport = None
         self._parser = None
+        for timer in (self._probe_timer, self._close_timer):
+            if timer is not None:
+                timer.cancel()
+        self._probe_timer = self._close_timer = None
         self._incomplete = None
         self._body = []
         self._server.connections.discard(self)
         self._server.forget_unsent(self)
         current, self._current = self._current, None
         self._release_incomplete()
+        self._take_kept(len(self._kept))
         for request in self._pending:
             self._server.held.release(len(request.body))
         self._pending.clear()
         if current is not None:
             self._server.held.release(len(current.body))
-            self._server.handler.abandon(current)
+            self._abandon(current)
             current.context = None
 
     def pause_writing(self) -> None:
@@ -286,13 +452,13 @@
     def resume_writing(self) -> None:
         """Handle the pipelined requests of the client again."""
         self._is_paused = False
-        self._handle_next()
+        self._advance()
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Start to receive a request."""
-        if self._is_behind_head:
+        if self._is_behind_head or self._has_ended_reading:
             return
         self._incomplete = IngressRequest(self)
         self.since = self._loop.time()
@@ -337,7 +503,12 @@
                 self._framing.append(b'%b: %b\r\n' % (name, value))
             return
         elif lower == b'expect':
-            if value.lower() == b'100-continue' and self._transport:
+            if (
+                value.lower() == b'100-continue'
+                and self._transport
+                and not self._has_eof
+                and not self._sent_ahead_bytes
+            ):
                 self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
             return
         self._head.append(b'%b: %b\r\n' % (name, value))
@@ -351,17 +522,18 @@
         """Store a part of the body, or reject the request.
 
         Raises:
-            ValueError: If the body or all bodies exceed their limit; this
-                stops the parser.
+            RequestRejectedError: The body or all bodies exceed their limit.
         """
         self._unparsed_bytes = 0
+        if self._incomplete is None:
+            return
         if self._body_bytes + len(data) > self._server.limits.max_body_bytes:
             self._reject(413)
-            raise ValueError('request body exceeds max_body_bytes')
+            raise RequestRejectedError('body exceeds max_body_bytes')
         if not self._server.held.take(len(data)):
             # Nothing was forwarded, so the client may send the request again.
             self._reject(503, b'Retry-After: %.3f\r\n' % RETRY_AFTER_S)
-            raise ValueError('request bodies exceed the limit of held bytes')
+            raise RequestRejectedError('all bodies exceed their limit')
         self._body_bytes += len(data)
         self._body.append(data)
 
@@ -381,7 +553,7 @@
             return
         self._incomplete = None
         if not request.target.startswith(b'/'):
-            _resolve_absolute_form(request)
+            self._resolve_absolute_form(request)
         request.is_closing = not self._parser.should_keep_alive()
         request.received_at = self._loop.time()
         request.head = b''.join(self._head)
@@ -392,15 +564,10 @@
         # The body stays counted until the request gets its response or the
         # client disconnects.
         self._body_bytes = 0
-        if self._current is not None or self._is_paused:
-            if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-                self._server.held.release(len(request.body))
-                self._reject(503)
-                return
+        if self._current is not None or self._pending or self._is_paused:
             self._pending.append(request)
             return
-        self._current = request
-        self._server.handler.handle(request)
+        self._start(request)
 
     def reply(
         self,
@@ -418,8 +585,9 @@
             close
             or request.is_closing
             or (
-                (self._server.is_closing or self._has_rejected)
+                (self._server.is_closing or self._is_input_over)
                 and not self._pending
+                and not self._kept
             )
         )
         line = _STATUS_LINES.get(status) or (
@@ -435,6 +603,9 @@
             length,
             b'Connection: close\r\n' if is_closing else b'',
         )
+        if self._sent_ahead_bytes:
+            begin = begin[self._sent_ahead_bytes :]
+            self._sent_ahead_bytes = 0
         if not self.has_unsent_data:
             self._written_bytes = 0
         if not has_body:
@@ -451,15 +622,93 @@
         request.context = None
         self._server.held.release(len(request.body))
         self.since = self._loop.time()
+        if is_closing and self._is_input_over:
+            self._close_after_input()
+            return
         if is_closing:
             self.close()
             return
-        self._handle_next()
+        if self._pending or self._kept:
+            self._advance()
 
-    def _handle_next(self) -> None:
-        if self._pending and self._current is None and not self._is_paused:
-            self._current = self._pending.popleft()
-            self._server.handler.handle(self._current)
+    def _advance(self) -> None:
+        """Handle and parse what was received, until a request has to wait."""
+        if self._is_advancing:
+            return
+        self._is_advancing = True
+        try:
+            while not self._is_closing:
+                if (
+                    self._pending
+                    and self._current is None
+                    and not self._is_paused
+                ):
+                    self._start(self._pending.popleft())
+                elif (
+                    self._kept and len(self._pending) < MAX_PIPELINED_REQUESTS
+                ):
+                    self._receive(self._take_kept(MAX_PARSED_BYTES))
+                else:
+                    break
+        finally:
+            self._is_advancing = False
+        if self._has_eof and not self._kept:
+            self._end_input()
+            if self._current is None and not self._pending:
+                self.close()
+        self._limit_kept()
+
+    def _end_input(self) -> None:
+        """Read no request after those that are handled or pending."""
+        self._is_input_over = True
+        self._take_kept(len(self._kept))
+        self._incomplete = None
+        self._release_incomplete()
+
+    def _limit_kept(self) -> None:
+        """Receive nothing while too many bytes are kept.
+
+        The end of the connection is not seen then, and is probed for.
+        """
+        if self._transport is None or self._has_eof:
+            return
+        held = self._server.held
+        is_paused = len(self._kept) > MAX_KEPT_BYTES or (
+            len(self._kept) > 0 and held.count > held.limit
+        )
+        if is_paused == self._is_receiving_paused:
+            return
+        self._is_receiving_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+            if self._probe_timer is None:
+                self._probe()
+        else:
+            self._transport.resume_reading()
+
+    def _start(self, request: IngressRequest) -> None:
+        """Pass a request to the handler.
+
+        If the handler raises an error, the request may have run; the client
+        gets a 500, and the connection closes after the requests that were
+        received before the error.
+        """
+        self._current = request
+        try:
+            self._server.handler.handle(request)
+        except Exception:
+            self._server.log_failure(request)
+            if self._current is request:
+                self._end_input()
+                self._abandon(request)
+                self.reply(request, 500, b'', b'', close=False)
+
+    def _abandon(self, request: IngressRequest) -> None:
+        """Let the handler forget a request that it will not answer."""
+        try:
+            self._server.handler.abandon(request)
+        except Exception:
+            self._server.log_failure(request)
 
     def _limit_unparsed_bytes(self, size: int) -> None:
         """Reject a request if the parser buffers too much of it.
@@ -480,7 +729,27 @@
         self._header_bytes += size
         if self._header_bytes > self._server.limits.max_header_bytes:
             self._reject(431)
-            raise ValueError('request header exceeds max_header_bytes')
+            raise RequestRejectedError('header exceeds max_header_bytes')
+
+    def _resolve_absolute_form(self, request: IngressRequest) -> None:
+        """Take host and path from a target in absolute form.
+
+        Its host replaces the Host field (RFC 9112, section 3.2.2), also in
+        the head that is forwarded.
+        """
+        scheme, separator, rest = request.target.partition(b'://')
+        if not separator or scheme.lower() not in (b'http', b'https'):
+            return
+        size = min(
+            (rest.index(mark) for mark in (b'/', b'?') if mark in rest),
+            default=len(rest),
+        )
+        request.host, path = rest[:size], rest[size:]
+        request.target = path if path.startswith(b'/') else b'/' + path
+        self._head = [
+            b'Host: %b\r\n' % request.host,
+            *(line for line in self._head if line[:5].lower() != b'host:'),
+        ]
 
     def _record_named_fields(self, value: bytes) -> None:
         """Record the fields that the Connection field names, to remove them.
@@ -505,11 +774,11 @@
         If earlier requests wait for their responses, the connection is closed
         after these, and the rejected one gets none.
         """
-        self._incomplete = None
-        self._release_incomplete()
         if self._transport is None or self._has_ended_reading:
+            self._incomplete = None
+            self._release_incomplete()
             return
-        self._has_rejected = True
+        self._end_input()
         if self._current is not None or self._pending:
             return
         self._transport.write(
@@ -517,26 +786,51 @@
             + head
             + b'Content-Length: 0\r\nConnection: close\r\n\r\n'
         )
-        self.close()
+        self._close_after_input()
+
+    def _close_after_input(self) -> None:
+        """Close once the client has ended its side, or after LINGER_S.
+
+        A close with unread bytes resets the connection, and the client might
+        lose its response (RFC 9112, section 9.6).
+        """
+        if self._transport is None or self._is_closing:
+            return
+        if self._has_eof:
+            self.close()
+            return
+        self._is_closing = True
+        self._transport.write_eof()
+        # A response that the client still reads is sent whole; close_if_slow
+        # aborts one that it does not read.
+        self._close_timer = self._loop.call_later(
+            LINGER_S, self._transport.close
+        )
 
 
 class IngressServer:
     """Accepts client connections on one address."""
 
     def __init__(
-        self, handler: RequestHandler, names: fields.FieldNames
+        self,
+        handler: RequestHandler,
+        names: fields.FieldNames,
+        log: json_log.JsonLog | None = None,
     ) -> None:
         """Initialize a server that does not listen yet.
 
         Args:
             handler: Handler of the requests.
             names: Names of the header fields that this system uses.
+            log: Log of errors that the handler raises; None for no log.
         """
+        self._log = log
         self.handler = handler
         self.names = names
         self.limits = DEFAULT_LIMITS
         # Counts body bytes of requests that have no response yet.
         self.held = held_bytes.ByteBudget()
+        # Whether connections close after their next response.
         self.is_closing = False
         self.connections: set[IngressConnection] = set()
         # Connections that had unsent data when they were last looked at.
@@ -561,6 +855,22 @@
             total += size
         return total
 
+    def log_failure(self, request: IngressRequest | None) -> None:
+        """Log the error that is being handled, with its traceback.
+
+        Args:
+            request: Request that caused it, if one was being received.
+        """
+        if self._log is None:
+            return
+        self._log.decision(
+            'request_raised',
+            request=(
+                '' if request is None else request.attempt_id.decode('latin-1')
+            ),
+            error=traceback.format_exc(),
+        )
+
     def forget_unsent(self, connection: IngressConnection) -> None:
         """Note that a connection has ended."""
         self._unsent.discard(connection)
@@ -578,14 +888,31 @@
         Raises:
             OSError: If the address cannot be bound.
         """
+        await self.async_accept(tcp.bind(address))
+
+    async def async_accept(self, bound: socket.socket) -> None:
+        """Start accepting connections on a bound socket.
+
+        Raises:
+            OSError: Another socket listens on the address.
+        """
         loop = asyncio.get_running_loop()
-        host, port = address
         self._server = await loop.create_server(
             lambda: IngressConnection(self),
-            host,
-            port,
+            sock=bound,
             backlog=LISTEN_BACKLOG,
-            reuse_address=True,
+        )
+
+    def set_time_limits(self, limits: traffic.ClientLimits) -> None:
+        """Set how long a client may take or be idle; sizes stay as they are.
+
+        Args:
+            limits: Limits whose times apply.
+        """
+        self.limits = dataclasses.replace(
+            self.limits,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
         )
 
     def close_slow_connections(self, now: float) -> None:
@@ -594,23 +921,14 @@
         Args:
             now: Time of the event loop, in seconds.
         """
-        limits = self.limits
         for connection in list(self.connections):
-            age_s = now - connection.since
-            if connection.has_unsent_data:
-                if age_s > limits.idle_timeout_s:
-                    connection.abort()
-            elif connection.is_reading:
-                if age_s > limits.header_timeout_s + limits.idle_timeout_s:
-                    connection.close()
-            elif connection.is_idle and age_s > limits.idle_timeout_s:
-                connection.close()
+            connection.close_if_slow(now, self.limits)
 
     def close_idle(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections on which no request has arrived."""
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.close()
+                connection.close_idle_soon()
 
     def stop_listening(self) -> None:
         """Stop accepting connections; established ones stay open."""
@@ -618,22 +936,6 @@
             self._server.close()
 
 
-def _resolve_absolute_form(request: IngressRequest) -> None:
-    """Take host and path from a target in absolute form.
-
-    Its host replaces that of the Host field (RFC 9112, section 3.2.2).
-    """
-    scheme, separator, rest = request.target.partition(b'://')
-    if not separator or scheme.lower() not in (b'http', b'https'):
-        return
-    size = min(
-        (rest.index(mark) for mark in (b'/', b'?') if mark in rest),
-        default=len(rest),
-    )
-    request.host, path = rest[:size], rest[size:]
-    request.target = path if path.startswith(b'/') else b'/' + path
-
-
 def _remove_fields(head: bytes, names: set[bytes]) -> bytes:
     """Return encoded header fields without those with the given names."""
     return b''.join(
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -184,6 +184,7 @@
         key: bytes | None = b'k1',
         peer: str = '10.0.0.1',
         body: bytes = b'',
+        deadline_ms: bytes = b'2000',
     ) -> RecordingConnection:
         """Send a request and return its connection."""
         connection = RecordingConnection()
@@ -192,7 +193,7 @@
         request.method = b'GET'
         request.host = b'shop.example'
         request.target = f'/{name}/7'.encode()
-        request.deadline_ms = b'2000'
+        request.deadline_ms = deadline_ms
         request.attempt_id = b'abc'
         request.key = key
         request.body = body
@@ -548,3 +549,59 @@
     fixture.stop_plan.begin(0.5)
     fixture.send('pay')
     assert fixture.peers.sent[0][1].time_left_s < 0.5
+
+
+# Guards against requests without an answer whose deadline is no number that
+# the arithmetic can hold.
+@pytest.mark.parametrize(
+    ('deadline_ms', 'status'),
+    [
+        (b'9' * 400, 200),
+        (b'9' * 5000, 200),
+        (b'0' * 5000 + b'900', 200),
+        (b'0' * 5000, 504),
+    ],
+)
+def test_long_deadline_is_read(tmp_path, deadline_ms, status) -> None:
+    """It lies years ahead, unless its first digits are zeros."""
+    fixture = Fixture(tmp_path)
+    connection = fixture.send('read', deadline_ms=deadline_ms)
+    if status == 200:
+        fixture.reply_to_call(0, ok)
+    assert [item[0] for item in connection.responses] == [status]
+    assert not fixture.caller.active_count
+
+
+# Guards against a request without an answer after an unexpected exception, and
+# against one that is reported as not run although it was sent.
+@pytest.mark.parametrize(
+    ('method', 'status'), [('candidates', 503), ('start_call', 502)]
+)
+def test_request_that_raises_is_answered(tmp_path, method, status) -> None:
+    """The caller learns whether the request may have run."""
+    fixture = Fixture(tmp_path)
+
+    def fail(*args):
+        raise RuntimeError('unexpected')
+
+    setattr(fixture.peers, method, fail)
+    connection = fixture.send('read')
+    assert connection.responses[0][0] == status
+    assert fixture.caller.active_count == 0
+
+
+def test_call_that_raises_at_the_stop_keeps_no_other_unanswered(
+    tmp_path, monkeypatch
+) -> None:
+    """Guards against a stop that ends with the first call that raises."""
+    fixture = Fixture(tmp_path)
+    connections = [fixture.send('read') for _ in range(3)]
+    cancel_calls = iter([RuntimeError('unexpected')])
+
+    def cancel(*args):
+        for error in cancel_calls:
+            raise error
+
+    monkeypatch.setattr(fixture.caller, '_cancel', cancel)
+    fixture.caller.end_all()
+    assert [item.responses[0][0] for item in connections] == [502, 504, 504]
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import re
 import time
 
@@ -211,6 +212,16 @@
         assert wrong.status == 401
 
 
+async def async_test_head() -> None:
+    """Send HEAD to the own upstream and to that of the other daemon."""
+    async with running() as fleet:
+        for path, service in (('/status/1', 'status'), ('/pay/7', 'billing')):
+            response = await fleet.async_request('status', path, method='HEAD')
+            assert (response.status, response.content) == (200, b'')
+            length = str(len(f'i-{service} ')).encode()
+            assert dict(response.headers)[b'Content-Length'] == length
+
+
 async def async_test_withdrawal() -> None:
     """Withdraw a key, then make the store unavailable for a while."""
     async with running() as fleet:
@@ -296,6 +307,20 @@
         assert len(billing.seen) == 1
 
 
+async def async_test_removed_member() -> None:
+    """Remove the record of a daemon while it runs a request."""
+    async with running() as fleet:
+        fleet.upstreams['billing'].delay_s = 0.6
+        running_call = asyncio.create_task(
+            fleet.async_request('status', '/pay/7', method='POST')
+        )
+        await asyncio.sleep(0.2)
+        fleet.store.put('keyed.members', 'd-billing', b'')
+        assert (await running_call).status == 200
+        await asyncio.sleep(0.2)
+        assert not fleet.daemons['status']._peers._retiring_links
+
+
 async def async_test_leave_and_restart() -> None:
     """Deliver a report sent before the leave to the next process."""
     async with running() as fleet:
@@ -520,6 +545,40 @@
             await asyncio.wait_for(fleet.tasks['status'], timeout=1.0)
 
 
+async def async_test_notice_in_the_stop() -> None:
+    """Send requests on a kept and on new connections until the end."""
+    async with running() as fleet:
+        daemon = fleet.daemons['status']
+        async with connected(daemon) as (reader, writer):
+            writer.write(build_payment(1))
+            await reader.readuntil(b'\r\n\r\n')
+            daemon.stop()
+            await asyncio.sleep(0.1)
+            writer.write(build_payment(2))
+            answer = await asyncio.wait_for(reader.read(), timeout=1.0)
+            assert b'HTTP/1.1 200 ' in answer
+            assert b'\r\nConnection: close\r\n' in answer
+        await asyncio.sleep(process.CALLER_DRAIN_S - 0.3)
+        fleet.upstreams['billing'].delay_s = 0.9
+        async with connected(daemon) as (reader, writer):
+            writer.write(build_payment(3))
+            await asyncio.sleep(0.5)
+            async with connected(daemon) as (last_reader, last_writer):
+                await asyncio.sleep(0.1)
+                end_all = daemon._callers.end_all
+
+                def send() -> None:
+                    connection = last_writer.get_extra_info('socket')
+                    os.write(connection.fileno(), build_payment(4))
+                    daemon._callers.end_all = end_all
+                    end_all()
+
+                daemon._callers.end_all = send
+                assert await async_read_statuses(reader) == [200]
+                assert await async_read_statuses(last_reader) == [503]
+        await asyncio.wait_for(fleet.tasks['status'], timeout=1.0)
+
+
 async def async_peek(daemon: process.Daemon) -> int:
     """Make a call of the local upstream; return the status."""
     async with connected(daemon) as (reader, writer):
@@ -564,6 +623,20 @@
     asyncio.run(async_test_path())
 
 
+def test_head_gets_the_head_of_the_answer_alone() -> None:
+    """Guards against waiting for a body that an answer to HEAD announces."""
+    asyncio.run(async_test_head())
+
+
+def test_call_goes_on_when_its_daemon_is_no_longer_a_member() -> None:
+    """Guards against calls that are cut off by a planned stop.
+
+    A daemon whose upstream has left removes its record when it stops, and
+    finishes the calls that run.
+    """
+    asyncio.run(async_test_removed_member())
+
+
 def test_withdrawn_key_stops_with_and_without_the_store() -> None:
     """A daemon whose rules are too old to trust a key refuses the request."""
     asyncio.run(async_test_withdrawal())
@@ -647,6 +720,13 @@
     asyncio.run(async_test_requests_late_in_the_stop())
 
 
+# Guards against requests that meet the close of their connection in a stop,
+# without a notice in any answer before.
+def test_answers_in_a_stop_announce_the_close() -> None:
+    """A request that has arrived when the process ends gets a refusal."""
+    asyncio.run(async_test_notice_in_the_stop())
+
+
 # Guards against calls that end without a response at the end of a stop.
 def test_calls_that_outlast_a_stop_get_a_response() -> None:
     """It does not say that the call has not run."""
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -1,14 +1,19 @@
 """Tests of the HTTP server for clients."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import os
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
 import pytest
+import uvloop
 
 from sassafraswood.models import traffic
 from sassafraswood.transport import ingress
+from sassafraswood.transport import json_log
 
 from tests.sidecar.test_upstream_side import NAMES
 
@@ -38,6 +43,7 @@
         self.written = b''
         self.unread = 0
         self.is_closed = False
+        self.is_aborted = False
 
     def get_extra_info(self, name: str):
         """Return a fake socket or the address of the client."""
@@ -55,7 +61,12 @@
         """Record that the transport is closed."""
         self.is_closed = True
 
-    abort = close
+    # The client sees the end of the connection, behind what was written.
+    write_eof = close
+
+    def abort(self) -> None:
+        """Record that what was not read yet is lost."""
+        self.is_closed = self.is_aborted = True
 
 
 class Handler:
@@ -75,13 +86,33 @@
         self.abandoned.append(request)
 
 
+class RaisingHandler(Handler):
+    """Raises errors for requests with a body."""
+
+    def handle(self, request) -> None:
+        """Record a request and raise an error."""
+        super().handle(request)
+        if request.body:
+            raise OverflowError('not expected')
+
+    def abandon(self, request) -> None:
+        """Record a request and raise an error."""
+        super().abandon(request)
+        raise KeyError('not expected')
+
+
 class Client:
     """A connection with a fake transport."""
 
-    def __init__(self, data: bytes = b'') -> None:
+    def __init__(
+        self,
+        data: bytes = b'',
+        handler: Handler | None = None,
+        log: json_log.JsonLog | None = None,
+    ) -> None:
         """Connect and send data."""
-        self.handler = Handler()
-        self.server = ingress.IngressServer(self.handler, NAMES)
+        self.handler = handler or Handler()
+        self.server = ingress.IngressServer(self.handler, NAMES, log)
         self.server.limits = LIMITS
         self.transport = FakeTransport()
         self.loop = asyncio.new_event_loop()
@@ -94,6 +125,10 @@
         connection.connection_made(self.transport)
         return connection
 
+    def wait(self, duration_s: float) -> None:
+        """Run the event loop for a time in seconds."""
+        self.loop.run_until_complete(asyncio.sleep(duration_s))
+
     def disconnect(self) -> None:
         """Close the connection and the event loop."""
         self.connection.connection_lost(None)
@@ -200,6 +235,21 @@
     assert client.server.held.count == 0
 
 
+# Guards against responses that are cut although their client reads them, since
+# a rejected request came behind the one that they answer.
+def test_slow_reader_gets_the_response_before_a_rejected_request(
+    monkeypatch,
+) -> None:
+    """The wait for the end of a client does not abort its response."""
+    monkeypatch.setattr(ingress, 'LINGER_S', 0.01)
+    client = Client(GET + b'\x00\x01\r\n\r\n')
+    client.handler.requests[0].reply(200, b'', b'x' * 100)
+    client.transport.unread = 50
+    client.wait(0.05)
+    assert client.transport.is_closed
+    assert not client.transport.is_aborted
+
+
 # Guards against requests that run while their connection is closed without a
 # response, since they offer another protocol.
 @pytest.mark.parametrize('request_bytes', [GET, POST, LONG_POST])
@@ -260,7 +310,6 @@
         b'CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n',
         b'GET / HTTP/1.1\r\na: ' + b'x' * 600 + b'\r\n\r\n',
         b'POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n' + b'x' * 60,
-        GET * (ingress.MAX_PIPELINED_REQUESTS + 1),
     ],
 )
 def test_requests_before_a_rejected_one_get_their_responses(following) -> None:
@@ -323,8 +372,273 @@
     ],
 )
 def test_target_in_absolute_form(target, host, path) -> None:
-    """Guards against a 404 for a target that names the host as well."""
+    """Guards against a 404 for it, and against another host upstream."""
     client = Client(b'GET %b HTTP/1.1\r\nHost: x\r\n\r\n' % target)
     (request,) = client.handler.requests
     assert (request.host, request.target) == (host, path)
+    assert request.head == b'Host: %b\r\n' % host
     client.disconnect()
+
+
+# Guards against requests without an answer, whose connection stays open and of
+# which no log line tells, after an error that nobody expected.
+@pytest.mark.parametrize(
+    ('data', 'statuses'),
+    [
+        (POST, [b'500']),
+        (GET + POST, [b'200', b'500']),
+        (GET + POST + GET, [b'200', b'500', b'200']),
+    ],
+)
+def test_error_of_the_handler_is_answered(data, statuses, tmp_path) -> None:
+    """The request is abandoned, and earlier and later ones are answered."""
+    with open(tmp_path / 'log', 'wb') as file:
+        log = json_log.JsonLog('d1', file.fileno())
+        client = Client(data, RaisingHandler(), log)
+        for request in client.handler.requests:
+            request.reply(200)
+        log.flush()
+    answers = client.transport.written.split(b'HTTP/1.1 ')[1:]
+    assert [answer[:3] for answer in answers] == statuses
+    assert b'Connection: close' in answers[-1]
+    assert client.transport.is_closed
+    assert [item.body for item in client.handler.abandoned] == [b'hello']
+    assert client.server.held.count == 0
+    logged = (tmp_path / 'log').read_text()
+    assert 'not expected' in logged and 'Traceback' in logged
+    client.disconnect()
+
+
+def test_error_while_a_request_is_abandoned_ends_its_connection() -> None:
+    """Guards against an error that leaves a part of the connection open."""
+    client = Client(GET, RaisingHandler())
+    client.disconnect()
+    assert client.handler.abandoned == client.handler.requests
+    assert not client.server.connections
+
+
+class DelayedHandler(Handler):
+    """Responds with the target after a time."""
+
+    def __init__(self, delay_s: float) -> None:
+        """Set the time from a request to its response, in seconds."""
+        super().__init__()
+        self.delay_s = delay_s
+
+    def handle(self, request) -> None:
+        """Record a request and respond later."""
+        super().handle(request)
+        asyncio.get_running_loop().call_later(
+            self.delay_s, request.reply, 200, b'', request.target
+        )
+
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def run_client(
+    handler: Handler,
+    async_use: Callable[[ingress.IngressServer, Streams], Awaitable[None]],
+) -> None:
+    """Connect a client to a server, on the event loop of the daemons."""
+
+    async def async_case() -> None:
+        server = ingress.IngressServer(handler, NAMES)
+        server.limits = LIMITS
+        await server.async_listen(('127.0.0.1', 0))
+        address = server._server.sockets[0].getsockname()
+        streams = await asyncio.open_connection(*address)
+        async with asyncio.timeout(10.0):
+            await async_use(server, streams)
+        streams[1].transport.abort()
+        server.stop_listening()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(async_case())
+
+
+# Guards against requests that run without an answer, since their client sends
+# no further one.
+@pytest.mark.parametrize('delay_s', [0.0, 0.25, 1.2])
+@pytest.mark.parametrize(
+    ('data', 'count'),
+    [
+        (GET, 1),
+        (POST * 3, 3),
+        (GET.replace(b'1.1', b'1.0'), 1),
+        (GET.replace(b'GET', b'HEAD') + GET, 2),
+        (POST + POST[:-2], 1),
+        (POST[:-2], 0),
+    ],
+)
+def test_client_that_ends_its_side_is_answered(data, count, delay_s) -> None:
+    """Its complete requests are, with whole responses and nothing else."""
+    handler = DelayedHandler(delay_s)
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        writer.write(data)
+        writer.write_eof()
+        written = await reader.read()
+        assert written.count(b'HTTP/1.1 200 OK\r\n') == count
+        assert written.count(b'HTTP') == count
+        while written:
+            head, _, rest = written.partition(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 OK\r\n')
+            written = rest.removeprefix(b'/a/1')
+        assert len(handler.requests) == count and not handler.abandoned
+        assert server.held.count == 0
+
+    run_client(handler, async_use)
+
+
+# Guards against upstreams that work on for clients that have gone, where a
+# connection stays open for clients that only end their sending side.
+@pytest.mark.parametrize(
+    'data', [GET, POST * 3, GET.replace(b'1.1', b'1.0'), POST + POST[:-2]]
+)
+def test_client_that_closes_is_abandoned(data) -> None:
+    """Its request is, within 0.5 s."""
+    handler = DelayedHandler(3.0)
+
+    async def async_use(server, streams) -> None:
+        streams[1].write(data)
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        streams[1].close()
+        async with asyncio.timeout(0.5):
+            while not handler.abandoned:
+                await asyncio.sleep(0.01)
+        assert len(handler.requests) == 1
+        assert not server.connections and server.held.count == 0
+
+    run_client(handler, async_use)
+
+
+# Guards against connections that are closed in place of an answer, since many
+# requests wait on them.
+@pytest.mark.parametrize('ends', [False, True])
+@pytest.mark.parametrize('delay_s', [None, 0.0])
+@pytest.mark.parametrize('count', [17, 50, 500, 9000])
+def test_pipelined_requests_are_all_answered(count, delay_s, ends) -> None:
+    """In their order, while few of them are in memory."""
+    handler = Handler() if delay_s is None else DelayedHandler(delay_s)
+    if delay_s is None:
+        handler.handle = lambda request: request.reply(
+            200, b'', request.target
+        )
+    seen = [(0, 0)]
+    template = b'POST /%06d HTTP/1.1\r\nContent-Length: 2\r\n\r\nab'
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        writer.write(b''.join(template % item for item in range(count)))
+        if ends:
+            writer.write_eof()
+        for number in range(count):
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 ')
+            assert await reader.readexactly(7) == b'/%06d' % number
+            seen.extend(
+                (len(item._pending), server.held.count)
+                for item in server.connections
+            )
+        assert await reader.read() == b'' if ends else server.connections
+        assert server.held.count == 0
+
+    run_client(handler, async_use)
+    # A read has 256 KiB at most.
+    parsed_at_once = ingress.MAX_PARSED_BYTES // len(template % 1) + 1
+    assert max(seen)[0] < ingress.MAX_PIPELINED_REQUESTS + parsed_at_once
+    assert max(item[1] for item in seen) <= (64 + 256 + 8) * 1024
+
+
+# Guards against upstreams that work on for a client that has gone; of the
+# larger number, not all are received.
+@pytest.mark.parametrize('count', [1000, 4000])
+def test_reset_behind_many_requests_is_noticed(count) -> None:
+    """The request that is handled is abandoned."""
+    handler = Handler()
+
+    async def async_use(server, streams) -> None:
+        streams[1].write(GET * count)
+        await asyncio.sleep(0.05)
+        streams[1].transport.abort()
+        async with asyncio.timeout(0.5):
+            while not handler.abandoned:
+                await asyncio.sleep(0.01)
+        assert len(handler.requests) == 1 and server.held.count == 0
+
+    run_client(handler, async_use)
+
+
+# Guards against a connection that is closed when its request has arrived.
+@pytest.mark.parametrize('close', ['close_idle', 'close_slow_connections'])
+def test_request_that_meets_the_close_is_answered(close) -> None:
+    """The connection was idle until then, and the request was not read."""
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        await asyncio.sleep(0.05)
+        os.write(writer.get_extra_info('socket').fileno(), GET)
+        if close == 'close_idle':
+            server.is_closing = True
+            server.close_idle()
+        else:
+            now = asyncio.get_running_loop().time()
+            server.close_slow_connections(now + 16.0)
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+
+    run_client(DelayedHandler(0.0), async_use)
+
+
+def test_pending_requests_keep_a_connection_open() -> None:
+    """Guards against requests that are dropped, since their client is slow."""
+    client = Client(GET + POST)
+    client.connection.pause_writing()
+    client.handler.requests[0].reply(200)
+    client.server.close_idle()
+    client.server.close_slow_connections(client.connection.since + 16.0)
+    client.wait(2 * ingress.IDLE_CLOSE_DELAY_S)
+    assert not client.transport.is_closed
+    client.connection.resume_writing()
+    assert client.handler.requests[1].body == b'hello'
+    client.disconnect()
+
+
+# Guards against responses and uploads that are cut off while they make
+# progress, and against a request that is given up without a word.
+@pytest.mark.parametrize(
+    ('begin', 'part', 'ending'),
+    [
+        # Further bytes of an upload, of a header and of an unread response.
+        (POST.replace(b'5', b'50')[:-5], b'x', b' 408 '),
+        (GET[:8], b'y', b' 408 '),
+        (GET, b'', b''),
+    ],
+)
+def test_time_limits_count_from_the_last_progress(begin, part, ending) -> None:
+    """Other than for a header, and never while a request is handled."""
+    client = Client(begin)
+    for request in client.handler.requests:
+        client.connection.data_received(POST[:-1])
+        client.server.close_slow_connections(client.connection.since + 99.0)
+        assert not client.transport.is_closed
+        request.reply(200)
+        client.transport.unread = 100
+    now = client.connection.since
+    is_header = begin == GET[:8]
+    for _ in range(1 if is_header else 6):
+        now += 10.0
+        client.connection.data_received(part)
+        client.transport.unread -= bool(client.transport.unread)
+        client.server.close_slow_connections(now)
+        assert not client.transport.is_closed
+    client.server.close_slow_connections(now + (7.0 if is_header else 14.0))
+    assert not client.transport.is_closed
+    client.server.close_slow_connections(now + (9.0 if is_header else 16.0))
+    assert client.transport.is_closed
+    assert ending in client.transport.written
+    assert client.transport.written.count(b'HTTP/1.1') == 1
+    client.disconnect()
+    assert client.server.held.count == 0
