Restore the handling of signals after each test

Commands that tests run in their own process left SIGHUP, SIGINT and SIGTERM handled by the product, or ignored: a run of the tests went on after a SIGTERM, and processes that later tests started inherited signals that are ignored, so that the tests of the first milliseconds passed whatever the code did.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import gc
 import pathlib
+import signal
 import typing
 
 import pytest
@@ -47,6 +48,21 @@
             )
 
 
+_SIGNAL_HANDLERS = {
+    number: signal.getsignal(number)
+    for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+}
+
+
+def pytest_runtest_teardown() -> None:
+    """Restore the handling of signals, which commands run by tests change.
+
+    The processes of later tests would start with signals that are ignored.
+    """
+    for number, handler in _SIGNAL_HANDLERS.items():
+        signal.signal(number, handler)
+
+
 def pytest_runtest_setup(item: pytest.Item) -> None:
     """Exempt the objects of earlier tests from garbage collection.
 
