--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -140,7 +140,7 @@
             if deployed
             else f'{code}:{sysconfig.get_path("platlib")}'
         )
-        # What starts the daemon.
+        # Command that starts the daemon.
         self.command = (
             [str(_LAUNCHER)]
             if deployed
