--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -495,6 +495,9 @@
         # Requests that have arrived on accepted connections get a refusal.
         await asyncio.sleep(TICK_S)
         self._callers.end_all()
+        self._log.change(
+            'clients_disconnected', **self._caller_server.count_states()
+        )
         self.close()
 
     @property
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import http
 import socket
 import traceback
@@ -56,6 +57,19 @@
 )
 
 
+class ClientState(enum.StrEnum):
+    """What a connection does at a moment."""
+
+    # Nothing was received yet.
+    NEW = 'new'
+    IDLE = 'idle'
+    # The kernel has received bytes that the event loop has not read.
+    UNREAD = 'unread'
+    RECEIVING = 'receiving'
+    HANDLING = 'handling'
+    CLOSING = 'closing'
+
+
 class RequestRejectedError(Exception):
     """Stops the parser behind the request that was rejected."""
 
@@ -208,6 +222,19 @@
             and not self._kept
         )
 
+    @property
+    def state(self) -> ClientState:
+        """Return what the connection does now."""
+        if self._transport is None or self._is_closing:
+            return ClientState.CLOSING
+        if self._current is not None or self._pending:
+            return ClientState.HANDLING
+        if self._incomplete is not None or self._kept:
+            return ClientState.RECEIVING
+        if tcp.count_unread_bytes(self._transport):
+            return ClientState.UNREAD
+        return ClientState.IDLE if self._received_bytes else ClientState.NEW
+
     @property
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that are still held for the client.
@@ -855,6 +882,12 @@
             total += size
         return total
 
+    def count_states(self) -> dict[str, int]:
+        """Return the number of connections in each state that any is in."""
+        return collections.Counter(
+            connection.state.value for connection in self.connections
+        )
+
     def log_failure(self, request: IngressRequest | None) -> None:
         """Log the error that is being handled, with its traceback.
 
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -1,6 +1,10 @@
-"""Options for TCP sockets."""
+"""Options and state of TCP sockets."""
 
+import array
+import asyncio
+import fcntl
 import socket
+import termios
 import typing
 
 from sassafraswood import const
@@ -27,6 +31,20 @@
         connection.setsockopt(level, option, value)
 
 
+def count_unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the bytes that the kernel has received for an open transport.
+
+    The event loop has not read them. 0 if that cannot be told.
+    """
+    connection = transport.get_extra_info('socket')
+    size = array.array('i', [0])
+    try:
+        fcntl.ioctl(connection.fileno(), termios.FIONREAD, size)
+    except OSError:
+        return 0
+    return size[0]
+
+
 def bind(address: tuple[str, int]) -> socket.socket:
     """Return a socket that is bound to an address and not listening yet.
 
