--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -39,6 +39,11 @@
 READ_BYTES = 64 * 1024
 READ_INTERVAL_S = 0.035
 METRICS_PORT = 9464
+# Time after SIGTERM from which a daemon refuses new requests, and a margin.
+LATE_IN_STOP_S = 3.2
+LATE_REQUESTS = 6
+# Time that a client takes from its connection to its request.
+SEND_DELAY_S = 0.05
 # Clients whose request is rejected before they have sent all of it.
 REJECTED = 40
 REJECTED_BYTES = 4 << 20
@@ -292,6 +297,83 @@
         assert told.count(False) == 0
 
 
+# Guards against requests without an answer behind one that a stopping daemon
+# refuses, when all of them arrive together.
+async def test_pipelined_requests_late_in_a_stop_are_refused(tmp_path) -> None:
+    """Each of them is, and none of them runs."""
+    rules = process_site.build_rules(SERVICES[:1], 5.0)
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], rules=rules, has_daemons=False
+    ) as site:
+        process = site.launch('near')
+        await site.async_wait_ready('near', process)
+        await site.async_wait_served('near')
+        upstream = site.upstream('near')
+        # Keeps the daemon from ending earlier.
+        upstream.delay_s = 4.0
+        running = await site.async_connect()
+        attempt = process_site.create_attempt_id()
+        running.send(
+            process_site.build_request(
+                'near', attempt_id=attempt, deadline='5000'
+            )
+        )
+        await site.async_wait_until(lambda: upstream.is_running(attempt), 2.0)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(LATE_IN_STOP_S)
+        late = await site.async_connect()
+        late.send(process_site.build_request('near') * LATE_REQUESTS)
+        statuses = [
+            get_status(await late.async_receive())
+            for _ in range(LATE_REQUESTS)
+        ]
+        assert statuses == [503] * LATE_REQUESTS
+        assert get_status(await running.async_receive()) == 200
+        assert await site.async_end(process, None) == 0
+
+
+async def async_call_after_connecting(site: process_site.Site) -> int | None:
+    """Connect, send a request a little later, and return its status.
+
+    Returns:
+        0 if there is no response, None if the connection is refused.
+    """
+    try:
+        client = await site.async_connect()
+    except ConnectionRefusedError:
+        return None
+    await asyncio.sleep(SEND_DELAY_S)
+    client.send(process_site.build_request('near', close=True))
+    response = await client.async_receive()
+    client.close()
+    return get_status(response)
+
+
+# Guards against requests on new connections that meet the end of the process.
+async def test_connections_until_the_end_of_a_stop_are_answered(
+    tmp_path,
+) -> None:
+    """Whoever is connected and sends a request gets an answer."""
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], has_daemons=False
+    ) as site:
+        process = site.launch('near')
+        await site.async_wait_ready('near', process)
+        await site.async_wait_served('near')
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(LATE_IN_STOP_S - 0.5)
+        calls = []
+        while process.poll() is None:
+            calls.append(
+                asyncio.create_task(async_call_after_connecting(site))
+            )
+            await asyncio.sleep(CALL_PAUSE_S / 2.0)
+        statuses = await asyncio.gather(*calls)
+        assert statuses.count(0) == 0
+        assert statuses.count(200) + statuses.count(503) > 10
+        assert process.returncode == 0
+
+
 # Guards against requests without an answer behind a value that fails inside.
 @pytest.mark.parametrize(
     ('port', 'data'),
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import os
+import socket
 
 from hypothesis import given
 from hypothesis import settings
@@ -34,6 +35,10 @@
     def setsockopt(self, *values) -> None:
         """Do nothing."""
 
+    def fileno(self) -> int:
+        """Return no descriptor."""
+        return -1
+
 
 class FakeTransport:
     """Records the bytes that are written."""
@@ -388,6 +393,7 @@
         (POST, [b'500']),
         (GET + POST, [b'200', b'500']),
         (GET + POST + GET, [b'200', b'500', b'200']),
+        (POST + GET + GET, [b'500', b'200', b'200']),
     ],
 )
 def test_error_of_the_handler_is_answered(data, statuses, tmp_path) -> None:
@@ -592,6 +598,114 @@
     run_client(DelayedHandler(0.0), async_use)
 
 
+class PromptHandler(Handler):
+    """Responds to each request while it is passed on."""
+
+    def handle(self, request) -> None:
+        """Record a request and respond."""
+        super().handle(request)
+        request.reply(503)
+
+
+# Guards against requests without an answer behind one that is answered at
+# once, when all of them arrive together while the server stops.
+@pytest.mark.parametrize('cut', [0, len(GET) // 2])
+def test_requests_in_one_segment_are_all_answered(cut) -> None:
+    """Only the last answer closes the connection."""
+    client = Client(b'', PromptHandler())
+    client.server.is_closing = True
+    client.connection.data_received((GET * 6)[: 6 * len(GET) - cut])
+    client.connection.data_received((GET * 6)[6 * len(GET) - cut :])
+    answers = client.transport.written.split(b'HTTP/1.1 ')[1:]
+    assert [answer[:3] for answer in answers] == [b'503'] * 6
+    assert [b'Connection: close' in answer for answer in answers] == (
+        [False] * 5 + [True]
+    )
+    assert client.transport.is_closed
+    client.disconnect()
+
+
+# Guards against requests that are lost because they arrive between the last
+# poll of the event loop and the close of their idle connection.
+def test_request_that_arrives_during_the_close_delay_is_answered() -> None:
+    """It is read before the connection is closed."""
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        writer.write(GET)
+        await reader.readuntil(b'\r\n\r\n')
+        await reader.readexactly(4)
+        descriptor = writer.get_extra_info('socket').fileno()
+        # Runs just before the close, without a poll in between.
+        asyncio.get_running_loop().call_later(
+            ingress.IDLE_CLOSE_DELAY_S, os.write, descriptor, GET
+        )
+        server.close_idle()
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+
+    run_client(DelayedHandler(0.0), async_use)
+
+
+# Guards against the first request of a new client that meets the close of its
+# connection.
+def test_new_connection_is_not_closed_as_idle() -> None:
+    """Its client has had no time to send a request."""
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        await asyncio.sleep(0.01)
+        server.is_closing = True
+        server.close_idle()
+        await asyncio.sleep(3.0 * ingress.IDLE_CLOSE_DELAY_S)
+        writer.write(GET)
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+
+    run_client(DelayedHandler(0.0), async_use)
+
+
+# Guards against requests on connections that the kernel has accepted and the
+# process has not, when it stops listening.
+def test_connections_that_wait_for_acceptance_are_answered() -> None:
+    """They are accepted first."""
+
+    async def async_use(server, streams) -> None:
+        del streams
+        address = server._server.sockets[0].getsockname()
+        clients = [socket.create_connection(address) for _ in range(20)]
+        for client in clients:
+            client.sendall(GET)
+        server.stop_listening()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+        for client in clients:
+            reader, writer = await asyncio.open_connection(sock=client)
+            assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+            writer.close()
+
+    run_client(DelayedHandler(0.0), async_use)
+
+
+# Guards against whole responses that are cut by a reset, since their client
+# sends on while it reads.
+def test_response_is_sent_whole_to_a_client_that_sends_on() -> None:
+    """Bytes behind the last request that is answered are read and dropped."""
+    size = 16 << 20
+    handler = Handler()
+    handler.handle = lambda request: request.reply(200, b'', b'x' * size)
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        server.is_closing = True
+        writer.write(GET)
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b'Connection: close' in head
+        writer.write(GET)
+        assert len(await reader.readexactly(size)) == size
+        assert await reader.read() == b''
+
+    run_client(handler, async_use)
+
+
 def test_pending_requests_keep_a_connection_open() -> None:
     """Guards against requests that are dropped, since their client is slow."""
     client = Client(GET + POST)
