Answer all requests that arrive in one segment before a close

Callers that had sent six requests together to a stopping daemon got one 503 and no answer to the five behind it. None of them had run.

Cause: a request was passed to the handler while the parser still held the bytes behind it. A response that was given at once looked like the last one and closed the connection. The same happened behind a request whose handler had raised an error.

Requests are now handled once all received bytes are parsed, and a response closes the connection only if no further request is being received.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -333,9 +333,9 @@
             or len(self._pending) >= MAX_PIPELINED_REQUESTS
         ):
             self._keep(data)
-            self._advance()
         else:
             self._receive(data)
+        self._advance()
 
     def _keep(self, data: bytes) -> None:
         """Keep received bytes until earlier requests have their responses."""
@@ -565,7 +565,7 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Pass the request to the handler, or queue it after earlier ones."""
+        """Queue the request for the handler."""
         self._unparsed_bytes = 0
         request = self._incomplete
         if request is None or self._has_ended_reading or not self._parser:
@@ -591,10 +591,9 @@
         # The body stays counted until the request gets its response or the
         # client disconnects.
         self._body_bytes = 0
-        if self._current is not None or self._pending or self._is_paused:
-            self._pending.append(request)
-            return
-        self._start(request)
+        # It is handled when all received bytes are parsed: whether a response
+        # closes the connection depends on the requests behind it.
+        self._pending.append(request)
 
     def reply(
         self,
@@ -615,6 +614,7 @@
                 (self._server.is_closing or self._is_input_over)
                 and not self._pending
                 and not self._kept
+                and self._incomplete is None
             )
         )
         line = _STATUS_LINES.get(status) or (
