Keep the connection of a request that failed unexpectedly open

Requests pipelined behind one that raised an unexpected error in the daemon got no answer; they had not run. The response to the failed request closed the connection although the connection is sound, and what waited on it was dropped. The parameter that closed it has no other user.

The new test fails before: one answer for two requests.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -234,7 +234,7 @@
         if call is not None:
             self._forget(call)
             cancel = call.cancel
-        request.reply(502 if attempt_count else 503, close=True)
+        request.reply(502 if attempt_count else 503)
         if cancel is not None:
             cancel()
 
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -127,8 +127,6 @@
         status: int,
         head: bytes = b'',
         body: bytes = b'',
-        *,
-        close: bool = False,
     ) -> None:
         """Send the response, unless the client has disconnected.
 
@@ -136,9 +134,8 @@
             status: HTTP status code.
             head: Encoded header fields, each with its line end.
             body: Body of the response.
-            close: Whether to close the connection afterwards.
         """
-        self.connection.reply(self, status, head, body, close=close)
+        self.connection.reply(self, status, head, body)
 
 
 class RequestHandler(Protocol):
@@ -601,21 +598,15 @@
         status: int,
         head: bytes,
         body: bytes,
-        *,
-        close: bool,
     ) -> None:
         """Send the response to the current request."""
         if request is not self._current or self._transport is None:
             return
-        is_closing = (
-            close
-            or request.is_closing
-            or (
-                (self._server.is_closing or self._is_input_over)
-                and not self._pending
-                and not self._kept
-                and self._incomplete is None
-            )
+        is_closing = request.is_closing or (
+            (self._server.is_closing or self._is_input_over)
+            and not self._pending
+            and not self._kept
+            and self._incomplete is None
         )
         line = _STATUS_LINES.get(status) or (
             f'HTTP/1.1 {status} Status\r\n'.encode()
@@ -728,7 +719,7 @@
             if self._current is request:
                 self._end_input()
                 self._abandon(request)
-                self.reply(request, 500, b'', b'', close=False)
+                self.reply(request, 500, b'', b'')
 
     def _abandon(self, request: IngressRequest) -> None:
         """Let the handler forget a request that it will not answer."""
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -1,5 +1,6 @@
 """Tests of the part of a daemon that serves callers."""
 
+import asyncio
 import dataclasses
 import random
 
@@ -27,6 +28,7 @@
 from sassafraswood.transport import json_log
 
 from tests.sidecar.test_upstream_side import NAMES
+from tests.transport import test_ingress
 
 
 class RecordingConnection:
@@ -38,7 +40,7 @@
         """Start without responses."""
         self.responses = []
 
-    def reply(self, request, status, head, body, *, close) -> None:
+    def reply(self, request, status, head, body) -> None:
         """Record a response."""
         self.responses.append((status, head, body))
 
@@ -590,6 +592,34 @@
     assert fixture.caller.active_count == 0
 
 
+# Guards against requests without an answer behind one that raises, whose
+# connection was closed at once.
+def test_request_behind_one_that_raises_is_answered(tmp_path) -> None:
+    """The connection stays open."""
+    fixture = Fixture(tmp_path)
+    errors = [RuntimeError('unexpected')]
+
+    def candidates(service):
+        if errors:
+            raise errors.pop()
+        return []
+
+    fixture.peers.candidates = candidates
+    server = ingress.IngressServer(fixture.caller, NAMES)
+    transport = test_ingress.FakeTransport()
+
+    async def async_connect() -> None:
+        connection = ingress.IngressConnection(server)
+        connection.connection_made(transport)
+        connection.data_received(
+            b'GET /peek/7 HTTP/1.1\r\nHost: shop.example\r\n\r\n' * 2
+        )
+
+    asyncio.run(async_connect())
+    assert transport.written.count(b'HTTP/1.1 503 ') == 2
+    assert not transport.is_closed
+
+
 def test_call_that_raises_at_the_stop_keeps_no_other_unanswered(
     tmp_path, monkeypatch
 ) -> None:
