Read on behind the last response of a connection until its client ends

Clients that send on while they read a large response got it cut by a reset, although the request had run. The daemon closed the connection as soon as it had handed the response to the kernel; a close with unread bytes is a reset, which drops what was not delivered.

A connection that the daemon closes on its own account now ends its sending side and reads on until the client ends, as behind a rejected request. A client that asked for the close sends nothing more.

test_response_is_sent_whole_to_a_client_that_sends_on failed before.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -640,13 +640,13 @@
         request.context = None
         self._server.held.release(len(request.body))
         self.since = self._loop.time()
-        if is_closing and self._is_input_over:
-            self._close_after_input()
-            return
         if is_closing:
-            self.close()
-            return
-        if self._pending or self._kept:
+            if request.is_closing and not self._is_input_over:
+                # The client sends nothing more.
+                self.close()
+            else:
+                self._close_after_input()
+        elif self._pending or self._kept:
             self._advance()
 
     def _advance(self) -> None:
