--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -35,6 +35,8 @@
 # Time between the decision to close an idle connection and its close, in which
 # a request is read that arrived before the decision.
 IDLE_CLOSE_DELAY_S: Final = 0.01
+# Time in which a new client is expected to send its first request.
+FIRST_REQUEST_TIME_S: Final = 0.25
 # Retry-After of requests that are refused because the bodies held reach their
 # limit; large bodies take about that long to be forwarded.
 RETRY_AFTER_S: Final = 1.0
@@ -70,6 +72,10 @@
     CLOSING = 'closing'
 
 
+# States in which nothing of a request is known here.
+_SILENT_STATES: Final = frozenset({ClientState.NEW, ClientState.IDLE})
+
+
 class RequestRejectedError(Exception):
     """Stops the parser behind the request that was rejected."""
 
@@ -307,9 +313,17 @@
         )
 
     def _close_if_idle(self, since: float) -> None:
-        if self.is_idle and self.since == since:
+        if self.since == since and self.state in _SILENT_STATES:
             self.close()
 
+    @property
+    def awaits_first_request(self) -> bool:
+        """Return whether the client has had no time to send a request."""
+        return (
+            self.state is ClientState.NEW
+            and self._loop.time() - self.since < FIRST_REQUEST_TIME_S
+        )
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -949,9 +963,12 @@
             connection.close_if_slow(now, self.limits)
 
     def close_idle(self) -> None:
-        """Close the idle connections on which no request has arrived."""
+        """Close the idle connections on which no request has arrived.
+
+        New ones are not idle: their first request may be on its way.
+        """
         for connection in list(self.connections):
-            if connection.is_idle:
+            if connection.is_idle and not connection.awaits_first_request:
                 connection.close_idle_soon()
 
     def stop_listening(self) -> None:
