Answer what has arrived before a stop disconnects its callers

Callers on new connections met a reset at the end of a planned stop: their connections were accepted by the kernel and not by the process when it closed its listener, or their requests came in the last 25 ms. None of these requests had run, but their callers could not know that.

Cause: the end was decided by what the event loop had read. On a busy machine the time since its last poll is long, and a reset may come later than 0.2 s after the last byte of a request.

The listener is now emptied before it is closed; after that nothing new can arrive. The process ends once no request is on its way, unread or without an answer, 0.25 s later at most, and a request that is still incomplete is refused.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -490,15 +490,33 @@
             if is_caller_drain_over and not self._has_open_work:
                 break
             await asyncio.sleep(TICK_S)
+        await self._async_disconnect_callers()
+        self.close()
+
+    async def _async_disconnect_callers(self) -> None:
+        """Answer all requests that have arrived, then disconnect callers.
+
+        The event loop has not read all that the kernel has received. Nothing
+        more arrives on new connections once the listener is closed.
+        """
+        loop = asyncio.get_running_loop()
         self._callers.end_all()
         self._caller_server.stop_listening()
-        # Requests that have arrived on accepted connections get a refusal.
-        await asyncio.sleep(TICK_S)
-        self._callers.end_all()
+        until = loop.time() + ingress.FIRST_REQUEST_TIME_S
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._callers.end_all()
+            if (
+                loop.time() >= until
+                or not self._caller_server.has_waiting_clients
+            ):
+                break
         self._log.change(
             'clients_disconnected', **self._caller_server.count_states()
         )
-        self.close()
+        self._caller_server.disconnect()
+        # What is written last is sent by the event loop.
+        await asyncio.sleep(TICK_S)
 
     @property
     def _has_open_work(self) -> bool:
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -74,6 +74,10 @@
 
 # States in which nothing of a request is known here.
 _SILENT_STATES: Final = frozenset({ClientState.NEW, ClientState.IDLE})
+# States in which a request has no response yet.
+_WAITING_STATES: Final = frozenset(
+    {ClientState.UNREAD, ClientState.RECEIVING, ClientState.HANDLING}
+)
 
 
 class RequestRejectedError(Exception):
@@ -306,6 +310,18 @@
             self._progress = progress
         return now - self._progress_at
 
+    @property
+    def awaits_response(self) -> bool:
+        """Return whether a request is on its way, or has no response yet."""
+        return self.awaits_first_request or self.state in _WAITING_STATES
+
+    def disconnect(self) -> None:
+        """Close the connection, and refuse a request that is incomplete."""
+        if self.state is ClientState.RECEIVING:
+            self._reject(503, b'Retry-After: %.3f\r\n' % RETRY_AFTER_S)
+        else:
+            self.close()
+
     def close_idle_soon(self) -> None:
         """Close the connection, unless a request has arrived meanwhile."""
         self._loop.call_later(
@@ -875,6 +891,16 @@
             names.caller_service,
         }
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        # Connections that were accepted when the listener was closed.
+        self._accept_tasks: set[asyncio.Task[typing.Any]] = set()
+
+    @property
+    def has_waiting_clients(self) -> bool:
+        """Return whether a request is on its way, or has no response yet."""
+        return bool(self._accept_tasks) or any(
+            connection.awaits_response for connection in self.connections
+        )
 
     @property
     def unsent_bytes(self) -> int:
@@ -940,6 +966,7 @@
             sock=bound,
             backlog=LISTEN_BACKLOG,
         )
+        self._listener = bound
 
     def set_time_limits(self, limits: traffic.ClientLimits) -> None:
         """Set how long a client may take or be idle; sizes stay as they are.
@@ -972,9 +999,31 @@
                 connection.close_idle_soon()
 
     def stop_listening(self) -> None:
-        """Stop accepting connections; established ones stay open."""
-        if self._server is not None:
-            self._server.close()
+        """Stop accepting connections; established ones stay open.
+
+        Those that wait to be accepted are established: their clients may have
+        sent requests, and the close of the listener would reset them.
+        """
+        server, self._server = self._server, None
+        listener, self._listener = self._listener, None
+        if server is None or listener is None:
+            return
+        accepted = tcp.accept_waiting(listener)
+        server.close()
+        loop = asyncio.get_running_loop()
+        for connection in accepted:
+            task = loop.create_task(
+                loop.connect_accepted_socket(
+                    lambda: IngressConnection(self), connection
+                )
+            )
+            self._accept_tasks.add(task)
+            task.add_done_callback(self._accept_tasks.discard)
+
+    def disconnect(self) -> None:
+        """Close all connections, and refuse requests that are incomplete."""
+        for connection in list(self.connections):
+            connection.disconnect()
 
 
 def _remove_fields(head: bytes, names: set[bytes]) -> bytes:
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -45,6 +45,25 @@
     return size[0]
 
 
+def accept_waiting(listener: socket.socket) -> list[socket.socket]:
+    """Return the connections that the kernel has accepted for a listener.
+
+    Args:
+        listener: Listening socket that does not block.
+    """
+    connections = []
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            # None is left, or no descriptor for another one.
+            return connections
+        connection.setblocking(False)
+        connections.append(connection)
+
+
 def bind(address: tuple[str, int]) -> socket.socket:
     """Return a socket that is bound to an address and not listening yet.
 
