Refuse calls of the upstream once its daemon has decided to end

A call of the local upstream that came after the decision to end a stop was sent to its target and cut with 504 within 25 ms, while it ran. Only new requests of external callers were refused then; calls of the upstream are taken for as long as they can end in the grace time, which the daemon no longer used.

They are now refused as not run from the decision on.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -155,6 +155,7 @@
         )
         self._revoke_s = revoke_s
         self._is_refusing_new = False
+        self._is_refusing_inner = False
 
     @property
     def active_count(self) -> int:
@@ -188,6 +189,14 @@
         """
         self._is_refusing_new = True
 
+    def refuse_all(self) -> None:
+        """Refuse all new requests, also those of the local upstream.
+
+        Nothing that begins now would end before the process.
+        """
+        self._is_refusing_new = True
+        self._is_refusing_inner = True
+
     def end_all(self) -> None:
         """Respond to all calls, since the process ends."""
         for call in list(self._active.values()):
@@ -258,7 +267,10 @@
             self._link_to_parent(call)
         self._active[id(call)] = call
         request.context = call
-        if self._is_refusing_new and not call.is_inner:
+        is_refusing = (
+            self._is_refusing_inner if call.is_inner else self._is_refusing_new
+        )
+        if is_refusing:
             self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
             return
         self._budget.count_request(call.service, self._depth_of(call))
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -500,12 +500,12 @@
         more arrives on new connections once the listener is closed.
         """
         loop = asyncio.get_running_loop()
+        self._callers.refuse_all()
         self._callers.end_all()
         self._caller_server.stop_listening()
         until = loop.time() + ingress.FIRST_REQUEST_TIME_S
         while True:
             await asyncio.sleep(TICK_S)
-            self._callers.end_all()
             if (
                 loop.time() >= until
                 or not self._caller_server.has_waiting_clients
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -15,6 +15,7 @@
 from lab import platform_store
 from lab import platform_upstream
 from lab import ports as ports_module
+from sassafraswood.coordination import stop_plan
 from sassafraswood.models import ids
 from sassafraswood.platform import settings
 from sassafraswood.platform import upstream_records
@@ -56,6 +57,24 @@
 }
 
 
+# With calls of an upstream.
+PEEK_ROUTES = RULES['routes'] | {
+    'peek': RULES['routes']['status']
+    | {
+        'path-prefix': '/peek/',
+        'service': 'billing',
+        'timeout-s': 2.5,
+        'anonymous': True,
+    }
+}
+
+
+PEEK = (
+    b'GET /peek/1 HTTP/1.1\r\nHost: shop.example\r\n'
+    b'X-Attempt-Id: peek\r\nX-Deadline-Ms: 4000\r\n\r\n'
+)
+
+
 class Fleet:
     """Two services with one upstream and one daemon each."""
 
@@ -498,16 +517,7 @@
 async def async_test_inner_calls_late_in_the_stop() -> None:
     """Let an upstream call through its stopping daemon till the end."""
     async with running() as fleet:
-        routes = RULES['routes'] | {
-            'peek': RULES['routes']['status']
-            | {
-                'path-prefix': '/peek/',
-                'service': 'billing',
-                'timeout-s': 2.5,
-                'anonymous': True,
-            }
-        }
-        fleet.publish(RULES | {'version': 'r2', 'routes': routes})
+        fleet.publish(RULES | {'version': 'r2', 'routes': PEEK_ROUTES})
         await asyncio.sleep(0.5)
         daemon = fleet.daemons['status']
         billing = fleet.upstreams['billing']
@@ -528,6 +538,28 @@
         assert len(billing.seen) == served
 
 
+async def async_test_inner_call_at_the_end_of_the_stop() -> None:
+    """Send a call of the upstream when its daemon has begun to end."""
+    async with running() as fleet:
+        fleet.publish(RULES | {'version': 'r2', 'routes': PEEK_ROUTES})
+        await asyncio.sleep(0.5)
+        daemon = fleet.daemons['status']
+        billing = fleet.upstreams['billing']
+        for _ in range(stop_plan.MIN_CALLS):
+            assert await async_peek(daemon) == 200
+        billing.seen.clear()
+        billing.delay_s = 0.2
+        daemon.stop()
+        await asyncio.sleep(process.CALLER_DRAIN_S - 0.1)
+        async with connected(daemon) as (reader, writer):
+            server = daemon._caller_server
+            await async_wait_until(lambda: server._server is None)
+            writer.write(PEEK)
+            assert await async_read_statuses(reader) == [503]
+        await asyncio.wait_for(fleet.tasks['status'], timeout=1.0)
+        assert not billing.seen
+
+
 async def async_test_slow_readers_in_the_stop() -> None:
     """Let a client read its response until after the callers are drained."""
     async with running() as fleet:
@@ -582,10 +614,7 @@
 async def async_peek(daemon: process.Daemon) -> int:
     """Make a call of the local upstream; return the status."""
     async with connected(daemon) as (reader, writer):
-        writer.write(
-            b'GET /peek/1 HTTP/1.1\r\nHost: shop.example\r\n'
-            b'X-Attempt-Id: peek\r\nX-Deadline-Ms: 4000\r\n\r\n'
-        )
+        writer.write(PEEK)
         line = await asyncio.wait_for(reader.readline(), timeout=8.0)
         return int(line.split()[1]) if line else 0
 
@@ -733,6 +762,13 @@
     asyncio.run(async_test_call_at_the_end_of_the_stop())
 
 
+# Guards against calls of an upstream that are taken after its daemon has
+# decided to end, and cut at once.
+def test_inner_call_at_the_end_of_a_stop_is_refused() -> None:
+    """It has not run."""
+    asyncio.run(async_test_inner_call_at_the_end_of_the_stop())
+
+
 # Guards against whole answers that a stop cuts while clients read them.
 def test_stop_waits_for_clients_that_read_slowly() -> None:
     """The process ends once the last byte is sent, or with the grace time."""
