--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -51,7 +51,7 @@
     Args:
         listener: Listening socket that does not block.
     """
-    connections = []
+    connections: list[socket.socket] = []
     while True:
         try:
             connection, _ = listener.accept()
