Know the state of a connection whose socket has no descriptor

Clients may see all of their connections end at once, if the state of one of them raises an error while a stop disconnects them. It did for a socket that is closed, whose descriptor is -1: the bytes that the kernel holds are then asked for with a ValueError, not an OSError. No such connection was seen in a process, since the event loop closes the socket after it has told the connection.

The count is 0 then, as its description says. The new test failed before with the ValueError.

--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -40,7 +40,8 @@
     size = array.array('i', [0])
     try:
         fcntl.ioctl(connection.fileno(), termios.FIONREAD, size)
-    except OSError:
+    except (OSError, ValueError):
+        # A closed socket has -1 as descriptor, which is a ValueError.
         return 0
     return size[0]
 
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -598,6 +598,18 @@
     run_client(DelayedHandler(0.0), async_use)
 
 
+# Guards against an error in place of a state, which would end a stop at once.
+def test_state_without_a_descriptor_is_known() -> None:
+    """The socket of a transport that is closed has none."""
+    client = Client(GET)
+    assert client.connection.awaits_response
+    client.handler.requests[0].reply(200)
+    assert not client.connection.awaits_response
+    client.connection.disconnect()
+    assert client.transport.is_closed
+    client.disconnect()
+
+
 class PromptHandler(Handler):
     """Responds to each request while it is passed on."""
 
