Ask the kernel before a response closes the connection of a stop

Clients that pipeline got no answer to a request that had arrived before the response to the one ahead of it, while the daemon stopped. It had not run; the daemon read it behind the response, and dropped it.

Cause: whether a response is the last one was decided by what the event loop had read, not by what the kernel had received. The time between both is long on a busy machine.

A response now leaves the connection open if bytes wait in the kernel. The request that they hold gets its answer, which closes the connection, and what is left at the end of the stop is refused. The new test got one answer for two requests before.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -637,6 +637,10 @@
             and not self._pending
             and not self._kept
             and self._incomplete is None
+            and (
+                self._is_input_over
+                or not tcp.count_unread_bytes(self._transport)
+            )
         )
         line = _STATUS_LINES.get(status) or (
             f'HTTP/1.1 {status} Status\r\n'.encode()
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -637,6 +637,35 @@
     client.disconnect()
 
 
+# Guards against requests that are read and dropped behind a response that
+# closes the connection of a stopping server, since they arrived before it.
+def test_request_that_arrives_before_the_last_response_is_answered() -> None:
+    """The kernel has received it when the response is sent."""
+    handler = DelayedHandler(0.0)
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        server.is_closing = True
+        descriptor = writer.get_extra_info('socket').fileno()
+
+        def respond(request) -> None:
+            os.write(descriptor, GET)
+            handler.handle = PromptHandler().handle
+            request.reply(200)
+
+        handler.handle = respond
+        writer.write(GET)
+        received = await reader.read()
+        answers = received.split(b'HTTP/1.1 ')[1:]
+        assert [answer[:3] for answer in answers] == [b'200', b'503']
+        assert [b'Connection: close' in answer for answer in answers] == [
+            False,
+            True,
+        ]
+
+    run_client(handler, async_use)
+
+
 # Guards against requests that are lost because they arrive between the last
 # poll of the event loop and the close of their idle connection.
 def test_request_that_arrives_during_the_close_delay_is_answered() -> None:
