Keep a link between daemons whose peer has sent what is not read yet

Calls got 502 after their daemon had been held up for over 1.6 s, though their replies had arrived: it closed its links as silent before it read.

Cause: the ticks run before the event loop polls, and a link counted as silent by what the process had read. The kernel is now asked for unread bytes first.

The new test, which holds up the process, found the link closed before.

--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -53,7 +53,15 @@
 
     @property
     def silent_s(self) -> float:
-        """Return the time since data was last received, in seconds."""
+        """Return the time since data was last received, in seconds.
+
+        Data that the process has not read yet is received now: it was held up
+        itself, not the peer.
+        """
+        if self._transport is not None and tcp.count_unread_bytes(
+            self._transport
+        ):
+            return 0.0
         return self._loop.time() - self._received_at
 
     def send(self, message: frames.AnyFrame) -> None:
--- a/tests/sidecar/test_peer_link.py
+++ b/tests/sidecar/test_peer_link.py
@@ -188,3 +188,34 @@
         assert not link.has_calls
 
     asyncio.run(async_test())
+
+
+# Guards against calls without a reply after a daemon was held up: the replies
+# have arrived, and the process has not read them.
+def test_link_with_unread_messages_is_not_silent(
+    tmp_path, monkeypatch
+) -> None:
+    """It is kept until nothing more is left to read."""
+
+    async def async_test() -> None:
+        loop = asyncio.get_running_loop()
+        open_connection = loop.create_connection
+        fixture = LinkFixture(tmp_path, monkeypatch)
+        listener = socket.create_server(('127.0.0.1', 0))
+        listener.setblocking(False)
+
+        async def async_connect(factory, host, port):
+            return await open_connection(factory, *listener.getsockname())
+
+        monkeypatch.setattr(loop, 'create_connection', async_connect)
+        await fixture.async_tick(0.05)
+        assert fixture.link.is_open
+        hello = frames.encode(frames.Hello(daemon_id='d2', started_at=1))
+        with listener, listener.accept()[0] as peer:
+            peer.send(hello)
+            time.sleep(peer_link.SILENCE_TIMEOUT_S + 0.1)
+            await fixture.async_tick(0.05)
+            assert fixture.link.is_open
+        fixture.link.close('test')
+
+    asyncio.run(async_test())
