--- a/lab/platform_store.py
+++ b/lab/platform_store.py
@@ -19,6 +19,8 @@
         is_busy: Whether calls are refused with 503.
         delay_s: Extra delay of each response, in seconds.
         lost_share: Fraction of appends that are stored without a response.
+        late_s: Time after which appends are stored, without a response, in
+            seconds; 0 for none.
         calls: Number of calls received.
     """
 
@@ -28,6 +30,7 @@
         self.is_busy = False
         self.delay_s = 0.0
         self.lost_share = 0.0
+        self.late_s = 0.0
         self.calls = 0
         self._random = random.Random(1)
         self._records: dict[str, list[bytes]] = {}
@@ -67,6 +70,10 @@
         self._changed = asyncio.Event()
         return len(records) - 1
 
+    def _append_record(self, topic: str, body: bytes) -> int:
+        """Append the record in the body of a call; return its offset."""
+        return self._append(topic, body[_RECORD_LENGTH.size :])
+
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -83,6 +90,16 @@
                 self.calls += 1
                 while self.is_down:
                     await asyncio.sleep(0.05)
+                if self.late_s and method == 'POST':
+                    # It is stored although its sender closes the connection.
+                    asyncio.get_running_loop().call_later(
+                        self.late_s,
+                        self._append_record,
+                        _parse_query(target)['topic'],
+                        body,
+                    )
+                    await reader.read()
+                    return
                 status, response = 503, b''
                 if not self.is_busy:
                     status, response = await self._async_handle_call(
@@ -115,16 +132,16 @@
     async def _async_handle_call(
         self, method: str, target: str, body: bytes
     ) -> tuple[int, bytes]:
-        parts = urllib.parse.urlsplit(target)
-        query = dict(urllib.parse.parse_qsl(parts.query))
+        path = urllib.parse.urlsplit(target).path
+        query = _parse_query(target)
         topic = query['topic']
-        if parts.path == '/log-append' and method == 'POST':
-            offset = self._append(topic, body[_RECORD_LENGTH.size :])
+        if path == '/log-append' and method == 'POST':
+            offset = self._append_record(topic, body)
             end = len(self._records[topic])
             return 200, json.dumps({'offset': offset, 'end': end}).encode()
-        if parts.path == '/log-newest':
+        if path == '/log-newest':
             return 200, self._encode_newest(topic)
-        if parts.path == '/log-read':
+        if path == '/log-read':
             return await self._async_read_records(topic, query)
         return 404, b''
 
@@ -180,3 +197,7 @@
             _RECORD_LENGTH.pack(len(payload)) + payload
             for payload in records[start:]
         )
+
+
+def _parse_query(target: str) -> dict[str, str]:
+    return dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query))
