Store each leave of an upstream in a record of its own

Cause: all leaves of a VM were one record. The store may apply a write seconds after its sender has given it up. Such a write of an older list replaced the list with the later leave. The next process read the older one.

Evidence: a draining report whose append was applied after 4 s, a second upstream whose leave was stored at once, SIGKILL, and reports that arrive late.

Change: the key of a record follows from the upstream that left, so each write of it has the same key and no other leave. Records of former versions are still read.

The test of the keys covers leaves in place of the list; the test of a stop checks which leave is stored in place of the key alone.

--- a/sassafraswood/platform/upstream_records.py
+++ b/sassafraswood/platform/upstream_records.py
@@ -1,15 +1,17 @@
 """Encoding of the records of upstreams that daemons write to the store.
 
-Each daemon has one record of the upstreams that have left its VM, one of the
-upstream present on it, and up to MAX_CRASH_RECORDS records of upstreams that
-crashed. Each record has a key of its own, so that a write that the store
-applies late cannot overwrite a record of another kind.
+Each daemon has one record for each of the newest upstreams that have left its
+VM, one of the upstream present on it, and up to MAX_CRASH_RECORDS records of
+upstreams that crashed. Each record has a key of its own, so that a write that
+the store applies late cannot overwrite a record of another kind or another
+leave.
 """
 
 from collections.abc import Iterable
 from typing import Annotated, Final
 
 import msgspec
+import xxhash
 
 from sassafraswood.models import crash
 from sassafraswood.models import fleet
@@ -20,6 +22,7 @@
 # Crash records that a daemon keeps; the next one replaces the oldest.
 MAX_CRASH_RECORDS: Final = 8
 _CRASH_KEY_PART: Final = '/ended/'
+_LEAVE_KEY_PART: Final = '/left/'
 
 
 class _Leave(msgspec.Struct, frozen=True):
@@ -57,9 +60,24 @@
 _upstream_decoder = msgspec.json.Decoder(_Upstream)
 
 
-def leaves_key(daemon_id: ids.DaemonId) -> str:
-    """Return the key of a daemon's record of upstreams that have left."""
-    return f'{daemon_id}/left'
+def leave_key(daemon_id: ids.DaemonId, leave: fleet.UpstreamProcess) -> str:
+    """Return the key of a daemon's record of an upstream that has left.
+
+    It follows from the upstream alone, so that each write of it, however
+    late, has the same key. Names of upstreams may be too long for a key.
+    """
+    name = f'{leave.instance_id}/{leave.born}'.encode()
+    return f'{daemon_id}{_LEAVE_KEY_PART}{xxhash.xxh64_hexdigest(name)}'
+
+
+def is_leave_key(daemon_id: ids.DaemonId, key: str) -> bool:
+    """Return whether a key is that of a daemon's record of leaves.
+
+    Former versions kept all leaves in one record.
+    """
+    return key == f'{daemon_id}/left' or key.startswith(
+        f'{daemon_id}{_LEAVE_KEY_PART}'
+    )
 
 
 def upstream_key(daemon_id: ids.DaemonId) -> str:
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -33,9 +33,10 @@
     A leave is stored before it is acknowledged, so that the next process
     ignores reports that were sent before the leave and arrive late. While the
     store is away, it is acknowledged without; then the next process is bound
-    by the health check of the upstream alone (upstream_probe). The present
-    upstream is stored once, so that the next process need not wait for its
-    next report.
+    by the health check of the upstream alone (upstream_probe). Each leave has
+    a record of its own, since the store may apply a write seconds after its
+    sender has given it up. The present upstream is stored once, so that the
+    next process need not wait for its next report.
     """
 
     def __init__(
@@ -74,7 +75,8 @@
         self._crash_number = random.randrange(
             upstream_records.MAX_CRASH_RECORDS
         )
-        self._leaves: list[fleet.UpstreamProcess] = []
+        # Keys of the stored leaves, the oldest first.
+        self._leave_keys: list[str] = []
         self._present: fleet.StoredUpstream | None = None
         self._is_loaded = asyncio.Event()
         self._written_events: dict[fleet.UpstreamProcess, asyncio.Event] = {}
@@ -141,8 +143,7 @@
         written = self._written_events.get(leave)
         if written is None:
             written = self._written_events[leave] = asyncio.Event()
-            self._leaves.append(leave)
-            self._start_task(self._async_write_leaves(leave, written))
+            self._start_task(self._async_write_leave(leave, written))
         if written.is_set():
             acknowledge()
             return
@@ -178,25 +179,41 @@
             )
         acknowledge()
 
-    async def _async_write_leaves(
+    async def _async_write_leave(
         self, leave: fleet.UpstreamProcess, written: asyncio.Event
     ) -> None:
         await self._is_loaded.wait()
-        while True:
-            record = store_module.StoredRecord(
-                key=upstream_records.leaves_key(self._daemon_id),
-                value=upstream_records.encode_leaves(
-                    self._leaves[-MAX_STORED_LEAVES:]
+        key = upstream_records.leave_key(self._daemon_id, leave)
+        await self._async_write(
+            'leave_write_failed',
+            store_module.StoredRecord(
+                key=key, value=upstream_records.encode_leaves([leave])
+            ),
+        )
+        written.set()
+        self._log.change('leave_stored', instance=leave.instance_id)
+        if key in self._leave_keys:
+            self._leave_keys.remove(key)
+        self._leave_keys.append(key)
+        while len(self._leave_keys) > MAX_STORED_LEAVES:
+            await self._async_write(
+                'leave_not_dropped',
+                store_module.StoredRecord(
+                    key=self._leave_keys.pop(0), value=b''
                 ),
             )
+
+    async def _async_write(
+        self, failure_event: str, record: store_module.StoredRecord
+    ) -> None:
+        """Write a record, again and again until that succeeds."""
+        while True:
             try:
                 await self._store.async_append(upstream_records.TOPIC, record)
             except Exception as error:
-                await self._async_pause('leave_write_failed', error)
+                await self._async_pause(failure_event, error)
                 continue
-            break
-        written.set()
-        self._log.change('leave_stored', instance=leave.instance_id)
+            return
 
     async def _async_write_present(
         self, upstream: fleet.StoredUpstream
@@ -254,8 +271,9 @@
             try:
                 if upstream_records.is_crash_key(record.key):
                     crashes.append(upstream_records.decode_crash(record.value))
-                if record.key == upstream_records.leaves_key(self._daemon_id):
-                    leaves = upstream_records.decode_leaves(record.value)
+                if upstream_records.is_leave_key(self._daemon_id, record.key):
+                    leaves += upstream_records.decode_leaves(record.value)
+                    self._leave_keys.append(record.key)
                 if record.key == upstream_records.upstream_key(
                     self._daemon_id
                 ):
@@ -266,7 +284,6 @@
                     key=record.key,
                     error=str(error),
                 )
-        self._leaves[:0] = leaves
         if self._present is None:
             self._present = present
         self._registry.record_leaves(leaves, present)
--- a/tests/platform/test_upstream_records.py
+++ b/tests/platform/test_upstream_records.py
@@ -25,9 +25,22 @@
 
 def test_keys_of_a_daemon_differ() -> None:
     """Guards against a late write of one record overwriting the other."""
-    assert upstream_records.leaves_key(
-        DAEMON
-    ) != upstream_records.upstream_key(DAEMON)
+    leaves = [
+        fleet.UpstreamProcess(instance_id=name, born=born)
+        for name, born in (('i1', 1), ('i1', 2), ('i1', None), ('i2', 1))
+    ]
+    keys = [upstream_records.leave_key(DAEMON, leave) for leave in leaves]
+    assert all(upstream_records.is_leave_key(DAEMON, key) for key in keys)
+    present = upstream_records.upstream_key(DAEMON)
+    assert not upstream_records.is_leave_key(DAEMON, present)
+    assert len({*keys, present}) == 5
+
+
+def test_keys_of_leaves_are_those_of_one_daemon() -> None:
+    """Guards against leaves on another VM, whose name begins alike."""
+    leave = fleet.UpstreamProcess(instance_id='i1', born=1)
+    key = upstream_records.leave_key(ids.DaemonId('d10'), leave)
+    assert not upstream_records.is_leave_key(DAEMON, key)
 
 
 @pytest.mark.parametrize(
--- a/tests/sidecar/test_upstream_log.py
+++ b/tests/sidecar/test_upstream_log.py
@@ -6,6 +6,7 @@
 from lab import platform_store
 from sassafraswood.models import fleet
 from sassafraswood.platform import store as store_module
+from sassafraswood.platform import upstream_records
 from sassafraswood.sidecar import upstream_log
 from sassafraswood.transport import json_log
 
@@ -128,3 +129,42 @@
         assert set(leaves) == {FIRST, SECOND}
 
     run(tmp_path, async_main)
+
+
+# Guards against records that grow with each upstream that leaves.
+def test_only_the_newest_leaves_are_kept(tmp_path) -> None:
+    """Older leaves are dropped, also those of former processes."""
+    leaves = [
+        fleet.UpstreamProcess(instance_id=f'i-{number}', born=number)
+        for number in range(2 * upstream_log.MAX_STORED_LEAVES)
+    ]
+
+    async def async_main(store, address, descriptor) -> None:
+        for is_first, part in ((True, leaves[:5]), (False, leaves[5:])):
+            process = Process(address, descriptor, is_first=is_first)
+            for leave in part:
+                await process.async_leave(leave)
+            await asyncio.sleep(0.1)
+            process.log.stop()
+        assert (
+            await async_load_leaves(address, descriptor)
+            == leaves[-upstream_log.MAX_STORED_LEAVES :]
+        )
+
+    run(tmp_path, async_main)
+
+
+# Guards against leaves that are forgotten when a daemon is replaced by a newer
+# version.
+def test_leaves_of_a_former_version_are_known(tmp_path) -> None:
+    """Leaves that are in one record are loaded, too."""
+
+    async def async_main(store, address, descriptor) -> None:
+        store.put(
+            upstream_records.TOPIC,
+            'd1/left',
+            upstream_records.encode_leaves([FIRST, SECOND]),
+        )
+        assert await async_load_leaves(address, descriptor) == [FIRST, SECOND]
+
+    run(tmp_path, async_main)
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -384,8 +384,15 @@
         await asyncio.sleep(process.CALLER_DRAIN_S + 0.6)
         fleet.store.is_down = False
         await asyncio.wait_for(stopping, timeout=3.0)
-        key = upstream_records.leaves_key(ids.DaemonId('d-billing'))
-        assert key in fleet.store.newest(upstream_records.TOPIC)
+        daemon_id = ids.DaemonId('d-billing')
+        records = fleet.store.newest(upstream_records.TOPIC)
+        (leave,) = [
+            leave
+            for key, value in records.items()
+            if upstream_records.is_leave_key(daemon_id, key)
+            for leave in upstream_records.decode_leaves(value)
+        ]
+        assert leave.instance_id == 'i-billing'
 
 
 async def async_test_restart_beside_live_upstream() -> None:
