--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -425,6 +425,21 @@
         assert set(fleet.store.newest('keyed.members')) == {'d-status'}
 
 
+async def async_test_stop_soon_after_restart(*, has_left: bool) -> None:
+    """Stop a daemon before its upstream has answered a health check."""
+    async with running() as fleet:
+        if has_left:
+            assert await fleet.async_report('billing', 'draining') == 200
+            await fleet.async_deregister('billing')
+        fleet.upstreams['billing'].is_leaving = True
+        await fleet.async_restart('billing')
+        stopping = fleet.tasks['billing']
+        fleet.daemons['billing'].stop()
+        await asyncio.wait_for(stopping, timeout=8.0)
+        is_member = 'd-billing' in fleet.store.newest('keyed.members')
+        assert is_member is not has_left
+
+
 async def async_test_restart_keeps_record() -> None:
     """Stop a daemon whose upstream runs on."""
     async with running() as fleet:
@@ -740,6 +755,14 @@
     asyncio.run(async_test_leaving_vm())
 
 
+# Guards against VMs that are no longer members, and spend no share of a limit
+# for 10 s, since their daemon is stopped soon after a restart.
+@pytest.mark.parametrize('has_left', [False, True], ids=['stays', 'left'])
+def test_stop_soon_after_a_restart_drops_records_of_left_vms(has_left) -> None:
+    """The record goes only if the upstream has said that it leaves."""
+    asyncio.run(async_test_stop_soon_after_restart(has_left=has_left))
+
+
 def test_record_stays_over_a_restart() -> None:
     """The next process has the same share of each limit."""
     asyncio.run(async_test_restart_keeps_record())
