Deregister only after the upstream has left

What callers met: nothing lost was seen. The VM is no longer a member until its next process registers; that process counts as new, so it spends no share of a limit for 10 s (MAX_MEMBERS_AGE_S).

Cause: a stop took an upstream without a report for one that has left. After a restart the daemon has no report until its upstream has answered a health check.

The test makes the health check fail and shows it each time.

Change: the registry knows whether the last upstream has left: by a leave, a stored leave, or since no former process stored any upstream.

--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -63,6 +63,9 @@
         self._left_upstreams: set[fleet.UpstreamProcess] = set()
         # The last upstream that the previous process of this daemon knew.
         self._previous_upstream: fleet.StoredUpstream | None = None
+        # Whether no upstream is expected that has not reported yet. Unknown
+        # after a restart until the records are read.
+        self._has_left = are_leaves_known
 
     @property
     def report(self) -> fleet.UpstreamReport | None:
@@ -83,6 +86,19 @@
             return enums.UpstreamStatus.CRASHED
         return self._report.status
 
+    @property
+    def has_left(self) -> bool:
+        """Return whether the last upstream has left and no other is known.
+
+        An upstream that has not reported since a restart of this daemon has
+        not left.
+        """
+        return (
+            self._has_left
+            and self._report is None
+            and self._unconfirmed is None
+        )
+
     @property
     def silent_s(self) -> float:
         """Return the time since the last report in seconds."""
@@ -105,6 +121,13 @@
             [self._add_start(leave) for leave in self._left_upstreams]
         )
         self._are_leaves_known = True
+        if former is None or (
+            fleet.UpstreamProcess(
+                instance_id=former.instance_id, born=former.born
+            )
+            in self._left_upstreams
+        ):
+            self._has_left = True
         unconfirmed, self._unconfirmed = self._unconfirmed, None
         if unconfirmed is not None:
             self.apply(unconfirmed)
@@ -193,6 +216,7 @@
             fleet.UpstreamProcess(instance_id=instance_id, born=born)
         )
         self._left_upstreams.add(leave)
+        self._has_left = True
         if (
             self._report is not None
             and get_upstream_process(self._report) == leave
@@ -217,6 +241,7 @@
         ):
             self._left_upstreams.add(get_upstream_process(self._report))
             self._report = None
+            self._has_left = True
 
     def _accept(self, report: fleet.UpstreamReport) -> None:
         """Make a report the current one."""
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -565,7 +565,11 @@
 
         The share of each limit passes to the other daemons; calls that arrive
         before the end of the process use borrowed tokens.
+
+        After a restart the upstream may run and not have reported yet.
         """
+        if not self._registry.has_left:
+            return
         self._shares.set_spending_start(math.inf)
         try:
             async with asyncio.timeout(DEREGISTRATION_TIMEOUT_S):
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -255,3 +255,33 @@
     registry.waive_health_check()
     registry.apply(make_report(sequence=6))
     assert registry.status is enums.UpstreamStatus.READY
+
+
+# Guards against VMs that are no longer members although their upstream runs.
+def test_upstream_that_has_not_reported_yet_has_not_left() -> None:
+    """After a restart it has left only if the former process stored that."""
+    former = fleet.StoredUpstream(instance_id='i1', born=100, slots=20)
+    leave = fleet.UpstreamProcess(instance_id='i1', born=100)
+    registry = make_registry(are_leaves_known=False)
+    assert not registry.has_left
+    registry.record_leaves([], former)
+    assert not registry.has_left
+    registry.apply(make_report())
+    assert not registry.has_left
+    registry.leave('i1', 100)
+    assert registry.has_left
+    registry = make_registry(are_leaves_known=False)
+    registry.record_leaves([leave], former)
+    assert registry.has_left
+
+
+def test_next_upstream_has_not_left() -> None:
+    """A report that still needs a health check shows another upstream."""
+    registry = make_registry(needs_health_check=True)
+    assert registry.has_left
+    registry.apply(make_report())
+    assert not registry.has_left
+    registry.leave('i1', 100)
+    assert registry.has_left
+    registry.apply(make_report(instance_id='i2', born=200))
+    assert not registry.has_left
