Take calls of the upstream late in a stop only with a larger margin

Callers saw: an upstream beside a stopping daemon made a call at 4.5 s or later after the signal; the called service was at work on it when the daemon ended the call with 502 at 5.2 s.

Cause: a call was taken if 1.25 times the longest recent call of its route would still fit. A service that becomes slow within that time exceeds it. A request that arrived in the first 3 s may be cut off at the end; a later one, which only the upstream can send, has to be refused or finished.

Change: for requests that arrive later than 3 s after the signal, the time that is left has to exceed the longest recent call by 0.75 s, unless their own time limit ends before.

--- a/sassafraswood/coordination/stop_plan.py
+++ b/sassafraswood/coordination/stop_plan.py
@@ -14,6 +14,12 @@
 # Time for the response of a call to pass between daemons, and for the ticks
 # that end the process.
 END_MARGIN_S: Final = 0.1
+# Requests that arrive within this time after the stop signal may be cut off
+# at its end, together with the process.
+EARLY_S: Final = 3.0
+# A later one may take this much longer than the longest recent call of its
+# route; services become slow within fractions of a second.
+LATE_MARGIN_S: Final = 0.75
 
 
 class StopPlan:
@@ -23,7 +29,7 @@
     caller must not repeat it unless it is idempotent. A call that is refused
     has not run. So a call is taken only if it can be expected to end in the
     time that is left: by its own time limit, or by the duration of the recent
-    calls of its route.
+    calls of its route, with a larger margin for a request that arrives late.
     """
 
     def __init__(self, clock: clock_module.Clock) -> None:
@@ -34,6 +40,7 @@
         """
         self._clock = clock
         self._durations = route_maxima.RouteMaxima(clock.monotonic())
+        self._begun_at = math.inf
         self._end_at = math.inf
 
     @property
@@ -54,7 +61,8 @@
         Args:
             left_s: Time until calls are cut off, in seconds.
         """
-        self._end_at = self._clock.monotonic() + left_s
+        self._begun_at = self._clock.monotonic()
+        self._end_at = self._begun_at + left_s
 
     def note_end(self, route: str, started_at: float) -> None:
         """Count a call that has ended.
@@ -76,17 +84,30 @@
         now = self._clock.monotonic()
         self._durations.note_at_least(route, now - started_at, now)
 
-    def may_begin(self, route: str, time_left_s: float) -> bool:
+    def may_begin(
+        self,
+        route: str,
+        time_left_s: float,
+        started_at: float | None = None,
+    ) -> bool:
         """Return whether a call can be expected to end in time.
 
         Args:
             route: Name of the route.
             time_left_s: Time limit of the call, in seconds.
+            started_at: Monotonic time in seconds at which its request
+                arrived; None if it did within EARLY_S.
         """
         if not self.is_stopping:
             return True
         needed_s = time_left_s
         if self._durations.count(route) >= MIN_CALLS:
             longest_s = self._durations.largest(route)
-            needed_s = min(time_left_s, DURATION_MARGIN_FACTOR * longest_s)
+            usual_s = DURATION_MARGIN_FACTOR * longest_s
+            if (
+                started_at is not None
+                and started_at - self._begun_at > EARLY_S
+            ):
+                usual_s = max(usual_s, longest_s + LATE_MARGIN_S)
+            needed_s = min(time_left_s, usual_s)
         return needed_s <= self.left_s
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -455,7 +455,9 @@
     def _send(self, call: caller_call.CallerCall) -> None:
         assert self._peers is not None
         time_left_s = call.expires_at - self._clock.monotonic()
-        if not self._stop_plan.may_begin(call.route.name, time_left_s):
+        if not self._stop_plan.may_begin(
+            call.route.name, time_left_s, call.started_at
+        ):
             self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
             return
         candidates = self._peers.candidates(call.service)
--- a/tests/coordination/test_stop_plan.py
+++ b/tests/coordination/test_stop_plan.py
@@ -38,6 +38,20 @@
     assert plan.left_s < 1.3
 
 
+# Guards against late calls that are cut off since their service becomes slow.
+def test_request_that_arrives_late_needs_a_larger_margin() -> None:
+    """One that arrived before is taken as long as ever."""
+    manual_clock, plan = make_plan(0.05)
+    began_at = manual_clock.monotonic()
+    plan.begin(5.0)
+    manual_clock.advance(stop_plan.EARLY_S + 0.1)
+    assert plan.may_begin('read', 60.0, manual_clock.monotonic())
+    manual_clock.advance(1.1)
+    assert not plan.may_begin('read', 60.0, manual_clock.monotonic())
+    assert plan.may_begin('read', 60.0, began_at + stop_plan.EARLY_S)
+    assert plan.may_begin('read', 0.6, manual_clock.monotonic())
+
+
 def test_call_of_an_unknown_duration_needs_its_whole_time_limit() -> None:
     """Few calls say nothing of the next one."""
     _, plan = make_plan(0.01, calls=stop_plan.MIN_CALLS - 1)
--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -44,6 +44,13 @@
 LATE_REQUESTS = 6
 # Time that a client takes from its connection to its request.
 SEND_DELAY_S = 0.05
+# Time after SIGTERM from which the upstream makes calls, their number and
+# interval, and the run time of their service, from a time on.
+INNER_CALLS_FROM_S = 4.1
+INNER_CALLS = 16
+INNER_INTERVAL_S = 0.05
+SLOW_FROM_S = 4.5
+SLOW_RUN_S = 0.8
 # Clients whose request is rejected before they have sent all of it.
 REJECTED = 40
 REJECTED_BYTES = 4 << 20
@@ -374,6 +381,57 @@
         assert process.returncode == 0
 
 
+async def async_call_as_upstream(site: process_site.Site) -> int:
+    """Call a service from the address of a VM; return the status."""
+    host = site.first.host
+    connection = await asyncio.open_connection(
+        host, machine_module.CALLER, local_addr=(host, 0)
+    )
+    client = process_site.RawClient(*connection)
+    client.send(process_site.build_request('far', close=True))
+    response = await client.async_receive()
+    client.close()
+    return get_status(response)
+
+
+# Guards against calls of the local upstream that begin at the end of a stop
+# and are broken off while they run, since their service has become slow.
+async def test_calls_of_the_upstream_are_not_broken_off_by_a_stop(
+    tmp_path,
+) -> None:
+    """Those that may not end in time are refused instead."""
+    rules = process_site.build_rules(SERVICES, 6.0)
+    async with process_site.async_site(
+        tmp_path, SERVICES, rules=rules, has_daemons=False
+    ) as site:
+        process = site.launch('near')
+        await site.async_wait_ready('near', process)
+        await site.async_wait_ready('far', site.launch('far'))
+        for service in SERVICES:
+            await site.async_wait_served(service)
+        # Shows how long such calls take.
+        for _ in range(2 * INNER_CALLS):
+            assert await async_call_as_upstream(site) == 200
+        site.upstream('near').delay_s = 5.0
+        running = await site.async_connect()
+        running.send(process_site.build_request('near', deadline='6000'))
+        await site.async_wait_until(
+            lambda: bool(site.upstream('near').streams), 2.0
+        )
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(INNER_CALLS_FROM_S)
+        calls = []
+        for index in range(INNER_CALLS):
+            if INNER_CALLS_FROM_S + index * INNER_INTERVAL_S >= SLOW_FROM_S:
+                site.upstream('far').delay_s = SLOW_RUN_S
+            calls.append(asyncio.create_task(async_call_as_upstream(site)))
+            await asyncio.sleep(INNER_INTERVAL_S)
+        statuses = await asyncio.gather(*calls)
+        assert statuses[0] == 200
+        assert set(statuses) == {200, 503}
+        assert await site.async_end(process, None) == 0
+
+
 # Guards against requests without an answer behind a value that fails inside.
 @pytest.mark.parametrize(
     ('port', 'data'),
