Send 100 Continue behind the responses to earlier requests

Callers saw: a client that sends a request with Expect: 100-continue behind another one got the interim response first, where the response to the earlier request was due, and none for its own. A client of HTTP/1.0 got one, too, although it knows no interim responses.

Cause: it was written as soon as the field was read.

Change: it is sent when the head is complete and no earlier request waits for its response, and never to HTTP/1.0.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -191,6 +191,9 @@
         self._close_timer: asyncio.TimerHandle | None = None
         # Header fields that delimit the body of the incomplete request.
         self._framing: list[bytes] = []
+        # Whether the client of the incomplete request waits for an interim
+        # response before it sends the body.
+        self._expects_continue = False
         # Whether the parser reads the head that _ignore_upgrade returned; the
         # head of the client was read before.
         self._is_behind_head = False
@@ -519,6 +522,7 @@
         self._head: list[bytes] = []
         self._body = []
         self._framing = []
+        self._expects_continue = False
         self._removed_fields: set[bytes] = set()
         self._header_bytes = 0
 
@@ -557,13 +561,12 @@
                 self._framing.append(b'%b: %b\r\n' % (name, value))
             return
         elif lower == b'expect':
-            if (
+            # Clients of HTTP/1.0 know no interim responses.
+            self._expects_continue = (
                 value.lower() == b'100-continue'
-                and self._transport
-                and not self._has_eof
-                and not self._sent_ahead_bytes
-            ):
-                self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+                and self._parser is not None
+                and self._parser.get_http_version() != '1.0'
+            )
             return
         self._head.append(b'%b: %b\r\n' % (name, value))
 
@@ -571,6 +574,20 @@
         """Record that the header is complete."""
         self._unparsed_bytes = 0
         self._is_behind_head = False
+        self._continue_if_expected()
+
+    def _continue_if_expected(self) -> None:
+        """Ask for the body of a request, behind all earlier responses."""
+        if (
+            self._expects_continue
+            and self._transport is not None
+            and self._incomplete is not None
+            and self._current is None
+            and not self._pending
+            and not self._has_eof
+        ):
+            self._expects_continue = False
+            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, or reject the request.
@@ -682,6 +699,7 @@
                 self._close_after_input()
         elif self._pending or self._kept:
             self._advance()
+        self._continue_if_expected()
 
     def _advance(self) -> None:
         """Handle and parse what was received, until a request has to wait."""
--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -432,6 +432,41 @@
         assert await site.async_end(process, None) == 0
 
 
+# Guards against an interim response of one request that comes where the
+# response to an earlier one is expected.
+@pytest.mark.parametrize('service', SERVICES)
+async def test_continue_follows_the_earlier_response(
+    tmp_path, service
+) -> None:
+    """The client of the later request then sends its body, and is answered."""
+    async with process_site.async_site(tmp_path, SERVICES) as site:
+        site.upstream(service).delay_s = 0.3
+        client = await site.async_connect()
+        client.send(process_site.build_request(service))
+        head = process_site.build_request(service, method='POST', length=4)
+        client.send(head[:-2] + b'Expect: 100-continue\r\n\r\n')
+        statuses = [get_status(await client.async_receive()) for _ in '12']
+        assert statuses == [200, 100]
+        client.send(b'body')
+        response = await client.async_receive()
+        assert get_status(response) == 200
+        assert response.body.endswith(b' body')
+
+
+# Guards against interim responses to clients that know none.
+async def test_client_of_http_1_0_is_not_told_to_continue(tmp_path) -> None:
+    """Its request is answered as if it had asked for nothing."""
+    async with process_site.async_site(tmp_path, SERVICES[:1]) as site:
+        client = await site.async_connect()
+        head = process_site.build_request('near', method='POST', length=4)
+        head = head.replace(b'HTTP/1.1', b'HTTP/1.0')
+        client.send(head[:-2] + b'Expect: 100-continue\r\n\r\n')
+        await asyncio.sleep(0.2)
+        client.send(b'body')
+        response = await client.async_receive()
+        assert get_status(response) == 200
+
+
 # Guards against requests without an answer behind a value that fails inside.
 @pytest.mark.parametrize(
     ('port', 'data'),
