Let connections wait while few descriptors are left

Callers saw a close in place of an answer: with 64 descriptors, 160 of 200 requests that were sent whole at once on new connections; behind 64 silent connections all of 20; with 128, 196 of 300. None had run.

At the limit of descriptors the event loop accepts whatever waits and closes it (EMFILE in uv__server_io), without a call of this process.

The listener now pauses before: the kernel gives out the lowest free descriptor, so that of a new connection tells how many are in use. It closes its handle and keeps a duplicate of the socket, on which connections and their bytes wait, and listens again when descriptors are free. Callers leave 0.6 of the free descriptors to the upstream, peers and local servers; a look every 0.25 s covers what others use. Meanwhile idle connections are closed, the longest first, and each answer closes its connection. `connections_wait` is the log line.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -76,6 +76,9 @@
 # not read, and for bodies of calls at the upstream. Each body is held twice
 # while it is forwarded, and the process itself takes a tenth of the memory.
 BODY_MEMORY_FRACTION: Final = 0.15
+# Fraction of the free descriptors that connections of callers leave to others:
+# to the upstream, one for each running call, to peers, and to local servers.
+DESCRIPTOR_RESERVE_FRACTION: Final = 0.6
 # Settings that a running process applies from a changed file.
 RELOADABLE_SETTINGS: Final = ('bounds', 'report_interval_s')
 # Age of the member records above which a daemon spends no share of a limit,
@@ -264,6 +267,7 @@
         self._caller_server = ingress.IngressServer(
             self._callers, names, self._log
         )
+        self._caller_server.reserve_fraction = DESCRIPTOR_RESERVE_FRACTION
         self._report_server = ingress.IngressServer(
             local_servers.ReportHandler(
                 self._registry,
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -4,7 +4,9 @@
 import collections
 import dataclasses
 import enum
+import heapq
 import http
+import operator
 import socket
 import traceback
 import typing
@@ -15,6 +17,7 @@
 from sassafraswood.models import fields
 from sassafraswood.models import traffic
 from sassafraswood.state import held_bytes
+from sassafraswood.transport import acceptor
 from sassafraswood.transport import exchange
 from sassafraswood.transport import json_log
 from sassafraswood.transport import tcp
@@ -37,6 +40,11 @@
 IDLE_CLOSE_DELAY_S: Final = 0.01
 # Time in which a new client is expected to send its first request.
 FIRST_REQUEST_TIME_S: Final = 0.25
+# While new connections wait for descriptors, at most this many are closed at
+# once that are idle, and were for this time; a client that has just connected
+# or got a response may be sending its next request.
+CROWDED_CLOSES: Final = 16
+CROWDED_IDLE_S: Final = 1.0
 # Retry-After of requests that are refused because the bodies held reach their
 # limit; large bodies take about that long to be forwarded.
 RETRY_AFTER_S: Final = 1.0
@@ -353,6 +361,7 @@
         peername = transport.get_extra_info('peername')
         self.peer = peername[0] if peername else ''
         self._server.connections.add(self)
+        self._server.note_accepted(connection.fileno())
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of requests, or keep them for later."""
@@ -650,7 +659,11 @@
         if request is not self._current or self._transport is None:
             return
         is_closing = request.is_closing or (
-            (self._server.is_closing or self._is_input_over)
+            (
+                self._server.is_closing
+                or self._server.is_crowded
+                or self._is_input_over
+            )
             and not self._pending
             and not self._kept
             and self._incomplete is None
@@ -912,11 +925,20 @@
             names.expected_instance,
             names.caller_service,
         }
-        self._server: asyncio.Server | None = None
-        self._listener: socket.socket | None = None
+        # Fraction of the descriptors that clients leave to other connections.
+        self.reserve_fraction = acceptor.DEFAULT_RESERVE_FRACTION
+        self._server: acceptor.Acceptor | None = None
         # Connections that were accepted when the listener was closed.
         self._accept_tasks: set[asyncio.Task[typing.Any]] = set()
 
+    @property
+    def is_crowded(self) -> bool:
+        """Return whether new connections wait for free descriptors.
+
+        Connections close after their next response then.
+        """
+        return self._server is not None and self._server.is_paused
+
     @property
     def has_waiting_clients(self) -> bool:
         """Return whether a request is on its way, or has no response yet."""
@@ -982,13 +1004,14 @@
         Raises:
             OSError: Another socket listens on the address.
         """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        server = acceptor.Acceptor(
             lambda: IngressConnection(self),
-            sock=bound,
             backlog=LISTEN_BACKLOG,
+            reserve_fraction=self.reserve_fraction,
+            on_crowded=self._close_longest_idle,
         )
-        self._listener = bound
+        await server.async_open(bound)
+        self._server = server
 
     def set_time_limits(self, limits: traffic.ClientLimits) -> None:
         """Set how long a client may take or be idle; sizes stay as they are.
@@ -1011,6 +1034,30 @@
         for connection in list(self.connections):
             connection.close_if_slow(now, self.limits)
 
+    def note_accepted(self, descriptor: int) -> None:
+        """Note the descriptor of a new connection."""
+        if self._server is not None:
+            self._server.note_accepted(descriptor)
+
+    def _close_longest_idle(self) -> None:
+        """Make room for connections that wait for descriptors."""
+        if self._log is not None:
+            self._log.decision(
+                'connections_wait', open_connections=len(self.connections)
+            )
+        latest = asyncio.get_running_loop().time() - CROWDED_IDLE_S
+        idle = (
+            connection
+            for connection in self.connections
+            if connection.since <= latest
+            and connection.is_idle
+            and not connection.has_unsent_data
+        )
+        for connection in heapq.nsmallest(
+            CROWDED_CLOSES, idle, key=operator.attrgetter('since')
+        ):
+            connection.close_idle_soon()
+
     def close_idle(self) -> None:
         """Close the idle connections on which no request has arrived.
 
@@ -1027,13 +1074,10 @@
         sent requests, and the close of the listener would reset them.
         """
         server, self._server = self._server, None
-        listener, self._listener = self._listener, None
-        if server is None or listener is None:
+        if server is None:
             return
-        accepted = tcp.accept_waiting(listener)
-        server.close()
         loop = asyncio.get_running_loop()
-        for connection in accepted:
+        for connection in server.close():
             task = loop.create_task(
                 loop.connect_accepted_socket(
                     lambda: IngressConnection(self), connection
--- /dev/null
+++ b/tests/transport/test_acceptor.py
@@ -0,0 +1,102 @@
+"""Tests of a listener that pauses while descriptors are scarce."""
+
+import asyncio
+import socket
+
+import pytest
+import uvloop
+
+from sassafraswood.transport import acceptor
+from sassafraswood.transport import tcp
+
+CLIENTS = 12
+SETTLE_S = 0.15
+
+
+class Echo(asyncio.Protocol):
+    """Returns what it receives, and tells the acceptor its descriptor."""
+
+    def __init__(self, server: acceptor.Acceptor) -> None:
+        """Initialize a connection without a transport."""
+        self._server = server
+
+    def connection_made(self, transport) -> None:
+        """Tell the acceptor."""
+        self._transport = transport
+        descriptor = transport.get_extra_info('socket').fileno()
+        self._server.note_accepted(descriptor)
+
+    def data_received(self, data: bytes) -> None:
+        """Send it back."""
+        self._transport.write(data)
+
+
+def count_answers(clients: list[socket.socket]) -> int:
+    """Return how many clients have received something."""
+    count = 0
+    for client in clients:
+        client.setblocking(False)
+        try:
+            count += bool(client.recv(1))
+        except BlockingIOError:
+            pass
+    return count
+
+
+# Guards against connections that are accepted without a descriptor, and
+# against ones that wait on although descriptors are free again.
+def test_connections_wait_while_descriptors_are_scarce(monkeypatch) -> None:
+    """What is sent on them is read once there is room."""
+
+    async def async_play() -> None:
+        server = acceptor.Acceptor(lambda: Echo(server), backlog=CLIENTS)
+        bound = tcp.bind(('127.0.0.1', 0))
+        address = bound.getsockname()
+        clients = [socket.socket() for _ in range(CLIENTS)]
+        blockers = [socket.socket() for _ in range(CLIENTS)]
+        limit = max(item.fileno() for item in blockers) + 8
+        monkeypatch.setattr(
+            acceptor, 'count_allowed_descriptors', lambda: limit
+        )
+        await server.async_open(bound)
+        for client in clients:
+            client.connect(address)
+            client.sendall(b'x')
+        await asyncio.sleep(SETTLE_S)
+        assert server.is_paused
+        answered = count_answers(clients)
+        assert 0 < answered < CLIENTS
+        for blocker in blockers:
+            blocker.close()
+        await asyncio.sleep(SETTLE_S)
+        answered += count_answers(clients)
+        assert answered == CLIENTS
+        assert not server.is_paused
+        server.close()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+        for client in clients:
+            client.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(async_play())
+
+
+# Guards against addresses that stay taken when a paused listener closes.
+def test_paused_listener_closes() -> None:
+    """Nobody reaches its address afterwards."""
+
+    async def async_play() -> None:
+        server = acceptor.Acceptor(lambda: Echo(server), backlog=CLIENTS)
+        bound = tcp.bind(('127.0.0.1', 0))
+        address = bound.getsockname()
+        await server.async_open(bound)
+        server.note_accepted(1 << 20)
+        await asyncio.sleep(0)
+        server.close()
+        await asyncio.sleep(SETTLE_S)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(async_play())
