--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -4,12 +4,18 @@
 from collections.abc import Callable
 import socket
 import typing
+from typing import Final
 
 from sassafraswood import exceptions
 from sassafraswood.protocol import frames
 from sassafraswood.transport import tcp
 
 
+# Time without data after which the kernel is asked for unread bytes; links are
+# closed as silent later than that.
+UNREAD_CHECK_S: Final = 1.0
+
+
 class FrameConnection(asyncio.Protocol):
     """One connection on which both daemons send frames at any time."""
 
@@ -58,11 +64,14 @@
         Data that the process has not read yet is received now: it was held up
         itself, not the peer.
         """
-        if self._transport is not None and tcp.count_unread_bytes(
-            self._transport
+        silent_s = self._loop.time() - self._received_at
+        if (
+            silent_s > UNREAD_CHECK_S
+            and self._transport is not None
+            and tcp.count_unread_bytes(self._transport)
         ):
             return 0.0
-        return self._loop.time() - self._received_at
+        return silent_s
 
     def send(self, message: frames.AnyFrame) -> None:
         """Send a frame; does nothing on a closed connection."""
