Send a lost call again although this daemon stops

Callers saw: two daemons stop 2 s apart. A safe request, taken by the second and run beside the first, got 502 when the first ended, although its upstream was at work and another one of the service was free.

Cause: the daemon that took it sends it again only if 1.25 times the longest recent call of the route ends before its own stop. The lost call is itself such a long one. The answer was 502, since a call that may have run can't be refused as not run.

The new unit test fails before.

It may be cut off at the end of the stop, as its first run might.

--- a/sassafraswood/coordination/stop_plan.py
+++ b/sassafraswood/coordination/stop_plan.py
@@ -64,6 +64,14 @@
         self._begun_at = self._clock.monotonic()
         self._end_at = self._begun_at + left_s
 
+    def is_early(self, started_at: float) -> bool:
+        """Return whether a request may be cut off at the end of the stop.
+
+        Args:
+            started_at: Monotonic time in seconds at which it arrived.
+        """
+        return started_at - self._begun_at <= EARLY_S
+
     def note_end(self, route: str, started_at: float) -> None:
         """Count a call that has ended.
 
@@ -104,10 +112,7 @@
         if self._durations.count(route) >= MIN_CALLS:
             longest_s = self._durations.largest(route)
             usual_s = DURATION_MARGIN_FACTOR * longest_s
-            if (
-                started_at is not None
-                and started_at - self._begun_at > EARLY_S
-            ):
+            if started_at is not None and not self.is_early(started_at):
                 usual_s = max(usual_s, longest_s + LATE_MARGIN_S)
             needed_s = min(time_left_s, usual_s)
         return needed_s <= self.left_s
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -454,10 +454,7 @@
 
     def _send(self, call: caller_call.CallerCall) -> None:
         assert self._peers is not None
-        time_left_s = call.expires_at - self._clock.monotonic()
-        if not self._stop_plan.may_begin(
-            call.route.name, time_left_s, call.started_at
-        ):
+        if not self._can_end_in_time(call):
             self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
             return
         candidates = self._peers.candidates(call.service)
@@ -498,6 +495,23 @@
                 call, candidate, run.call_id, cancel
             )
 
+    def _can_end_in_time(self, call: caller_call.CallerCall) -> bool:
+        """Return whether a call may be sent, if this daemon stops.
+
+        One that may have run can't be refused any more; it is sent again
+        although it may be cut off, unless the time is certainly too short.
+        """
+        plan = self._stop_plan
+        if call.attempt_count and plan.is_early(call.started_at):
+            return (
+                plan.left_s >= MIN_RETRY_TIME_FRACTION * call.latency_target_s
+            )
+        return plan.may_begin(
+            call.route.name,
+            call.expires_at - self._clock.monotonic(),
+            call.started_at,
+        )
+
     def _build_run(self, call: caller_call.CallerCall) -> frames.Run:
         """Return the message that asks a daemon to run the call."""
         request = call.request
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -553,6 +553,27 @@
     assert fixture.peers.sent[0][1].time_left_s < 0.5
 
 
+# Guards against requests that fail since two daemons stop: the one that ran
+# them has ended, and the one that took them finds its time too short.
+@pytest.mark.parametrize('left_s', [0.7, 0.05])
+def test_lost_call_is_sent_again_during_a_stop(tmp_path, left_s) -> None:
+    """It cannot be refused any more, and may end in the time that is left."""
+    fixture = Fixture(tmp_path)
+    for _ in range(stop_plan.MIN_CALLS):
+        started_at = fixture.clock.monotonic()
+        fixture.clock.advance(0.6)
+        fixture.stop_plan.note_end('peek', started_at)
+    connection = fixture.send('peek', key=None)
+    fixture.stop_plan.begin(left_s + stop_plan.END_MARGIN_S)
+    fixture.reply_to_call(0)
+    if left_s < 0.1:
+        assert [item[0] for item in connection.responses] == [502]
+        return
+    assert fixture.peers.sent[1][1].time_left_s <= left_s
+    fixture.reply_to_call(1, ok)
+    assert [item[0] for item in connection.responses] == [200]
+
+
 # Guards against requests without an answer whose deadline is no number that
 # the arithmetic can hold.
 @pytest.mark.parametrize(
