Ask for no body on a connection that has ended reading

Guards the interim response against a connection whose last response has been sent while a request was incomplete.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -594,6 +594,7 @@
             and self._current is None
             and not self._pending
             and not self._has_eof
+            and not self._has_ended_reading
         ):
             self._expects_continue = False
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
