Send clients away that send on for ever while a daemon stops

A stop lasted longer than its grace time of 6 s beside 20 clients that pipeline without an end, so that it would be killed, and the requests on other connections lost with it.

Cause: a response closes the connection of a stopping daemon only if no further request is being received. A client whose segments end within a request, or that sends faster than it is answered, stayed for ever, and its refusals kept the event loop busy past the end of the stop.

A connection now stays open for 100 such responses at most.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -45,6 +45,9 @@
 # or got a response may be sending its next request.
 CROWDED_CLOSES: Final = 16
 CROWDED_IDLE_S: Final = 1.0
+# Responses that leave a connection open while a server stops, since another
+# request is being received; a client that sends on for ever is sent away then.
+MAX_CLOSE_DELAYS: Final = 100
 # Retry-After of requests that are refused because the bodies held reach their
 # limit; large bodies take about that long to be forwarded.
 RETRY_AFTER_S: Final = 1.0
@@ -229,6 +232,7 @@
         self._is_advancing = False
         # Bytes of the responses since the transport was last empty.
         self._written_bytes = 0
+        self._close_delays = 0
 
     @property
     def is_idle(self) -> bool:
@@ -667,11 +671,7 @@
             )
             and not self._pending
             and not self._kept
-            and self._incomplete is None
-            and (
-                self._is_input_over
-                or not tcp.count_unread_bytes(self._transport)
-            )
+            and not self._delays_close()
         )
         line = _STATUS_LINES.get(status) or (
             f'HTTP/1.1 {status} Status\r\n'.encode()
@@ -715,6 +715,21 @@
             self._advance()
         self._continue_if_expected()
 
+    def _delays_close(self) -> bool:
+        """Return whether another request is being received.
+
+        It gets a response before the close, unless the client has delayed
+        that often enough.
+        """
+        if self._incomplete is None and (
+            self._is_input_over
+            or self._transport is None
+            or not tcp.count_unread_bytes(self._transport)
+        ):
+            return False
+        self._close_delays += 1
+        return self._close_delays <= MAX_CLOSE_DELAYS
+
     def _advance(self) -> None:
         """Handle and parse what was received, until a request has to wait."""
         if self._is_advancing:
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -637,6 +637,24 @@
     client.disconnect()
 
 
+# Guards against a stop that outlasts its grace time, since clients send on
+# for ever and never end a segment with a request.
+def test_client_that_sends_on_is_told_that_the_server_stops() -> None:
+    """Its connection is closed after a number of responses."""
+    client = Client(b'', PromptHandler())
+    client.server.is_closing = True
+    client.connection.data_received(GET[:9])
+    for _ in range(ingress.MAX_CLOSE_DELAYS + 1):
+        assert not client.transport.is_closed
+        client.connection.data_received(GET[9:] + GET[:9])
+    assert client.transport.is_closed
+    answers = client.transport.written.split(b'HTTP/1.1 ')[1:]
+    assert [b'Connection: close' in answer for answer in answers] == (
+        [False] * ingress.MAX_CLOSE_DELAYS + [True]
+    )
+    client.disconnect()
+
+
 # Guards against requests that are read and dropped behind a response that
 # closes the connection of a stopping server, since they arrived before it.
 def test_request_that_arrives_before_the_last_response_is_answered() -> None:
