Reject a request as too slow only if the kernel holds nothing of it

Clients got 408, and their connection was closed, when the daemon had been held up for as long as a request may take, though the rest of the request had arrived meanwhile. It had not run.

Cause: the limits on the time of a client were applied to what the process had read; the tick runs before the event loop polls. The kernel is now asked for unread bytes first. Both cases of the new test got 408 before.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -275,6 +275,14 @@
             and self._transport.get_write_buffer_size() > 0
         )
 
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Return whether the kernel holds bytes of the client."""
+        return (
+            self._transport is not None
+            and tcp.count_unread_bytes(self._transport) > 0
+        )
+
     def abort(self) -> None:
         """Close the connection without sending buffered data."""
         if self._transport is not None:
@@ -301,12 +309,14 @@
             if self._measure_stall_s(now) > limits.idle_timeout_s:
                 self.abort()
         elif self._incomplete is not None:
-            if (
+            is_slow = (
                 self._measure_stall_s(now) > limits.idle_timeout_s
                 if self._body_bytes
                 else now - self.since
                 > limits.header_timeout_s + limits.idle_timeout_s
-            ):
+            )
+            # What the process has not read yet is not the client's delay.
+            if is_slow and not self._has_unread_bytes:
                 self._reject(408)
         elif self.is_idle and now - self.since > limits.idle_timeout_s:
             self.close_idle_soon()
@@ -722,9 +732,7 @@
         that often enough.
         """
         if self._incomplete is None and (
-            self._is_input_over
-            or self._transport is None
-            or not tcp.count_unread_bytes(self._transport)
+            self._is_input_over or not self._has_unread_bytes
         ):
             return False
         self._close_delays += 1
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -610,6 +610,28 @@
     client.disconnect()
 
 
+# Guards against a request that is rejected as too slow after the process was
+# held up, though the rest of it has arrived.
+@pytest.mark.parametrize('request_bytes', [GET, POST])
+def test_request_whose_rest_has_arrived_is_not_too_slow(request_bytes) -> None:
+    """The kernel has received it, and it was not read."""
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        writer.write(request_bytes[:-2])
+        while not any(
+            item.state == 'receiving' for item in server.connections
+        ):
+            await asyncio.sleep(0.01)
+        now = asyncio.get_running_loop().time()
+        server.close_slow_connections(now)
+        os.write(writer.get_extra_info('socket').fileno(), request_bytes[-2:])
+        server.close_slow_connections(now + 30.0)
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+
+    run_client(DelayedHandler(0.0), async_use)
+
+
 class PromptHandler(Handler):
     """Responds to each request while it is passed on."""
 
