Read on until a slow client has got its last response

Clients that took over 2 s to read a large response, and sent on meanwhile, got it cut by a reset while the daemon stopped. The request had run.

Cause: the input behind the last response was read for 2 s only, whether or not the response was sent; a close with unread bytes is a reset, which drops what was not delivered. It is now read until the response is handed to the kernel. A client that reads nothing is still cut off after the idle limit: bytes that are dropped no longer count as its progress.

The second test guards the limit.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -326,7 +326,9 @@
         unsent_bytes = 0
         if self._transport is not None:
             unsent_bytes = self._transport.get_write_buffer_size()
-        progress = (self._received_bytes, unsent_bytes)
+        # What is received behind the last response is dropped.
+        received_bytes = 0 if self._is_closing else self._received_bytes
+        progress = (received_bytes, unsent_bytes)
         if self._progress_since != self.since:
             self._progress_since = self._progress_at = self.since
             self._progress = progress
@@ -908,12 +910,25 @@
             return
         self._is_closing = True
         self._transport.write_eof()
-        # A response that the client still reads is sent whole; close_if_slow
-        # aborts one that it does not read.
         self._close_timer = self._loop.call_later(
-            LINGER_S, self._transport.close
+            LINGER_S, self._close_after_response
         )
 
+    def _close_after_response(self) -> None:
+        """Close, unless the client still reads its response.
+
+        It gets a whole response only if its input is read till then;
+        close_if_slow aborts a response that it does not read.
+        """
+        if self._transport is None:
+            return
+        if self.has_unsent_data:
+            self._close_timer = self._loop.call_later(
+                LINGER_S, self._close_after_response
+            )
+        else:
+            self._transport.close()
+
 
 class IngressServer:
     """Accepts client connections on one address."""
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -195,6 +195,21 @@
     client.disconnect()
 
 
+def test_last_response_is_not_held_for_a_client_that_only_sends() -> None:
+    """Guards against a time limit that dropped bytes extend."""
+    client = Client(GET)
+    client.server.is_closing = True
+    client.handler.requests[0].reply(200, b'', b'one')
+    client.transport.unread = 10
+    now = client.connection.since
+    client.server.close_slow_connections(now + 14.0)
+    client.connection.data_received(GET)
+    assert not client.transport.is_aborted
+    client.server.close_slow_connections(now + 16.0)
+    assert client.transport.is_aborted
+    client.disconnect()
+
+
 def test_limits_of_header_and_body_size() -> None:
     """A request above a limit is not handled, and its connection closes."""
     long_body = POST.replace(b'5', b'51', 1) + b'x' * 50
@@ -787,6 +802,26 @@
     run_client(handler, async_use)
 
 
+# Guards against whole responses that are cut by a reset, since their client
+# takes longer for them than the rest of its input is read.
+def test_response_is_sent_whole_to_a_slow_client_that_sends_on() -> None:
+    """Its input is read until it has got all."""
+    size = 16 << 20
+    handler = Handler()
+    handler.handle = lambda request: request.reply(200, b'', b'x' * size)
+
+    async def async_use(server, streams) -> None:
+        reader, writer = streams
+        server.is_closing = True
+        writer.write(GET)
+        await reader.readuntil(b'\r\n\r\n')
+        await asyncio.sleep(ingress.LINGER_S + 0.2)
+        writer.write(GET)
+        assert len(await reader.readexactly(size)) == size
+
+    run_client(handler, async_use)
+
+
 def test_pending_requests_keep_a_connection_open() -> None:
     """Guards against requests that are dropped, since their client is slow."""
     client = Client(GET + POST)
