Read what a stop has accepted although the process is held up

Requests on connections that a stop accepted at the close of its listener met a reset when the process was then held up for 0.25 s. They had not run.

Cause: the time in which they are read was measured by the clock alone. The process may not have polled the event loop in it, and then closed connections whose requests the kernel held. It now waits for three ticks at least, if a request waits.

The new test, which holds the process up for 0.35 s, was reset before; the log then had one connection as unread.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -53,6 +53,10 @@
 
 TICK_S: Final = 0.025
 SLOW_TICK_S: Final = 0.5
+# Ticks for which requests that have arrived are waited for at the end of a
+# stop, however long they take: a connection that was accepted is read from
+# only after two polls of the event loop.
+MIN_LAST_ROUNDS: Final = 3
 # Report intervals without a report after which an upstream counts as absent;
 # two reports may be lost.
 SILENT_REPORT_INTERVALS: Final = 3.2
@@ -508,13 +512,12 @@
         self._callers.end_all()
         self._caller_server.stop_listening()
         until = loop.time() + ingress.FIRST_REQUEST_TIME_S
-        while True:
+        rounds = 0
+        while (rounds < MIN_LAST_ROUNDS or loop.time() < until) and (
+            rounds == 0 or self._caller_server.has_waiting_clients
+        ):
+            rounds += 1
             await asyncio.sleep(TICK_S)
-            if (
-                loop.time() >= until
-                or not self._caller_server.has_waiting_clients
-            ):
-                break
         self._log.change(
             'clients_disconnected', **self._caller_server.count_states()
         )
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -7,6 +7,7 @@
 import json
 import os
 import re
+import socket
 import time
 
 import httpcore
@@ -21,6 +22,7 @@
 from sassafraswood.platform import upstream_records
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import process
+from sassafraswood.transport import ingress
 
 RULES = {
     'version': 'r1',
@@ -582,6 +584,20 @@
         assert not billing.seen
 
 
+async def async_test_daemon_held_up_at_the_end() -> None:
+    """Hold a daemon up after it has stopped listening."""
+    async with running() as fleet:
+        daemon = fleet.daemons['status']
+        loop = asyncio.get_running_loop()
+        address = daemon.settings.caller_address
+        with socket.create_connection(address) as client:
+            client.sendall(PEEK)
+            loop.call_soon(time.sleep, ingress.FIRST_REQUEST_TIME_S + 0.1)
+            await daemon._async_disconnect_callers()
+            client.settimeout(1.0)
+            assert client.recv(12) in (b'HTTP/1.1 404', b'HTTP/1.1 503')
+
+
 async def async_test_slow_readers_in_the_stop() -> None:
     """Let a client read its response until after the callers are drained."""
     async with running() as fleet:
@@ -799,6 +815,13 @@
     asyncio.run(async_test_inner_call_at_the_end_of_the_stop())
 
 
+# Guards against requests of accepted connections that a daemon does not read,
+# since it is held up for the time that it gives them.
+def test_daemon_that_is_held_up_reads_before_it_ends() -> None:
+    """They are refused."""
+    asyncio.run(async_test_daemon_held_up_at_the_end())
+
+
 # Guards against whole answers that a stop cuts while clients read them.
 def test_stop_waits_for_clients_that_read_slowly() -> None:
     """The process ends once the last byte is sent, or with the grace time."""
