Count all responses of a client that sends on while a daemon stops

A daemon ran on for over 11 s after SIGTERM, where 6 s are allowed, beside clients that send far ahead of their answers.

Cause: what was limited is the number of closes that were put off. One is put off once in a segment, which may hold thousands of requests.

All responses since the begin of the stop count now. What has been read is still answered. The new test failed before.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -47,7 +47,7 @@
 CROWDED_IDLE_S: Final = 1.0
 # Responses that leave a connection open while a server stops, since another
 # request is being received; a client that sends on for ever is sent away then.
-MAX_CLOSE_DELAYS: Final = 100
+MAX_LATE_RESPONSES: Final = 100
 # Retry-After of requests that are refused because the bodies held reach their
 # limit; large bodies take about that long to be forwarded.
 RETRY_AFTER_S: Final = 1.0
@@ -232,7 +232,8 @@
         self._is_advancing = False
         # Bytes of the responses since the transport was last empty.
         self._written_bytes = 0
-        self._close_delays = 0
+        # Responses since the server began to stop.
+        self._late_responses = 0
 
     @property
     def is_idle(self) -> bool:
@@ -675,6 +676,8 @@
         """Send the response to the current request."""
         if request is not self._current or self._transport is None:
             return
+        if self._server.is_closing:
+            self._late_responses += 1
         is_closing = request.is_closing or (
             (
                 self._server.is_closing
@@ -730,15 +733,14 @@
     def _delays_close(self) -> bool:
         """Return whether another request is being received.
 
-        It gets a response before the close, unless the client has delayed
-        that often enough.
+        It gets a response before the close, unless the client has got
+        enough of them since the server began to stop.
         """
         if self._incomplete is None and (
             self._is_input_over or not self._has_unread_bytes
         ):
             return False
-        self._close_delays += 1
-        return self._close_delays <= MAX_CLOSE_DELAYS
+        return self._late_responses <= MAX_LATE_RESPONSES
 
     def _advance(self) -> None:
         """Handle and parse what was received, until a request has to wait."""
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -681,17 +681,28 @@
     client = Client(b'', PromptHandler())
     client.server.is_closing = True
     client.connection.data_received(GET[:9])
-    for _ in range(ingress.MAX_CLOSE_DELAYS + 1):
+    for _ in range(ingress.MAX_LATE_RESPONSES + 1):
         assert not client.transport.is_closed
         client.connection.data_received(GET[9:] + GET[:9])
     assert client.transport.is_closed
     answers = client.transport.written.split(b'HTTP/1.1 ')[1:]
     assert [b'Connection: close' in answer for answer in answers] == (
-        [False] * ingress.MAX_CLOSE_DELAYS + [True]
+        [False] * ingress.MAX_LATE_RESPONSES + [True]
     )
     client.disconnect()
 
 
+def test_segment_of_many_requests_counts_as_many() -> None:
+    """Guards against clients that send much ahead, a segment at a time."""
+    client = Client(b'', PromptHandler())
+    client.server.is_closing = True
+    client.connection.data_received(GET * ingress.MAX_LATE_RESPONSES + GET[:9])
+    assert not client.transport.is_closed
+    client.connection.data_received(GET[9:] + GET[:9])
+    assert client.transport.is_closed
+    client.disconnect()
+
+
 # Guards against requests that are read and dropped behind a response that
 # closes the connection of a stopping server, since they arrived before it.
 def test_request_that_arrives_before_the_last_response_is_answered() -> None:
