--- /dev/null
+++ b/tests/sidecar/test_process_links.py
@@ -0,0 +1,76 @@
+"""Tests of what daemon processes send each other around a stop."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+
+from lab import process_site
+from lab.soak import machine as machine_module
+
+pytestmark = [pytest.mark.process, pytest.mark.anyio]
+
+SERVICES = ('near', 'far')
+# The daemon admits as many at once at its start.
+RUNS = 5
+# Answers that fit into the buffers of the kernel together.
+ANSWER_BYTES = 200_000
+DEADLINE_S = 5.0
+# Times after SIGTERM: the runs end when the daemon has done with its callers,
+# and the other daemon reads nothing around that.
+PAUSE_AT_S = 2.7
+RUN_END_S = 3.2
+PAUSE_S = 0.9
+
+
+def build_rules() -> bytes:
+    """Return rules whose routes are not idempotent."""
+    rules = json.loads(process_site.build_rules(SERVICES, DEADLINE_S))
+    for route in rules['routes'].values():
+        route['kind'] = 'unsafe'
+    return json.dumps(rules).encode()
+
+
+# Guards against answers that are lost in the buffers of the kernel when the
+# daemon beside the upstream ends, so that what has run is reported as failed.
+async def test_answers_reach_a_daemon_that_reads_late(tmp_path) -> None:
+    """Each request that ran gets its answer."""
+    async with process_site.async_site(
+        tmp_path, SERVICES, rules=build_rules(), has_daemons=False
+    ) as site:
+        for machine in site.machines.values():
+            # Without the relay, which would read in place of the daemon.
+            path = machine.settings_path
+            path.write_text(
+                path.read_text().replace(
+                    str(machine_module.PEER_RELAY), str(machine_module.PEER)
+                )
+            )
+        near, far = (site.launch(name) for name in SERVICES)
+        await site.async_wait_ready('near', near)
+        await site.async_wait_ready('far', far)
+        await site.async_wait_served('far')
+        upstream = site.upstream('far')
+        upstream.body = b'x' * ANSWER_BYTES
+        upstream.delay_s = RUN_END_S
+        clients = [await site.async_connect() for _ in range(RUNS)]
+        for client in clients:
+            client.send(
+                process_site.build_request(
+                    'far', deadline=str(int(1000 * DEADLINE_S))
+                )
+            )
+        await site.async_wait_until(lambda: len(upstream.seen) > RUNS, 2.0)
+        far.send_signal(signal.SIGTERM)
+        await asyncio.sleep(PAUSE_AT_S)
+        near.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        near.send_signal(signal.SIGCONT)
+        responses = [await client.async_receive() for client in clients]
+        statuses = [
+            0 if response is None else response.status
+            for response in responses
+        ]
+        assert statuses == [200] * RUNS
+        assert await site.async_end(far, None) == 0
