End the daemon beside the upstream after its answers have arrived

The stop waited for what the event loop held for peers, but not for what the kernel held. A ping that arrives behind the close is answered with a reset, which destroys that.

Pings and their replies alone do not prolong it.

--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -94,6 +94,8 @@
         # ended; a daemon removes its record before it ends its last calls.
         self._retiring_links: list[peer_link.PeerLink] = []
         self._accepted: set[frame_link.FrameConnection] = set()
+        # Accepted connections on which a reply may be on its way.
+        self._replied: set[frame_link.FrameConnection] = set()
         # Bytes of replies that are held for one peer before its further calls
         # are refused.
         self.max_unsent_bytes = sys.maxsize
@@ -135,6 +137,22 @@
         """Return the bytes of replies that are still held for peers."""
         return sum(connection.unsent_bytes for connection in self._accepted)
 
+    @property
+    def has_undelivered_replies(self) -> bool:
+        """Return whether a reply has not reached the machine of its peer.
+
+        What the kernel holds counts only while the peer is heard of. Other
+        messages do not count, since some are on their way at any time.
+        """
+        for connection in list(self._replied):
+            if not connection.undelivered_bytes:
+                self._replied.discard(connection)
+        return any(
+            connection.unsent_bytes
+            or connection.silent_s < peer_link.SILENCE_TIMEOUT_S
+            for connection in self._replied
+        )
+
     def candidates(
         self, service: ids.ServiceName
     ) -> list[upstream_choice.Candidate]:
@@ -406,6 +424,7 @@
     ) -> None:
         del reason
         self._accepted.discard(connection)
+        self._replied.discard(connection)
         lost = [key for key in self._running if key[0] is connection]
         for key in lost:
             call = self._running.pop(key)
@@ -620,6 +639,8 @@
 
         def deliver(reply: upstream_side.Reply) -> None:
             self._running.pop(key, None)
+            if connection.is_open:
+                self._replied.add(connection)
             connection.send(reply)
 
         call = self._upstream.submit(run, deliver)
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -532,7 +532,7 @@
             self._callers.active_count
             or self._upstream.running
             or self._caller_server.unsent_bytes
-            or self._peers.unsent_bytes
+            or self._peers.has_undelivered_replies
             or self._upstream_log.has_unstored_leaves
         )
 
--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -57,6 +57,17 @@
             return 0
         return self._transport.get_write_buffer_size()
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Return the bytes that the kernel of the peer has not received.
+
+        A message of the peer that arrives behind a close is answered with a
+        reset, which destroys them.
+        """
+        if self._transport is None:
+            return 0
+        return self.unsent_bytes + tcp.count_undelivered_bytes(self._transport)
+
     @property
     def silent_s(self) -> float:
         """Return the time since data was last received, in seconds.
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -36,10 +36,22 @@
 
     The event loop has not read them. 0 if that cannot be told.
     """
+    return _query(transport, termios.FIONREAD)
+
+
+def count_undelivered_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the bytes that the kernel holds for the remote end.
+
+    Its kernel has not acknowledged them. 0 if that cannot be told.
+    """
+    return _query(transport, termios.TIOCOUTQ)
+
+
+def _query(transport: asyncio.BaseTransport, request: int) -> int:
     connection = transport.get_extra_info('socket')
     size = array.array('i', [0])
     try:
-        fcntl.ioctl(connection.fileno(), termios.FIONREAD, size)
+        fcntl.ioctl(connection.fileno(), request, size)
     except (OSError, ValueError):
         # A closed socket has -1 as descriptor, which is a ValueError.
         return 0
