Wait for last requests within the grace time of a stop only

A stop that lasts to its end waited up to 0.25 s more for requests on their way, out of the reserve that is kept for the end of the process. It now waits for three ticks then.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -498,20 +498,24 @@
             if is_caller_drain_over and not self._has_open_work:
                 break
             await asyncio.sleep(TICK_S)
-        await self._async_disconnect_callers()
+        await self._async_disconnect_callers(end_at)
         self.close()
 
-    async def _async_disconnect_callers(self) -> None:
+    async def _async_disconnect_callers(self, end_at: float) -> None:
         """Answer all requests that have arrived, then disconnect callers.
 
         The event loop has not read all that the kernel has received. Nothing
         more arrives on new connections once the listener is closed.
+
+        Args:
+            end_at: Time of the event loop from which only MIN_LAST_ROUNDS are
+                waited for, in seconds.
         """
         loop = asyncio.get_running_loop()
         self._callers.refuse_all()
         self._callers.end_all()
         self._caller_server.stop_listening()
-        until = loop.time() + ingress.FIRST_REQUEST_TIME_S
+        until = min(loop.time() + ingress.FIRST_REQUEST_TIME_S, end_at)
         rounds = 0
         while (rounds < MIN_LAST_ROUNDS or loop.time() < until) and (
             rounds == 0 or self._caller_server.has_waiting_clients
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -593,7 +593,7 @@
         with socket.create_connection(address) as client:
             client.sendall(PEEK)
             loop.call_soon(time.sleep, ingress.FIRST_REQUEST_TIME_S + 0.1)
-            await daemon._async_disconnect_callers()
+            await daemon._async_disconnect_callers(loop.time())
             client.settimeout(1.0)
             assert client.recv(12) in (b'HTTP/1.1 404', b'HTTP/1.1 503')
 
