Leave callers most of many descriptors

A daemon that may open 4,100 descriptors let callers have 1,640 of them, and made others wait, though an upstream runs some hundred calls at once and the other connections are few. The part that callers leave to others has an upper bound now.

--- a/sassafraswood/transport/acceptor.py
+++ b/sassafraswood/transport/acceptor.py
@@ -15,8 +15,10 @@
 RESUME_INTERVAL_S: Final = 0.05
 # The listener pauses with fewer free descriptors, whoever uses the others.
 MIN_FREE_DESCRIPTORS: Final = 4
-# Fraction of the free descriptors that accepted connections leave to others.
+# Fraction of the free descriptors that accepted connections leave to others,
+# and the largest number of them; an upstream runs some hundred calls at once.
 DEFAULT_RESERVE_FRACTION: Final = 1.0 / 16.0
+MAX_RESERVED_DESCRIPTORS: Final = 1024
 
 
 def count_allowed_descriptors() -> float:
@@ -93,8 +95,9 @@
         limit = count_allowed_descriptors()
         used = self._find_free_descriptor()
         if used < limit < float('inf'):
-            self._max_descriptor = limit - self._reserve_fraction * (
-                limit - used
+            self._max_descriptor = limit - min(
+                MAX_RESERVED_DESCRIPTORS,
+                self._reserve_fraction * (limit - used),
             )
             self._schedule_check()
 
