Refuse calls of peers when a stop decides to end

With a grace time below 3.5 s the daemon decided to end before it refused the calls of peers, and took some for 0.3 s that it then cut (by reading).

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -54,8 +54,8 @@
 TICK_S: Final = 0.025
 SLOW_TICK_S: Final = 0.5
 # Ticks for which requests that have arrived are waited for at the end of a
-# stop, however long they take: a connection that was accepted is read from
-# only after two polls of the event loop.
+# stop, however long they take: the event loop reads from a connection some
+# polls after it has accepted it.
 MIN_LAST_ROUNDS: Final = 3
 # Report intervals without a report after which an upstream counts as absent;
 # two reports may be lost.
@@ -513,6 +513,7 @@
         """
         loop = asyncio.get_running_loop()
         self._callers.refuse_all()
+        self._upstream.stop()
         self._callers.end_all()
         self._caller_server.stop_listening()
         until = min(loop.time() + ingress.FIRST_REQUEST_TIME_S, end_at)
