--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -258,6 +258,19 @@
             return ClientState.UNREAD
         return ClientState.IDLE if self._received_bytes else ClientState.NEW
 
+    @property
+    def awaits_first_request(self) -> bool:
+        """Return whether the client has had no time to send a request."""
+        return (
+            self.state is ClientState.NEW
+            and self._loop.time() - self.since < FIRST_REQUEST_TIME_S
+        )
+
+    @property
+    def awaits_response(self) -> bool:
+        """Return whether a request is on its way, or has no response yet."""
+        return self.awaits_first_request or self.state in _WAITING_STATES
+
     @property
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that are still held for the client.
@@ -338,11 +351,6 @@
             self._progress = progress
         return now - self._progress_at
 
-    @property
-    def awaits_response(self) -> bool:
-        """Return whether a request is on its way, or has no response yet."""
-        return self.awaits_first_request or self.state in _WAITING_STATES
-
     def disconnect(self) -> None:
         """Close the connection, and refuse a request that is incomplete."""
         if self.state is ClientState.RECEIVING:
@@ -360,14 +368,6 @@
         if self.since == since and self.state in _SILENT_STATES:
             self.close()
 
-    @property
-    def awaits_first_request(self) -> bool:
-        """Return whether the client has had no time to send a request."""
-        return (
-            self.state is ClientState.NEW
-            and self._loop.time() - self.since < FIRST_REQUEST_TIME_S
-        )
-
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
