Let daemons listen on ports that outgoing connections of daemons use

A daemon whose address has a port in the range of outgoing connections never started if another process on the address had got that port for a connection: it waited with address_unavailable for as long as the connection lasted, which for links between daemons is hours, and for a minute more.

Cause: bind() refuses a port that an outgoing connection uses, and keeps refusing it for the 60 s of TIME_WAIT, unless both sockets have SO_REUSEADDR. The listeners had it, the connections to peers, to the upstream and to the store had not.

Change: tcp.configure sets the options of all of these connections, this one included. The kernel looks at the option when another socket is bound, so it need not be set before the connection is made.

A connection of any other process without the option still keeps the port taken; then the daemon waits without a limit, says so, and serves once it is free. The links of the product's own daemon are made by libzmq, which has no such option.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -6,7 +6,6 @@
 import dataclasses
 import enum
 import math
-import socket
 import time
 import typing
 from typing import Final
@@ -238,9 +237,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Configure the socket of the established connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        connection = transport.get_extra_info('socket')
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        tcp.enable_keepalive(connection)
+        tcp.configure(transport.get_extra_info('socket'))
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of the response."""
--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import socket
 import typing
 from typing import Final
 
@@ -102,9 +101,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Configure the socket of the established connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        connection = transport.get_extra_info('socket')
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        tcp.enable_keepalive(connection)
+        tcp.configure(transport.get_extra_info('socket'))
         self._received_at = self._loop.time()
         self._on_open(self)
 
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -22,6 +22,18 @@
 )
 
 
+def configure(connection: socket.socket) -> None:
+    """Set the options of a connection to another daemon or to a server.
+
+    The kernel chooses the local port of an outgoing connection, which may be
+    one that another process listens on later: with SO_REUSEADDR on both
+    sockets it can, also while the connection lasts.
+    """
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    enable_keepalive(connection)
+
+
 def enable_keepalive(connection: socket.socket) -> None:
     """Make the kernel close the connection when its remote end is lost.
 
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 connection to the upstream, parsed by httptools."""
 
 import asyncio
-import socket
 import typing
 
 import httptools
@@ -96,9 +95,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Configure the socket of the established connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        connection = transport.get_extra_info('socket')
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        tcp.enable_keepalive(connection)
+        tcp.configure(transport.get_extra_info('socket'))
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of the response."""
