Let a stop go on after an unexpected error in one of its steps

Callers saw connections closed without an answer, and the platform an end by itself with exit code 1, if any step of a stop raised: whatever the stop was still to wait for, to refuse or to close was dropped with the process. No input that makes a step raise is known; the errors are injected.

Cause: the steps of the drain and of the end were called one after the other with nothing around them. Only ticks and single calls had their own handling.

Change: each step is taken whatever happens to the others; the error is logged as stop_failed, with its traceback. A condition that cannot be told holds, so the stop uses its time.

Evidence: test_stop_goes_on_after_an_error injects an error into one of eleven steps.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -1,6 +1,7 @@
 """Composition root of the daemon on the platform, its start and its stop."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import math
 import random as random_module
@@ -488,19 +489,46 @@
         while loop.time() < end_at:
             since_stop_s = loop.time() - started_at
             if since_stop_s >= PEER_DRAIN_S:
-                self._upstream.stop()
+                self._end(self._upstream.stop)
             if since_stop_s >= CALLER_DRAIN_S and not is_caller_drain_over:
                 # Late requests get a refusal, which says that they have not
                 # run, in place of a refused connection.
                 is_caller_drain_over = True
-                self._callers.refuse_new()
-                self._caller_server.close_idle()
-            if is_caller_drain_over and not self._has_open_work:
+                self._end(
+                    self._callers.refuse_new, self._caller_server.close_idle
+                )
+            if is_caller_drain_over and not self._may_hold(
+                lambda: self._has_open_work
+            ):
                 break
             await asyncio.sleep(TICK_S)
         await self._async_disconnect_callers(end_at)
         self.close()
 
+    def _end(self, *steps: Callable[[], object]) -> None:
+        """Take steps of a stop; one that fails does not keep the others.
+
+        Args:
+            steps: Called one after the other.
+        """
+        for step in steps:
+            try:
+                step()
+            except Exception:
+                self._log.unexpected('stop_failed')
+
+    def _may_hold(self, condition: Callable[[], bool]) -> bool:
+        """Return whether a condition of a stop holds, or cannot be told.
+
+        Args:
+            condition: Makes the stop wait.
+        """
+        try:
+            return condition()
+        except Exception:
+            self._log.unexpected('stop_failed')
+            return True
+
     async def _async_disconnect_callers(self, end_at: float) -> None:
         """Answer all requests that have arrived, then disconnect callers.
 
@@ -512,23 +540,28 @@
                 waited for, in seconds.
         """
         loop = asyncio.get_running_loop()
-        self._callers.refuse_all()
-        self._upstream.stop()
-        self._callers.end_all()
-        self._caller_server.stop_listening()
+        self._end(
+            self._callers.refuse_all,
+            self._upstream.stop,
+            self._callers.end_all,
+            self._caller_server.stop_listening,
+        )
         until = min(loop.time() + ingress.FIRST_REQUEST_TIME_S, end_at)
         rounds = 0
         while (rounds < MIN_LAST_ROUNDS or loop.time() < until) and (
-            rounds == 0 or self._caller_server.has_waiting_clients
+            rounds == 0
+            or self._may_hold(lambda: self._caller_server.has_waiting_clients)
         ):
             rounds += 1
             await asyncio.sleep(TICK_S)
+        self._end(self._log_states, self._caller_server.disconnect)
+        # What is written last is sent by the event loop.
+        await asyncio.sleep(TICK_S)
+
+    def _log_states(self) -> None:
         self._log.change(
             'clients_disconnected', **self._caller_server.count_states()
         )
-        self._caller_server.disconnect()
-        # What is written last is sent by the event loop.
-        await asyncio.sleep(TICK_S)
 
     @property
     def _has_open_work(self) -> bool:
@@ -582,8 +615,8 @@
         """
         if not self._registry.has_left:
             return
-        self._shares.set_spending_start(math.inf)
         try:
+            self._shares.set_spending_start(math.inf)
             async with asyncio.timeout(DEREGISTRATION_TIMEOUT_S):
                 await self._membership.async_deregister()
         except Exception as error:
@@ -593,13 +626,14 @@
 
     def close(self) -> None:
         """Stop all followers, close the connections and stop listening."""
-        self._rules.stop()
-        self._membership.stop()
-        self._upstream_log.stop()
-        self._peers.close()
-        for server in self._servers:
-            server.stop_listening()
-        self._log.flush()
+        self._end(
+            self._rules.stop,
+            self._membership.stop,
+            self._upstream_log.stop,
+            self._peers.close,
+            *(server.stop_listening for server in self._servers),
+            self._log.flush,
+        )
 
     def _apply_bounds(self) -> None:
         bounds = self.settings.bounds
--- a/tests/sidecar/test_unexpected_errors.py
+++ b/tests/sidecar/test_unexpected_errors.py
@@ -4,7 +4,12 @@
 import json
 import os
 import random
+import socket
+import time
 
+import pytest
+
+from lab import ports
 from sassafraswood.models import fleet
 from sassafraswood.platform import settings as settings_module
 from sassafraswood.platform import store as store_module
@@ -23,7 +28,7 @@
         """Initialize the count."""
         self.count = 0
 
-    def __call__(self) -> None:
+    def __call__(self, *arguments) -> None:
         """Fail."""
         self.count += 1
         raise RuntimeError(f'tick {self.count}')
@@ -139,3 +144,53 @@
     with (tmp_path / 'log').open('wb') as log:
         asyncio.run(asyncio.wait_for(async_main(log.fileno()), 10.0))
     assert len(store.keys) == 1
+
+
+# Guards against a stop that an error ends in the middle, so that it breaks off
+# the requests that it should wait for.
+@pytest.mark.parametrize(
+    ('part', 'step'),
+    [
+        ('_shares', 'set_spending_start'),
+        ('_upstream', 'stop'),
+        ('_callers', 'refuse_new'),
+        ('_callers', 'refuse_all'),
+        ('_callers', 'end_all'),
+        ('_caller_server', 'close_idle'),
+        ('_caller_server', 'stop_listening'),
+        ('_caller_server', 'count_states'),
+        ('_caller_server', 'disconnect'),
+        ('_rules', 'stop'),
+        ('_peers', 'close'),
+    ],
+)
+def test_stop_goes_on_after_an_error(monkeypatch, part, step) -> None:
+    """It takes as long as planned, ends the rest and logs the error."""
+    monkeypatch.setattr(process, 'CALLER_DRAIN_S', 0.3)
+    monkeypatch.setattr(process, 'PEER_DRAIN_S', 0.2)
+    (host,) = ports.reserve_hosts(1)
+    settings = settings_module.parse(
+        'bootstrap = true\n' + test_reload.TEXT.replace('127.0.0.1', host)
+    )
+    reader, writer = os.pipe()
+
+    async def async_main() -> float:
+        daemon = process.Daemon(settings, log_descriptor=writer)
+        task = asyncio.create_task(daemon.async_run())
+        await asyncio.sleep(0.1)
+        failing = FailingTick()
+        monkeypatch.setattr(getattr(daemon, part), step, failing)
+        stopped_at = time.monotonic()
+        daemon.stop()
+        await task
+        assert failing.count
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(settings.ready_address)
+        return time.monotonic() - stopped_at
+
+    assert asyncio.run(asyncio.wait_for(async_main(), 10.0)) > 0.3
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        text = lines.read()
+    assert 'tick 1' in text
+    assert json.loads(text.splitlines()[-1])['event'] == 'stopped'
