Let nothing wait for good after an unexpected error of the event loop

If the event loop raised anything but an OSError while it connected to the upstream or the store, the request that had asked for the connection was never ended: its caller waited until its deadline. If it did while a listener that had paused for want of descriptors was to listen again, all later connections waited for as long as the process lived. No input that does so is known; the errors are injected.

Cause: both tasks expected an OSError only, and nobody else goes on for them.

Change: the exchange ends as not sent, and the error is reported as unhandled_error; the listener tries again at its next check.

--- a/sassafraswood/transport/acceptor.py
+++ b/sassafraswood/transport/acceptor.py
@@ -197,10 +197,13 @@
             return
         try:
             server = await self._async_listen(bound)
-        except OSError:
+        except Exception as error:
+            # Connections would wait for good without another try.
             bound.close()
             self._schedule_check()
-            return
+            if isinstance(error, OSError):
+                return
+            raise
         if self._is_closed:
             server.close()
             return
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -712,6 +712,12 @@
         except OSError:
             # TimeoutError is an OSError.
             return FailureKind.CONNECT
+        except Exception as error:
+            # Nobody else would end the exchange.
+            loop.call_exception_handler(
+                {'message': 'connecting raised', 'exception': error}
+            )
+            return FailureKind.CONNECT
         if connection.is_closed:
             return FailureKind.CONNECT
         self.opened += 1
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -100,3 +100,30 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(async_play())
+
+
+# Guards against connections that wait for good after an unexpected error.
+def test_paused_listener_listens_again_after_an_error(monkeypatch) -> None:
+    """It tries again after each error."""
+    errors: list[Exception] = [RuntimeError('odd'), OSError('odd')]
+    async_listen = acceptor.Acceptor._async_listen
+
+    async def async_fail(server, bound) -> asyncio.Server:
+        if server.is_paused and errors:
+            raise errors.pop()
+        return await async_listen(server, bound)
+
+    async def async_play() -> None:
+        server = acceptor.Acceptor(lambda: Echo(server), backlog=CLIENTS)
+        await server.async_open(tcp.bind(('127.0.0.1', 0)))
+        server.note_accepted(1 << 20)
+        assert server.is_paused
+        async with asyncio.timeout(5.0):
+            while server.is_paused:
+                await asyncio.sleep(0.01)
+        server.close()
+
+    monkeypatch.setattr(acceptor, 'count_allowed_descriptors', lambda: 1 << 18)
+    monkeypatch.setattr(acceptor.Acceptor, '_async_listen', async_fail)
+    asyncio.run(async_play())
+    assert not errors
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -414,3 +414,24 @@
     assert (LENGTH in first.head) == has_length
     assert isinstance(second, exchange.Response)
     assert second.body == b'ok'
+
+
+# Guards against requests that are never ended after an unexpected error.
+def test_error_of_connecting_ends_the_exchange(monkeypatch) -> None:
+    """It ends as one that was not sent, and the error is reported."""
+    reported: list[dict] = []
+
+    async def async_fail(*arguments) -> None:
+        raise RuntimeError('odd')
+
+    async def async_play() -> exchange.Outcome:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+        monkeypatch.setattr(loop, 'create_connection', async_fail)
+        done = loop.create_future()
+        pool = exchange.ExchangePool(('127.0.0.1', 1), KEPT_FIELDS)
+        pool.start(REQUEST, None, done.set_result)
+        return await asyncio.wait_for(done, 5.0)
+
+    assert asyncio.run(async_play()) is exchange.FailureKind.CONNECT
+    assert 'odd' in str(reported[0]['exception'])
