Log any value, so that reporting an error raises no other one

A daemon whose settings file was missing for a moment ended at once with exit code 1, if the path was not UTF-8, in place of waiting for the file; in the same way an error with such a text would have ended the task that reported it, such as the ticks.

Cause: a log line with a value that cannot be encoded raised, and most lines that carry foreign text are written where an error is handled.

Change: such a line is written with its values as ASCII text.

Evidence: the tests failed before with UnicodeEncodeError and TypeError.

--- a/sassafraswood/transport/json_log.py
+++ b/sassafraswood/transport/json_log.py
@@ -86,14 +86,18 @@
         self._drain()
 
     def _write(self, event: str, fields: dict[str, Any]) -> None:
-        line = _encoder.encode(
-            {
-                'at': round(time.time(), 4),
-                'daemon': self._daemon_id,
-                'event': event,
-                **fields,
-            }
-        )
+        head = {
+            'at': round(time.time(), 4),
+            'daemon': self._daemon_id,
+            'event': event,
+        }
+        try:
+            line = _encoder.encode(head | fields)
+        except (TypeError, ValueError, OverflowError):
+            # Text that is not UTF-8, such as that of an error with a path.
+            line = _encoder.encode(
+                head | {name: ascii(value) for name, value in fields.items()}
+            )
         if len(self._buffer) + len(line) > MAX_BUFFER_BYTES:
             self._lost_count += 1
             return
--- a/tests/sidecar/test_unexpected_errors.py
+++ b/tests/sidecar/test_unexpected_errors.py
@@ -194,3 +194,18 @@
         text = lines.read()
     assert 'tick 1' in text
     assert json.loads(text.splitlines()[-1])['event'] == 'stopped'
+
+
+# Guards against an error, such as one with a path, whose log line fails and
+# ends what would have gone on.
+@pytest.mark.parametrize('value', ['\udcff', object()])
+def test_any_value_can_be_logged(tmp_path, value) -> None:
+    """It is logged as ASCII text if it cannot be encoded."""
+    path = tmp_path / 'log'
+    with path.open('wb') as file:
+        log = json_log.JsonLog('d1', file.fileno())
+        log.change('settings_awaited', error=value)
+        log.flush()
+    line = json.loads(path.read_text())
+    assert line['event'] == 'settings_awaited'
+    assert line['error'] == ascii(value)
