Report crashes of compiled code on stderr

A daemon that ended by SIGSEGV, SIGABRT, SIGBUS, SIGILL or SIGFPE, in the interpreter or in a library, left no line with a reason.

Change: the start enables faulthandler, which writes the signal and the stack of each thread to stderr and leaves the exit code as it is.

Evidence: the test sends SIGSEGV to a daemon; before, its output had nothing of it.

--- a/sassafraswood/cli/sidecar.py
+++ b/sassafraswood/cli/sidecar.py
@@ -1,5 +1,7 @@
 """Command that runs the daemon on the platform."""
 
+import faulthandler
+
 import typer
 
 from sassafraswood import process_signals
@@ -15,6 +17,7 @@
     signals.install()
     try:
         standard_streams.open_missing()
+        faulthandler.enable(standard_streams.STANDARD_DESCRIPTORS[2])
         # Imported here, so that other commands do not load the servers.
         from sassafraswood.sidecar import startup
 
--- a/sassafraswood/sidecar/__main__.py
+++ b/sassafraswood/sidecar/__main__.py
@@ -3,6 +3,7 @@
 It starts faster than the command line tool, which imports every command.
 """
 
+import faulthandler
 import sys
 
 from sassafraswood import process_signals
@@ -20,6 +21,8 @@
     signals.install()
     try:
         standard_streams.open_missing()
+        # A crash of compiled code leaves its reason on stderr.
+        faulthandler.enable(standard_streams.STANDARD_DESCRIPTORS[2])
         # Imports all modules of the daemon, which takes most of the start.
         from sassafraswood.sidecar import startup
 
--- a/tests/sidecar/test_process_life.py
+++ b/tests/sidecar/test_process_life.py
@@ -310,3 +310,15 @@
     assert (line['event'], line['type']) == ('failed', error)
     assert line['error'] == 'odd'
     assert f'{module}.py' in line['traceback']
+
+
+# Guards against an end by itself that leaves no line with its reason.
+def test_crash_of_compiled_code_is_reported(daemon) -> None:
+    """The output names the signal and what ran."""
+    process = daemon.start()
+    wait_until(lambda: daemon.accepts(LISTENERS['ready']))
+    process.send_signal(signal.SIGSEGV)
+    assert daemon.wait() == -signal.SIGSEGV
+    text = daemon.log_path.read_text()
+    assert 'Fatal Python error: Segmentation fault' in text
+    assert 'process.py' in text
