Say during a stop what it waits for

A stop that is too long is killed at the end of its grace time; its log had nothing between `stopping` and the end, so that two such cases could not be explained.

Change: the line stop_waits each second of a stop, and at the end of its wait, gives the requests in progress, the calls of the own upstream among them, the calls that run at it, the bytes that clients have not read, whether replies to other daemons are undelivered, and the calls of the store that have not ended.

Evidence: the test stops a daemon with one request of 2.5 s; there was no such line before.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -162,6 +162,11 @@
         """Return the number of requests in flight."""
         return len(self._active)
 
+    @property
+    def inner_count(self) -> int:
+        """Return the number of calls of the local upstream in flight."""
+        return sum(call.is_inner for call in self._active.values())
+
     def attach(self, peers: peers_module.Peers) -> None:
         """Set the connections to peers; requests before it are refused."""
         self._peers = peers
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -72,6 +72,8 @@
 # Longest wait for the store to delete the member record; a slow store takes
 # 0.4 s, and callers are served meanwhile.
 DEREGISTRATION_TIMEOUT_S: Final = 0.5
+# Interval at which a stop logs what it waits for.
+STOP_LOG_INTERVAL_S: Final = 1.0
 # Part of the grace period that is kept in reserve, so that the process exits
 # before it is killed.
 GRACE_MARGIN_S: Final = 0.7
@@ -484,10 +486,14 @@
             open_requests=self._callers.active_count,
             running=len(self._upstream.running),
         )
+        log_at = started_at + STOP_LOG_INTERVAL_S
         if self._registry.report is None:
             await self._async_deregister()
         while loop.time() < end_at:
             since_stop_s = loop.time() - started_at
+            if loop.time() >= log_at:
+                log_at += STOP_LOG_INTERVAL_S
+                self._end(self._log_open_work)
             if since_stop_s >= PEER_DRAIN_S:
                 self._end(self._upstream.stop)
             if since_stop_s >= CALLER_DRAIN_S and not is_caller_drain_over:
@@ -502,6 +508,7 @@
             ):
                 break
             await asyncio.sleep(TICK_S)
+        self._end(self._log_open_work)
         await self._async_disconnect_callers(end_at)
         self.close()
 
@@ -574,6 +581,18 @@
             or self._upstream_log.has_unstored_leaves
         )
 
+    def _log_open_work(self) -> None:
+        """Log what the stop waits for."""
+        self._log.change(
+            'stop_waits',
+            open_requests=self._callers.active_count,
+            upstream_calls=self._callers.inner_count,
+            running=len(self._upstream.running),
+            unread_bytes=self._caller_server.unsent_bytes,
+            replies_undelivered=self._peers.has_undelivered_replies,
+            store_writes=self._upstream_log.pending_count,
+        )
+
     def reload(self) -> None:
         """Apply the changed settings file, as SIGHUP does.
 
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -82,6 +82,11 @@
         self._written_events: dict[fleet.UpstreamProcess, asyncio.Event] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def pending_count(self) -> int:
+        """Return the number of calls of the store that have not ended."""
+        return len(self._tasks)
+
     @property
     def has_unstored_leaves(self) -> bool:
         """Return whether a leave still has to be stored."""
--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -565,3 +565,30 @@
             for _ in range(REJECTED)
         ]
         assert statuses == [413] * REJECTED
+
+
+# Guards against stops that are too long and do not say what they wait for.
+async def test_stop_says_what_it_waits_for(tmp_path) -> None:
+    """A line each second, and one at the end of the wait."""
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], has_daemons=False
+    ) as site:
+        process = site.launch('near')
+        await site.async_wait_ready('near', process)
+        await site.async_wait_served('near')
+        site.upstream('near').delay_s = 2.5
+        client = await site.async_connect()
+        client.send(process_site.build_request('near'))
+        await site.async_wait_until(
+            lambda: bool(site.upstream('near').streams), 2.0
+        )
+        assert await site.async_end(process) == 0
+        assert get_status(await client.async_receive()) == 200
+    first, *others, last = (
+        (line['open_requests'], line['running'])
+        for line in site.read_log('near')
+        if line['event'] == 'stop_waits'
+    )
+    assert first == (1, 1)
+    assert last == (0, 0)
+    assert len(others) in (1, 2, 3)
