Count the idle time of a client from what it has received

What callers saw: a client that reads its response for longer than the idle limit and then uses its kept connection again finds it closed; its request has no answer. A client that sends on while it reads loses the rest of its response. A client that was idle when a configuration lowered the limit meets the close of its connection at once.

Cause: the time without progress counted from the write of the response, and what the kernel still held of it counted as received. Lower limits applied to idle times that had begun under the former one, which the client knows. As before, an end was decided by the state of this process and not by that of the client.

Change: progress includes the bytes that the kernel holds, for the idle limit and for the wait behind a last response. An idle time ends by the limit at its begin or by the present one, whichever is longer.

Evidence: the three tests failed before, with no answer, a reset and a closed connection, and pass now (one run each).

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -217,6 +217,10 @@
         self._progress = (0, 0)
         self._progress_at = self.since
         self._progress_since = self.since
+        # Whether the client may not have received all of its response yet.
+        self._is_delivering = False
+        # Idle limit when the connection began or its last response was sent.
+        self._idle_limit_s = server.limits.idle_timeout_s
         self.peer = ''
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -319,7 +323,9 @@
         """
         if self._current is not None:
             return
-        if self.has_unsent_data:
+        if self.has_unsent_data or (
+            self._is_closing and self._undelivered_bytes
+        ):
             if self._measure_stall_s(now) > limits.idle_timeout_s:
                 self.abort()
         elif self._incomplete is not None:
@@ -332,17 +338,31 @@
             # What the process has not read yet is not the client's delay.
             if is_slow and not self._has_unread_bytes:
                 self._reject(408)
-        elif self.is_idle and now - self.since > limits.idle_timeout_s:
-            self.close_idle_soon()
+        elif self.is_idle:
+            # A lower limit is not known to a client that was idle before.
+            limit_s = max(limits.idle_timeout_s, self._idle_limit_s)
+            if (
+                self._is_delivering or now - self.since > limit_s
+            ) and self._measure_stall_s(now) > limit_s:
+                self.close_idle_soon()
+
+    @property
+    def _undelivered_bytes(self) -> int:
+        """Return the bytes of responses that have not reached the client."""
+        if self._transport is None:
+            return 0
+        return (
+            self._transport.get_write_buffer_size()
+            + tcp.count_undelivered_bytes(self._transport)
+        )
 
     def _measure_stall_s(self, now: float) -> float:
         """Return the time without progress of the client, in seconds."""
-        unsent_bytes = 0
-        if self._transport is not None:
-            unsent_bytes = self._transport.get_write_buffer_size()
+        undelivered_bytes = self._undelivered_bytes
+        self._is_delivering = undelivered_bytes > 0
         # What is received behind the last response is dropped.
         received_bytes = 0 if self._is_closing else self._received_bytes
-        progress = (received_bytes, unsent_bytes)
+        progress = (received_bytes, undelivered_bytes)
         if self._progress_since != self.since:
             self._progress_since = self._progress_at = self.since
             self._progress = progress
@@ -720,6 +740,8 @@
         request.context = None
         self._server.held.release(len(request.body))
         self.since = self._loop.time()
+        self._is_delivering = True
+        self._idle_limit_s = self._server.limits.idle_timeout_s
         if is_closing:
             if request.is_closing and not self._is_input_over:
                 # The client sends nothing more.
@@ -920,11 +942,11 @@
         """Close, unless the client still reads its response.
 
         It gets a whole response only if its input is read till then;
-        close_if_slow aborts a response that it does not read.
+        close_if_slow aborts a response of which it reads nothing more.
         """
         if self._transport is None:
             return
-        if self.has_unsent_data:
+        if self._undelivered_bytes:
             self._close_timer = self._loop.call_later(
                 LINGER_S, self._close_after_response
             )
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import os
 import socket
 
@@ -21,6 +22,8 @@
 GET = b'GET /a/1 HTTP/1.1\r\nHost: x\r\n\r\n'
 POST = b'POST /a/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello'
 LONG_POST = POST.replace(b'5', b'20') + b'GET / HTTP/1.1\r\n'[:15]
+# Body of a response that the kernel holds for a client that reads slowly.
+HELD_BYTES = 1 << 20
 LIMITS = traffic.ClientLimits(
     max_header_bytes=500,
     max_body_bytes=50,
@@ -883,3 +886,92 @@
     assert client.transport.written.count(b'HTTP/1.1') == 1
     client.disconnect()
     assert client.server.held.count == 0
+
+
+async def async_read(client: socket.socket, size: int) -> bytes:
+    """Return the next bytes, fewer if the connection ends."""
+    received = b''
+    while len(received) < size:
+        part = await asyncio.get_running_loop().sock_recv(
+            client, size - len(received)
+        )
+        if not part:
+            break
+        received += part
+    return received
+
+
+def run_slow_client(async_use, *, is_closing: bool = False) -> None:
+    """Pass the server a request of a client that receives little ahead."""
+    handler = Handler()
+    handler.handle = lambda request: request.reply(200, b'', bytes(HELD_BYTES))
+
+    async def async_case(server, streams) -> None:
+        del streams
+        server.is_closing = is_closing
+        loop = asyncio.get_running_loop()
+        with socket.socket() as client:
+            client.setblocking(False)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            address = server._server.sockets[0].getsockname()
+            await loop.sock_connect(client, address)
+            client.send(GET)
+            head = await async_read(client, 30)
+            while not head.endswith(b'\r\n\r\n'):
+                head += await async_read(client, 1)
+            assert not server.unsent_bytes
+            await async_use(server, client)
+
+    run_client(handler, async_case)
+
+
+# Guards against a kept connection that is closed as idle while its client
+# reads the response, so that its next request meets the close.
+def test_client_that_reads_its_response_is_not_idle() -> None:
+    """Its idle time begins when it has received all."""
+
+    async def async_use(server, client) -> None:
+        now = asyncio.get_running_loop().time()
+        part = HELD_BYTES // 4
+        for later_s in (1.0, 12.0, 23.0, 34.0):
+            server.close_slow_connections(now + later_s)
+            assert len(await async_read(client, part)) == part
+        server.close_slow_connections(now + 35.0)
+        server.close_slow_connections(now + 49.0)
+        await asyncio.sleep(3.0 * ingress.IDLE_CLOSE_DELAY_S)
+        client.send(GET)
+        assert await async_read(client, 12) == b'HTTP/1.1 200'
+
+    run_slow_client(async_use)
+
+
+# Guards against whole responses that are cut by a reset, since their client
+# sends on while the kernel still holds a part.
+def test_response_held_by_the_kernel_is_sent_whole() -> None:
+    """The input of the client is read until it has got all."""
+
+    async def async_use(server, client) -> None:
+        await asyncio.sleep(ingress.LINGER_S + 0.2)
+        client.send(GET)
+        assert len(await async_read(client, HELD_BYTES)) == HELD_BYTES
+
+    run_slow_client(async_use, is_closing=True)
+
+
+# Guards against requests that meet the close of a connection whose client
+# was idle when the limit became lower.
+def test_lower_idle_limit_holds_after_the_next_response() -> None:
+    """Until then, the limit at the last response does."""
+    client = Client(GET)
+    client.handler.requests[0].reply(200)
+    client.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=2.0)
+    since = client.connection.since
+    client.server.close_slow_connections(since + 14.0)
+    client.wait(2 * ingress.IDLE_CLOSE_DELAY_S)
+    assert not client.transport.is_closed
+    client.connection.data_received(GET)
+    client.handler.requests[1].reply(200)
+    client.server.close_slow_connections(client.connection.since + 2.1)
+    client.wait(2 * ingress.IDLE_CLOSE_DELAY_S)
+    assert client.transport.is_closed
+    client.disconnect()
