Complete no connection that the closing listener would reset

What callers saw: at the end of a stop, a connection that was established is reset, and with it the request that was sent on it.

Cause: the queue of the listener was emptied first, and the listener closed some callbacks later; the kernel completes connections until the close.

Change: the event loop stops to listen first. Then the kernel drops requests to connect, by a filter on the listening socket, the queue is emptied, and the socket is closed. Clients repeat their request to connect after a second and reach the next process or are refused. Where the kernel has no filters, the time between the last accept and the close remains.

Ruled out: shutdown() of the listening socket resets its queue, and a backlog of 0 still admits one connection (both by the source of the kernel).

Evidence: the test connects after the last accept; before, the connection was established and reset.

--- a/sassafraswood/transport/acceptor.py
+++ b/sassafraswood/transport/acceptor.py
@@ -109,16 +109,21 @@
             listener would reset.
         """
         self._is_closed = True
-        waiting = [] if self._kept is None else tcp.accept_waiting(self._kept)
         if self._timer is not None:
             self._timer.cancel()
         if self._resuming is not None:
             self._resuming.cancel()
         if self._server is not None:
             self._server.close()
-        if self._kept is not None:
-            self._kept.close()
-            self._kept = None
+        if self._kept is None:
+            return []
+        # Without it, those completed between the last accept and the close
+        # would be reset.
+        with contextlib.suppress(OSError):
+            tcp.ignore_new_connections(self._kept)
+        waiting = tcp.accept_waiting(self._kept)
+        self._kept.close()
+        self._kept = None
         return waiting
 
     def note_accepted(self, descriptor: int) -> None:
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -2,8 +2,10 @@
 
 import array
 import asyncio
+import ctypes
 import fcntl
 import socket
+import struct
 import termios
 import typing
 
@@ -21,6 +23,18 @@
     ),
 )
 
+# Not in the socket module.
+_SO_ATTACH_FILTER: typing.Final = 26
+# Program of a socket filter that drops the packets which open a connection:
+# code, steps if true, steps if false, and operand of each instruction.
+_OPENING_FILTER: typing.Final = (
+    # Load the flags of the TCP header; test SYN; drop, or keep the packet.
+    (0x30, 0, 0, 13),
+    (0x45, 0, 1, 0x02),
+    (0x06, 0, 0, 0),
+    (0x06, 0, 0, 0xFFFFFFFF),
+)
+
 
 def configure(connection: socket.socket) -> None:
     """Set the options of a connection to another daemon or to a server.
@@ -70,6 +84,26 @@
     return size[0]
 
 
+def ignore_new_connections(listener: socket.socket) -> None:
+    """Make the kernel ignore requests to connect to a listener.
+
+    The connections that it has completed can still be accepted. Clients send
+    their request again, a second later, and are refused once the listener is
+    closed.
+
+    Raises:
+        OSError: The kernel has no filters.
+    """
+    program = ctypes.create_string_buffer(
+        b''.join(struct.pack('HBBI', *step) for step in _OPENING_FILTER)
+    )
+    listener.setsockopt(
+        socket.SOL_SOCKET,
+        _SO_ATTACH_FILTER,
+        struct.pack('HP', len(_OPENING_FILTER), ctypes.addressof(program)),
+    )
+
+
 def accept_waiting(listener: socket.socket) -> list[socket.socket]:
     """Return the connections that the kernel has accepted for a listener.
 
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -127,3 +127,36 @@
     monkeypatch.setattr(acceptor.Acceptor, '_async_listen', async_fail)
     asyncio.run(async_play())
     assert not errors
+
+
+# Guards against connections that are completed and then reset, since they come
+# between the last accept and the close of the listener.
+def test_close_completes_no_further_connection(monkeypatch) -> None:
+    """Each client is either accepted or never connected."""
+    accept_waiting = tcp.accept_waiting
+    outcomes = []
+
+    def accept_then_connect(listener: socket.socket) -> list[socket.socket]:
+        waiting = accept_waiting(listener)
+        try:
+            socket.create_connection(listener.getsockname(), 0.2).close()
+            outcomes.append('connected')
+        except TimeoutError:
+            outcomes.append('ignored')
+        return waiting
+
+    async def async_play() -> None:
+        server = acceptor.Acceptor(lambda: Echo(server), backlog=CLIENTS)
+        bound = tcp.bind(('127.0.0.1', 0))
+        address = bound.getsockname()
+        await server.async_open(bound)
+        with socket.create_connection(address) as client:
+            client.sendall(b'x')
+            monkeypatch.setattr(tcp, 'accept_waiting', accept_then_connect)
+            (connection,) = server.close()
+            with connection:
+                assert connection.recv(1) == b'x'
+        assert outcomes == ['ignored']
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(async_play())
