Answer all requests behind one whose handler fails

What callers would see: of 1001 requests in one segment, of which the first makes the handler raise an error, 545 are answered.

Cause: the error ended the input of the connection, and with it what was kept unparsed, although it had been received.

Change: the connection closes once everything that has arrived is answered, as in a stop.

Evidence: the new case of the test had 456 answers too few before.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -238,6 +238,8 @@
         self._written_bytes = 0
         # Responses since the server began to stop.
         self._late_responses = 0
+        # Whether the handler has raised an error.
+        self._has_failed = False
 
     @property
     def is_idle(self) -> bool:
@@ -702,6 +704,7 @@
             (
                 self._server.is_closing
                 or self._server.is_crowded
+                or self._has_failed
                 or self._is_input_over
             )
             and not self._pending
@@ -823,8 +826,8 @@
         """Pass a request to the handler.
 
         If the handler raises an error, the request may have run; the client
-        gets a 500, and the connection closes after the requests that were
-        received before the error.
+        gets a 500, and the connection closes after the requests that have
+        arrived behind it.
         """
         self._current = request
         try:
@@ -832,7 +835,7 @@
         except Exception:
             self._server.log_failure(request)
             if self._current is request:
-                self._end_input()
+                self._has_failed = True
                 self._abandon(request)
                 self.reply(request, 500, b'', b'')
 
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -412,6 +412,8 @@
         (GET + POST, [b'200', b'500']),
         (GET + POST + GET, [b'200', b'500', b'200']),
         (POST + GET + GET, [b'500', b'200', b'200']),
+        # More than is parsed at once.
+        (POST + GET * 1000, [b'500', *[b'200'] * 1000]),
     ],
 )
 def test_error_of_the_handler_is_answered(data, statuses, tmp_path) -> None:
