Close idle connections at the moment of the decision

What callers saw: requests on kept connections, sent before any sign of a close, met a reset, several at once, 3 s after a stop signal; none had run. The same could happen at the idle limit and at the end of the process.

Cause: the event loop closes a connection one iteration after it is told to, behind all other callbacks and reads, and has stopped reading from it. What arrives in between is dropped. With hundreds of connections that are closed together this takes milliseconds, and more on a busy machine.

Both cases of the test failed before: the client had no sign of the close.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -375,8 +375,11 @@
 
     def disconnect(self) -> None:
         """Close the connection, and refuse a request that is incomplete."""
-        if self.state is ClientState.RECEIVING:
+        state = self.state
+        if state is ClientState.RECEIVING:
             self._reject(503, b'Retry-After: %.3f\r\n' % RETRY_AFTER_S)
+        elif state in _SILENT_STATES:
+            self._close_silent()
         else:
             self.close()
 
@@ -388,7 +391,17 @@
 
     def _close_if_idle(self, since: float) -> None:
         if self.since == since and self.state in _SILENT_STATES:
-            self.close()
+            self._close_silent()
+
+    def _close_silent(self) -> None:
+        """Close at once a connection on which nothing is on its way.
+
+        The event loop closes it behind its next poll, and what arrives until
+        then would be lost although its client had no sign of the close.
+        """
+        if self._transport is not None and not self.has_unsent_data:
+            tcp.end_sending(self._transport)
+        self.close()
 
     # Callbacks of the event loop.
 
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -2,6 +2,7 @@
 
 import array
 import asyncio
+import contextlib
 import ctypes
 import fcntl
 import socket
@@ -84,6 +85,25 @@
     return size[0]
 
 
+def end_sending(transport: asyncio.BaseTransport) -> None:
+    """Tell the remote end at once that nothing more is sent to it.
+
+    Does nothing if the connection has ended.
+
+    Args:
+        transport: Open transport whose write buffer is empty.
+    """
+    connection = transport.get_extra_info('socket')
+    with contextlib.suppress(OSError, ValueError):
+        borrowed = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, 0, connection.fileno()
+        )
+        try:
+            borrowed.shutdown(socket.SHUT_WR)
+        finally:
+            borrowed.detach()
+
+
 def ignore_new_connections(listener: socket.socket) -> None:
     """Make the kernel ignore requests to connect to a listener.
 
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 import os
+import select
 import socket
 
 from hypothesis import given
@@ -977,3 +978,27 @@
     client.wait(2 * ingress.IDLE_CLOSE_DELAY_S)
     assert client.transport.is_closed
     client.disconnect()
+
+
+# Guards against requests that are lost without a sign of the close, since they
+# are sent between the decision to close an idle connection and its close.
+@pytest.mark.parametrize(
+    'close',
+    [
+        lambda connection: connection._close_if_idle(connection.since),
+        lambda connection: connection.disconnect(),
+    ],
+    ids=['idle', 'end'],
+)
+def test_idle_connection_is_closed_at_once(close) -> None:
+    """Its client sees the close before the event loop goes on."""
+
+    async def async_use(server, streams) -> None:
+        client = streams[1].get_extra_info('socket').fileno()
+        await asyncio.sleep(0.05)
+        for connection in list(server.connections):
+            close(connection)
+        readable, _, _ = select.select([client], [], [], 0.2)
+        assert readable
+
+    run_client(Handler(), async_use)
