Accept at a stop also those who wait for descriptors

What callers saw: while the limit of descriptors is reached, a stop resets up to some hundred connections that are established, with their requests.

Cause: at its end, a stop accepts the connections that wait in the kernel as far as there are descriptors, and then closed the listener with the others in its queue.

Change: the listener stays open, and admits nobody new, until its queue is empty. Descriptors get free as clients are refused; those that calls need stay free. A stop waits for that until its end.

The test failed before with requests without an answer.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -568,9 +568,9 @@
             ):
                 is_waiting = self._may_hold(lambda: server.has_waiting_clients)
             else:
-                is_waiting = now < min(
-                    begun_at + ingress.FIRST_REQUEST_TIME_S, end_at
-                ) and self._may_hold(lambda: server.expects_requests)
+                is_waiting = now < end_at and self._may_hold(
+                    lambda: server.expects_requests
+                )
         self._end(self._log_states, self._caller_server.disconnect)
         # What is written last is sent by the event loop.
         await asyncio.sleep(TICK_S)
--- a/sassafraswood/transport/acceptor.py
+++ b/sassafraswood/transport/acceptor.py
@@ -101,12 +101,18 @@
             )
             self._schedule_check()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether connections may wait although it is closed."""
+        return self._is_closed and self._kept is not None
+
     def close(self) -> list[socket.socket]:
         """Stop accepting connections; established ones stay open.
 
         Returns:
             The connections that wait to be accepted, which the close of the
-            listener would reset.
+            listener would reset. If descriptors are scarce, it stays open for
+            the others; take_waiting returns them.
         """
         self._is_closed = True
         if self._timer is not None:
@@ -121,9 +127,18 @@
         # would be reset.
         with contextlib.suppress(OSError):
             tcp.ignore_new_connections(self._kept)
-        waiting = tcp.accept_waiting(self._kept)
-        self._kept.close()
-        self._kept = None
+        return self.take_waiting()
+
+    def take_waiting(self) -> list[socket.socket]:
+        """Return connections that still wait, and end once there are none."""
+        if self._kept is None:
+            return []
+        waiting, is_empty = tcp.accept_waiting(
+            self._kept, self._max_descriptor
+        )
+        if is_empty:
+            self._kept.close()
+            self._kept = None
         return waiting
 
     def note_accepted(self, descriptor: int) -> None:
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -40,6 +40,9 @@
 IDLE_CLOSE_DELAY_S: Final = 0.01
 # Time in which a new client is expected to send its first request.
 FIRST_REQUEST_TIME_S: Final = 1.0
+# Interval at which connections that still wait are accepted when the listener
+# has closed.
+ACCEPT_INTERVAL_S: Final = 0.02
 # While new connections wait for descriptors, at most this many are closed at
 # once that are idle, and were for this time; a client that has just connected
 # or got a response may be sending its next request.
@@ -1007,6 +1010,8 @@
         # Fraction of the descriptors that clients leave to other connections.
         self.reserve_fraction = acceptor.DEFAULT_RESERVE_FRACTION
         self._server: acceptor.Acceptor | None = None
+        # Listener that is closed, and has connections for free descriptors.
+        self._ending: acceptor.Acceptor | None = None
         # Connections that were accepted when the listener was closed.
         self._accept_tasks: set[asyncio.Task[typing.Any]] = set()
 
@@ -1021,17 +1026,22 @@
     @property
     def has_waiting_clients(self) -> bool:
         """Return whether a request is on its way, or has no response yet."""
-        return bool(self._accept_tasks) or any(
+        return self._is_accepting_rest or any(
             connection.awaits_response for connection in self.connections
         )
 
+    @property
+    def _is_accepting_rest(self) -> bool:
+        """Return whether connections of the closed listener still wait."""
+        return bool(self._accept_tasks) or self._ending is not None
+
     @property
     def expects_requests(self) -> bool:
         """Return whether more than the rest of a request is waited for.
 
         A request of which a part was received can be refused.
         """
-        return bool(self._accept_tasks) or any(
+        return self._is_accepting_rest or any(
             connection.awaits_response
             and connection.state is not ClientState.RECEIVING
             for connection in self.connections
@@ -1162,13 +1172,31 @@
         """Stop accepting connections; established ones stay open.
 
         Those that wait to be accepted are established: their clients may have
-        sent requests, and the close of the listener would reset them.
+        sent requests, and the close of the listener would reset them. Those
+        for which there are no descriptors are accepted later.
         """
         server, self._server = self._server, None
         if server is None:
             return
+        self._accept(server.close())
+        if server.has_waiting:
+            self._ending = server
+            self._accept_rest()
+
+    def _accept_rest(self) -> None:
+        if self._ending is None:
+            return
+        self._accept(self._ending.take_waiting())
+        if not self._ending.has_waiting:
+            self._ending = None
+            return
+        asyncio.get_running_loop().call_later(
+            ACCEPT_INTERVAL_S, self._accept_rest
+        )
+
+    def _accept(self, accepted: list[socket.socket]) -> None:
         loop = asyncio.get_running_loop()
-        for connection in server.close():
+        for connection in accepted:
             task = loop.create_task(
                 loop.connect_accepted_socket(
                     lambda: IngressConnection(self), connection
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -124,11 +124,17 @@
     )
 
 
-def accept_waiting(listener: socket.socket) -> list[socket.socket]:
-    """Return the connections that the kernel has accepted for a listener.
+def accept_waiting(
+    listener: socket.socket, max_descriptor: float
+) -> tuple[list[socket.socket], bool]:
+    """Accept the connections that the kernel has completed for a listener.
 
     Args:
         listener: Listening socket that does not block.
+        max_descriptor: Descriptor with which no further one is accepted.
+
+    Returns:
+        The connections, and whether no other one waits.
     """
     connections: list[socket.socket] = []
     while True:
@@ -136,11 +142,15 @@
             connection, _ = listener.accept()
         except ConnectionAbortedError:
             continue
+        except BlockingIOError:
+            return connections, True
         except OSError:
-            # None is left, or no descriptor for another one.
-            return connections
+            # There is no descriptor for another one.
+            return connections, False
         connection.setblocking(False)
         connections.append(connection)
+        if connection.fileno() >= max_descriptor:
+            return connections, False
 
 
 def bind(address: tuple[str, int]) -> socket.socket:
--- a/tests/sidecar/test_process_descriptors.py
+++ b/tests/sidecar/test_process_descriptors.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import resource
+import signal
 
 import pytest
 
@@ -99,3 +100,36 @@
         assert statuses == [200] * REQUESTS_BEHIND_SILENCE
         for client in silent:
             client.close()
+
+
+async def async_call_until_refused(site: process_site.Site) -> list[int]:
+    """Call until nobody listens any more; return the statuses."""
+    statuses = []
+    while True:
+        try:
+            statuses.append(await async_call(site, 'near', close=True))
+        except ConnectionRefusedError:
+            return statuses
+
+
+# Guards against a stop that resets the connections which wait for descriptors.
+async def test_stop_answers_clients_that_wait_for_descriptors(
+    tmp_path,
+) -> None:
+    """Whoever is connected and sends a request gets an answer."""
+    rules = process_site.build_rules(SERVICES, DEADLINE_S)
+    async with process_site.async_site(
+        tmp_path, SERVICES, rules=rules, has_daemons=False
+    ) as site:
+        await async_start(site)
+        site.upstream('near').delay_s = RUN_S
+        calls = [
+            asyncio.create_task(async_call_until_refused(site))
+            for _ in range(CLIENTS)
+        ]
+        await asyncio.sleep(RUN_S)
+        assert await site.async_end(site.processes[0], signal.SIGTERM) == 0
+        statuses = collections.Counter()
+        for call in calls:
+            statuses.update(await call)
+        assert statuses.keys() == {200, 503}
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -136,14 +136,16 @@
     accept_waiting = tcp.accept_waiting
     outcomes = []
 
-    def accept_then_connect(listener: socket.socket) -> list[socket.socket]:
-        waiting = accept_waiting(listener)
+    def accept_then_connect(
+        listener: socket.socket, max_descriptor: float
+    ) -> tuple[list[socket.socket], bool]:
+        accepted = accept_waiting(listener, max_descriptor)
         try:
             socket.create_connection(listener.getsockname(), 0.2).close()
             outcomes.append('connected')
         except TimeoutError:
             outcomes.append('ignored')
-        return waiting
+        return accepted
 
     async def async_play() -> None:
         server = acceptor.Acceptor(lambda: Echo(server), backlog=CLIENTS)
