Acknowledge a repeated draining report no sooner than the first

An upstream whose draining report was repeated, or overtaken by a later one, got its acknowledgement at once, while the leave was not stored yet. A kill of the daemon in that moment could forget a leave that was acknowledged.

Cause: a report that changes nothing was taken for one without a promise.

--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -151,6 +151,10 @@
             sequence=report.sequence,
             service=report.service,
         )
+        if report.status is enums.UpstreamStatus.DRAINING:
+            # It is acknowledged no sooner than the report that came first.
+            leave = upstream_registry.get_upstream_process(report)
+            return leave if self._upstream_log.has_leave(leave) else None
         return None
 
     def _apply_leave(
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -94,6 +94,10 @@
             written.is_set() for written in self._written_events.values()
         )
 
+    def has_leave(self, leave: fleet.UpstreamProcess) -> bool:
+        """Return whether this process has been told to store a leave."""
+        return leave in self._written_events
+
     def start(self, *, is_first_start: bool) -> None:
         """Start to load the records of former processes of this daemon.
 
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -682,6 +682,21 @@
         assert refused.status == 503
 
 
+async def async_test_repeated_leave_without_store() -> None:
+    """Repeat an earlier report of a leave that is not stored yet."""
+    async with running() as fleet:
+        upstream = fleet.upstreams['billing']
+        fleet.store.is_down = True
+        upstream._sequence += 1
+        first = asyncio.create_task(fleet.async_report('billing', 'draining'))
+        await asyncio.sleep(0.1)
+        upstream._sequence -= 2
+        started_at = time.monotonic()
+        assert await fleet.async_report('billing', 'draining') == 200
+        assert time.monotonic() - started_at > 0.3
+        assert await first == 200
+
+
 async def async_test_history_gone() -> None:
     """Publish rules after the store has deleted its history."""
     async with running() as fleet:
@@ -849,6 +864,13 @@
     asyncio.run(async_test_leave_without_store())
 
 
+# Guards against a leave that is acknowledged before it is stored, since an
+# earlier report of it arrives late.
+def test_repeated_leave_is_acknowledged_no_sooner() -> None:
+    """It waits for the store as the first report does."""
+    asyncio.run(async_test_repeated_leave_without_store())
+
+
 def test_rules_are_followed_past_the_history() -> None:
     """A daemon whose offset is gone reads the newest record of each key."""
     asyncio.run(async_test_history_gone())
