Serve an upstream whose start seems older than that of a crashed one

After a crash of an upstream and a step back of its VM's clock, the next upstream at the address got no traffic until its daemon was started again, though each of its reports was acknowledged.

Cause: reports are ordered by the start of their process alone, also where the process with the later start has crashed. A health check decides now in that case, as it does after a restart of the daemon; the former upstream then counts as gone.

The test of the registry failed before (the report was ignored).

--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -181,6 +181,10 @@
         report = self._unconfirmed
         if report is None or report.instance_id != instance_id:
             return False
+        former = self._report
+        if former is not None and former.instance_id != instance_id:
+            # Its address is that of the upstream that has responded.
+            self._left_upstreams.add(get_upstream_process(former))
         self._accept(report)
         return True
 
@@ -190,6 +194,9 @@
             return False
         if get_upstream_process(report) in self._left_upstreams:
             return False
+        if self._may_follow(report):
+            self._unconfirmed = report
+            return True
         if not self._is_newer(report):
             return False
         if self._is_confirmed(report):
@@ -298,6 +305,28 @@
             self._report
         ) == get_upstream_process(report)
 
+    def _may_follow(self, report: fleet.UpstreamReport) -> bool:
+        """Return whether a report seems older because a clock was set back.
+
+        The current upstream has crashed, so the next one at its address may
+        have sent it; a health check shows whether it has.
+        """
+        return (
+            report.status is enums.UpstreamStatus.READY
+            and self.status is enums.UpstreamStatus.CRASHED
+            and self._is_earlier_start(report)
+        )
+
+    def _is_earlier_start(self, report: fleet.UpstreamReport) -> bool:
+        """Return whether a report is of a process that started earlier."""
+        current = self._report
+        return (
+            current is not None
+            and report.born is not None
+            and current.born is not None
+            and report.born < current.born
+        )
+
     def _is_newer(self, report: fleet.UpstreamReport) -> bool:
         current = self._report
         if current is None:
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -124,9 +124,11 @@
         report = reports.decode(instance_id, body)
         former = self._registry.report
         if self._registry.apply(report):
-            if former is not None and (former.instance_id, former.born) != (
-                report.instance_id,
-                report.born,
+            if (
+                former is not None
+                and self._registry.report is report
+                and (former.instance_id, former.born)
+                != (report.instance_id, report.born)
             ):
                 self._log.change(
                     'upstream_replaced',
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -285,3 +285,19 @@
     assert registry.has_left
     registry.apply(make_report(instance_id='i2', born=200))
     assert not registry.has_left
+
+
+# Guards against an upstream that is never served, since the clock of its VM
+# was set back between the crash of the former one and its start.
+def test_start_before_that_of_a_crashed_upstream_is_confirmed() -> None:
+    """A health check decides, unless the former one is alive."""
+    registry = make_registry()
+    registry.apply(make_report())
+    report = make_report(instance_id='i2', born=50, sequence=1)
+    assert not registry.apply(report)
+    registry.note_crash()
+    assert registry.apply(report)
+    assert registry.status is enums.UpstreamStatus.CRASHED
+    assert registry.confirm('i2')
+    assert registry.status is enums.UpstreamStatus.READY
+    assert not registry.apply(make_report(sequence=99))
