Read from a store that answers late

Daemons that were started beside a store whose answers took 1.5 s never served: each read was given up after 1 s and sent anew, for ever. After a loss of power of all machines, the whole site stayed away.

Cause: the only sign that a response is lost was a fixed time, in which a slow store cannot respond either. A read is now sent again while its earlier calls stay open, up to three calls 1 s apart; the first response counts.

Evidence: real processes, two services, store 1.5 s late: before, not served within 9 s of the start (test failed); now the test, which starts them, kills them and starts them again, takes 6.6 s.

--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -18,12 +18,15 @@
 # Timeout of a call in addition to the time that a read waits for records; a
 # slow store takes about 0.3 s to respond.
 CALL_TIMEOUT_S: Final = 1.0
+# Calls that a read makes at most, each CALL_TIMEOUT_S after the one before.
+READ_CALLS: Final = 3
 MAX_READ_KB: Final = 4096
 # Statuses that say that a call had no effect; any other failure, such as that
 # of a gateway, says nothing of an append.
 _NOTHING_DONE_STATUSES: Final = frozenset(
     {400, 403, 404, 409, 412, 429, 503, 507}
 )
+_NO_RESPONSE: Final = 'no response from the store in time'
 _LENGTH: Final = struct.Struct('>I')
 _RANGE: Final = struct.Struct('>QQ')
 
@@ -70,7 +73,7 @@
 
 
 class StoreClient:
-    """Client of the store's HTTP API; it sends each call at most once.
+    """Client of the store's HTTP API; it sends each append at most once.
 
     Attributes:
         calls: Number of calls made.
@@ -94,7 +97,7 @@
         query = {'topic': topic, 'part': '0'}
         first_end: int | None = None
         while True:
-            response = await self._async_call('GET', '/log-newest', query)
+            response = await self._async_call_read('/log-newest', query)
             newest = wire_json.decode(_newest_decoder, response.body)
             items += newest.items
             # The pages are not one snapshot: the next read starts at the end
@@ -135,7 +138,7 @@
             'max-kb': str(MAX_READ_KB),
             'wait-ms': str(int(wait_s * 1000)),
         }
-        response = await self._async_call('GET', '/log-read', query, wait_s)
+        response = await self._async_call_read('/log-read', query, wait_s)
         return _parse_page(response.body, start)
 
     async def async_append(self, topic: str, record: StoredRecord) -> None:
@@ -156,12 +159,45 @@
             body=_LENGTH.pack(len(payload)) + payload,
         )
 
+    async def _async_call_read(
+        self, path: str, query: dict[str, str], wait_s: float = 0.0
+    ) -> exchange.Response:
+        """Send a read, and send it again while no call has a response.
+
+        A slow store responds to an earlier call, and a store that has lost a
+        response to a later one. Later calls do not wait for records.
+        """
+        loop = asyncio.get_running_loop()
+        calls: list[asyncio.Task[exchange.Response]] = []
+        try:
+            for calls_left in range(READ_CALLS, 0, -1):
+                timeout_s = wait_s + calls_left * CALL_TIMEOUT_S
+                calls.append(
+                    loop.create_task(
+                        self._async_call('GET', path, query, timeout_s)
+                    )
+                )
+                done, _ = await asyncio.wait(
+                    calls,
+                    timeout=wait_s + CALL_TIMEOUT_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    return min(done, key=_has_failed).result()
+                if wait_s:
+                    query = query | {'wait-ms': '0'}
+                    wait_s = 0.0
+        finally:
+            for call in calls:
+                call.cancel()
+        raise exceptions.LogOutcomeUnknownError(_NO_RESPONSE)
+
     async def _async_call(
         self,
         method: str,
         path: str,
         query: dict[str, str],
-        wait_s: float = 0.0,
+        timeout_s: float = CALL_TIMEOUT_S,
         body: bytes = b'',
     ) -> exchange.Response:
         self.calls += 1
@@ -181,15 +217,13 @@
             head.encode() + b'\r\n' + body, None, finish
         )
         try:
-            async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 outcome = await outcome_future
         except TimeoutError as error:
             # No response follows on a connection that lost one, so it is
             # closed.
             running_exchange.cancel()
-            raise exceptions.LogOutcomeUnknownError(
-                'no response from the store in time'
-            ) from error
+            raise exceptions.LogOutcomeUnknownError(_NO_RESPONSE) from error
         except asyncio.CancelledError:
             running_exchange.cancel()
             raise
@@ -200,6 +234,10 @@
         raise exceptions.LogOutcomeUnknownError(outcome.value)
 
 
+def _has_failed(call: asyncio.Task[exchange.Response]) -> bool:
+    return call.exception() is not None
+
+
 def _check_status(response: exchange.Response) -> exchange.Response:
     """Return a successful response; raise the error of any other."""
     if response.status == 200:
--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -598,3 +598,21 @@
     assert first == (1, 1)
     assert last == (0, 0)
     assert len(others) in (1, 2, 3)
+
+
+# Guards against daemons that never serve beside a store that answers late.
+@pytest.mark.parametrize('delay_s', [0.5, 1.5])
+async def test_start_beside_a_slow_store(tmp_path, delay_s) -> None:
+    """They serve after a few times the delay, and again after a kill."""
+    async with process_site.async_site(
+        tmp_path, SERVICES, has_daemons=False
+    ) as site:
+        site.store.delay_s = delay_s
+        for _ in range(2):
+            processes = [site.launch(name) for name in SERVICES]
+            for service in SERVICES:
+                await site.async_wait_served(service, timeout_s=9.0)
+            for process in processes:
+                await site.async_end(process, signal.SIGKILL)
+            for machine in site.machines.values():
+                machine.write_settings()
