Apply rules and members again that failed to apply

In the same way members could be known and not in use until the next record.

Cause: a version and an offset counted as known before they were in force. A version is noted after it has been applied, members are compared with those that were applied last, and an unexpected error has the topic read again as a whole.

--- a/sassafraswood/sidecar/member_follower.py
+++ b/sassafraswood/sidecar/member_follower.py
@@ -58,6 +58,7 @@
         self._on_registered = on_registered
         self._on_update = on_update
         self._rows: dict[str, bytes] = {}
+        self._published_rows: dict[str, bytes] = {}
         # When each record was last written, as seen by this daemon, in
         # seconds of monotonic time.
         self._written_at: dict[str, float] = {}
@@ -84,13 +85,12 @@
         known = self._knowledge.members_end_offset
         if document.end <= known or document.start > known:
             return
-        before = dict(self._rows)
         if document.start < 0:
             self._replace_rows(document.rows)
         else:
             self._add_rows(document.rows[known - document.start :])
         self._knowledge.note_members(document.end, -math.inf)
-        if self._rows != before:
+        if self._rows != self._published_rows:
             self._publish_members()
         self._on_update()
 
@@ -141,7 +141,6 @@
         known = self._knowledge.members_end_offset
         if page.next_offset < known:
             return bool(page.records)
-        before = dict(self._rows)
         rows = [(record.key, record.value) for record in page.records]
         if is_whole:
             self._replace_rows(rows)
@@ -150,7 +149,7 @@
             self._add_rows(rows[len(rows) - (page.next_offset - known) :])
         waited_s = 0.0 if rows else wait_s
         self._knowledge.note_members(page.next_offset, started_at + waited_s)
-        if not self._is_registered or self._rows != before:
+        if not self._is_registered or self._rows != self._published_rows:
             self._publish_members()
         await self._async_maintain_records()
         if rows:
@@ -225,3 +224,4 @@
             end=self._knowledge.members_end_offset,
         )
         self._on_members(members)
+        self._published_rows = dict(self._rows)
--- a/sassafraswood/sidecar/rules_follower.py
+++ b/sassafraswood/sidecar/rules_follower.py
@@ -95,23 +95,28 @@
         return bool(page.records)
 
     def _apply(self, document: bytes, as_of: float) -> None:
+        """Put rules in force if they are newer than those that are.
+
+        Rules that raise an error stay unknown, so that they are read again
+        and this daemon does not vouch for older ones.
+        """
         rules = rule_documents.decode(document)
-        is_newer = rules.version > self._knowledge.rules_version
-        self._knowledge.note_rules(rules.version, as_of)
-        if not is_newer:
-            return
-        self._document = frames.RulesDocument(
-            version=rules.version, document=zlib.compress(document, 1)
-        )
-        self._log.change(
-            'rules_in_force',
-            version=rules.version,
-            routes=len(rules.routes),
-            workspaces=len(rules.workspaces),
-            from_store=as_of > 0,
-        )
-        self._on_rules(rules)
-        self._on_update()
+        if rules.version > self._knowledge.rules_version:
+            self._on_rules(rules)
+            self._document = frames.RulesDocument(
+                version=rules.version, document=zlib.compress(document, 1)
+            )
+            self._knowledge.note_rules(rules.version, as_of)
+            self._log.change(
+                'rules_in_force',
+                version=rules.version,
+                routes=len(rules.routes),
+                workspaces=len(rules.workspaces),
+                from_store=as_of > 0,
+            )
+            self._on_update()
+        else:
+            self._knowledge.note_rules(rules.version, as_of)
 
 
 def _decompress(document: bytes) -> bytes:
--- a/sassafraswood/sidecar/store_reader.py
+++ b/sassafraswood/sidecar/store_reader.py
@@ -148,7 +148,7 @@
 
     @abc.abstractmethod
     def _reset_offset(self) -> None:
-        """Discard the offset, whose records the store no longer keeps."""
+        """Discard the offset, so that the topic is read as a whole."""
 
     @property
     def _wait_s(self) -> float:
@@ -166,6 +166,8 @@
                     reading=self._name,
                     error=traceback.format_exc(),
                 )
+                # What the read returned may not be in force.
+                self._reset_offset()
                 self._failure_count += 1
                 await asyncio.sleep(self._limited_backoff_s(MAX_BACKOFF_S))
 
--- a/tests/sidecar/test_member_follower.py
+++ b/tests/sidecar/test_member_follower.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from sassafraswood import clock
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import store_duty
@@ -44,6 +46,7 @@
 
     async def async_read(self, topic: str, start: int, wait_s) -> store.Page:
         """Return the records from an offset."""
+        await asyncio.sleep(0)
         return store.Page(
             records=self.records[start:], next_offset=len(self.records)
         )
@@ -69,14 +72,15 @@
         self.duty = store_duty.StoreDuty(
             self.plan, self.reader_ids.__contains__
         )
+        self.context = store_reader.ReaderContext(
+            clock=self.clock,
+            random=random.Random(1),
+            store=self.store,
+            duty=self.duty,
+            log=json_log.JsonLog('d', self.log_file.fileno()),
+        )
         self.follower = member_follower.MemberFollower(
-            context=store_reader.ReaderContext(
-                clock=self.clock,
-                random=random.Random(1),
-                store=self.store,
-                duty=self.duty,
-                log=json_log.JsonLog('d', self.log_file.fileno()),
-            ),
+            context=self.context,
             own=make_member(index),
             knowledge=self.knowledge,
             max_age_s=5.0,
@@ -192,3 +196,18 @@
     case.store.records.append(store.StoredRecord(key='d0', value=b''))
     case.read()
     assert case.store.records[-1].value
+
+
+# Guards against members that are known but not in use after an error.
+def test_members_that_fail_to_apply_are_applied_again(tmp_path) -> None:
+    """They are with the next read, although no record has changed."""
+    case = Case(tmp_path)
+    case.read()
+    key, value = make_row(1)
+    case.store.records.append(store.StoredRecord(key=key, value=value))
+    case.follower._on_members = lambda members: members[9]
+    with pytest.raises(IndexError):
+        case.read()
+    case.follower._on_members = case.set_members
+    case.read()
+    assert case.names() == ['d0', 'd1']
--- a/tests/sidecar/test_unexpected_errors.py
+++ b/tests/sidecar/test_unexpected_errors.py
@@ -10,12 +10,16 @@
 import pytest
 
 from lab import ports
+from lab import process_site
 from sassafraswood.models import fleet
+from sassafraswood.models import traffic
 from sassafraswood.platform import settings as settings_module
 from sassafraswood.platform import store as store_module
 from sassafraswood.sidecar import process
+from sassafraswood.sidecar import rules_follower
 from sassafraswood.sidecar import upstream_log
 from sassafraswood.transport import json_log
+from tests.sidecar import test_member_follower
 from tests.sidecar import test_reload
 
 TICK_COUNT = 3
@@ -209,3 +213,38 @@
     line = json.loads(path.read_text())
     assert line['event'] == 'settings_awaited'
     assert line['error'] == ascii(value)
+
+
+# Guards against a daemon that vouches for rules that it failed to apply.
+def test_rules_that_fail_to_apply_are_read_again(tmp_path) -> None:
+    """They are in force once that succeeds, and unknown before."""
+    case = test_member_follower.Case(tmp_path)
+    case.store.records.append(
+        store_module.StoredRecord(
+            key='config', value=process_site.build_rules(['status'])
+        )
+    )
+    versions: list[int] = []
+    applied = asyncio.Event()
+
+    def apply(rules: traffic.TrafficRules) -> None:
+        versions.append(case.knowledge.rules_version)
+        if len(versions) == 1:
+            raise RuntimeError('odd')
+        applied.set()
+
+    async def async_main() -> None:
+        follower = rules_follower.RulesFollower(
+            context=case.context,
+            knowledge=case.knowledge,
+            max_age_s=2.0,
+            on_rules=apply,
+            on_update=lambda: None,
+        )
+        follower.start()
+        await asyncio.wait_for(applied.wait(), 5.0)
+        follower.stop()
+
+    asyncio.run(async_main())
+    assert versions == [-1, -1]
+    assert case.knowledge.rules_version == 1
