Take from a page of the store no more than it shows

Cause: a page was trusted beyond what it says.

Pages are now checked against their end, an early empty page shows the state at its start only, each of these cases has a pause, and 16 MB are held.

--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import dataclasses
+import math
 import struct
 from typing import Final
 import urllib.parse
@@ -21,6 +22,9 @@
 # Calls that a read makes at most, each CALL_TIMEOUT_S after the one before.
 READ_CALLS: Final = 3
 MAX_READ_KB: Final = 4096
+# Most bytes of all responses that are received at a time; the longest page
+# holds MAX_READ_KB and a part of that for its encoding.
+MAX_HELD_BYTES: Final = 16 << 20
 # Statuses that say that a call had no effect; any other failure, such as that
 # of a gateway, says nothing of an append.
 _NOTHING_DONE_STATUSES: Final = frozenset(
@@ -83,6 +87,7 @@
         """Initialize the client with the store's IP address and port."""
         self._host = f'{address[0]}:{address[1]}'
         self._pool = exchange.ExchangePool(address, frozenset())
+        self._pool.held.limit = MAX_HELD_BYTES
         self.calls = 0
 
     async def async_newest(self, topic: str) -> Page:
@@ -106,7 +111,10 @@
                 first_end = newest.end
             if not newest.more or not newest.items:
                 break
-            query['after'] = newest.items[-1].key
+            last_key = newest.items[-1].key
+            if query.get('after') == last_key:
+                raise exceptions.DecodeError('pages repeat themselves')
+            query['after'] = last_key
         items.sort(key=lambda item: item.offset)
         try:
             records = [
@@ -128,7 +136,7 @@
         Raises:
             LogUnavailableError: The store is unreachable or fails.
             LogOutcomeUnknownError: The response was lost.
-            LogRetentionError: The store no longer keeps the records.
+            LogRetentionError: The store does not keep the records.
             DecodeError: The response is invalid.
         """
         query = {
@@ -136,7 +144,7 @@
             'part': '0',
             'from': str(start),
             'max-kb': str(MAX_READ_KB),
-            'wait-ms': str(int(wait_s * 1000)),
+            'wait-ms': str(math.ceil(wait_s * 1000)),
         }
         response = await self._async_call_read('/log-read', query, wait_s)
         return _parse_page(response.body, start)
@@ -254,15 +262,19 @@
 def _parse_page(body: bytes, start: int) -> Page:
     """Return the records in the response to a read.
 
-    The body holds the end and the first offset of the topic, which are
-    skipped, and the records. Each
-    record is a length of four bytes, big-endian, and a payload that holds the
-    length of the key in one byte, the key and the value.
+    The body holds the end and the first offset of the topic, and the records.
+    Each record is a length of four bytes, big-endian, and a payload that holds
+    the length of the key in one byte, the key and the value.
+
+    Raises:
+        LogRetentionError: The topic ends before the records or their start.
+        DecodeError: The body is not a page.
     """
     if len(body) < _RANGE.size:
         raise exceptions.DecodeError(
             f'page of {len(body)} bytes is shorter than its header'
         )
+    end, first = _RANGE.unpack_from(body)
     records: list[StoredRecord] = []
     position = _RANGE.size
     while position + _LENGTH.size <= len(body):
@@ -282,4 +294,10 @@
                 value=payload[key_end:],
             )
         )
-    return Page(records=records, next_offset=start + len(records))
+    if position < len(body):
+        raise exceptions.DecodeError('page ends within a length')
+    next_offset = start + len(records)
+    if next_offset > end:
+        # Later records would be missed if reads went on there.
+        raise exceptions.LogRetentionError(first)
+    return Page(records=records, next_offset=next_offset)
--- a/sassafraswood/sidecar/member_follower.py
+++ b/sassafraswood/sidecar/member_follower.py
@@ -147,8 +147,10 @@
         else:
             # Peers may have sent some of these records meanwhile.
             self._add_rows(rows[len(rows) - (page.next_offset - known) :])
-        waited_s = 0.0 if rows else wait_s
-        self._knowledge.note_members(page.next_offset, started_at + waited_s)
+        as_of = started_at
+        if not rows:
+            as_of = self._known_until(started_at, wait_s)
+        self._knowledge.note_members(page.next_offset, as_of)
         if not self._is_registered or self._rows != self._published_rows:
             self._publish_members()
         await self._async_maintain_records()
--- a/sassafraswood/sidecar/rules_follower.py
+++ b/sassafraswood/sidecar/rules_follower.py
@@ -87,11 +87,10 @@
         if newest is not None:
             self._apply(newest.value, started_at)
         elif self._knowledge.rules_version >= 0:
-            # The store responds to an empty read at the end of its wait.
-            waited_s = 0.0 if page.records else wait_s
-            self._knowledge.note_rules(
-                self._knowledge.rules_version, started_at + waited_s
-            )
+            as_of = started_at
+            if not page.records:
+                as_of = self._known_until(started_at, wait_s)
+            self._knowledge.note_rules(self._knowledge.rules_version, as_of)
         return bool(page.records)
 
     def _apply(self, document: bytes, as_of: float) -> None:
--- a/sassafraswood/sidecar/store_reader.py
+++ b/sassafraswood/sidecar/store_reader.py
@@ -27,6 +27,9 @@
 # long poll; a slow store takes 0.4 s.
 MAX_RESPONSE_DELAY_S: Final = 0.5
 POLL_INTERVAL_S: Final = 0.1
+# An empty read that ends earlier than this before the end of its wait was not
+# answered at that end.
+MAX_EARLY_S: Final = 0.05
 # Pause after a read that returned records, so that records written in quick
 # succession are read together. It is a twentieth of the time within which
 # rules have to be in force.
@@ -154,6 +157,21 @@
     def _wait_s(self) -> float:
         return READ_WAIT_FRACTION * self._max_age_s
 
+    def _known_until(self, started_at: float, wait_s: float) -> float:
+        """Return the time up to which an empty read shows that nothing is new.
+
+        The store responds at the end of the wait. An earlier response may have
+        been made at any time since the start.
+
+        Args:
+            started_at: Monotonic time of the start in seconds.
+            wait_s: Time that the store waits for records, in seconds.
+        """
+        ended_at = started_at + wait_s
+        if self._clock.monotonic() < ended_at - MAX_EARLY_S:
+            return started_at
+        return ended_at
+
     async def _async_follow(self) -> None:
         while True:
             try:
@@ -177,17 +195,20 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             return
         try:
+            started_at = self._clock.monotonic()
             has_records = await self._async_read(wait_s)
         except exceptions.LogRetentionError:
             self._log.change('store_history_gone', reading=self._name)
             self._reset_offset()
+            await asyncio.sleep(BATCH_DELAY_S)
             return
         except (exceptions.LogError, exceptions.DecodeError) as error:
             self._note_failure(error)
             await asyncio.sleep(self._backoff_s())
             return
         self._note_success()
-        if has_records:
+        is_early = self._known_until(started_at, wait_s) < started_at + wait_s
+        if has_records or is_early:
             await asyncio.sleep(BATCH_DELAY_S)
 
     def _next_wait_s(self) -> float | None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,7 +1,10 @@
 """Tests of the client of the platform's store."""
 
+import asyncio
+
 import pytest
 
+from lab import platform_store
 from sassafraswood import exceptions
 from sassafraswood.platform import store
 from sassafraswood.transport import exchange
@@ -25,3 +28,55 @@
     """The record may have been appended."""
     with pytest.raises(exceptions.LogOutcomeUnknownError):
         store._check_status(make_response(status))
+
+
+# Guards against reads that repeat without a pause: a page that ends within a
+# record seems to be empty, and pages may follow each other without end.
+@pytest.mark.parametrize('cut', [1, 3, 5, 7])
+def test_page_that_is_cut_short_is_rejected(cut: int) -> None:
+    """The record is read again later."""
+    body = bytes(7) + b'\x01' + bytes(8) + b'\x00\x00\x00\x04\x01kvv'
+    assert len(store._parse_page(body, 0).records) == 1
+    with pytest.raises(exceptions.DecodeError):
+        store._parse_page(body[:-cut], 0)
+
+
+def test_newest_records_end(monkeypatch) -> None:
+    """A page that comes again is rejected."""
+    client = store.StoreClient(('127.0.0.1', 9))
+    page = b'{"items":[{"key":"k","value":"","offset":0}],"end":1,"more":true}'
+
+    async def async_respond(*call) -> exchange.Response:
+        await asyncio.sleep(0)
+        return exchange.Response(status=200, head=b'', fields={}, body=page)
+
+    monkeypatch.setattr(client, '_async_call', async_respond)
+    with pytest.raises(exceptions.DecodeError):
+        asyncio.run(asyncio.wait_for(client.async_newest('t'), 2.0))
+
+
+# Guards against versions that are missed, since reads went on behind the end.
+@pytest.mark.parametrize('start', [1, 9])
+def test_page_beyond_the_end_is_rejected(start: int) -> None:
+    """The newest records are read instead."""
+    body = bytes(7) + b'\x01' + bytes(8) + b'\x00\x00\x00\x04\x01kvv'
+    with pytest.raises(exceptions.LogRetentionError):
+        store._parse_page(body, start)
+
+
+# Guards against processes whose memory a response of the store exceeds.
+def test_huge_response_is_not_held(monkeypatch) -> None:
+    """Its connection is closed."""
+
+    async def async_respond(*call) -> tuple[int, bytes]:
+        return 200, bytes(store.MAX_HELD_BYTES + 1)
+
+    async def async_main() -> None:
+        server = platform_store.PlatformStore()
+        monkeypatch.setattr(server, '_async_handle_call', async_respond)
+        client = store.StoreClient(await server.async_start())
+        with pytest.raises(exceptions.LogOutcomeUnknownError):
+            await client.async_newest('t')
+        server.stop()
+
+    asyncio.run(async_main())
--- a/tests/sidecar/test_member_follower.py
+++ b/tests/sidecar/test_member_follower.py
@@ -211,3 +211,14 @@
     case.follower._on_members = case.set_members
     case.read()
     assert case.names() == ['d0', 'd1']
+
+
+# Guards against knowledge that looks newer than it is, so that a withdrawn
+# key or a share of a limit is used for too long.
+def test_empty_read_that_ends_early_shows_its_start(tmp_path) -> None:
+    """The store may have made the response at any time since then."""
+    case = Case(tmp_path)
+    case.read()
+    case.read()
+    asyncio.run(case.follower._async_read(2.0))
+    assert case.knowledge.members_age_s == 0.0
--- a/tests/sidecar/test_store_reader.py
+++ b/tests/sidecar/test_store_reader.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from sassafraswood import clock
 from sassafraswood import exceptions
 from sassafraswood.sidecar import store_reader
@@ -138,3 +140,22 @@
     assert follow(reader) == [1.0, 0.0, 1.0]
     reader._log.flush()
     assert b'read_failed' in (tmp_path / 'log').read_bytes()
+
+
+# Guards against a daemon that calls the store without a pause.
+@pytest.mark.parametrize(
+    'result', [exceptions.LogRetentionError(9), False], ids=['gone', 'early']
+)
+def test_reads_that_return_nothing_at_once_have_pauses(
+    tmp_path, result
+) -> None:
+    """The store may say again and again that its history is gone."""
+    reader = Reader(tmp_path, [result] * 1000)
+
+    async def async_main() -> None:
+        task = asyncio.create_task(reader._async_follow())
+        await asyncio.sleep(0.25)
+        task.cancel()
+
+    asyncio.run(async_main())
+    assert len(reader.waits) <= 3
