Let an upstream read a large request late

Callers saw 502, 3.3 s after a request with a long body whose upstream was sound and had not read the body yet: the upstream queued the request, or read slowly. Its answer was lost.

The kernel closes a connection not only when the remote end is lost. With TCP_USER_TIMEOUT it also closes one whose remote end acknowledges everything but has had a full receive buffer for that time, 3 s here. The class of the fault is an end decided by this side while the other makes no mistake.

The test sends 1 MB to a server that reads it after 4 s.

--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -58,6 +58,18 @@
         connection.setsockopt(level, option, value)
 
 
+def allow_late_reading(transport: asyncio.BaseTransport) -> None:
+    """Let the remote end read late what is sent to it from now on.
+
+    The kernel closes a connection whose remote end has had a full receive
+    buffer for the time after which unacknowledged data closes it. Without
+    that time, the sender has to limit how long it waits for a response.
+    """
+    transport.get_extra_info('socket').setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0
+    )
+
+
 def count_unread_bytes(transport: asyncio.BaseTransport) -> int:
     """Return the bytes that the kernel has received for an open transport.
 
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sassafraswood import const
 from sassafraswood.transport import exchange
 
 KEPT_FIELDS = frozenset({b'attempt', b'seal'})
@@ -435,3 +436,32 @@
 
     assert asyncio.run(async_play()) is exchange.FailureKind.CONNECT
     assert 'odd' in str(reported[0]['exception'])
+
+
+# Guards against requests that the kernel breaks off because their server reads
+# a long body late.
+def test_server_may_read_a_large_request_late() -> None:
+    """The connection lasts while nothing fits into its receive buffer."""
+    body = b'x' * (1 << 20)
+
+    async def async_serve(reader, writer) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        await asyncio.sleep(const.PEER_TIMEOUT_S + 1.0)
+        await reader.readexactly(len(body))
+        writer.write(COMPLETE)
+        await writer.drain()
+        writer.close()
+
+    async def async_run() -> exchange.Outcome:
+        server = await asyncio.start_server(
+            async_serve, '127.0.0.1', 0, limit=1024
+        )
+        pool = exchange.ExchangePool(
+            server.sockets[0].getsockname(), KEPT_FIELDS, b'attempt'
+        )
+        done = asyncio.get_running_loop().create_future()
+        request = b'PUT / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body)
+        pool.start(request + body, b'a1', done.set_result)
+        return await asyncio.wait_for(done, 2.0 * const.PEER_TIMEOUT_S)
+
+    assert isinstance(asyncio.run(async_run()), exchange.Response)
