Read what has arrived before anything times out

Callers of a daemon that was held up, here for 1.2 s, saw 502 and 504 for requests whose upstreams had answered in time. The answers lay in the buffers of the kernel.

The event loop calls timers before it reads. So the first thing that a process does after it was held up is the tick that ends calls past their time limit; it is the class of an end decided by what the process has read and not by what has arrived for it. The loop that ends a stop had the same order: it could take its last time as passed and answer 504 to calls whose answers were there.

Both now wait for one more poll of the event loop between the timer and the decision.

The test holds up the daemon of the client by SIGSTOP for 1.2 s while a request to its own upstream and one to a peer run for 0.3 s, with a time limit of 1 s.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -429,7 +429,7 @@
 
     async def _async_tick(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
+            await _async_wait_tick()
             for tick in (
                 self._upstream.tick,
                 self._callers.tick,
@@ -510,7 +510,7 @@
                 lambda: self._has_open_work
             ):
                 break
-            await asyncio.sleep(TICK_S)
+            await _async_wait_tick()
         self._end(self._log_open_work)
         await self._async_disconnect_callers(end_at)
         self.close()
@@ -785,6 +785,16 @@
         metrics.gauge('rules_age_seconds', self._knowledge.rules_age_s)
 
 
+async def _async_wait_tick() -> None:
+    """Wait for the next tick, and read what has arrived by then.
+
+    The event loop calls timers before it reads. After the process was held
+    up, calls would time out whose answers have arrived.
+    """
+    await asyncio.sleep(TICK_S)
+    await asyncio.sleep(0)
+
+
 async def _async_main(
     settings: settings_module.PlatformSettings,
     signals: process_signals.ProcessSignals,
--- a/tests/sidecar/test_process_links.py
+++ b/tests/sidecar/test_process_links.py
@@ -22,6 +22,9 @@
 PAUSE_AT_S = 2.7
 RUN_END_S = 3.2
 PAUSE_S = 0.9
+# Timeout of a route that passes in a pause, and the run time before.
+PAUSE_TIMEOUT_S = 1.0
+PAUSE_RUN_S = 0.3
 
 
 def build_rules() -> bytes:
@@ -74,3 +77,28 @@
         ]
         assert statuses == [200] * RUNS
         assert await site.async_end(far, None) == 0
+
+
+# Guards against requests that time out although their answers arrived while
+# the process was held up.
+async def test_answers_that_arrive_in_a_pause_are_passed_on(tmp_path) -> None:
+    """Answers of the own upstream and of a peer are read first."""
+    rules = process_site.build_rules(SERVICES, PAUSE_TIMEOUT_S)
+    async with process_site.async_site(
+        tmp_path, SERVICES, rules=rules
+    ) as site:
+        clients = []
+        for service in SERVICES:
+            site.upstream(service).delay_s = PAUSE_RUN_S
+            clients.append(await site.async_connect())
+            clients[-1].send(process_site.build_request(service))
+        await site.async_wait_until(
+            lambda: all(site.upstream(name).streams for name in SERVICES), 2.0
+        )
+        await site.first.async_pause(PAUSE_TIMEOUT_S + 0.2)
+        responses = [await client.async_receive() for client in clients]
+        statuses = [
+            0 if response is None else response.status
+            for response in responses
+        ]
+        assert statuses == [200] * len(SERVICES)
