End a daemon after the calls on their way to it

Callers saw 502 for requests that are not idempotent and that no upstream had run, around a stop of the daemon beside the upstream. Their own daemon had sent the calls before it read that none are taken any more; the other one ended without having read them, so that they might have run.

A stop tells peers at 2.8 s that it takes no calls, and ended from 3.0 s on, whether or not a peer had read that: an end decided by what this process has read and not by what is on its way. A peer that is held up, or a slow link, makes the time between longer.

The daemon now asks each peer with a ping behind that message, and ends once each has replied, has gone or was not heard of for 1.6 s. The reply comes behind all calls that the peer has sent, and these are refused as not run.

The test holds up the daemon of five clients by SIGSTOP from 2.7 to 3.6 s after the stop signal of the daemon beside the upstream, and their requests arrive meanwhile.

--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -96,6 +96,9 @@
         self._accepted: set[frame_link.FrameConnection] = set()
         # Accepted connections on which a reply may be on its way.
         self._replied: set[frame_link.FrameConnection] = set()
+        # Accepted connections whose peer has not confirmed that it sends no
+        # further calls.
+        self._unconfirmed: set[frame_link.FrameConnection] = set()
         # Bytes of replies that are held for one peer before its further calls
         # are refused.
         self.max_unsent_bytes = sys.maxsize
@@ -153,6 +156,26 @@
             for connection in self._replied
         )
 
+    @property
+    def has_unread_calls(self) -> bool:
+        """Return whether a peer may have sent calls that were not read here.
+
+        A peer that is not heard of is not waited for.
+        """
+        return any(
+            connection.silent_s < peer_link.SILENCE_TIMEOUT_S
+            for connection in self._unconfirmed
+        )
+
+    def request_last_calls(self) -> None:
+        """Ask peers to confirm that they have read that no calls are taken.
+
+        A peer confirms it by a reply behind the calls that it has sent.
+        """
+        for connection in self._accepted:
+            self._unconfirmed.add(connection)
+            connection.send(frames.Ping(sequence=0))
+
     def candidates(
         self, service: ids.ServiceName
     ) -> list[upstream_choice.Candidate]:
@@ -425,6 +448,7 @@
         del reason
         self._accepted.discard(connection)
         self._replied.discard(connection)
+        self._unconfirmed.discard(connection)
         lost = [key for key in self._running if key[0] is connection]
         for key in lost:
             call = self._running.pop(key)
@@ -479,6 +503,7 @@
         elif isinstance(message, frames.Ping):
             connection.send(self._build_pong(message.sequence))
         elif isinstance(message, frames.Pong):
+            self._unconfirmed.discard(connection)
             self._handle_pong(connection, message)
         elif isinstance(message, frames.Invalid):
             self._handle_invalid(connection, message)
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -477,6 +477,7 @@
         # Each answer says that its connection closes, so that clients don't
         # send a request on it when it is closed for good.
         self._caller_server.is_closing = True
+        is_peer_drain_over = False
         is_caller_drain_over = False
         started_at = loop.time()
         stop_s = self.settings.bounds.grace_s - GRACE_MARGIN_S
@@ -497,8 +498,11 @@
             if loop.time() >= log_at:
                 log_at += STOP_LOG_INTERVAL_S
                 self._end(self._log_open_work)
-            if since_stop_s >= PEER_DRAIN_S:
-                self._end(self._upstream.stop)
+            if since_stop_s >= PEER_DRAIN_S and not is_peer_drain_over:
+                is_peer_drain_over = True
+                self._end(
+                    self._upstream.stop, self._peers.request_last_calls
+                )
             if since_stop_s >= CALLER_DRAIN_S and not is_caller_drain_over:
                 # Late requests get a refusal, which says that they have not
                 # run, in place of a refused connection.
@@ -588,6 +592,7 @@
             self._callers.active_count
             or self._upstream.running
             or self._caller_server.unsent_bytes
+            or self._peers.has_unread_calls
             or self._peers.has_undelivered_replies
             or self._upstream_log.has_unstored_leaves
         )
--- a/tests/sidecar/test_process_links.py
+++ b/tests/sidecar/test_process_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import subprocess
 
 import pytest
 
@@ -35,6 +36,27 @@
     return json.dumps(rules).encode()
 
 
+async def async_start_directly(
+    site: process_site.Site,
+) -> list[subprocess.Popen[bytes]]:
+    """Start daemons that are connected without the relay.
+
+    It would read in place of a daemon.
+    """
+    for machine in site.machines.values():
+        path = machine.settings_path
+        path.write_text(
+            path.read_text().replace(
+                str(machine_module.PEER_RELAY), str(machine_module.PEER)
+            )
+        )
+    processes = [site.launch(name) for name in SERVICES]
+    for name, process in zip(SERVICES, processes, strict=True):
+        await site.async_wait_ready(name, process)
+    await site.async_wait_served('far')
+    return processes
+
+
 # Guards against answers that are lost in the buffers of the kernel when the
 # daemon beside the upstream ends, so that what has run is reported as failed.
 async def test_answers_reach_a_daemon_that_reads_late(tmp_path) -> None:
@@ -42,18 +64,7 @@
     async with process_site.async_site(
         tmp_path, SERVICES, rules=build_rules(), has_daemons=False
     ) as site:
-        for machine in site.machines.values():
-            # Without the relay, which would read in place of the daemon.
-            path = machine.settings_path
-            path.write_text(
-                path.read_text().replace(
-                    str(machine_module.PEER_RELAY), str(machine_module.PEER)
-                )
-            )
-        near, far = (site.launch(name) for name in SERVICES)
-        await site.async_wait_ready('near', near)
-        await site.async_wait_ready('far', far)
-        await site.async_wait_served('far')
+        near, far = await async_start_directly(site)
         upstream = site.upstream('far')
         upstream.body = b'x' * ANSWER_BYTES
         upstream.delay_s = RUN_END_S
@@ -102,3 +113,30 @@
             for response in responses
         ]
         assert statuses == [200] * len(SERVICES)
+
+
+# Guards against calls that fail although they have not run, since the daemon
+# beside the upstream ends before it has read them.
+async def test_calls_on_their_way_to_a_daemon_that_ends_are_refused(
+    tmp_path,
+) -> None:
+    """The other daemon sends them before it reads that none are taken."""
+    async with process_site.async_site(
+        tmp_path, SERVICES, rules=build_rules(), has_daemons=False
+    ) as site:
+        near, far = await async_start_directly(site)
+        clients = [await site.async_connect() for _ in range(RUNS)]
+        far.send_signal(signal.SIGTERM)
+        await asyncio.sleep(PAUSE_AT_S)
+        near.send_signal(signal.SIGSTOP)
+        for client in clients:
+            client.send(process_site.build_request('far'))
+        await asyncio.sleep(PAUSE_S)
+        near.send_signal(signal.SIGCONT)
+        responses = [await client.async_receive() for client in clients]
+        statuses = [
+            0 if response is None else response.status
+            for response in responses
+        ]
+        assert statuses == [503] * RUNS
+        assert await site.async_end(far, None) == 0
