Limit the answers that are held for daemons that read nothing

The daemon beside an upstream grew beyond its memory, where the platform kills it with all of its requests, while the daemons of the callers were held up. It held every answer that its upstream gave to calls that were already running.

What is held for clients is limited, and so are the calls of one peer that begin while answers to it are unsent, but not the answers to calls that run when a peer stops to read, nor those for all peers together.

Answers that find no room are now dropped as they are on the side of the clients, with the same limits, and reported as failed: the call has run.

Measured at the daemon beside the upstream, answers of 3 MB, the callers' daemons held up by SIGSTOP for 1.3 to 1.5 s, one run each:

calls memory limit peak before after 64 of one daemon (the test) 200 MB 231 MB 102 MB 70 of one daemon 300 MB 248 MB 132 MB 84 of six daemons 300 MB 275 MB 131 MB

The price: where the limit was not exceeded before, 39 of the 70 and 51 of the 84 calls now get 502 in place of a late answer.

--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import answer_memory
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
@@ -102,6 +103,10 @@
         # Bytes of replies that are held for one peer before its further calls
         # are refused.
         self.max_unsent_bytes = sys.maxsize
+        # Limits the bytes of answers that are held for all peers.
+        self.answer_memory = answer_memory.AnswerMemory(
+            clock, lambda: self.unsent_bytes
+        )
         self._running: dict[
             tuple[frame_link.FrameConnection, int],
             upstream_side.UpstreamCall,
@@ -666,6 +671,14 @@
             self._running.pop(key, None)
             if connection.is_open:
                 self._replied.add(connection)
+            if isinstance(
+                reply, frames.Answer
+            ) and not self.answer_memory.has_room(len(reply.body)):
+                reply = frames.CallFailed(
+                    call_id=run.call_id,
+                    reason=enums.RefusalReason.MEMORY_FULL.value,
+                    load=reply.load,
+                )
             connection.send(reply)
 
         call = self._upstream.submit(run, deliver)
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -305,6 +305,7 @@
         self._pool.held.limit = body_bytes
         self._upstream.bodies.limit = body_bytes
         self._peers.max_unsent_bytes = body_bytes
+        self._peers.answer_memory.limit = body_bytes
         caller_answer_memory.limit = body_bytes
         self._has_rules = False
         self._is_stopping = False
--- a/tests/sidecar/test_process_links.py
+++ b/tests/sidecar/test_process_links.py
@@ -26,6 +26,12 @@
 # Timeout of a route that passes in a pause, and the run time before.
 PAUSE_TIMEOUT_S = 1.0
 PAUSE_RUN_S = 0.3
+# Calls whose answers arrive while the daemon that sent them is held up, and
+# the memory that the design allows a daemon.
+HELD_UP_CALLS = 64
+HELD_UP_BYTES = 3 << 20
+HELD_UP_RUN_S = 0.5
+MAX_PEAK_MB = 128.0
 
 
 def build_rules() -> bytes:
@@ -39,17 +45,21 @@
 async def async_start_directly(
     site: process_site.Site,
 ) -> list[subprocess.Popen[bytes]]:
-    """Start daemons that are connected without the relay.
+    """Start daemons that are connected without relays.
 
-    It would read in place of a daemon.
+    Relays would read in place of a daemon.
     """
-    for machine in site.machines.values():
-        path = machine.settings_path
-        path.write_text(
-            path.read_text().replace(
-                str(machine_module.PEER_RELAY), str(machine_module.PEER)
-            )
-        )
+    for name, machine in site.machines.items():
+        text = machine.settings_path.read_text()
+        for relay_port, port in (
+            (machine_module.PEER_RELAY, machine_module.PEER),
+            (machine_module.UPSTREAM_RELAY, machine_module.UPSTREAM),
+        ):
+            text = text.replace(str(relay_port), str(port))
+        machine.settings_path.write_text(text)
+        site.upstream(
+            name
+        ).address = f'{machine.host}:{machine_module.UPSTREAM}'
     processes = [site.launch(name) for name in SERVICES]
     for name, process in zip(SERVICES, processes, strict=True):
         await site.async_wait_ready(name, process)
@@ -140,3 +150,38 @@
         ]
         assert statuses == [503] * RUNS
         assert await site.async_end(far, None) == 0
+
+
+# Guards against daemons that run out of memory beside one that is held up.
+async def test_answers_for_a_held_up_daemon_do_not_fill_the_memory(
+    tmp_path,
+) -> None:
+    """Those that find no room are dropped."""
+    async with process_site.async_site(
+        tmp_path, SERVICES, has_daemons=False
+    ) as site:
+        near, far = await async_start_directly(site)
+        machine = site.machines['far']
+        machine.process = far
+        machine.watch_process()
+        upstream = site.upstream('far')
+        upstream.slots = 2 * HELD_UP_CALLS
+        # Shows the daemon how long calls take, so that it runs more at once.
+        for _ in range(30):
+            await asyncio.gather(*(site.async_get('far') for _ in '12345'))
+        upstream.body = b'x' * HELD_UP_BYTES
+        upstream.delay_s = HELD_UP_RUN_S
+        calls = [
+            asyncio.create_task(site.async_get('far'))
+            for _ in range(HELD_UP_CALLS)
+        ]
+        await site.async_wait_until(
+            lambda: len(upstream.streams) > HELD_UP_CALLS // 2, 2.0
+        )
+        near.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(3.0 * HELD_UP_RUN_S)
+        near.send_signal(signal.SIGCONT)
+        assert set(await asyncio.gather(*calls)) <= {200, 502, 503}
+        assert machine.peak_mb < MAX_PEAK_MB
+        upstream.body = b''
+        assert await site.async_get('far') == 200
