Let an upstream of the product read a large request late

Both connections now decide by the size of the request in the same place.

The test sends 1 MB to a server that reads it after 4 s.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -59,8 +59,6 @@
 EXCESS_S: Final = 0.02
 # An attempt to connect that takes longer counts as failed.
 CONNECT_TIMEOUT_S: Final = 1.0
-# Larger requests may not fit into the receive buffer of a server.
-MAX_BUFFERED_BYTES: Final = 16 * 1024
 
 
 class FailureKind(enum.StrEnum):
@@ -220,8 +218,7 @@
         self._has_dropped_bytes = False
         self._started_at = time.monotonic()
         self._reset_response()
-        if len(payload) > MAX_BUFFERED_BYTES:
-            tcp.allow_late_reading(self._transport)
+        tcp.allow_late_reading(self._transport, len(payload))
         self._transport.write(payload)
 
     def cancel(self) -> None:
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -23,6 +23,8 @@
         int(const.PEER_TIMEOUT_S * 1000),
     ),
 )
+# Larger requests may not fit into the receive buffer of a server.
+_MAX_BUFFERED_BYTES: typing.Final = 16 * 1024
 
 # Not in the socket module.
 _SO_ATTACH_FILTER: typing.Final = 26
@@ -58,16 +60,21 @@
         connection.setsockopt(level, option, value)
 
 
-def allow_late_reading(transport: asyncio.BaseTransport) -> None:
-    """Let the remote end read late what is sent to it from now on.
+def allow_late_reading(transport: asyncio.BaseTransport, size: int) -> None:
+    """Let a server read a request as late as it likes.
 
     The kernel closes a connection whose remote end has had a full receive
     buffer for the time after which unacknowledged data closes it. Without
-    that time, the sender has to limit how long it waits for a response.
+    that time, the sender has to limit how long it waits for the response.
+
+    Args:
+        transport: Open transport that the request is sent on next.
+        size: Bytes of the request; a small one fits into the buffer.
     """
-    transport.get_extra_info('socket').setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0
-    )
+    if size > _MAX_BUFFERED_BYTES:
+        transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0
+        )
 
 
 def count_unread_bytes(transport: asyncio.BaseTransport) -> int:
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -81,7 +81,9 @@
         # state of the previous response must not make it count as truncated.
         self._reset_response()
         self._response = asyncio.get_running_loop().create_future()
-        self._transport.write(self._encode_request(request))
+        payload = self._encode_request(request)
+        tcp.allow_late_reading(self._transport, len(payload))
+        self._transport.write(payload)
         return await self._response
 
     def close(self) -> None:
--- a/tests/transport/test_upstream_connection.py
+++ b/tests/transport/test_upstream_connection.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sassafraswood import const
 from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import enums
@@ -88,3 +89,35 @@
     assert size <= (1 + response_limits.MAX_FRAMING_RATIO) * max(
         MAX_BODY_BYTES, response_limits.MAX_OVERHEAD_BYTES
     )
+
+
+# Guards against requests that the kernel breaks off because their upstream
+# reads a long body late.
+def test_upstream_may_read_a_large_request_late() -> None:
+    """The connection lasts while nothing fits into its receive buffer."""
+    body = b'x' * (1 << 20)
+
+    async def async_serve(reader, writer) -> None:
+        await asyncio.sleep(const.PEER_TIMEOUT_S + 1.0)
+        await reader.readuntil(b'\r\n\r\n')
+        await reader.readexactly(len(body))
+        writer.write(HEAD + b'Content-Length: 0\r\n\r\n')
+        writer.close()
+
+    async def async_run() -> call.Answer:
+        server = await asyncio.start_server(
+            async_serve, '127.0.0.1', 0, limit=1024
+        )
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: upstream_connection.UpstreamConnection('x'),
+            *server.sockets[0].getsockname(),
+        )
+        request = call.HttpRequest(
+            method='PUT', target='/', headers=[], body=body
+        )
+        return await asyncio.wait_for(
+            connection.async_send(request, MAX_BODY_BYTES),
+            2.0 * const.PEER_TIMEOUT_S,
+        )
+
+    assert asyncio.run(async_run()).status == 200
