--- a/lab/process_site.py
+++ b/lab/process_site.py
@@ -171,6 +171,9 @@
         *,
         rules: bytes = b'',
         code: pathlib.Path | None = None,
+        create_machine: Callable[..., machine_module.Machine] = (
+            machine_module.Machine
+        ),
     ) -> None:
         """Create the site without starting it.
 
@@ -180,6 +183,7 @@
             rules: Rules to begin with; those of build_rules if empty.
             code: Source tree of the daemons; if None, the one that the
                 environment variable CODE_VARIABLE names, or that of this file.
+            create_machine: Creates a VM with the arguments of Machine.
         """
         self.store = platform_store.PlatformStore()
         self.machines: dict[str, machine_module.Machine] = {}
@@ -189,6 +193,7 @@
         self._folder = folder
         if code is None and os.environ.get(CODE_VARIABLE):
             code = pathlib.Path(os.environ[CODE_VARIABLE])
+        self._create_machine = create_machine
         self._code = {} if code is None else {'code': code}
 
     @property
@@ -202,7 +207,7 @@
         self.store.put('keyed.op', 'config', self._rules)
         hosts = ports.reserve_hosts(len(self._services))
         for service, host in zip(self._services, hosts, strict=True):
-            machine = machine_module.Machine(
+            machine = self._create_machine(
                 name=service,
                 host=host,
                 service=service,
--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -294,9 +294,10 @@
                 self.unexpected_exits.append(code)
                 self.start_daemon()
                 continue
-            self._record_memory(process.pid)
+            self.record_memory(process.pid)
 
-    def _record_memory(self, pid: int) -> None:
+    def record_memory(self, pid: int) -> None:
+        """Record the peak memory of a daemon process."""
         try:
             text = pathlib.Path(f'/proc/{pid}/status').read_text()
         except OSError:
