Limit small requests again behind a large one on its connection

A large request took the limit off its connection for good, so that later small requests to a server that was lost without a reset waited for their deadline and not for 3 s.

The limit follows the size of each request now. The test reads the option of the socket; before there was no way back.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -149,6 +149,7 @@
         self._parser: httptools.HttpResponseParser | None = (
             httptools.HttpResponseParser(self)
         )
+        self._read_limit = tcp.ReadLimit()
         self._on_done: Callable[[Outcome], None] | None = None
         self._request_id: bytes | None = None
         # Whether the method of the request is HEAD.
@@ -218,7 +219,7 @@
         self._has_dropped_bytes = False
         self._started_at = time.monotonic()
         self._reset_response()
-        tcp.allow_late_reading(self._transport, len(payload))
+        self._read_limit.apply(self._transport, len(payload))
         self._transport.write(payload)
 
     def cancel(self) -> None:
--- a/sassafraswood/transport/tcp.py
+++ b/sassafraswood/transport/tcp.py
@@ -12,16 +12,13 @@
 
 from sassafraswood import const
 
+_USER_TIMEOUT_MS: typing.Final = int(const.PEER_TIMEOUT_S * 1000)
 _KEEPALIVE_OPTIONS: typing.Final = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-    (
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        int(const.PEER_TIMEOUT_S * 1000),
-    ),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
 )
 # Larger requests may not fit into the receive buffer of a server.
 _MAX_BUFFERED_BYTES: typing.Final = 16 * 1024
@@ -60,20 +57,34 @@
         connection.setsockopt(level, option, value)
 
 
-def allow_late_reading(transport: asyncio.BaseTransport, size: int) -> None:
-    """Let a server read a request as late as it likes.
+class ReadLimit:
+    """Limits the time in which a server reads nothing of a request.
 
     The kernel closes a connection whose remote end has had a full receive
-    buffer for the time after which unacknowledged data closes it. Without
-    that time, the sender has to limit how long it waits for the response.
-
-    Args:
-        transport: Open transport that the request is sent on next.
-        size: Bytes of the request; a small one fits into the buffer.
+    buffer for the time after which unacknowledged data closes it. A server
+    may read a large request late, so that time applies to small requests
+    only; the sender has to limit how long it waits for other responses.
     """
-    if size > _MAX_BUFFERED_BYTES:
+
+    def __init__(self) -> None:
+        """Initialize the limit of a connection with the usual options."""
+        self._is_set = True
+
+    def apply(self, transport: asyncio.BaseTransport, size: int) -> None:
+        """Set or remove the limit for the next request.
+
+        Args:
+            transport: Open transport that the request is sent on next.
+            size: Bytes of the request.
+        """
+        is_set = size <= _MAX_BUFFERED_BYTES
+        if is_set == self._is_set:
+            return
+        self._is_set = is_set
         transport.get_extra_info('socket').setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _USER_TIMEOUT_MS if is_set else 0,
         )
 
 
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -38,6 +38,7 @@
         self._parser: httptools.HttpResponseParser | None = (
             httptools.HttpResponseParser(self)
         )
+        self._read_limit = tcp.ReadLimit()
         self._is_closed = False
         self._is_reusable = False
         self._method = ''
@@ -82,7 +83,7 @@
         self._reset_response()
         self._response = asyncio.get_running_loop().create_future()
         payload = self._encode_request(request)
-        tcp.allow_late_reading(self._transport, len(payload))
+        self._read_limit.apply(self._transport, len(payload))
         self._transport.write(payload)
         return await self._response
 
--- a/tests/transport/test_tcp.py
+++ b/tests/transport/test_tcp.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from lab import ports
+from sassafraswood import const
 from sassafraswood.transport import exchange
 from sassafraswood.transport import frame_link
 from sassafraswood.transport import tcp
@@ -54,3 +55,29 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(async_play())
+
+
+# Guards against connections that stay without a limit on lost servers.
+def test_late_reading_is_allowed_for_one_request() -> None:
+    """The next small request is limited again."""
+
+    async def async_play() -> list[int]:
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            transport, _ = await asyncio.get_running_loop().create_connection(
+                lambda: frame_link.FrameConnection(ignore, ignore, ignore),
+                *server.getsockname(),
+            )
+            limit = tcp.ReadLimit()
+            timeouts = []
+            for size in (1, 1 << 20, 1):
+                limit.apply(transport, size)
+                timeouts.append(
+                    transport.get_extra_info('socket').getsockopt(
+                        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                    )
+                )
+            transport.abort()
+            return timeouts
+
+    timeout_ms = int(const.PEER_TIMEOUT_S * 1000)
+    assert asyncio.run(async_play()) == [timeout_ms, 0, timeout_ms]
