--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -501,9 +501,7 @@
                 self._end(self._log_open_work)
             if since_stop_s >= PEER_DRAIN_S and not is_peer_drain_over:
                 is_peer_drain_over = True
-                self._end(
-                    self._upstream.stop, self._peers.request_last_calls
-                )
+                self._end(self._upstream.stop, self._peers.request_last_calls)
             if since_stop_s >= CALLER_DRAIN_S and not is_caller_drain_over:
                 # Late requests get a refusal, which says that they have not
                 # run, in place of a refused connection.
