Test signals at the start from the launcher's first own system call on

The two known-red tests at 0 ms asked for what no program can do: at that moment the kernel still replaces the program, and after it the loader of the C library runs.

A statically linked launcher that blocks the signals before the C library starts was weighed.

The tests are replaced by two moments that depend on no time and are as strict: a signal that is pending when the program starts, and one behind the first system call of the launcher itself. The cases of 20, 50 and 100 ms stay.

--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import ctypes
+import functools
 import os
 import pathlib
 import signal
@@ -21,11 +23,9 @@
 pytestmark = [pytest.mark.process, pytest.mark.anyio]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-# Delays of a signal after the start. Until the launcher has blocked it, in the
-# first of them at least, the system itself handles the signal.
-START_DELAYS_S = [
-    pytest.param(ms / 1000.0, id=f'{ms}ms') for ms in (0, 20, 50, 100)
-]
+# Requests of the system call ptrace.
+PTRACE_TRACEME, PTRACE_DETACH, PTRACE_SYSCALL = 0, 17, 24
+LIBC = ctypes.CDLL(None)
 SERVICES = ('near', 'far')
 PIPELINED = 50
 # Planned stops at once, and busy connections of each daemon.
@@ -76,28 +76,123 @@
     return path
 
 
+def is_blocked(pid: int, number: int) -> bool:
+    """Return whether a process blocks a signal."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    _, _, rest = status.partition('SigBlk:')
+    return bool(int(rest.split()[0], 16) & 1 << (number - 1))
+
+
+def trace_calls(pid: int, is_last) -> int:
+    """Let a traced child go on until it is in some state, or has ended.
+
+    Args:
+        pid: The child, which is stopped before its first instruction.
+        is_last: Returns whether the state is reached.
+
+    Returns:
+        Number of times that it has entered or left a system call.
+    """
+    count = 0
+    while True:
+        _, status = os.waitpid(pid, 0)
+        if not os.WIFSTOPPED(status) or is_last():
+            return count
+        assert LIBC.ptrace(PTRACE_SYSCALL, pid, None, None) == 0
+        count += 1
+
+
+@pytest.fixture(scope='session')
+def calls_of_loader(tmp_path_factory) -> int:
+    """Return how often the loader of any program enters or leaves a call."""
+    path = tmp_path_factory.mktemp('empty') / 'empty'
+    command = ['cc', '-O2', '-o', str(path), '-xc', '-', '-ldl']
+    subprocess.run(command, input=b'int main(void) {return 0;}', check=True)
+    process = subprocess.Popen(
+        [path], preexec_fn=lambda: LIBC.ptrace(PTRACE_TRACEME, 0, None, None)
+    )
+    # It enters its exit last, and is let go on once more.
+    return trace_calls(process.pid, lambda: False) - 2
+
+
+async def async_launch_blocked(
+    site, name, number, calls_of_loader
+) -> subprocess.Popen[bytes]:
+    """Start a daemon for which a signal is blocked and pending."""
+    del calls_of_loader
+
+    def prepare() -> None:
+        signal.pthread_sigmask(signal.SIG_BLOCK, [number])
+        os.kill(os.getpid(), number)
+
+    return site.launch(name, preexec_fn=prepare)
+
+
+async def async_launch_traced(
+    site, name, number, calls_of_loader
+) -> subprocess.Popen[bytes]:
+    """Start a daemon, and send a signal behind its first own system call.
+
+    Before it, the system itself handles the signal for any program that is
+    linked against the C library.
+    """
+    process = site.launch(
+        name, preexec_fn=lambda: LIBC.ptrace(PTRACE_TRACEME, 0, None, None)
+    )
+    calls = trace_calls(process.pid, lambda: is_blocked(process.pid, number))
+    assert calls <= calls_of_loader + 2
+    process.send_signal(number)
+    assert LIBC.ptrace(PTRACE_DETACH, process.pid, None, None) == 0
+    return process
+
+
+async def async_launch_and_wait(
+    delay_s, site, name, number, calls_of_loader
+) -> subprocess.Popen[bytes]:
+    """Start a daemon, and send a signal after a delay."""
+    del calls_of_loader
+    process = site.launch(name)
+    await asyncio.sleep(delay_s)
+    process.send_signal(number)
+    return process
+
+
+# Start a daemon that gets a signal at some moment.
+LAUNCHES = [
+    pytest.param(async_launch_blocked, id='pending'),
+    pytest.param(async_launch_traced, id='first call'),
+    *(
+        pytest.param(
+            functools.partial(async_launch_and_wait, ms / 1000.0), id=f'{ms}ms'
+        )
+        for ms in (20, 50, 100)
+    ),
+]
+
+
 # Guards against daemons that end by a reload of their settings.
-@pytest.mark.parametrize('delay_s', START_DELAYS_S)
+@pytest.mark.parametrize('async_launch', LAUNCHES)
 async def test_reloads_at_the_start_do_not_end_it(
-    tmp_path, launcher, delay_s
+    tmp_path, launcher, calls_of_loader, async_launch
 ) -> None:
     """A daemon gets ready although SIGHUPs come while it starts."""
     async with process_site.async_site(
         tmp_path, SERVICES[:1], has_daemons=False
     ) as site:
         site.first.command = [launcher]
-        process = site.launch('near')
-        await asyncio.sleep(delay_s)
+        process = await async_launch(
+            site, 'near', signal.SIGHUP, calls_of_loader
+        )
         for _ in range(5):
-            process.send_signal(signal.SIGHUP)
             await asyncio.sleep(0.01)
+            process.send_signal(signal.SIGHUP)
         await site.async_wait_ready('near', process)
 
 
 # Guards against daemons that end by a signal in place of an orderly stop.
-@pytest.mark.parametrize('delay_s', START_DELAYS_S)
+@pytest.mark.parametrize('async_launch', LAUNCHES)
 async def test_stop_at_the_start_is_orderly(
-    tmp_path, launcher, delay_s
+    tmp_path, launcher, calls_of_loader, async_launch
 ) -> None:
     """A daemon exits with 0 although it is stopped while it starts."""
     numbers = {'near': signal.SIGTERM, 'far': signal.SIGINT}
@@ -107,10 +202,11 @@
 
         async def async_stop(name: str) -> int | None:
             site.machines[name].command = [launcher]
-            process = site.launch(name)
-            await asyncio.sleep(delay_s)
+            process = await async_launch(
+                site, name, numbers[name], calls_of_loader
+            )
             return await site.async_end(
-                process, numbers[name], process_site.START_TIMEOUT_S
+                process, None, process_site.START_TIMEOUT_S
             )
 
         codes = await asyncio.gather(*map(async_stop, numbers))
