Read the rest of a rejected request for as long as it comes

What callers saw: a client that takes longer than 2 s for what follows a rejection or a last response is reset and loses the response.

Cause: the rest of the input was read for a fixed time, whether or not the client still sent.

Change: it is read until nothing has come for 2 s, and for 15 s at most.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -57,8 +57,10 @@
 # Interval at which bytes of a response are sent ahead; a client that has gone
 # is noticed after two of them.
 PROBE_INTERVAL_S: Final = 0.2
-# Time for which the rest of a rejected request is read and dropped.
+# Time without input after which a client has sent all that follows its last
+# response, and the longest time for which that is read and dropped.
 LINGER_S: Final = 2.0
+MAX_LINGER_S: Final = 15.0
 # Begin of each response, whatever its status.
 _RESPONSE_BEGIN: Final = b'HTTP/1.1 '
 _STATUS_LINES: Final = {
@@ -941,7 +943,7 @@
         self._close_after_input()
 
     def _close_after_input(self) -> None:
-        """Close once the client has ended its side, or after LINGER_S.
+        """Close once the client has ended its side, or sends no more.
 
         A close with unread bytes resets the connection, and the client might
         lose its response (RFC 9112, section 9.6).
@@ -953,22 +955,32 @@
             return
         self._is_closing = True
         self._transport.write_eof()
+        self._schedule_close(self._loop.time() + MAX_LINGER_S)
+
+    def _schedule_close(self, latest: float) -> None:
         self._close_timer = self._loop.call_later(
-            LINGER_S, self._close_after_response
+            LINGER_S, self._close_if_silent, self._received_bytes, latest
         )
 
-    def _close_after_response(self) -> None:
-        """Close, unless the client still reads its response.
+    def _close_if_silent(self, received_bytes: int, latest: float) -> None:
+        """Close, unless the client still sends or reads its response.
 
         It gets a whole response only if its input is read till then;
         close_if_slow aborts a response of which it reads nothing more.
+
+        Args:
+            received_bytes: Bytes that were received before LINGER_S.
+            latest: Time of the event loop from which only a response that is
+                read is waited for, in seconds.
         """
         if self._transport is None:
             return
-        if self._undelivered_bytes:
-            self._close_timer = self._loop.call_later(
-                LINGER_S, self._close_after_response
-            )
+        still_sends = (
+            self._received_bytes != received_bytes
+            and self._loop.time() < latest
+        )
+        if still_sends or self._undelivered_bytes:
+            self._schedule_close(latest)
         else:
             self._transport.close()
 
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -1002,3 +1002,20 @@
         assert readable
 
     run_client(Handler(), async_use)
+
+
+# Guards against clients that see a reset in place of the refusal, since they
+# take longer for their upload than its rest is read.
+def test_slow_upload_that_is_rejected_meets_no_reset() -> None:
+    """The client can send on, and then read the refusal."""
+
+    async def async_use(server, streams) -> None:
+        del server
+        reader, writer = streams
+        writer.write(POST.replace(b'5', b'5000'))
+        for _ in range(8):
+            writer.write(b'x' * 100)
+            await asyncio.sleep(ingress.LINGER_S / 5.0)
+        assert (await reader.readline()).startswith(b'HTTP/1.1 413')
+
+    run_client(Handler(), async_use)
