End a stop after the responses of clients that send on

What callers saw: a client that sends on while it reads a last response slowly loses the rest of it at the end of the process.

Cause: what the kernel holds of a response outlives the process only if nothing more arrives from the client; otherwise the connection is reset. The end waited only for what the process held itself.

The test failed before.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -219,6 +219,8 @@
         # Bytes received and bytes unsent when the progress was last looked at,
         # the time at which they had changed, and `since` at that time.
         self._received_bytes = 0
+        # Those of them that came before the last response.
+        self._awaited_bytes = 0
         self._progress = (0, 0)
         self._progress_at = self.since
         self._progress_since = self.since
@@ -280,7 +282,14 @@
     @property
     def awaits_response(self) -> bool:
         """Return whether a request is on its way, or has no response yet."""
-        return self.awaits_first_request or self.state in _WAITING_STATES
+        return (
+            self.awaits_first_request
+            or self.state in _WAITING_STATES
+            # The close would reset a client that sends on while it reads.
+            or (
+                self._is_closing and self._received_bytes > self._awaited_bytes
+            )
+        )
 
     @property
     def unsent_bytes(self) -> int:
@@ -955,6 +964,7 @@
             return
         self._is_closing = True
         self._transport.write_eof()
+        self._awaited_bytes = self._received_bytes
         self._schedule_close(self._loop.time() + MAX_LINGER_S)
 
     def _schedule_close(self, latest: float) -> None:
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -1019,3 +1019,24 @@
         assert (await reader.readline()).startswith(b'HTTP/1.1 413')
 
     run_client(Handler(), async_use)
+
+
+# Guards against whole responses that are cut by a reset at the end of the
+# process, since their client sends on while the kernel still holds a part.
+def test_client_that_sends_on_waits_for_its_response() -> None:
+    """It does until it ends its side."""
+
+    async def async_use(server, client) -> None:
+        (slow,) = (
+            item for item in server.connections if item.state == 'closing'
+        )
+        assert not slow.awaits_response
+        client.send(GET)
+        await asyncio.sleep(0.05)
+        assert slow.awaits_response
+        assert len(await async_read(client, HELD_BYTES)) == HELD_BYTES
+        client.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.05)
+        assert slow not in server.connections
+
+    run_slow_client(async_use, is_closing=True)
