Give the test of a callback's error an address of its own

test_error_of_a_callback_is_logged failed in two runs beside other tests: the last line was not `stopped`.

Cause: it listens on fixed ports of 127.0.0.1. If another run of it holds one, the daemon waits for that address and ends without having served. Shown by holding port 8543: the test fails in the same way.

Change: it gets a reserved address, as the tests of real processes do. What it checks is as before; it passes beside the held port.

--- a/tests/sidecar/test_unexpected_errors.py
+++ b/tests/sidecar/test_unexpected_errors.py
@@ -25,6 +25,14 @@
 TICK_COUNT = 3
 
 
+def create_settings() -> settings_module.PlatformSettings:
+    """Return settings of a first start with an address of their own."""
+    (host,) = ports.reserve_hosts(1)
+    return settings_module.parse(
+        'bootstrap = true\n' + test_reload.TEXT.replace('127.0.0.1', host)
+    )
+
+
 class FailingTick:
     """Counts its calls and fails in each."""
 
@@ -71,9 +79,7 @@
     reader, writer = os.pipe()
 
     async def async_main() -> None:
-        daemon = process.Daemon(
-            settings_module.parse(test_reload.TEXT), log_descriptor=writer
-        )
+        daemon = process.Daemon(create_settings(), log_descriptor=writer)
         task = asyncio.create_task(daemon.async_run())
         await asyncio.sleep(0.1)
         loop = asyncio.get_running_loop()
@@ -172,10 +178,7 @@
     """It takes as long as planned, ends the rest and logs the error."""
     monkeypatch.setattr(process, 'CALLER_DRAIN_S', 0.3)
     monkeypatch.setattr(process, 'PEER_DRAIN_S', 0.2)
-    (host,) = ports.reserve_hosts(1)
-    settings = settings_module.parse(
-        'bootstrap = true\n' + test_reload.TEXT.replace('127.0.0.1', host)
-    )
+    settings = create_settings()
     reader, writer = os.pipe()
 
     async def async_main() -> float:
