Read rules again whose document could not be decoded

It also went on to tell its peers that its own version was the newest.

Cause: reads went on behind a document before it was decoded. It is read again now, after the usual pause, until it can be decoded.

--- a/sassafraswood/sidecar/rules_follower.py
+++ b/sassafraswood/sidecar/rules_follower.py
@@ -77,15 +77,18 @@
             wait_s = 0.0
         else:
             page = await self._store.async_read(topic, self._offset, wait_s)
-        # The offset moves on before decoding, so that an invalid document is
-        # not read again and again.
         self._offset = page.next_offset
         newest = None
         for record in page.records:
             if record.key == store_module.RULES_KEY:
                 newest = record
         if newest is not None:
-            self._apply(newest.value, started_at)
+            try:
+                self._apply(newest.value, started_at)
+            except exceptions.DecodeError:
+                # It may be whole in the next response.
+                self._offset = None
+                raise
         elif self._knowledge.rules_version >= 0:
             as_of = started_at
             if not page.records:
