Hold small responses beside large ones

Callers saw 502 for calls whose upstream had run them and had sent a complete, small response. The daemon beside the upstream limits the bytes of all responses that it is receiving. While some without end, or many large ones, fill that limit, any response that did not fit failed, not only theirs.

The first 64 KB of a body are now held in any case: as many as an upstream runs at once take little memory. The limit ends the larger ones as before.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -33,6 +33,9 @@
 )
 # Larger responses are aborted; several must fit into memory.
 MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
+# The first bytes of each body are held even if other responses fill the limit
+# on them; as many calls as an upstream runs at once need little memory for it.
+SMALL_BODY_BYTES: Final = 64 * 1024
 # Idle timeout of connections whose server announces none; it is below the
 # usual timeouts of servers.
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -357,12 +360,13 @@
         if self._result is not None or self._on_done is None:
             return
         self._body_bytes += len(data)
-        if self._size + len(data) > MAX_RESPONSE_BYTES or not self._held.take(
-            len(data)
-        ):
+        size = self._size + len(data)
+        if size <= SMALL_BODY_BYTES:
+            self._held.take_anyway(len(data))
+        elif size > MAX_RESPONSE_BYTES or not self._held.take(len(data)):
             self._fail_exchange(FailureKind.TOO_LARGE)
             return
-        self._size += len(data)
+        self._size = size
         self._body.append(data)
 
     def on_message_complete(self) -> None:
