Let upstreams of the fleet series call from the address of their VM

A daemon takes calls from its own address for those of its upstream; the series sent them from 127.0.0.1, so they counted as calls of clients.

--- a/lab/process_site.py
+++ b/lab/process_site.py
@@ -342,6 +342,7 @@
         port: int = machine_module.CALLER,
         name: str = '',
         receive_bytes: int = 0,
+        source: str = '',
     ) -> RawClient:
         """Open a connection to a daemon.
 
@@ -349,6 +350,7 @@
             port: Port of the daemon.
             name: Name of its VM; the first VM if empty.
             receive_bytes: Size of the receive buffer; that of the system if 0.
+            source: Address of the client; chosen by the system if empty.
         """
         host = (self.machines[name] if name else self.first).host
         connection = socket.socket()
@@ -357,6 +359,8 @@
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
             )
+        if source:
+            connection.bind((source, 0))
         loop = asyncio.get_running_loop()
         await loop.sock_connect(connection, (host, port))
         return RawClient(
