Count the grace time from when a stop may have been requested

A process that was held up while a SIGTERM came (paused, or without processor time) would be killed in the middle of its stop: it counted its time from the moment at which it noticed the signal. Requests in progress would end with it.

Cause: the platform counts from the signal, and the reserve of 0.7 s is all that covered the time until the event loop handled it.

Change: the stop begins at the last tick before the signal was noticed, which is at most 25 ms ago unless the process was held up. `stopping` says for how long that was (held_up_s).

Evidence: the test pauses a daemon, sends SIGTERM and continues it 1.5 s later, beside a request of 15 s. Now it ends with exit code 0 in time, and the request gets 504.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -314,6 +314,9 @@
         self._is_stopping = False
         self._deregistration: asyncio.Task[None] | None = None
         self._slow_tick_at = 0.0
+        # Times of the event loop, in seconds.
+        self._ticked_at = math.inf
+        self._stop_since = math.inf
         self._stop_requested = asyncio.Event()
 
     async def async_run(
@@ -331,7 +334,9 @@
             await self._async_serve()
             return
         signals.set_callback(
-            lambda: loop.call_soon_threadsafe(self._apply_signals, signals)
+            lambda: loop.call_soon_threadsafe(
+                self._apply_signals, signals, self._ticked_at
+            )
         )
         try:
             self._apply_signals(signals)
@@ -346,9 +351,11 @@
             signals.set_callback(None)
             self._log.flush()
 
-    def _apply_signals(self, signals: process_signals.ProcessSignals) -> None:
+    def _apply_signals(
+        self, signals: process_signals.ProcessSignals, since: float = math.inf
+    ) -> None:
         if signals.stop_signal:
-            self.stop()
+            self.stop(since)
         if signals.take_reload():
             self.reload()
 
@@ -366,6 +373,7 @@
         self._rules.start()
         self._membership.start()
         self._log.flush()
+        self._ticked_at = loop.time()
         tasks = (
             loop.create_task(self._async_tick()),
             loop.create_task(self._async_listen_for_metrics()),
@@ -427,12 +435,20 @@
             self._log,
         ).async_open(self._stop_requested)
 
-    def stop(self) -> None:
-        """Request a stop, as SIGTERM and SIGINT do."""
+    def stop(self, since: float = math.inf) -> None:
+        """Request a stop, as SIGTERM and SIGINT do.
+
+        Args:
+            since: Time of the event loop, in seconds, since which it may have
+                been requested; a process that is held up notices it late.
+        """
+        self._stop_since = min(self._stop_since, since)
         self._stop_requested.set()
 
     async def _async_tick(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            self._ticked_at = loop.time()
             await _async_wait_tick()
             for tick in (
                 self._upstream.tick,
@@ -483,15 +499,17 @@
         self._caller_server.is_closing = True
         is_peer_drain_over = False
         is_caller_drain_over = False
-        started_at = loop.time()
+        # The grace period begins with the signal.
+        started_at = min(loop.time(), self._stop_since)
         stop_s = self.settings.bounds.grace_s - GRACE_MARGIN_S
         end_at = started_at + stop_s
         for plan in self._stop_plans:
-            plan.begin(stop_s)
+            plan.begin(end_at - loop.time())
         self._log.change(
             'stopping',
             open_requests=self._callers.active_count,
             running=len(self._upstream.running),
+            held_up_s=round(loop.time() - started_at, 3),
         )
         log_at = started_at + STOP_LOG_INTERVAL_S
         # An upstream that has not reported since a restart may run.
--- a/tests/sidecar/test_process_conditions.py
+++ b/tests/sidecar/test_process_conditions.py
@@ -55,6 +55,8 @@
 SLOW_RUN_S = 0.8
 # Least time that a stop without the store leaves of the grace time.
 STOP_RESERVE_S = 0.7
+# Time for which a process is paused.
+PAUSE_S = 1.5
 # Clients whose request is rejected before they have sent all of it.
 REJECTED = 40
 REJECTED_BYTES = 4 << 20
@@ -734,3 +736,29 @@
         assert await site.async_end(process) == 0
         left_s = machine_module.GRACE_S - (time.monotonic() - started_at)
         assert left_s > STOP_RESERVE_S
+
+
+# Guards against processes that are killed at the end of their grace time, as
+# they were held up when the signal came and count that time from later on.
+async def test_stop_of_a_paused_process_ends_in_time(tmp_path) -> None:
+    """It ends in order within the grace time, whatever runs."""
+    rules = process_site.build_rules(SERVICES[:1], 20.0)
+    async with process_site.async_site(
+        tmp_path, SERVICES[:1], rules=rules, has_daemons=False
+    ) as site:
+        process = site.launch('near')
+        await site.async_wait_ready('near', process)
+        await site.async_wait_served('near')
+        site.upstream('near').delay_s = 15.0
+        client = await site.async_connect()
+        client.send(process_site.build_request('near', deadline='20000'))
+        await site.async_wait_until(
+            lambda: bool(site.upstream('near').streams), 2.0
+        )
+        process.send_signal(signal.SIGSTOP)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(PAUSE_S)
+        process.send_signal(signal.SIGCONT)
+        left_s = machine_module.GRACE_S - PAUSE_S
+        assert await site.async_end(process, None, left_s) == 0
+        assert get_status(await client.async_receive()) == 504
