Leave out the end of the interpreter once a daemon has stopped

Of a stop that uses its whole time, less than 0.1 s of the grace time was left on a busy machine; a little more load, and the process is killed though it had written `stopped`.

Cause: the interpreter frees all modules and objects at its end. That took a part of the 0.7 s that are kept in reserve, outside the plan of the stop.

Change: the process exits at once when its event loop is closed.

--- a/sassafraswood/sidecar/__main__.py
+++ b/sassafraswood/sidecar/__main__.py
@@ -4,7 +4,7 @@
 """
 
 import faulthandler
-import sys
+import os
 
 from sassafraswood import process_signals
 from sassafraswood import standard_streams
@@ -37,4 +37,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    # All output is written, and the end of the interpreter would take a part
+    # of the grace time on a busy machine.
+    os._exit(main())
--- a/tests/sidecar/test_process_life.py
+++ b/tests/sidecar/test_process_life.py
@@ -322,3 +322,22 @@
     text = daemon.log_path.read_text()
     assert 'Fatal Python error: Segmentation fault' in text
     assert 'process.py' in text
+
+
+# Guards against processes that are killed behind the end of their stop, since
+# the end of the interpreter takes long on a busy machine.
+def test_process_is_gone_once_it_has_stopped(daemon, tmp_path) -> None:
+    """What the interpreter does at its end is left out."""
+    folder = tmp_path / 'modules'
+    folder.mkdir()
+    (folder / 'uvloop.py').write_text(
+        'import atexit, time\n'
+        'from asyncio import SelectorEventLoop as new_event_loop\n'
+        'atexit.register(time.sleep, 30.0)\n'
+    )
+    with listen(daemon, LISTENERS['inbound']):
+        process = daemon.start(str(folder))
+        wait_until(lambda: 'address_unavailable' in daemon.events())
+        process.send_signal(signal.SIGTERM)
+        assert daemon.wait() == 0
+    assert daemon.events()[-1] == 'stopped'
