Let a leave bind an upstream whose start seems older

What callers would see: an upstream that reports draining, or leaves, between its first report and the health check that confirms it, is served after its leave was acknowledged. It needs a crash of the former upstream and a clock that was set back; found by review.

Such a leave is recorded, stored before its acknowledgement as any other, and ends the unconfirmed report.

--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -194,9 +194,16 @@
             return False
         if get_upstream_process(report) in self._left_upstreams:
             return False
-        if self._may_follow(report):
-            self._unconfirmed = report
-            return True
+        if self._is_earlier_start(report):
+            if report.status is enums.UpstreamStatus.DRAINING:
+                # It may be of an upstream that a health check would confirm.
+                self._record_leave(get_upstream_process(report))
+                return True
+            if self.status is enums.UpstreamStatus.CRASHED:
+                # The clock may have been set back before the next upstream
+                # started; a health check shows whether that has sent it.
+                self._unconfirmed = report
+                return True
         if not self._is_newer(report):
             return False
         if self._is_confirmed(report):
@@ -215,26 +222,33 @@
         Returns:
             The leave, with the start of the upstream if it is known.
         """
-        report = self._report or self._unconfirmed
-        if born is None and report is not None:
-            if report.instance_id == instance_id:
+        for report in (self._unconfirmed, self._report):
+            if (
+                born is None
+                and report is not None
+                and report.instance_id == instance_id
+            ):
                 born = report.born
         leave = self._add_start(
             fleet.UpstreamProcess(instance_id=instance_id, born=born)
         )
-        self._left_upstreams.add(leave)
         self._has_left = True
         if (
             self._report is not None
             and get_upstream_process(self._report) == leave
         ):
             self._report = None
+        self._record_leave(leave)
+        return leave
+
+    def _record_leave(self, leave: fleet.UpstreamProcess) -> None:
+        """Ignore the reports of an upstream, also one that is unconfirmed."""
+        self._left_upstreams.add(leave)
         if (
             self._unconfirmed is not None
             and get_upstream_process(self._unconfirmed) == leave
         ):
             self._unconfirmed = None
-        return leave
 
     def note_crash(self) -> None:
         """Count the upstream as crashed until its next report."""
@@ -305,18 +319,6 @@
             self._report
         ) == get_upstream_process(report)
 
-    def _may_follow(self, report: fleet.UpstreamReport) -> bool:
-        """Return whether a report seems older because a clock was set back.
-
-        The current upstream has crashed, so the next one at its address may
-        have sent it; a health check shows whether it has.
-        """
-        return (
-            report.status is enums.UpstreamStatus.READY
-            and self.status is enums.UpstreamStatus.CRASHED
-            and self._is_earlier_start(report)
-        )
-
     def _is_earlier_start(self, report: fleet.UpstreamReport) -> bool:
         """Return whether a report is of a process that started earlier."""
         current = self._report
--- a/tests/coordination/test_upstream_registry.py
+++ b/tests/coordination/test_upstream_registry.py
@@ -1,5 +1,9 @@
 """Tests of the order in which reports of an upstream apply."""
 
+import dataclasses
+
+import pytest
+
 from sassafraswood import clock
 from sassafraswood.coordination import upstream_registry
 from sassafraswood.models import enums
@@ -301,3 +305,26 @@
     assert registry.confirm('i2')
     assert registry.status is enums.UpstreamStatus.READY
     assert not registry.apply(make_report(sequence=99))
+
+
+# Guards against an upstream that is served after its leave was acknowledged.
+@pytest.mark.parametrize('has_reported', [True, False])
+@pytest.mark.parametrize('is_deregistered', [True, False])
+def test_leave_of_an_unconfirmed_upstream_binds(
+    has_reported, is_deregistered
+) -> None:
+    """No late report and no health check makes it ready."""
+    registry = make_registry()
+    registry.apply(make_report())
+    registry.note_crash()
+    ready = make_report(instance_id='i2', born=50, sequence=1)
+    if has_reported:
+        registry.apply(ready)
+    if is_deregistered:
+        registry.leave('i2', None if has_reported else 50)
+    else:
+        draining = enums.UpstreamStatus.DRAINING
+        assert registry.apply(dataclasses.replace(ready, status=draining))
+    assert not registry.apply(dataclasses.replace(ready, sequence=3))
+    assert not registry.confirm('i2')
+    assert registry.status is not enums.UpstreamStatus.READY
