Drop responses only of peers that read too slowly

What callers would see: large responses to callers of daemons that read at once fail beside one daemon that reads nothing, their daemon avoids a sound one, and the upstream runs idempotent requests again.

Cause: the limit was on the sum of all peers, and its failure looked like that of the daemon beside the upstream.

A response is dropped only if its own peer has unsent responses, and its caller gets 502 at once, as for a client that reads too slowly. The test failed before.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -619,6 +619,9 @@
             if call.counts_as_deep_load:
                 self._downstream_load.note(deep_load.REFUSED_CALL_LOAD, now)
             self._handle_refusal(call, candidate, reply)
+        elif reply.reason == enums.RefusalReason.MEMORY_FULL.value:
+            # This daemon reads too slowly; another run would not help.
+            self._fail(call, 502, reply.reason)
         else:
             candidate.note_failure(now)
             self._handle_failure(call, reply.reason)
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -671,9 +671,12 @@
             self._running.pop(key, None)
             if connection.is_open:
                 self._replied.add(connection)
-            if isinstance(
-                reply, frames.Answer
-            ) and not self.answer_memory.has_room(len(reply.body)):
+            # A peer that reads takes no part of the memory for long.
+            if (
+                isinstance(reply, frames.Answer)
+                and connection.unsent_bytes
+                and not self.answer_memory.has_room(len(reply.body))
+            ):
                 reply = frames.CallFailed(
                     call_id=run.call_id,
                     reason=enums.RefusalReason.MEMORY_FULL.value,
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -233,6 +233,13 @@
     )
 
 
+def dropped(run: frames.Run) -> frames.CallFailed:
+    """Return the failure of a call whose response found no memory."""
+    return frames.CallFailed(
+        call_id=run.call_id, reason='memory_full', load=0.5
+    )
+
+
 def refused(run: frames.Run) -> frames.Refused:
     """Return a refusal by a daemon whose upstream is overloaded."""
     return frames.Refused(
@@ -296,6 +303,23 @@
     assert connection.responses[0][0] == 502
 
 
+# Guards against a sound daemon that is avoided, and an upstream that runs a
+# request again, since the callers' own daemon has read too slowly.
+def test_dropped_response_is_not_a_failure_of_the_other_daemon(
+    tmp_path,
+) -> None:
+    """The call fails, and the daemon stays a candidate."""
+    fixture = Fixture(tmp_path)
+    connection = fixture.send('read')
+    candidate, _, _ = fixture.peers.sent[0]
+    failures = []
+    candidate.note_failure = failures.append
+    fixture.reply_to_call(0, dropped)
+    assert len(fixture.peers.sent) == 1
+    assert connection.responses[0][0] == 502
+    assert not failures
+
+
 def test_refusal_has_retry_after(tmp_path) -> None:
     """Retry-After lies within the latency target of the caller."""
     fixture = Fixture(tmp_path)
