Look at unread bytes and closing connections in the waits of a close

What callers would see, found by review: a response that is cut by a reset, if the process was held up for 2 s while its client sent on; new connections that wait for descriptors while the 16 that are to make room are closing already, or while a stop no longer closes idle ones; a stop that one client stretches to its end though it has all of its response.

The wait behind a last response looks at the bytes that the kernel holds and ends with the delivery; closing connections count for no room; a stop that accepts those who wait closes idle connections on the way.

--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -258,6 +258,11 @@
             and not self._kept
         )
 
+    @property
+    def may_be_closed(self) -> bool:
+        """Return whether the connection is idle and is not closing yet."""
+        return self.is_idle and not self._is_closing
+
     @property
     def state(self) -> ClientState:
         """Return what the connection does now."""
@@ -287,7 +292,9 @@
             or self.state in _WAITING_STATES
             # The close would reset a client that sends on while it reads.
             or (
-                self._is_closing and self._received_bytes > self._awaited_bytes
+                self._is_closing
+                and self._received_bytes > self._awaited_bytes
+                and self._undelivered_bytes > 0
             )
         )
 
@@ -986,9 +993,8 @@
         if self._transport is None:
             return
         still_sends = (
-            self._received_bytes != received_bytes
-            and self._loop.time() < latest
-        )
+            self._received_bytes != received_bytes or self._has_unread_bytes
+        ) and self._loop.time() < latest
         if still_sends or self._undelivered_bytes:
             self._schedule_close(latest)
         else:
@@ -1173,7 +1179,7 @@
             connection
             for connection in self.connections
             if connection.since <= latest
-            and connection.is_idle
+            and connection.may_be_closed
             and not connection.has_unsent_data
         )
         for connection in heapq.nsmallest(
@@ -1187,7 +1193,9 @@
         New ones are not idle: their first request may be on its way.
         """
         for connection in list(self.connections):
-            if connection.is_idle and not connection.awaits_first_request:
+            if connection.may_be_closed and (
+                not connection.awaits_first_request
+            ):
                 connection.close_idle_soon()
 
     def stop_listening(self) -> None:
@@ -1212,6 +1220,8 @@
         if not self._ending.has_waiting:
             self._ending = None
             return
+        # Their descriptors are for those that wait.
+        self.close_idle()
         asyncio.get_running_loop().call_later(
             ACCEPT_INTERVAL_S, self._accept_rest
         )
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -17,6 +17,7 @@
 from sassafraswood.models import traffic
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
+from sassafraswood.transport import tcp
 
 from tests.sidecar.test_upstream_side import NAMES
 
@@ -1040,3 +1041,30 @@
         assert slow not in server.connections
 
     run_slow_client(async_use, is_closing=True)
+
+
+# Guards against responses that are cut by a reset, since the process was held
+# up while their client sent on.
+def test_unread_bytes_are_read_before_a_close(monkeypatch) -> None:
+    """They count as sent, however long ago something was read."""
+    client = Client(b'rubbish\r\n\r\n')
+    connection = client.connection
+    closes = []
+    monkeypatch.setattr(client.transport, 'close', lambda: closes.append(1))
+    for unread_bytes, count in ((5, 0), (0, 1)):
+        monkeypatch.setattr(
+            tcp, 'count_unread_bytes', lambda _, size=unread_bytes: size
+        )
+        connection._close_if_silent(connection._received_bytes, float('inf'))
+        assert len(closes) == count
+    client.disconnect()
+
+
+# Guards against new connections that wait while only those make room for them
+# that close anyway.
+def test_closing_connection_makes_no_room() -> None:
+    """It is idle, and there is nothing to close."""
+    client = Client(b'rubbish\r\n\r\n')
+    assert client.connection.is_idle
+    assert not client.connection.may_be_closed
+    client.disconnect()
