--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -519,15 +519,17 @@
             since_stop_s = loop.time() - started_at
             if loop.time() >= log_at:
                 log_at += STOP_LOG_INTERVAL_S
-                self._end(self._log_open_work)
+                self._take_steps(self._log_open_work)
             if since_stop_s >= PEER_DRAIN_S and not is_peer_drain_over:
                 is_peer_drain_over = True
-                self._end(self._upstream.stop, self._peers.request_last_calls)
+                self._take_steps(
+                    self._upstream.stop, self._peers.request_last_calls
+                )
             if since_stop_s >= CALLER_DRAIN_S and not is_caller_drain_over:
                 # Late requests get a refusal, which says that they have not
                 # run, in place of a refused connection.
                 is_caller_drain_over = True
-                self._end(
+                self._take_steps(
                     self._callers.refuse_new, self._caller_server.close_idle
                 )
             if is_caller_drain_over and not self._may_hold(
@@ -535,11 +537,11 @@
             ):
                 break
             await _async_wait_tick()
-        self._end(self._log_open_work)
+        self._take_steps(self._log_open_work)
         await self._async_disconnect_callers(end_at)
         self.close()
 
-    def _end(self, *steps: Callable[[], object]) -> None:
+    def _take_steps(self, *steps: Callable[[], object]) -> None:
         """Take steps of a stop; one that fails does not keep the others.
 
         Args:
@@ -574,7 +576,7 @@
                 waited for, in seconds.
         """
         loop = asyncio.get_running_loop()
-        self._end(
+        self._take_steps(
             self._callers.refuse_all,
             self._upstream.stop,
             self._callers.end_all,
@@ -596,7 +598,7 @@
                 is_waiting = now < end_at and self._may_hold(
                     lambda: server.expects_requests
                 )
-        self._end(self._log_states, self._caller_server.disconnect)
+        self._take_steps(self._log_states, self._caller_server.disconnect)
         # What is written last is sent by the event loop.
         await asyncio.sleep(TICK_S)
 
@@ -679,7 +681,7 @@
         succeeds before that end, another daemon deletes the record once it
         has expired.
         """
-        self._end(lambda: self._shares.set_spending_start(math.inf))
+        self._take_steps(lambda: self._shares.set_spending_start(math.inf))
         while True:
             try:
                 await self._membership.async_deregister()
@@ -693,7 +695,7 @@
         """Stop all followers, close the connections and stop listening."""
         if self._deregistration is not None:
             self._deregistration.cancel()
-        self._end(
+        self._take_steps(
             self._rules.stop,
             self._membership.stop,
             self._upstream_log.stop,
