Count rules as known once they are in force

A daemon that raised an unexpected error while it applied its first rules said that it was ready. Found by review; no input is known that does so.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -726,7 +726,6 @@
         return self._has_rules and not self._is_stopping
 
     def _on_rules(self, rules: traffic.TrafficRules) -> None:
-        self._has_rules = True
         for server in self._servers:
             server.set_time_limits(rules.limits)
         self._caller_server.limits = rules.limits
@@ -738,6 +737,8 @@
             self._registry.waive_health_check()
         else:
             self._probe.set_health_path(service.health_path)
+        # A daemon that failed to apply its first rules is not ready.
+        self._has_rules = True
 
     def _on_report(self) -> None:
         self._upstream.refresh()
