Count the drains of a stop from when it is noticed

What callers would see, found by review: after a process was held up when the stop signal came, callers are refused, and calls of peers that are on their way fail although they have not run, as if they had known of the stop since the signal.

The end of a stop still counts from the signal. Callers and peers get their drains from the moment at which they can learn of it, as far as the end allows, and at least 0.3 s for calls on their way.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -75,6 +75,9 @@
 DEREGISTRATION_PAUSE_S: Final = 0.3
 # Interval at which a stop logs what it waits for.
 STOP_LOG_INTERVAL_S: Final = 1.0
+# Least time of a stop for calls that are on their way, also if the process was
+# held up for all of its grace period.
+MIN_LAST_CALLS_S: Final = 0.3
 # Part of the grace period that is kept in reserve, so that the process exits
 # before it is killed.
 GRACE_MARGIN_S: Final = 0.7
@@ -499,33 +502,40 @@
         self._caller_server.is_closing = True
         is_peer_drain_over = False
         is_caller_drain_over = False
-        # The grace period begins with the signal.
-        started_at = min(loop.time(), self._stop_since)
-        stop_s = self.settings.bounds.grace_s - GRACE_MARGIN_S
-        end_at = started_at + stop_s
+        # The grace period begins with the signal; callers and peers learn of
+        # the stop only now.
+        noticed_at = loop.time()
+        started_at = min(noticed_at, self._stop_since)
+        end_at = max(
+            started_at + self.settings.bounds.grace_s - GRACE_MARGIN_S,
+            noticed_at + MIN_LAST_CALLS_S,
+        )
+        callers_until = min(
+            noticed_at + CALLER_DRAIN_S, end_at - MIN_LAST_CALLS_S
+        )
+        peers_until = callers_until - (CALLER_DRAIN_S - PEER_DRAIN_S)
         for plan in self._stop_plans:
-            plan.begin(end_at - loop.time())
+            plan.begin(end_at - noticed_at)
         self._log.change(
             'stopping',
             open_requests=self._callers.active_count,
             running=len(self._upstream.running),
-            held_up_s=round(loop.time() - started_at, 3),
+            held_up_s=round(noticed_at - started_at, 3),
         )
-        log_at = started_at + STOP_LOG_INTERVAL_S
+        log_at = noticed_at + STOP_LOG_INTERVAL_S
         # An upstream that has not reported since a restart may run.
         if self._registry.has_left:
             self._deregistration = loop.create_task(self._async_deregister())
-        while loop.time() < end_at:
-            since_stop_s = loop.time() - started_at
-            if loop.time() >= log_at:
+        while (now := loop.time()) < end_at:
+            if now >= log_at:
                 log_at += STOP_LOG_INTERVAL_S
                 self._take_steps(self._log_open_work)
-            if since_stop_s >= PEER_DRAIN_S and not is_peer_drain_over:
+            if now >= peers_until and not is_peer_drain_over:
                 is_peer_drain_over = True
                 self._take_steps(
                     self._upstream.stop, self._peers.request_last_calls
                 )
-            if since_stop_s >= CALLER_DRAIN_S and not is_caller_drain_over:
+            if now >= callers_until and not is_caller_drain_over:
                 # Late requests get a refusal, which says that they have not
                 # run, in place of a refused connection.
                 is_caller_drain_over = True
