Complete connections that clients open while a listener closes

What callers would see, found by review: a client whose last packet of the handshake is on its way when the listener closes is reset, with the request that it sends behind it. On loopback the handshake takes no time, on a network a round trip.

Cause: the queue of the listener was taken as empty for good once it was empty. At the end of a stop the listener stays open for 0.1 s more, while the kernel drops new requests to connect. Where descriptors are scarce, a look at the free ones comes before each accept, so that those for calls stay free.

The test holds the handshake open by TCP_DEFER_ACCEPT; it could not run before, since the listener had no such time.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -60,6 +60,9 @@
 MIN_LAST_ROUNDS: Final = 3
 # Time for which the rest of a request is waited for at the end of a stop.
 LAST_REST_S: Final = 0.25
+# Time in which a client completes a connection that it is opening when the
+# listener closes.
+HANDSHAKE_S: Final = 0.1
 # Report intervals without a report after which an upstream counts as absent;
 # two reports may be lost.
 SILENT_REPORT_INTERVALS: Final = 3.2
@@ -590,7 +593,7 @@
             self._callers.refuse_all,
             self._upstream.stop,
             self._callers.end_all,
-            self._caller_server.stop_listening,
+            lambda: self._caller_server.stop_listening(HANDSHAKE_S),
         )
         begun_at = loop.time()
         server = self._caller_server
--- a/sassafraswood/transport/acceptor.py
+++ b/sassafraswood/transport/acceptor.py
@@ -68,6 +68,7 @@
         self._max_descriptor = float('inf')
         self._loop = asyncio.get_running_loop()
         self._is_closed = False
+        self._handshakes_until = 0.0
         self._server: asyncio.Server | None = None
         # Keeps the address and the waiting connections while it is paused.
         self._kept: socket.socket | None = None
@@ -106,15 +107,20 @@
         """Return whether connections may wait although it is closed."""
         return self._is_closed and self._kept is not None
 
-    def close(self) -> list[socket.socket]:
+    def close(self, handshake_s: float = 0.0) -> list[socket.socket]:
         """Stop accepting connections; established ones stay open.
 
+        Args:
+            handshake_s: Time for which connections that clients are opening
+                are still completed.
+
         Returns:
             The connections that wait to be accepted, which the close of the
-            listener would reset. If descriptors are scarce, it stays open for
-            the others; take_waiting returns them.
+            listener would reset. It stays open for others that come or wait
+            for descriptors; take_waiting returns them.
         """
         self._is_closed = True
+        self._handshakes_until = self._loop.time() + handshake_s
         if self._timer is not None:
             self._timer.cancel()
         if self._resuming is not None:
@@ -130,13 +136,16 @@
         return self.take_waiting()
 
     def take_waiting(self) -> list[socket.socket]:
-        """Return connections that still wait, and end once there are none."""
-        if self._kept is None:
+        """Return connections that wait, and end once no other can come."""
+        if (
+            self._kept is None
+            or self._find_free_descriptor() >= self._max_descriptor
+        ):
             return []
         waiting, is_empty = tcp.accept_waiting(
             self._kept, self._max_descriptor
         )
-        if is_empty:
+        if is_empty and self._loop.time() >= self._handshakes_until:
             self._kept.close()
             self._kept = None
         return waiting
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -1198,17 +1198,21 @@
             ):
                 connection.close_idle_soon()
 
-    def stop_listening(self) -> None:
+    def stop_listening(self, handshake_s: float = 0.0) -> None:
         """Stop accepting connections; established ones stay open.
 
         Those that wait to be accepted are established: their clients may have
         sent requests, and the close of the listener would reset them. Those
         for which there are no descriptors are accepted later.
+
+        Args:
+            handshake_s: Time for which connections that clients are opening
+                are still completed.
         """
         server, self._server = self._server, None
         if server is None:
             return
-        self._accept(server.close())
+        self._accept(server.close(handshake_s))
         if server.has_waiting:
             self._ending = server
             self._accept_rest()
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -162,3 +162,32 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(async_play())
+
+
+# Guards against clients whose connection is reset, since the listener closes
+# before the last packet with which they open it has arrived.
+def test_close_waits_for_connections_that_are_being_opened() -> None:
+    """They are accepted, and nobody else is."""
+
+    async def async_play() -> None:
+        server = acceptor.Acceptor(lambda: Echo(server), backlog=CLIENTS)
+        bound = tcp.bind(('127.0.0.1', 0))
+        address = bound.getsockname()
+        # The kernel ignores that packet until the client sends data.
+        bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 5)
+        await server.async_open(bound)
+        with socket.create_connection(address) as client:
+            assert server.close(0.1) == []
+            assert server.has_waiting
+            client.sendall(b'x')
+            await asyncio.sleep(0.05)
+            (connection,) = server.take_waiting()
+            with connection:
+                assert connection.recv(1) == b'x'
+        assert server.has_waiting
+        await asyncio.sleep(0.1)
+        assert server.take_waiting() == []
+        assert not server.has_waiting
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(async_play())
