--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -162,7 +162,7 @@
         )
 
     @property
-    def has_unread_calls(self) -> bool:
+    def has_unconfirmed_peers(self) -> bool:
         """Return whether a peer may have sent calls that were not read here.
 
         A peer that is not heard of is not waited for.
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -627,7 +627,7 @@
             self._callers.active_count
             or self._upstream.running
             or self._caller_server.unsent_bytes
-            or self._peers.has_unread_calls
+            or self._peers.has_unconfirmed_peers
             or self._peers.has_undelivered_replies
         )
 
@@ -651,7 +651,7 @@
             running=len(self._upstream.running),
             unread_bytes=self._caller_server.unsent_bytes,
             replies_undelivered=self._peers.has_undelivered_replies,
-            calls_unread=self._peers.has_unread_calls,
+            calls_unread=self._peers.has_unconfirmed_peers,
             store_writes=self._upstream_log.pending_count,
         )
 
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -220,7 +220,7 @@
         # the time at which they had changed, and `since` at that time.
         self._received_bytes = 0
         # Those of them that came before the last response.
-        self._awaited_bytes = 0
+        self._bytes_before_close = 0
         self._progress = (0, 0)
         self._progress_at = self.since
         self._progress_since = self.since
@@ -293,7 +293,7 @@
             # The close would reset a client that sends on while it reads.
             or (
                 self._is_closing
-                and self._received_bytes > self._awaited_bytes
+                and self._received_bytes > self._bytes_before_close
                 and self._undelivered_bytes > 0
             )
         )
@@ -971,7 +971,7 @@
             return
         self._is_closing = True
         self._transport.write_eof()
-        self._awaited_bytes = self._received_bytes
+        self._bytes_before_close = self._received_bytes
         self._schedule_close(self._loop.time() + MAX_LINGER_S)
 
     def _schedule_close(self, latest: float) -> None:
@@ -1039,7 +1039,7 @@
         self.reserve_fraction = acceptor.DEFAULT_RESERVE_FRACTION
         self._server: acceptor.Acceptor | None = None
         # Listener that is closed, and has connections for free descriptors.
-        self._ending: acceptor.Acceptor | None = None
+        self._closing_listener: acceptor.Acceptor | None = None
         # Connections that were accepted when the listener was closed.
         self._accept_tasks: set[asyncio.Task[typing.Any]] = set()
 
@@ -1061,7 +1061,7 @@
     @property
     def _is_accepting_rest(self) -> bool:
         """Return whether connections of the closed listener still wait."""
-        return bool(self._accept_tasks) or self._ending is not None
+        return bool(self._accept_tasks) or self._closing_listener is not None
 
     @property
     def expects_requests(self) -> bool:
@@ -1214,15 +1214,15 @@
             return
         self._accept(server.close(handshake_s))
         if server.has_waiting:
-            self._ending = server
+            self._closing_listener = server
             self._accept_rest()
 
     def _accept_rest(self) -> None:
-        if self._ending is None:
+        if self._closing_listener is None:
             return
-        self._accept(self._ending.take_waiting())
-        if not self._ending.has_waiting:
-            self._ending = None
+        self._accept(self._closing_listener.take_waiting())
+        if not self._closing_listener.has_waiting:
+            self._closing_listener = None
             return
         # Their descriptors are for those that wait.
         self.close_idle()
