Keep the stored crashes of former processes of a daemon

Callers and upstreams: after a restart of all daemons, a request that had been refused for crashing upstreams was accepted again and crashed two more.

Cause: crash records had eight numbered keys, and each process began at a random one. A new process replaced a record of the former one in one of eight cases; without the record of the first crash, those of its retries are no sufficient evidence.

Change: each crash has a key of its own, as each leave has, and the daemon deletes its oldest records over the limit. Keys with numbers, from former versions, are read and deleted as well.

Evidence: the two new tests fail on the former code (crash 0 of [0, 1] and crash 1 of eight are gone) and pass now.

--- a/sassafraswood/platform/upstream_records.py
+++ b/sassafraswood/platform/upstream_records.py
@@ -1,10 +1,10 @@
 """Encoding of the records of upstreams that daemons write to the store.
 
 Each daemon has one record for each of the newest upstreams that have left its
-VM, one of the upstream present on it, and up to MAX_CRASH_RECORDS records of
-upstreams that crashed. Each record has a key of its own, so that a write that
-the store applies late cannot overwrite a record of another kind or another
-leave.
+VM, one of the upstream present on it, and one for each of the newest crashes
+of its upstreams. Each record has a key of its own, so that a write of another
+process, or one that the store applies late, cannot overwrite a record of
+another kind, another leave or another crash.
 """
 
 from collections.abc import Iterable
@@ -19,8 +19,6 @@
 from sassafraswood.platform import wire_json
 
 TOPIC: Final = 'keyed.upstreams'
-# Crash records that a daemon keeps; the next one replaces the oldest.
-MAX_CRASH_RECORDS: Final = 8
 _CRASH_KEY_PART: Final = '/ended/'
 _LEAVE_KEY_PART: Final = '/left/'
 
@@ -131,9 +129,13 @@
     )
 
 
-def build_crash_key(daemon_id: ids.DaemonId, number: int) -> str:
-    """Return the key of the crash record with a sequence number."""
-    return f'{daemon_id}{_CRASH_KEY_PART}{number % MAX_CRASH_RECORDS}'
+def build_crash_key(daemon_id: ids.DaemonId, record_id: str) -> str:
+    """Return the key of a daemon's record of a crash.
+
+    Ids of records hold names of upstreams, which may be too long for a key.
+    """
+    name = xxhash.xxh64_hexdigest(record_id.encode())
+    return f'{daemon_id}{_CRASH_KEY_PART}{name}'
 
 
 def is_crash_key(key: str) -> bool:
@@ -141,6 +143,14 @@
     return _CRASH_KEY_PART in key
 
 
+def is_own_crash_key(daemon_id: ids.DaemonId, key: str) -> bool:
+    """Return whether a key is that of a daemon's record of a crash.
+
+    Former versions numbered the keys.
+    """
+    return key.startswith(f'{daemon_id}{_CRASH_KEY_PART}')
+
+
 def encode_crash(record: crash.CrashRecord) -> bytes:
     """Return the value of a crash record."""
     return msgspec.json.encode(
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -25,6 +25,8 @@
 # Newest leaves that are stored. While a daemon restarts, delayed reports are
 # expected of no more former upstreams than this at one address.
 MAX_STORED_LEAVES: Final = 8
+# Newest crashes that are stored; each daemon stores those of its own upstream.
+MAX_STORED_CRASHES: Final = 8
 
 
 class UpstreamLog:
@@ -37,6 +39,9 @@
     a record of its own, since the store may apply a write seconds after its
     sender has given it up. The present upstream is stored once, so that the
     next process need not wait for its next report.
+
+    Crashes are stored as evidence for processes that start later, also before
+    the former records are loaded: no record replaces another.
     """
 
     def __init__(
@@ -70,13 +75,10 @@
         self._log = log
         self._on_loaded = on_loaded
         self._on_crashes_loaded = on_crashes_loaded
-        # Number of the next crash record. It begins at random, since a former
-        # process may have used any number.
-        self._crash_number = random.randrange(
-            upstream_records.MAX_CRASH_RECORDS
-        )
-        # Keys of the stored leaves, the oldest first.
+        # Keys of the stored leaves and crashes of this daemon, the oldest
+        # first.
         self._leave_keys: list[str] = []
+        self._crash_keys: list[str] = []
         self._present: fleet.StoredUpstream | None = None
         self._is_loaded = asyncio.Event()
         self._written_events: dict[fleet.UpstreamProcess, asyncio.Event] = {}
@@ -128,14 +130,14 @@
     def record_crash(self, record: crash.CrashRecord) -> None:
         """Store that an upstream has crashed."""
         key = upstream_records.build_crash_key(
-            self._daemon_id, self._crash_number
+            self._daemon_id, record.record_id
         )
-        self._crash_number += 1
         self._start_task(
             self._async_write_crash(
+                record.record_id,
                 store_module.StoredRecord(
                     key=key, value=upstream_records.encode_crash(record)
-                )
+                ),
             )
         )
 
@@ -201,15 +203,28 @@
         )
         written.set()
         self._log.change('leave_stored', instance=leave.instance_id)
-        if key in self._leave_keys:
-            self._leave_keys.remove(key)
-        self._leave_keys.append(key)
-        while len(self._leave_keys) > MAX_STORED_LEAVES:
+        await self._async_limit(
+            self._leave_keys, key, MAX_STORED_LEAVES, 'leave_not_dropped'
+        )
+
+    async def _async_limit(
+        self, keys: list[str], newest: str, limit: int, failure_event: str
+    ) -> None:
+        """Add the key of a stored record, and delete records over a limit.
+
+        Args:
+            keys: Keys of the stored records of one kind, the oldest first.
+            newest: Key of the record that was stored last.
+            limit: Number of records to keep.
+            failure_event: Logged if a record cannot be deleted.
+        """
+        if newest in keys:
+            keys.remove(newest)
+        keys.append(newest)
+        while len(keys) > limit:
             await self._async_write(
-                'leave_not_dropped',
-                store_module.StoredRecord(
-                    key=self._leave_keys.pop(0), value=b''
-                ),
+                failure_event,
+                store_module.StoredRecord(key=keys.pop(0), value=b''),
             )
 
     async def _async_write(
@@ -242,17 +257,25 @@
             return
 
     async def _async_write_crash(
-        self, record: store_module.StoredRecord
+        self, record_id: str, record: store_module.StoredRecord
     ) -> None:
-        retry_until = asyncio.get_running_loop().time() + crash_counts.MEMORY_S
-        while asyncio.get_running_loop().time() < retry_until:
+        loop = asyncio.get_running_loop()
+        retry_until = loop.time() + crash_counts.MEMORY_S
+        is_stored = False
+        while not is_stored and loop.time() < retry_until:
             try:
                 await self._store.async_append(upstream_records.TOPIC, record)
             except Exception as error:
                 await self._async_pause('end_write_failed', error)
-                continue
-            self._log.change('end_stored', key=record.key)
+            else:
+                is_stored = True
+        if not is_stored:
             return
+        self._log.change('end_stored', record=record_id, key=record.key)
+        await self._is_loaded.wait()
+        await self._async_limit(
+            self._crash_keys, record.key, MAX_STORED_CRASHES, 'end_not_dropped'
+        )
 
     async def _async_load(self) -> None:
         while True:
@@ -278,6 +301,10 @@
         crashes: list[crash.CrashRecord] = []
         for record in records:
             try:
+                if upstream_records.is_own_crash_key(
+                    self._daemon_id, record.key
+                ):
+                    self._crash_keys.append(record.key)
                 if upstream_records.is_crash_key(record.key):
                     crashes.append(upstream_records.decode_crash(record.value))
                 if upstream_records.is_leave_key(self._daemon_id, record.key):
--- a/tests/sidecar/test_upstream_log.py
+++ b/tests/sidecar/test_upstream_log.py
@@ -4,7 +4,9 @@
 import random
 
 from lab import platform_store
+from sassafraswood.models import crash
 from sassafraswood.models import fleet
+from sassafraswood.models import ids
 from sassafraswood.platform import store as store_module
 from sassafraswood.platform import upstream_records
 from sassafraswood.sidecar import upstream_log
@@ -35,19 +37,25 @@
     """The part of a daemon process that stores leaves."""
 
     def __init__(
-        self, address: tuple[str, int], descriptor: int, *, is_first: bool
+        self,
+        address: tuple[str, int],
+        descriptor: int,
+        *,
+        is_first: bool,
+        daemon_id: str = 'd1',
     ) -> None:
         """Load the records of the former process, unless it is the first."""
         self.registry = Registry()
         self.loaded = asyncio.Event()
+        self.crashes: list[crash.CrashRecord] = []
         self.log = upstream_log.UpstreamLog(
-            daemon_id='d1',
+            daemon_id=ids.DaemonId(daemon_id),
             random=random.Random(1),
             registry=self.registry,
             store=store_module.StoreClient(address),
             log=json_log.JsonLog('d1', descriptor),
             on_loaded=lambda present: self.loaded.set(),
-            on_crashes_loaded=lambda records: None,
+            on_crashes_loaded=self.crashes.extend,
         )
         self.log.start(is_first_start=is_first)
 
@@ -59,6 +67,23 @@
         while self.log.has_unstored_leaves:
             await asyncio.sleep(0.01)
 
+    def record_crash(self, number: int) -> None:
+        """Record a crash."""
+        self.log.record_crash(
+            crash.CrashRecord(
+                record_id=f'i-{number}/{number}',
+                service=ids.ServiceName('front'),
+                ended_at=float(number),
+                suspects=(),
+            )
+        )
+
+    async def async_crash(self, number: int) -> None:
+        """Record a crash and wait until its record is stored."""
+        self.record_crash(number)
+        while self.log.pending_count:
+            await asyncio.sleep(0.01)
+
 
 async def async_load_leaves(
     address: tuple[str, int], descriptor: int
@@ -70,6 +95,16 @@
     return process.registry.leaves
 
 
+async def async_load_crashes(
+    address: tuple[str, int], descriptor: int
+) -> list[float]:
+    """Return the times of the crashes that the next process loads."""
+    process = Process(address, descriptor, is_first=False)
+    await process.loaded.wait()
+    process.log.stop()
+    return [record.ended_at for record in process.crashes]
+
+
 def run(tmp_path, async_main) -> None:
     """Run a test with a store, its address and a descriptor of a log."""
 
@@ -168,3 +203,53 @@
         assert await async_load_leaves(address, descriptor) == [FIRST, SECOND]
 
     run(tmp_path, async_main)
+
+
+# Guards against crashes that daemons forget in a restart, since a record of
+# the next process has replaced them: a request that crashes upstreams is
+# accepted again.
+def test_crashes_of_former_processes_are_kept(tmp_path) -> None:
+    """Each process stores one crash; the oldest is dropped at the limit.
+
+    The crash of another daemon, stored before, stays.
+    """
+    limit = 8
+
+    async def async_main(store, address, descriptor) -> None:
+        other = Process(address, descriptor, is_first=True, daemon_id='d10')
+        await other.async_crash(100)
+        other.log.stop()
+        for number in range(limit + 2):
+            process = Process(address, descriptor, is_first=number == 0)
+            await process.async_crash(number)
+            process.log.stop()
+            crashes = await async_load_crashes(address, descriptor)
+            assert crashes == [100, *[*range(number + 1)][-limit:]]
+
+    run(tmp_path, async_main)
+
+
+# Guards against a stored crash that is replaced by a late append of the former
+# process.
+def test_late_append_of_the_former_process_replaces_no_crash(
+    tmp_path,
+) -> None:
+    """Both crashes are known to the next process."""
+
+    async def async_main(store, address, descriptor) -> None:
+        former = Process(address, descriptor, is_first=True)
+        store.late_s = 1.0
+        former.record_crash(0)
+        while not store.calls:
+            await asyncio.sleep(0.01)
+        former.log.stop()
+        store.late_s = 0.0
+        process = Process(address, descriptor, is_first=False)
+        for number in range(1, 8):
+            await process.async_crash(number)
+        process.log.stop()
+        await asyncio.sleep(1.0)
+        crashes = await async_load_crashes(address, descriptor)
+        assert set(crashes) == set(range(8))
+
+    run(tmp_path, async_main)
