Wait in a stop until a crash of the upstream is found out and stored

Callers: beside a store that does not answer, a crash of the upstream during a planned stop was not known to the next process of its daemon, so that the request to blame could be accepted again.

Change: it waits for both, for as long as 1.4 s of the grace time are left. Peers have the report in any case.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -85,7 +85,8 @@
 # before it is killed.
 GRACE_MARGIN_S: Final = 0.7
 # As much in addition for a stop that waits for the store alone: the next
-# process checks the upstream anyway, and busy VMs end processes slowly.
+# process checks the upstream anyway, peers know of its crashes, and busy VMs
+# end processes slowly.
 STORE_GRACE_MARGIN_S: Final = 0.7
 METRICS_PORT: Final = 9464
 # Fraction of the memory for bodies of requests of clients, and as much each
@@ -639,7 +640,10 @@
         """
         return self._has_open_work or (
             left_s > STORE_GRACE_MARGIN_S
-            and self._upstream_log.has_unstored_leaves
+            and (
+                self._upstream.is_checking_crash
+                or self._upstream_log.has_unstored_records
+            )
         )
 
     def _log_open_work(self) -> None:
--- a/sassafraswood/sidecar/upstream_log.py
+++ b/sassafraswood/sidecar/upstream_log.py
@@ -82,6 +82,8 @@
         self._present: fleet.StoredUpstream | None = None
         self._is_loaded = asyncio.Event()
         self._written_events: dict[fleet.UpstreamProcess, asyncio.Event] = {}
+        # Keys of the crashes that still have to be stored.
+        self._unstored_crash_keys: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -90,9 +92,12 @@
         return len(self._tasks)
 
     @property
-    def has_unstored_leaves(self) -> bool:
-        """Return whether a leave still has to be stored."""
-        return not all(
+    def has_unstored_records(self) -> bool:
+        """Return whether a leave or a crash still has to be stored.
+
+        The present upstream does not count: the next process asks it.
+        """
+        return bool(self._unstored_crash_keys) or not all(
             written.is_set() for written in self._written_events.values()
         )
 
@@ -132,6 +137,7 @@
         key = upstream_records.build_crash_key(
             self._daemon_id, record.record_id
         )
+        self._unstored_crash_keys.add(key)
         self._start_task(
             self._async_write_crash(
                 record.record_id,
@@ -269,6 +275,7 @@
                 await self._async_pause('end_write_failed', error)
             else:
                 is_stored = True
+        self._unstored_crash_keys.discard(record.key)
         if not is_stored:
             return
         self._log.change('end_stored', record=record_id, key=record.key)
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -143,6 +143,11 @@
         """Return the load of the upstream."""
         return self._gate.load
 
+    @property
+    def is_checking_crash(self) -> bool:
+        """Return whether it is being checked if the upstream has crashed."""
+        return self._watch.is_checking
+
     def log_load(self) -> None:
         """Log the calls in flight and waiting, if there are any."""
         if not self._gate.in_flight and not self._gate.waiting:
--- a/sassafraswood/sidecar/upstream_watch.py
+++ b/sassafraswood/sidecar/upstream_watch.py
@@ -119,6 +119,13 @@
         self._unchecked_break: tuple[float, int] | None = None
         self._check_task: asyncio.Task[None] | None = None
 
+    @property
+    def is_checking(self) -> bool:
+        """Return whether a broken connection may still prove to be a crash."""
+        return (
+            self._unchecked_break is not None or self._check_task is not None
+        )
+
     def note_response(self, call: WatchedCall) -> None:
         """Note that the upstream has responded to a call."""
         self._responded_at = self._clock.monotonic()
--- a/tests/sidecar/test_unexpected_errors.py
+++ b/tests/sidecar/test_unexpected_errors.py
@@ -147,7 +147,7 @@
         leave = fleet.UpstreamProcess(instance_id='i1', born=1)
         done = asyncio.Event()
         stored.record_leave(leave, done.set)
-        while stored.has_unstored_leaves:
+        while stored.has_unstored_records:
             await asyncio.sleep(0.01)
         await done.wait()
 
--- a/tests/sidecar/test_upstream_log.py
+++ b/tests/sidecar/test_upstream_log.py
@@ -64,7 +64,7 @@
         acknowledged = asyncio.Event()
         self.log.record_leave(leave, acknowledged.set)
         await acknowledged.wait()
-        while self.log.has_unstored_leaves:
+        while self.log.has_unstored_records:
             await asyncio.sleep(0.01)
 
     def record_crash(self, number: int) -> None:
@@ -253,3 +253,21 @@
         assert set(crashes) == set(range(8))
 
     run(tmp_path, async_main)
+
+
+# Guards against a stop that ends before a crash is stored, although the store
+# is available.
+def test_crash_counts_as_unstored_until_it_is_written(tmp_path) -> None:
+    """A stop waits while this holds (sidecar/process.py)."""
+
+    async def async_main(store, address, descriptor) -> None:
+        process = Process(address, descriptor, is_first=True)
+        store.delay_s = 0.2
+        written = asyncio.create_task(process.async_crash(1))
+        await asyncio.sleep(0.05)
+        assert process.log.has_unstored_records
+        await written
+        assert not process.log.has_unstored_records
+        process.log.stop()
+
+    run(tmp_path, async_main)
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -397,6 +397,40 @@
         assert leave.instance_id == 'i-billing'
 
 
+async def async_test_stop_stores_crash(crash_after_s: float) -> None:
+    """Stop a daemon while the store is away, and crash its upstream.
+
+    Args:
+        crash_after_s: Time from the stop to the crash.
+    """
+    async with running() as fleet:
+        routes = {
+            name: route | {'timeout-s': 8}
+            for name, route in RULES['routes'].items()
+        }
+        fleet.publish(RULES | {'version': 'r2', 'routes': routes})
+        await asyncio.sleep(0.5)
+        upstream = fleet.upstreams['billing']
+        upstream.delay_s = 7.0
+        async with connected(fleet.daemons['status']) as (_, writer):
+            writer.write(build_payment(1).replace(b': 1500', b': 8000'))
+            await async_wait_until(lambda: upstream.seen)
+            fleet.store.is_down = True
+            stopping = fleet.tasks['billing']
+            fleet.daemons['billing'].stop()
+            await asyncio.sleep(crash_after_s)
+            upstream.crash()
+            await asyncio.sleep(process.CALLER_DRAIN_S + 0.6 - crash_after_s)
+            fleet.store.is_down = False
+            await asyncio.wait_for(stopping, timeout=3.0)
+        daemon_id = ids.DaemonId('d-billing')
+        assert [
+            key
+            for key in fleet.store.newest(upstream_records.TOPIC)
+            if upstream_records.is_own_crash_key(daemon_id, key)
+        ]
+
+
 async def async_test_restart_beside_live_upstream() -> None:
     """Restart a daemon whose upstream sends no report meanwhile."""
     async with running() as fleet:
@@ -778,6 +812,14 @@
     asyncio.run(async_test_stop_stores_leave())
 
 
+# Guards against crashes that are forgotten by a planned stop, so that the
+# request that caused them is accepted again.
+@pytest.mark.parametrize('crash_after_s', [0.1, process.CALLER_DRAIN_S + 0.1])
+def test_stop_waits_until_a_crash_is_stored(crash_after_s) -> None:
+    """The upstream crashes in the stop, or when all else has ended."""
+    asyncio.run(async_test_stop_stores_crash(crash_after_s))
+
+
 def test_restarted_daemon_serves_the_upstream_that_was_there() -> None:
     """A health check shows it at once, without a report."""
     asyncio.run(async_test_restart_beside_live_upstream())
