Continue token buckets in a planned hand-over

A planned hand-over has no wait. The next owner did not know how much the last one had granted, so it counted the whole share as granted: its bucket stayed empty for 1.25 s and it answered that it had no tokens. With all partitions handed over within that time, all owners said so.

The owner that hands over now sends level and outstanding tokens of each limit with the first part of the state, once it grants no more; its term is never used again. The next owner goes on with them in the term that follows directly, if both have the same document revision. Refill between export and start is lost, and outstanding tokens count for 1.25 s from the start of the term, so level and outstanding tokens stay within the share as before. Daemons of other versions ignore or lack the field, and the bucket starts empty as before.

In virtual time (the new test) calls got rate_exceeded before and none now.

--- a/lab/quota_faults.py
+++ b/lab/quota_faults.py
@@ -31,8 +31,8 @@
     """Run a fleet with random demand and return it after the last event.
 
     Faults of all kinds occur in random order: paused and restarted clients,
-    paused and lost owners, ended leases, and lost, duplicated and late
-    messages.
+    paused and lost owners, ended leases, hand-overs, and lost, duplicated and
+    late messages.
 
     Args:
         seed: Seed of all random choices.
@@ -101,6 +101,8 @@
             fleet.restart_client(client)
         elif kind == 2:
             fleet.owner(service, partition).paused_until = fleet.now + pause_s
+        elif kind == 3 and rng.random() < 0.5:
+            fleet.hand_over(service, partition)
         elif kind == 3:
             fleet.end_lease(service, partition)
             fleet.begin_term(service, partition, wait_s=0.0)
--- a/lab/quota_simulation.py
+++ b/lab/quota_simulation.py
@@ -286,7 +286,25 @@
             applied_at = self.now + self.random.random() * max_delay_s
             self.at(applied_at, self._make_client_update(client, entry))
 
-    def begin_term(self, service: str, partition: int, wait_s: float) -> None:
+    def hand_over(self, service: str, partition: int) -> None:
+        """End a term and begin the next one with the limits of the last."""
+        previous = self.partition_entries[(service, partition)]
+        self.end_lease(service, partition)
+        owner = self.owner(service, partition)
+        self.begin_term(
+            service,
+            partition,
+            wait_s=0.0,
+            quota=owner.quota.export(previous),
+        )
+
+    def begin_term(
+        self,
+        service: str,
+        partition: int,
+        wait_s: float,
+        quota: messages.QuotaState | None = None,
+    ) -> None:
         """Begin a term with a new owner; clients apply it after a delay.
 
         Args:
@@ -294,6 +312,7 @@
             partition: The partition of the service.
             wait_s: Seconds for which the new owner must wait before it
                 grants tokens.
+            quota: Limits that the last owner hands over.
         """
         previous = self.partition_entries.get((service, partition))
         term = ids.Term(previous.term + 1 if previous else 1)
@@ -315,6 +334,7 @@
         if previous is not None:
             previous_owner = self._owners[previous.owner.daemon_id]
             owner.documents.entries = dict(previous_owner.documents.entries)
+            owner.quota.accept(build_hand_over(previous, quota))
         self._owners[daemon_id] = owner
         self.partition_entries[(service, partition)] = entry
         self._refresh(entry)
@@ -478,6 +498,22 @@
         return apply
 
 
+def build_hand_over(
+    entry: records.PartitionEntry, quota: messages.QuotaState | None
+) -> messages.HandOver:
+    return messages.HandOver(
+        service=entry.service,
+        partition=entry.partition,
+        term=entry.term,
+        sender=entry.owner,
+        part=0,
+        last=True,
+        knowledge_age_s=None,
+        entries=[],
+        quota=quota,
+    )
+
+
 def compute_excess(fleet: Fleet, key: LimitKey) -> float:
     """Return by how many calls the worst window exceeds its limit.
 
--- a/sassafraswood/coordination/hand_over.py
+++ b/sassafraswood/coordination/hand_over.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from sassafraswood import clock as clock_module
 from sassafraswood import const
 from sassafraswood.coordination import idempotency as idempotency_module
 from sassafraswood.coordination import partition_lease
 from sassafraswood.coordination import ports
+from sassafraswood.coordination import quota_owner
 from sassafraswood.models import ids
 from sassafraswood.models import messages
 
@@ -17,7 +20,8 @@
     """Sends the state of planned hand-overs until the target confirms it.
 
     Sending waits for running idempotency keys, because the next owner treats
-    the outcome of an unfinished run as unknown.
+    the outcome of an unfinished run as unknown. The first part also has the
+    limits of the partition.
     """
 
     def __init__(
@@ -27,6 +31,7 @@
         outbox: ports.Outbox,
         leases: partition_lease.PartitionLeases,
         idempotency: idempotency_module.IdempotencyOwner,
+        quota: quota_owner.QuotaOwner,
         count: Callable[[str], None],
     ) -> None:
         """Initialize without hand-overs.
@@ -36,12 +41,14 @@
             outbox: Sends messages to peers.
             leases: Leases that plan and finish hand-overs.
             idempotency: Table whose state is sent.
+            quota: Limits that are sent.
             count: Increments a counter.
         """
         self._clock = clock
         self._outbox = outbox
         self._leases = leases
         self._idempotency = idempotency
+        self._quota = quota
         self._count = count
         self._last_sent_at: dict[_PartitionKey, float] = {}
 
@@ -91,4 +98,8 @@
             return
         self._last_sent_at[key] = now
         for part in self._idempotency.export(*key):
+            if part.part == 0:
+                part = msgspec.structs.replace(
+                    part, quota=self._quota.export(plan.entry)
+                )
             self._outbox.send(plan.target.daemon_id, part)
--- a/sassafraswood/coordination/quota_owner.py
+++ b/sassafraswood/coordination/quota_owner.py
@@ -2,7 +2,8 @@
 
 A workspace's limit is split evenly over the partitions. The owner of each one
 keeps a token bucket per workspace and grants its tokens to the daemons that
-receive calls.
+receive calls. In a planned hand-over the next owner continues the buckets: the
+last owner exports them once it grants no more, and never uses its term again.
 """
 
 import dataclasses
@@ -39,6 +40,15 @@
     limits: dict[ids.Workspace, _Limit]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _ReceivedState:
+    """Limits that the owner of a term has handed over."""
+
+    term: ids.Term
+    received_at: float
+    quota: messages.QuotaState
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Sender:
     """Last request of a daemon, and the reply to it."""
@@ -69,6 +79,9 @@
         self._leases = leases
         self._configuration = configuration
         self._partitions: dict[tuple[ids.ServiceName, int], _Partition] = {}
+        self._received_states: dict[
+            tuple[ids.ServiceName, int], _ReceivedState
+        ] = {}
         self._senders: dict[ids.DaemonId, _Sender] = {}
         self._next_grant_id = 1
         self._next_eviction_at = 0.0
@@ -120,6 +133,46 @@
                 self._clock.monotonic(), entry, is_prompt=True
             )
 
+    def export(
+        self, entry: records.PartitionEntry
+    ) -> messages.QuotaState | None:
+        """Return the limits of a term that this daemon no longer uses.
+
+        It is None while the term is used, or if it never was.
+        """
+        key = (entry.service, entry.partition)
+        state = self._partitions.get(key)
+        if state is None or state.term != entry.term:
+            return None
+        if self._leases.owned(*key) is not None:
+            return None
+        now = self._clock.monotonic()
+        for limit in state.limits.values():
+            limit.bucket.advance(now)
+        return messages.QuotaState(
+            revision=state.revision,
+            limits=[
+                messages.LimitTokens(
+                    workspace=workspace,
+                    level=limit.bucket.level,
+                    outstanding=limit.bucket.outstanding,
+                )
+                for workspace, limit in state.limits.items()
+            ],
+        )
+
+    def accept(self, message: messages.HandOver) -> None:
+        """Store the limits of a hand-over for the term that follows it."""
+        if message.quota is None:
+            return
+        self._received_states[message.service, message.partition] = (
+            _ReceivedState(
+                term=message.term,
+                received_at=self._clock.monotonic(),
+                quota=message.quota,
+            )
+        )
+
     def _serve_demand(
         self,
         now: float,
@@ -209,9 +262,15 @@
         workspaces = published.document.workspaces if published else {}
         if state is None or state.term != entry.term:
             state = _Partition(term=entry.term, revision=revision, limits={})
+            received = self._received_states.pop(key, None)
             for workspace, spec in workspaces.items():
                 limit = _create_limit(now, spec)
-                _count_tokens_of_earlier_term(now, entry, limit.bucket)
+                _count_tokens_of_earlier_term(
+                    now,
+                    entry,
+                    limit.bucket,
+                    _find_received(received, entry, revision, workspace),
+                )
                 state.limits[workspace] = limit
             self._partitions[key] = state
         elif state.revision != revision:
@@ -306,19 +365,48 @@
     return _Limit(bucket=bucket, claims=quota_claims.QuotaClaims())
 
 
+def _find_received(
+    received: _ReceivedState | None,
+    entry: records.PartitionEntry,
+    revision: ids.Revision,
+    workspace: ids.Workspace,
+) -> messages.LimitTokens | None:
+    """Return what the last owner handed over of a limit, or None.
+
+    Another document may have another rate or burst, so tokens that were
+    counted under it are not continued.
+    """
+    if received is None or received.term != entry.term - 1:
+        return None
+    if received.quota.revision != revision:
+        return None
+    for tokens in received.quota.limits:
+        if tokens.workspace == workspace:
+            return tokens
+    return None
+
+
 def _count_tokens_of_earlier_term(
     now: float,
     entry: records.PartitionEntry,
     bucket: token_bucket.TokenBucket,
+    received: messages.LimitTokens | None,
 ) -> None:
-    """Keep the bucket empty while tokens of the previous term may be spent.
+    """Continue the bucket of the previous term, or keep the new one empty.
 
-    A planned hand-over has no wait, so the previous owner may have granted
-    its whole share just before. A claim of a partition waits longer than the
-    lifetime of the tokens.
+    A planned hand-over has no wait, so tokens of the previous owner may still
+    be spent. If it has not told how many, it may have granted its whole share
+    just before. A claim of a partition waits longer than the lifetime of the
+    tokens.
     """
-    if entry.term > 1 and entry.wait_s < _GRANT_LIFETIME_S:
-        bucket.assume_share_granted(0, expires_at=now + _GRANT_LIFETIME_S)
+    if entry.term == 1 or entry.wait_s >= _GRANT_LIFETIME_S:
+        return
+    bucket.take_over(
+        0,
+        level=0.0 if received is None else received.level,
+        outstanding=bucket.share if received is None else received.outstanding,
+        expires_at=now + _GRANT_LIFETIME_S,
+    )
 
 
 def _apply_document(
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -199,18 +199,19 @@
         self._idempotency = idempotency.IdempotencyOwner(
             clock=self._clock, leases=self._leases
         )
+        self._quota_owner = quota_owner.QuotaOwner(
+            clock=self._clock,
+            leases=self._leases,
+            configuration=self._configuration,
+        )
         self._hand_overs = hand_over.HandOvers(
             clock=self._clock,
             outbox=self._outbox,
             leases=self._leases,
             idempotency=self._idempotency,
+            quota=self._quota_owner,
             count=count,
         )
-        self._quota_owner = quota_owner.QuotaOwner(
-            clock=self._clock,
-            leases=self._leases,
-            configuration=self._configuration,
-        )
         self._quota = self._new_quota(random)
         self._snapshots = snapshot_duty.SnapshotDuty(
             clock=self._clock,
--- a/sassafraswood/models/messages.py
+++ b/sassafraswood/models/messages.py
@@ -209,6 +209,30 @@
     age_s: float
 
 
+class LimitTokens(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Tokens of one limit at one partition, as its owner counts them.
+
+    Attributes:
+        level: Tokens that can be granted.
+        outstanding: Granted tokens that may still be spent.
+    """
+
+    workspace: ids.Workspace
+    level: float
+    outstanding: float
+
+
+class QuotaState(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits of a partition whose owner grants no more tokens.
+
+    Attributes:
+        revision: Document that the limits are from.
+    """
+
+    revision: ids.Revision
+    limits: list[LimitTokens]
+
+
 class HandOver(msgspec.Struct, frozen=True, kw_only=True, tag='hand_over'):
     """Part of the state of a partition, sent to its next owner.
 
@@ -217,6 +241,8 @@
         last: Whether this is the final message.
         knowledge_age_s: Seconds for which the sender has recorded all
             idempotency keys; None if since the first term.
+        quota: Limits of the partition; None if the sender has not counted
+            them or this is not the first part.
     """
 
     service: ids.ServiceName
@@ -227,6 +253,7 @@
     last: bool
     knowledge_age_s: float | None
     entries: list[IdempotencyEntry]
+    quota: QuotaState | None = None
 
 
 class HandOverDone(
--- a/sassafraswood/state/token_bucket.py
+++ b/sassafraswood/state/token_bucket.py
@@ -109,17 +109,29 @@
         """Set the level to zero; outstanding tokens stay counted."""
         self._level = 0.0
 
-    def assume_share_granted(self, grant_id: int, expires_at: float) -> None:
-        """Count the whole share as granted by the last owner.
+    def take_over(
+        self,
+        grant_id: int,
+        *,
+        level: float,
+        outstanding: float,
+        expires_at: float,
+    ) -> None:
+        """Continue the empty bucket with the tokens of the last owner.
 
         Args:
-            grant_id: Id of the assumed grant.
-            expires_at: Time in seconds at which its tokens expire.
+            grant_id: Id of the grant that stands for the outstanding tokens.
+            level: Tokens that the last owner could still grant.
+            outstanding: Tokens that it had granted.
+            expires_at: Time in seconds at which those have expired.
         """
-        self._add_grant(
-            grant_id,
-            Grant(holder=None, tokens=self._share, expires_at=expires_at),
-        )
+        if outstanding > 0.0:
+            self._add_grant(
+                grant_id,
+                Grant(holder=None, tokens=outstanding, expires_at=expires_at),
+            )
+        room = max(0.0, self._share - self._outstanding)
+        self._level = min(max(level, 0.0), room)
 
     def grant(
         self,
--- a/sassafraswood/transport/peer_dispatch.py
+++ b/sassafraswood/transport/peer_dispatch.py
@@ -243,6 +243,7 @@
         reply: peer_mesh.Reply,
     ) -> None:
         del sender
+        self._parts.quota_owner.accept(message)
         is_complete = self._parts.idempotency.accept(message)
         if is_complete or not message.last:
             reply(
--- a/tests/coordination/test_quota_fleet.py
+++ b/tests/coordination/test_quota_fleet.py
@@ -7,7 +7,9 @@
 from lab import quota_faults
 from lab import quota_simulation
 from lab import quota_workload
+from sassafraswood import const
 from sassafraswood.models import document
+from sassafraswood.models import enums
 
 _SPEC = document.WorkspaceSpec(rate=100.0, burst=100.0)
 _DURATION_S = 15.0
@@ -22,6 +24,39 @@
     assert max(call.verdicts for call in fleet.calls) == 1
 
 
+# Guards against 429 rate_exceeded far below the rate after a planned stop of
+# the daemon that owns all partitions.
+def test_hand_over_of_all_partitions_refuses_no_call_below_the_rate() -> None:
+    """A tenth of the rate goes on while the owner of all limits changes."""
+    fleet = quota_simulation.Fleet(
+        seed=1,
+        clients=2,
+        specs={
+            quota_workload.LIMIT_KEY: document.WorkspaceSpec(
+                rate=300.0, burst=300.0
+            )
+        },
+    )
+    fleet.run(fleet.now + 1.0)
+    started_at = fleet.now
+    for index in range(120):
+        fleet.offer(
+            started_at + index / 30.0, index % 2, quota_workload.LIMIT_KEY
+        )
+    fleet.run(started_at + 1.0)
+    for partition in range(const.PARTITIONS_PER_SERVICE):
+        fleet.hand_over(quota_workload.LIMIT_KEY[0], partition)
+    fleet.run(started_at + 5.0)
+    # Till then, clients that have not learnt of a new term ask its last owner.
+    known_at = started_at + 1.3
+    for call in fleet.calls:
+        assert call.verdict is not None
+        if call.arrived_at >= known_at:
+            assert call.verdict.granted
+        assert call.verdict.reason is not enums.RefusalReason.RATE_EXCEEDED
+    assert len(fleet.list_grant_times(quota_workload.LIMIT_KEY)) >= 115
+
+
 def test_checker_sees_one_call_too_many() -> None:
     """Guards against a checker that detects no excess."""
     spec = document.WorkspaceSpec(rate=1.0, burst=5.0)
--- a/tests/coordination/test_quota_owner.py
+++ b/tests/coordination/test_quota_owner.py
@@ -118,6 +118,34 @@
     assert _tokens(world.ask(5.0, term=2)) == pytest.approx(5.0)
 
 
+# Guards against an empty bucket, which refuses calls below the limit, and
+# against a full one beside tokens of the last owner.
+@pytest.mark.parametrize(('revision', 'left'), [(1, 8.0), (2, 0.0)])
+def test_next_owner_continues_the_bucket(revision: int, left: float) -> None:
+    """It has what is left, and the rest once the granted tokens expired."""
+    last, following = _World(), _World()
+    last.clock.advance(1.0)
+    last.ask(2.0)
+    entry = last.leases.entries.pop((ids.ServiceName('status'), 0))
+    quota = last.owner.export(entry)
+    following.owner.accept(quota_simulation.build_hand_over(entry, quota))
+    following.clock.advance(0.5)
+    following.publish(revision, rate=300.0, burst=30.0)
+    following.begin(2, wait_s=0.0)
+    assert _tokens(following.ask(10.0, term=2)) == pytest.approx(left)
+    following.clock.advance(1.24)
+    assert _tokens(following.ask(10.0, term=2)) == 0.0
+    following.clock.advance(0.03)
+    assert _tokens(following.ask(10.0, term=2)) == pytest.approx(2.0)
+
+
+def test_term_in_use_is_not_exported() -> None:
+    """Guards against tokens that are granted after they are handed over."""
+    world = _World()
+    entry = world.leases.entries[(ids.ServiceName('status'), 0)]
+    assert world.owner.export(entry) is None
+
+
 def test_lease_is_checked_at_each_grant() -> None:
     """Guards against grants by an owner that no longer holds the lease."""
     world = _World()
