Refuse for the rate only if all owners tell of it

Callers got 429 rate_exceeded from a daemon to which no owner had said that it lacks tokens:

- Owners that had replied in the last 50 ms and then ended their terms counted as owners without tokens.
- A next owner that does not know what the last one granted (a hand-over whose state is lost) said for 1.25 s that it lacks tokens, expected in 10 ms.

The first daemon now looks whether each owner is silent, and such a next owner answers as one that does not own the partition yet. Both refusals are 503 quota_unreachable. Nothing is granted that was not granted before.

The new test of the first and the added check of the second case fail on the code before and pass now.

What remains: between the end of all terms at once and the new ones, no owner grants.

--- a/sassafraswood/coordination/quota_client.py
+++ b/sassafraswood/coordination/quota_client.py
@@ -308,10 +308,11 @@
     ) -> None:
         limit.waiters.remove(waiter)
         reason = enums.RefusalReason.RATE_EXCEEDED
+        available = self._find_available_partitions(now, limit)
         for partition in _PARTITIONS:
             state = limit.partition_states[partition]
             since = waiter.arrived_at - const.QUOTA_REFUSAL_CACHE_S
-            if state.replied_at < since:
+            if state.replied_at < since or partition not in available:
                 reason = enums.RefusalReason.QUOTA_UNREACHABLE
         if self._find_spec(limit.service, limit.workspace) is None:
             reason = enums.RefusalReason.RATE_EXCEEDED
--- a/sassafraswood/coordination/quota_owner.py
+++ b/sassafraswood/coordination/quota_owner.py
@@ -25,10 +25,16 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Limit:
-    """Bucket of one workspace and the unmet demand for its tokens."""
+    """Bucket of one workspace and the unmet demand for its tokens.
+
+    Attributes:
+        usable_at: Monotonic time in seconds at which all tokens of a last
+            owner that has not told how many it granted have expired.
+    """
 
     bucket: token_bucket.TokenBucket
     claims: quota_claims.QuotaClaims
+    usable_at: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -188,6 +194,10 @@
             return _build_grant(
                 demand, retry_after_s=const.QUOTA_TOKEN_LIFETIME_S
             )
+        if now < limit.usable_at:
+            # How much of the limit is used is not known, so no call may be
+            # refused for it.
+            return _build_grant(demand, owned=False)
         limit.bucket.advance(now)
         self._apply_reports(holder, demand, limit.bucket)
         return self._grant(now, holder, demand, limit)
@@ -268,7 +278,7 @@
                 _count_tokens_of_earlier_term(
                     now,
                     entry,
-                    limit.bucket,
+                    limit,
                     _find_received(received, entry, revision, workspace),
                 )
                 state.limits[workspace] = limit
@@ -389,7 +399,7 @@
 def _count_tokens_of_earlier_term(
     now: float,
     entry: records.PartitionEntry,
-    bucket: token_bucket.TokenBucket,
+    limit: _Limit,
     received: messages.LimitTokens | None,
 ) -> None:
     """Continue the bucket of the previous term, or keep the new one empty.
@@ -401,11 +411,14 @@
     """
     if entry.term == 1 or entry.wait_s >= _GRANT_LIFETIME_S:
         return
-    bucket.take_over(
-        0,
-        level=0.0 if received is None else received.level,
-        outstanding=bucket.share if received is None else received.outstanding,
-        expires_at=now + _GRANT_LIFETIME_S,
+    expires_at = now + _GRANT_LIFETIME_S
+    level, outstanding = 0.0, limit.bucket.share
+    if received is None:
+        limit.usable_at = expires_at
+    else:
+        level, outstanding = received.level, received.outstanding
+    limit.bucket.take_over(
+        0, level=level, outstanding=outstanding, expires_at=expires_at
     )
 
 
--- a/tests/coordination/test_quota_client.py
+++ b/tests/coordination/test_quota_client.py
@@ -82,6 +82,19 @@
     assert len(fleet.list_grant_times(_KEY)) >= 6
 
 
+# Guards against 429 rate_exceeded when all owners have just ended their terms.
+def test_refusal_names_owners_that_ended_their_terms() -> None:
+    """Owners that gave tokens until now do not own their partitions."""
+    fleet = _fleet(rate=100.0, burst=12.0)
+    _offer(fleet, 1, gap_s=0.0)
+    fleet.run(fleet.now + 0.02)
+    for partition in range(const.PARTITIONS_PER_SERVICE):
+        fleet.end_lease(_KEY[0], partition)
+    _offer(fleet, 60, gap_s=0.0)
+    fleet.run(fleet.now + 0.3)
+    assert set(_reasons(fleet)) == {enums.RefusalReason.QUOTA_UNREACHABLE}
+
+
 def test_refusal_names_the_rate_when_all_owners_are_empty() -> None:
     """Guards against QUOTA_UNREACHABLE while all owners reply."""
     fleet = _fleet(rate=10.0, burst=9.0)
--- a/tests/coordination/test_quota_owner.py
+++ b/tests/coordination/test_quota_owner.py
@@ -113,7 +113,10 @@
     world = _World()
     world.begin(2, wait_s=0.0)
     world.clock.advance(1.2)
-    assert _tokens(world.ask(5.0, term=2)) == 0.0
+    reply = world.ask(5.0, term=2)
+    assert _tokens(reply) == 0.0
+    # Guards against 429 rate_exceeded by an owner that cannot know it.
+    assert not reply.grants[0].owned
     world.clock.advance(0.2)
     assert _tokens(world.ask(5.0, term=2)) == pytest.approx(5.0)
 
