Answer what has arrived when the daemon closes its HTTP servers

Callers of the product's own daemon met a reset on requests that they wrote just before it closed its connections or its listener, on kept and on new connections.

uvicorn closes both by what the process has read. The daemon then ended the servers 0.1 s later, whatever they still did.

A stopping server now makes the kernel ignore new connections, accepts those that it has completed, and closes a connection once nothing is unread, no request is half received and a new client had 0.25 s to send. Each response from the stop on closes its connection, or the last one of several requests. The daemon waits for its servers for 1 s at most.

--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -276,6 +276,8 @@
 # stop sending calls to it.
 LEAVE_NOTICE_PERIOD_S: Final = 1.5
 DRAIN_TIMEOUT_S: Final = 30.0
+# Longest time for which a stop waits until the HTTP servers have closed.
+SERVER_STOP_S: Final = 1.0
 
 # Names of header fields, in lower case as in ASGI.
 HEADER_RUN: Final = 'sassafraswood-run'
--- a/sassafraswood/daemon.py
+++ b/sassafraswood/daemon.py
@@ -473,6 +473,9 @@
             await self._appender.async_append(leave)
         self._membership.update_own(status=enums.MemberStatus.LEFT)
         await anyio.sleep(0.1)
+        with anyio.move_on_after(const.SERVER_STOP_S):
+            await self._caller_server.async_wait_ended()
+            await self._local_server.async_wait_ended()
 
     def _has_calls_in_flight(self) -> bool:
         return bool(
--- a/sassafraswood/transport/http_server.py
+++ b/sassafraswood/transport/http_server.py
@@ -7,7 +7,9 @@
 from collections.abc import MutableMapping
 import contextlib
 import functools
-from typing import Any
+import os
+import socket
+from typing import Any, Final
 
 import anyio
 import uvicorn
@@ -25,6 +27,14 @@
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 Count = Callable[[str], None]
 
+# Time for which a stopping server accepts the connections that the kernel has
+# completed, before it closes its listener.
+_LAST_ACCEPT_S: Final = 0.05
+# Longest time for which a stopping server then waits for requests that are on
+# their way, and the interval at which it looks for them.
+_LAST_REQUEST_S: Final = 0.25
+_LOOK_INTERVAL_S: Final = 0.01
+
 
 class BodyTooLargeError(Exception):
     """The body of a request exceeds the limit."""
@@ -100,12 +110,20 @@
     """
 
     def __init__(
-        self, count: Count, max_connections: int, *args: Any, **kwargs: Any
+        self,
+        count: Count,
+        max_connections: int,
+        is_stopping: Callable[[], bool],
+        *args: Any,
+        **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
         self._count = count
+        self._is_stopping = is_stopping
         self._max_connections = max_connections
         self._header_timer: asyncio.TimerHandle | None = None
+        # Time of the event loop; None while the server listens.
+        self._closes_at: float | None = None
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
@@ -130,7 +148,38 @@
 
     def on_headers_complete(self) -> None:
         self._stop_header_timer()
+        previous = self.cycle
         super().on_headers_complete()
+        if not self._is_stopping():
+            return
+        # Only the last response of several requests closes the connection.
+        if previous is not None and not previous.response_complete:
+            previous.keep_alive = True
+        self.cycle.keep_alive = False
+
+    def shutdown(self) -> None:
+        """Close the connection after the requests that have arrived.
+
+        A close before the process has read what the kernel holds of a request
+        resets the connection, and its client does not learn whether it ran.
+        """
+        if self.transport.is_closing():
+            return
+        if self._closes_at is None:
+            self._closes_at = self.loop.time() + _LAST_REQUEST_S
+        is_idle = self.cycle is None or self.cycle.response_complete
+        is_request_on_its_way = (
+            self._header_timer is not None
+            or tcp.count_unread_bytes(self.transport) > 0
+        )
+        if (
+            is_idle
+            and is_request_on_its_way
+            and self.loop.time() < self._closes_at
+        ):
+            self.loop.call_later(_LOOK_INTERVAL_S, self.shutdown)
+            return
+        super().shutdown()
 
     def send_400_response(self, msg: str) -> None:
         """Answer malformed HTTP with problem details and disconnect."""
@@ -178,12 +227,31 @@
 
 
 class _Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to the composition root."""
+    """A uvicorn server that loses no request that arrives before its end.
+
+    It leaves signals to the composition root.
+    """
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Accept what waits at the listeners, and stop as uvicorn does."""
+        for server in self.servers:
+            for listener in server.sockets:
+                # Without a filter, connections completed between the last
+                # accept and the close are reset.
+                with (
+                    contextlib.suppress(OSError),
+                    socket.socket(fileno=os.dup(listener.fileno())) as shared,
+                ):
+                    tcp.ignore_new_connections(shared)
+        await asyncio.sleep(_LAST_ACCEPT_S)
+        await super().shutdown(sockets)
+
 
 class HttpServer:
     """A server for one application on one listening address."""
@@ -210,7 +278,10 @@
             host=host.strip('[]'),
             port=int(port),
             http=functools.partial(  # type: ignore[arg-type]
-                _HttpProtocol, count, max_connections
+                _HttpProtocol,
+                count,
+                max_connections,
+                self._is_stopping,
             ),
             loop='none',
             ws='none',
@@ -226,6 +297,7 @@
         )
         config.load()
         self._server = _Server(config)
+        self._has_ended = asyncio.Event()
 
     @property
     def is_started(self) -> bool:
@@ -234,13 +306,23 @@
 
     async def async_serve(self) -> None:
         """Serve until stop is called and all connections are closed."""
-        await self._server.serve()
+        try:
+            await self._server.serve()
+        finally:
+            self._has_ended.set()
 
     async def async_wait_started(self) -> None:
         """Wait until the server listens."""
         while not self._server.started and not self._server.should_exit:
             await anyio.sleep(0.005)
 
+    async def async_wait_ended(self) -> None:
+        """Wait until all connections are closed after a stop."""
+        await self._has_ended.wait()
+
     def stop(self) -> None:
-        """Stop listening; requests in flight are still answered."""
+        """Stop listening; requests that have arrived are still answered."""
         self._server.should_exit = True
+
+    def _is_stopping(self) -> bool:
+        return self._server.should_exit
