Log what tells the causes of a lost response apart

Operators saw the same 502 and the same answer_too_large, whether a response exceeded its own limit or only the limit that all responses share at that moment, and no line told whether a kept connection had failed or a new one.

A response that fails for the shared limit has a reason of its own, answers_exceed_memory; what callers get and what is sent again stays the same. The connection_lost line has the number of the connection, its idle time before the request, the bytes received since it and the bytes held of all responses.

--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -410,6 +410,8 @@
             reason=outcome.value,
             fingerprint=fingerprint,
             known_crashes=self._crashes.count(fingerprint),
+            held_bytes=self._pool.held.count,
+            **({} if call.running is None else call.running.describe()),
         )
         self._deliver_failure(call, outcome.value)
 
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -78,6 +78,8 @@
     # The received bytes are not an HTTP response.
     MALFORMED = 'answer_malformed'
     TOO_LARGE = 'answer_too_large'
+    # The response, and others that are being received, exceed their limit.
+    NO_MEMORY = 'answers_exceed_memory'
     CANCELLED = 'cancelled'
 
 
@@ -195,6 +197,21 @@
         """Return the time since the last exchange ended, in seconds."""
         return time.monotonic() - self.idle_since
 
+    def describe(self) -> dict[str, float | None]:
+        """Return log fields of an exchange that has failed.
+
+        The idle time before it is in seconds; it is None on the first use of
+        the connection.
+        """
+        idle_s = None
+        if self.idle_since:
+            idle_s = round(self._started_at - self.idle_since, 4)
+        return {
+            'connection': self.number,
+            'idle_s': idle_s,
+            'received_bytes': self._received_bytes,
+        }
+
     def start(
         self,
         payload: bytes,
@@ -255,6 +272,7 @@
             if not data:
                 return
             self._is_unparsed = False
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -265,7 +283,6 @@
         if self._result is not None:
             self._finish_exchange()
             return
-        self._received_bytes += len(data)
         if self._on_done is not None and response_limits.is_oversized(
             received_bytes=self._received_bytes,
             body_bytes=self._body_bytes,
@@ -363,9 +380,12 @@
         size = self._size + len(data)
         if size <= SMALL_BODY_BYTES:
             self._held.take_anyway(len(data))
-        elif size > MAX_RESPONSE_BYTES or not self._held.take(len(data)):
+        elif size > MAX_RESPONSE_BYTES:
             self._fail_exchange(FailureKind.TOO_LARGE)
             return
+        elif not self._held.take(len(data)):
+            self._fail_exchange(FailureKind.NO_MEMORY)
+            return
         self._size = size
         self._body.append(data)
 
@@ -515,6 +535,10 @@
         """Return the number of the connection; 0 before there is one."""
         return 0 if self._connection is None else self._connection.number
 
+    def describe(self) -> dict[str, float | None]:
+        """Return log fields of the exchange, if it was sent and has failed."""
+        return {} if self._connection is None else self._connection.describe()
+
     def attach(self, connection: ExchangeConnection) -> None:
         """Set the connection that carries the exchange."""
         self._connection = connection
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -22,6 +22,7 @@
 from sassafraswood.sidecar import fingerprints
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.sidecar import upstream_watch
+from sassafraswood.state import held_bytes
 from sassafraswood.transport import exchange
 from sassafraswood.transport import json_log
 
@@ -48,6 +49,7 @@
     def __init__(self) -> None:
         """Start without requests."""
         self.requests = []
+        self.held = held_bytes.ByteBudget()
         self.opened = 1
         self.is_open = True
         self.port = None
