Take a step for each connection though another one raises

What callers could see, if one connection of a daemon raised an error: the step ended there for all others. Peers were not told that a stopping daemon takes no more calls, were not asked for their last calls, which are then lost, and clients were not answered or closed; the links behind the failing one were never pinged again, which ends them, and slow clients were never closed. No input is known that raises one (by reading).

Each loop over connections goes on with the next one: the messages to all peers, the review of the links, the close of the peers, and in the servers the look at slow clients, the close of idle ones and the disconnect. Errors are logged as stop_failed, send_failed or tick_failed, with their traceback.

--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+import functools
 import socket
 import sys
 from typing import Final
@@ -177,9 +178,8 @@
 
         A peer confirms it by a reply behind the calls that it has sent.
         """
-        for connection in self._accepted:
-            self._unconfirmed.add(connection)
-            connection.send(frames.Ping(sequence=0))
+        self._unconfirmed |= self._accepted
+        self._send_to_accepted(frames.Ping(sequence=0))
 
     def candidates(
         self, service: ids.ServiceName
@@ -253,8 +253,7 @@
             slowness=slowness,
             errors=errors,
         )
-        for connection in self._accepted:
-            connection.send(status)
+        self._send_to_accepted(status)
 
     def _review_health(self) -> None:
         """Send the status if the health has changed much since it was sent."""
@@ -269,9 +268,7 @@
 
     def announce(self) -> None:
         """Send all peers the versions of rules and members known here."""
-        pong = self._build_pong(0)
-        for connection in self._accepted:
-            connection.send(pong)
+        self._send_to_accepted(self._build_pong(0))
 
     def start_call(
         self,
@@ -350,10 +347,17 @@
         """Close all connections."""
         if self._server is not None:
             self._server.close()
-        for link in (*self._links.values(), *self._retiring_links):
-            link.close('stopped')
-        for connection in list(self._accepted):
-            connection.close('stopped')
+        self._log.run_each(
+            'stop_failed',
+            [
+                functools.partial(link.close, 'stopped')
+                for link in (*self._links.values(), *self._retiring_links)
+            ]
+            + [
+                functools.partial(connection.close, 'stopped')
+                for connection in self._accepted
+            ],
+        )
 
     # Crash reports and verdicts.
 
@@ -365,10 +369,23 @@
 
     def send_to_all(self, message: frames.AnyFrame) -> None:
         """Send a message over all connections."""
-        for link in self._links.values():
-            link.send(message)
-        for connection in self._accepted:
-            connection.send(message)
+        self._log.run_each(
+            'send_failed',
+            [
+                functools.partial(link.send, message)
+                for link in self._links.values()
+            ],
+        )
+        self._send_to_accepted(message)
+
+    def _send_to_accepted(self, message: frames.AnyFrame) -> None:
+        self._log.run_each(
+            'send_failed',
+            [
+                functools.partial(connection.send, message)
+                for connection in self._accepted
+            ],
+        )
 
     # Outgoing connections.
 
@@ -390,23 +407,38 @@
                 if (link := self._use_link(daemon_id, now)) is not None
             ]
         self._index_candidates()
-        self._close_retired_links(now)
-        for daemon_id, link in list(self._links.items()):
+        for daemon_id, link in self._links.items():
             link.is_store_source = daemon_id in sources
-            if now - link.used_at > UNUSED_S and not link.has_calls:
-                del self._links[daemon_id]
-                link.close('connection is unused')
-                continue
+        self._log.run_each(
+            'tick_failed',
+            [
+                functools.partial(self._review_link, daemon_id, link, now)
+                for daemon_id, link in self._links.items()
+            ]
+            + [
+                functools.partial(self._review_retired_link, link, now)
+                for link in self._retiring_links
+            ],
+        )
+
+    def _review_link(
+        self, daemon_id: ids.DaemonId, link: peer_link.PeerLink, now: float
+    ) -> None:
+        if now - link.used_at > UNUSED_S and not link.has_calls:
+            del self._links[daemon_id]
+            link.close('connection is unused')
+        else:
             link.tick(now)
 
-    def _close_retired_links(self, now: float) -> None:
-        """Close the links to former members whose calls have ended."""
-        for link in list(self._retiring_links):
-            if link.has_calls:
-                link.tick(now)
-            else:
-                self._retiring_links.remove(link)
-                link.close('daemon is no longer a member')
+    def _review_retired_link(
+        self, link: peer_link.PeerLink, now: float
+    ) -> None:
+        """Close the link to a former member once its calls have ended."""
+        if link.has_calls:
+            link.tick(now)
+        else:
+            self._retiring_links.remove(link)
+            link.close('daemon is no longer a member')
 
     def _index_candidates(self) -> None:
         self._candidates = {
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -561,11 +561,7 @@
         Args:
             steps: Called one after the other.
         """
-        for step in steps:
-            try:
-                step()
-            except Exception:
-                self._log.unexpected('stop_failed')
+        self._log.run_each('stop_failed', steps)
 
     def _may_hold(self, condition: Callable[[], bool]) -> bool:
         """Return whether a condition of a stop holds, or cannot be told.
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+from collections.abc import Callable, Iterable
 import dataclasses
 import enum
+import functools
 import heapq
 import http
 import operator
@@ -404,6 +406,11 @@
         else:
             self.close()
 
+    def close_if_unused(self) -> None:
+        """Close the connection soon, if it is idle and not a new one."""
+        if self.may_be_closed and not self.awaits_first_request:
+            self.close_idle_soon()
+
     def close_idle_soon(self) -> None:
         """Close the connection, unless a request has arrived meanwhile."""
         self._loop.call_later(
@@ -1160,8 +1167,13 @@
         Args:
             now: Time of the event loop, in seconds.
         """
-        for connection in list(self.connections):
-            connection.close_if_slow(now, self.limits)
+        self._run_each(
+            'tick_failed',
+            [
+                functools.partial(connection.close_if_slow, now, self.limits)
+                for connection in self.connections
+            ],
+        )
 
     def note_accepted(self, descriptor: int) -> None:
         """Note the descriptor of a new connection."""
@@ -1192,11 +1204,10 @@
 
         New ones are not idle: their first request may be on its way.
         """
-        for connection in list(self.connections):
-            if connection.may_be_closed and (
-                not connection.awaits_first_request
-            ):
-                connection.close_idle_soon()
+        self._run_each(
+            'stop_failed',
+            [connection.close_if_unused for connection in self.connections],
+        )
 
     def stop_listening(self, handshake_s: float = 0.0) -> None:
         """Stop accepting connections; established ones stay open.
@@ -1243,8 +1254,20 @@
 
     def disconnect(self) -> None:
         """Close all connections, and refuse requests that are incomplete."""
-        for connection in list(self.connections):
-            connection.disconnect()
+        self._run_each(
+            'stop_failed',
+            [connection.disconnect for connection in self.connections],
+        )
+
+    def _run_each(
+        self, event: str, steps: Iterable[Callable[[], object]]
+    ) -> None:
+        """Take steps; with a log, one that raises does not keep the others."""
+        if self._log is not None:
+            self._log.run_each(event, steps)
+            return
+        for step in steps:
+            step()
 
 
 def _remove_fields(head: bytes, names: set[bytes]) -> bytes:
--- a/sassafraswood/transport/json_log.py
+++ b/sassafraswood/transport/json_log.py
@@ -5,6 +5,7 @@
 kind of event, and each flush logs how many lines were dropped.
 """
 
+from collections.abc import Callable, Iterable
 import os
 import time
 import traceback
@@ -74,6 +75,19 @@
         """Log the exception that is being handled, with its traceback."""
         self.decision(event, error=traceback.format_exc(), **fields)
 
+    def run_each(
+        self, event: str, steps: Iterable[Callable[[], object]]
+    ) -> None:
+        """Take steps one after the other.
+
+        One that raises is logged as an event, and does not keep the others.
+        """
+        for step in steps:
+            try:
+                step()
+            except Exception:
+                self.unexpected(event)
+
     def flush(self) -> None:
         """Write buffered lines as far as the output accepts them."""
         for event, bucket in self._buckets.items():
--- a/tests/sidecar/test_unexpected_errors.py
+++ b/tests/sidecar/test_unexpected_errors.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import socket
@@ -15,6 +16,7 @@
 from sassafraswood.models import traffic
 from sassafraswood.platform import settings as settings_module
 from sassafraswood.platform import store as store_module
+from sassafraswood.protocol import frames
 from sassafraswood.sidecar import process
 from sassafraswood.sidecar import rules_follower
 from sassafraswood.sidecar import upstream_log
@@ -203,6 +205,63 @@
     assert json.loads(text.splitlines()[-1])['event'] == 'stopped'
 
 
+class FailingConnection:
+    """Raises an error whatever is done with it."""
+
+    may_be_closed = True
+    awaits_first_request = False
+    has_calls = False
+    silent_s = 0.0
+    used_at = math.inf
+
+    def __init__(self) -> None:
+        """Initialize all that a daemon does with a connection."""
+        self.act = FailingTick()
+        self.send = self.close = self.tick = self.act
+        self.close_if_unused = self.close_idle_soon = self.act
+        self.close_if_slow = self.disconnect = self.act
+
+
+# Guards against connections that are not told of a stop, not closed or not
+# looked at, since an error of another one ended the loop over them.
+@pytest.mark.parametrize(
+    ('part', 'step', 'arguments', 'count'),
+    [
+        ('_peers', 'request_last_calls', (), 3),
+        ('_peers', 'set_serving', (False,), 3),
+        ('_peers', 'announce', (), 3),
+        ('_peers', 'send_to_all', (frames.FetchRules(),), 6),
+        ('_peers', 'tick', (), 3),
+        ('_peers', 'close', (), 6),
+        ('_caller_server', 'close_idle', (), 3),
+        ('_caller_server', 'close_slow_connections', (0.0,), 3),
+        ('_caller_server', 'disconnect', (), 3),
+    ],
+)
+def test_error_of_a_connection_leaves_the_others(
+    tmp_path, part, step, arguments, count
+) -> None:
+    """The step is taken for each of them, and each error is logged."""
+    connections = [FailingConnection() for _ in range(3)]
+    links = [FailingConnection() for _ in range(3)]
+
+    async def async_main(descriptor: int) -> None:
+        daemon = process.Daemon(create_settings(), log_descriptor=descriptor)
+        daemon._peers._accepted = set(connections)
+        daemon._peers._links = dict(enumerate(links))
+        daemon._caller_server.connections = set(connections)
+        getattr(getattr(daemon, part), step)(*arguments)
+        daemon._log.flush()
+
+    with (tmp_path / 'log').open('wb') as log:
+        asyncio.run(async_main(log.fileno()))
+    counts = [item.act.count for item in (*connections, *links)]
+    assert counts.count(1) == sum(counts) == count
+    errors = (tmp_path / 'log').read_text().splitlines()
+    assert len(errors) == count
+    assert all('RuntimeError: tick 1' in line for line in errors)
+
+
 # Guards against an error, such as one with a path, whose log line fails and
 # ends what would have gone on.
 @pytest.mark.parametrize('value', ['\udcff', object()])
