Wait for the other calls of a read when one fails

Beside a slow store that also turns calls away, daemons lost sight of the store although it was about to respond: a read ended with the first of its calls that failed, and cancelled the others.

A failed call now ends a read only if no other one is open. A response that is final, such as 410, still ends it at once.

test_failed_call_does_not_end_a_read failed before (503 of the second call was raised) and passes.

--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -21,6 +21,11 @@
 CALL_TIMEOUT_S: Final = 1.0
 # Calls that a read makes at most, each CALL_TIMEOUT_S after the one before.
 READ_CALLS: Final = 3
+# Failures after which another call may still have a response.
+_CALL_FAILURES: Final = (
+    exceptions.LogUnavailableError,
+    exceptions.LogOutcomeUnknownError,
+)
 MAX_READ_KB: Final = 4096
 # Most bytes of all responses that are received at a time; the longest page
 # holds MAX_READ_KB and a part of that for its encoding.
@@ -185,13 +190,11 @@
                         self._async_call('GET', path, query, timeout_s)
                     )
                 )
-                done, _ = await asyncio.wait(
-                    calls,
-                    timeout=wait_s + CALL_TIMEOUT_S,
-                    return_when=asyncio.FIRST_COMPLETED,
+                response = await _async_wait_for_any(
+                    calls, wait_s + CALL_TIMEOUT_S
                 )
-                if done:
-                    return min(done, key=_has_failed).result()
+                if response is not None:
+                    return response
                 if wait_s:
                     query = query | {'wait-ms': '0'}
                     wait_s = 0.0
@@ -242,8 +245,38 @@
         raise exceptions.LogOutcomeUnknownError(outcome.value)
 
 
+async def _async_wait_for_any(
+    calls: list[asyncio.Task[exchange.Response]], timeout_s: float
+) -> exchange.Response | None:
+    """Return the first response to one of several calls.
+
+    Returns:
+        None if there is none in time, but a call is still open.
+
+    Raises:
+        LogUnavailableError: All calls have failed.
+        LogOutcomeUnknownError: All calls have failed.
+        SassafraswoodError: A response is an error that is final.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + timeout_s
+    pending = {call for call in calls if not call.done()}
+    while pending:
+        done, pending = await asyncio.wait(
+            pending,
+            timeout=max(0.0, until - loop.time()),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not done:
+            return None
+        call = min(done, key=_has_failed)
+        if not _has_failed(call):
+            return call.result()
+    return calls[-1].result()
+
+
 def _has_failed(call: asyncio.Task[exchange.Response]) -> bool:
-    return call.exception() is not None
+    return isinstance(call.exception(), _CALL_FAILURES)
 
 
 def _check_status(response: exchange.Response) -> exchange.Response:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -80,3 +80,30 @@
         server.stop()
 
     asyncio.run(async_main())
+
+
+# Guards against reads that end with the first failure of their calls, though
+# the store is about to respond to an earlier one.
+def test_failed_call_does_not_end_a_read(monkeypatch) -> None:
+    """The store is slow, and then refuses the repeated call."""
+
+    async def async_main() -> None:
+        server = platform_store.PlatformStore()
+        handle = server._async_handle_call
+
+        async def async_handle(*call) -> tuple[int, bytes]:
+            if server.calls > 1:
+                return 503, b''
+            await asyncio.sleep(0.3)
+            return await handle(*call)
+
+        monkeypatch.setattr(server, '_async_handle_call', async_handle)
+        monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.2)
+        server.put('t', 'k', b'v')
+        client = store.StoreClient(await server.async_start())
+        page = await client.async_newest('t')
+        assert page.records == [store.StoredRecord(key='k', value=b'v')]
+        assert client.calls == 2
+        server.stop()
+
+    asyncio.run(async_main())
