Wait for slow appends as for slow reads

Beside a store that takes over 1 s to respond, a leave was stored again and again but never known as stored, and a stop waited for it in vain: each append was given up after 1 s and sent anew.

An append now stays open for up to 3 s, and is sent again after 1 s and 2 s, as reads are. All records have keys, so that a repeat does no harm, unless a newer append of its key has begun; then it is not repeated.

test_append_outlasts_a_slow_store (1.5 s) failed before and passes, with two calls. test_append_is_not_repeated_after_a_newer_one passes; it fails if repeats are not kept back.

--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 import dataclasses
 import math
 import struct
@@ -19,8 +20,9 @@
 # Timeout of a call in addition to the time that a read waits for records; a
 # slow store takes about 0.3 s to respond.
 CALL_TIMEOUT_S: Final = 1.0
-# Calls that a read makes at most, each CALL_TIMEOUT_S after the one before.
-READ_CALLS: Final = 3
+# Calls that a read or an append makes at most, each CALL_TIMEOUT_S after the
+# one before.
+MAX_CALLS: Final = 3
 # Failures after which another call may still have a response.
 _CALL_FAILURES: Final = (
     exceptions.LogUnavailableError,
@@ -82,7 +84,10 @@
 
 
 class StoreClient:
-    """Client of the store's HTTP API; it sends each append at most once.
+    """Client of the store's HTTP API.
+
+    An append may be sent several times: the records have keys, so that a
+    repeat changes nothing unless a newer record of the key precedes it.
 
     Attributes:
         calls: Number of calls made.
@@ -93,6 +98,8 @@
         self._host = f'{address[0]}:{address[1]}'
         self._pool = exchange.ExchangePool(address, frozenset())
         self._pool.held.limit = MAX_HELD_BYTES
+        # Newest append in progress of each topic and key.
+        self._appends: dict[tuple[str, str], StoredRecord] = {}
         self.calls = 0
 
     async def async_newest(self, topic: str) -> Page:
@@ -107,7 +114,9 @@
         query = {'topic': topic, 'part': '0'}
         first_end: int | None = None
         while True:
-            response = await self._async_call_read('/log-newest', query)
+            response = await self._async_call_repeatedly(
+                'GET', '/log-newest', query
+            )
             newest = wire_json.decode(_newest_decoder, response.body)
             items += newest.items
             # The pages are not one snapshot: the next read starts at the end
@@ -151,7 +160,9 @@
             'max-kb': str(MAX_READ_KB),
             'wait-ms': str(math.ceil(wait_s * 1000)),
         }
-        response = await self._async_call_read('/log-read', query, wait_s)
+        response = await self._async_call_repeatedly(
+            'GET', '/log-read', query, wait_s=wait_s
+        )
         return _parse_page(response.body, start)
 
     async def async_append(self, topic: str, record: StoredRecord) -> None:
@@ -160,34 +171,58 @@
         Raises:
             LogUnavailableError: The store is unreachable or fails; nothing was
                 appended.
-            LogOutcomeUnknownError: The response was lost; the record may have
-                been appended.
+            LogOutcomeUnknownError: The response was lost, or another append of
+                the key began before it; the record may have been appended.
         """
         key = record.key.encode()
         payload = bytes([len(key)]) + key + record.value
-        await self._async_call(
-            'POST',
-            '/log-append',
-            {'topic': topic, 'part': '0'},
-            body=_LENGTH.pack(len(payload)) + payload,
-        )
+        append_id = topic, record.key
+        self._appends[append_id] = record
+        try:
+            await self._async_call_repeatedly(
+                'POST',
+                '/log-append',
+                {'topic': topic, 'part': '0'},
+                body=_LENGTH.pack(len(payload)) + payload,
+                may_repeat=lambda: self._appends.get(append_id) is record,
+            )
+        finally:
+            if self._appends.get(append_id) is record:
+                del self._appends[append_id]
 
-    async def _async_call_read(
-        self, path: str, query: dict[str, str], wait_s: float = 0.0
+    async def _async_call_repeatedly(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        *,
+        wait_s: float = 0.0,
+        body: bytes = b'',
+        may_repeat: Callable[[], bool] = lambda: True,
     ) -> exchange.Response:
-        """Send a read, and send it again while no call has a response.
+        """Send a call, and send it again while there is no response.
 
         A slow store responds to an earlier call, and a store that has lost a
         response to a later one. Later calls do not wait for records.
+
+        Args:
+            method: HTTP method.
+            path: Path of the call.
+            query: Parameters of the call.
+            wait_s: Time that the store waits for records, in seconds.
+            body: Body of the call.
+            may_repeat: Returns whether the call may be sent again.
         """
         loop = asyncio.get_running_loop()
         calls: list[asyncio.Task[exchange.Response]] = []
         try:
-            for calls_left in range(READ_CALLS, 0, -1):
+            for calls_left in range(MAX_CALLS, 0, -1):
+                if calls and not may_repeat():
+                    break
                 timeout_s = wait_s + calls_left * CALL_TIMEOUT_S
                 calls.append(
                     loop.create_task(
-                        self._async_call('GET', path, query, timeout_s)
+                        self._async_call(method, path, query, timeout_s, body)
                     )
                 )
                 response = await _async_wait_for_any(
@@ -208,8 +243,8 @@
         method: str,
         path: str,
         query: dict[str, str],
-        timeout_s: float = CALL_TIMEOUT_S,
-        body: bytes = b'',
+        timeout_s: float,
+        body: bytes,
     ) -> exchange.Response:
         self.calls += 1
         target = f'{path}?{urllib.parse.urlencode(query)}'
@@ -254,7 +289,7 @@
         None if there is none in time, but a call is still open.
 
     Raises:
-        LogUnavailableError: All calls have failed.
+        LogUnavailableError: All calls have failed without an effect.
         LogOutcomeUnknownError: All calls have failed.
         SassafraswoodError: A response is an error that is final.
     """
@@ -272,13 +307,17 @@
         call = min(done, key=_has_failed)
         if not _has_failed(call):
             return call.result()
-    return calls[-1].result()
+    return min(calls, key=_is_without_effect).result()
 
 
 def _has_failed(call: asyncio.Task[exchange.Response]) -> bool:
     return isinstance(call.exception(), _CALL_FAILURES)
 
 
+def _is_without_effect(call: asyncio.Task[exchange.Response]) -> bool:
+    return isinstance(call.exception(), exceptions.LogUnavailableError)
+
+
 def _check_status(response: exchange.Response) -> exchange.Response:
     """Return a successful response; raise the error of any other."""
     if response.status == 200:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -107,3 +107,44 @@
         server.stop()
 
     asyncio.run(async_main())
+
+
+# Guards against appends that never succeed beside a slow store, so that a
+# leave is never known as stored.
+def test_append_outlasts_a_slow_store() -> None:
+    """The response comes after the time for one call."""
+
+    async def async_main() -> None:
+        server = platform_store.PlatformStore()
+        server.delay_s = 1.5 * store.CALL_TIMEOUT_S
+        client = store.StoreClient(await server.async_start())
+        record = store.StoredRecord(key='k', value=b'v')
+        await client.async_append('t', record)
+        assert client.calls == 2
+        server.stop()
+
+    asyncio.run(async_main())
+
+
+# Guards against repeated appends that replace a newer record of their key.
+def test_append_is_not_repeated_after_a_newer_one(monkeypatch) -> None:
+    """The response to the first append is late."""
+
+    async def async_main() -> None:
+        server = platform_store.PlatformStore()
+        server.delay_s = 10.0
+        monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.2)
+        client = store.StoreClient(await server.async_start())
+        former = asyncio.create_task(
+            client.async_append('t', store.StoredRecord(key='k', value=b'1'))
+        )
+        await asyncio.sleep(0.1)
+        server.delay_s = 0.0
+        newer = store.StoredRecord(key='k', value=b'2')
+        await client.async_append('t', newer)
+        with pytest.raises(exceptions.LogOutcomeUnknownError):
+            await former
+        assert server.newest('t') == {'k': b'2'}
+        server.stop()
+
+    asyncio.run(async_main())
