Read what has arrived before a timeout of the store, a connect or a probe

A process that was held up for as long as a timeout gave up calls of the store, connections to its upstream and health checks although they had succeeded: the event loop calls timers before it reads. Calls were refused as upstream_unreachable, and an upstream waited for its next report.

--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -14,6 +14,7 @@
 from sassafraswood import exceptions
 from sassafraswood.platform import wire_json
 from sassafraswood.transport import exchange
+from sassafraswood.transport import timeouts
 
 RULES_TOPIC: Final = 'keyed.op'
 RULES_KEY: Final = 'config'
@@ -263,8 +264,7 @@
             head.encode() + b'\r\n' + body, None, finish
         )
         try:
-            async with asyncio.timeout(timeout_s):
-                outcome = await outcome_future
+            await timeouts.async_wait(outcome_future, timeout_s)
         except TimeoutError as error:
             # No response follows on a connection that lost one, so it is
             # closed.
@@ -273,6 +273,7 @@
         except asyncio.CancelledError:
             running_exchange.cancel()
             raise
+        outcome = outcome_future.result()
         if isinstance(outcome, exchange.Response):
             return _check_status(outcome)
         if outcome in exchange.NOTHING_SENT:
--- a/sassafraswood/sidecar/upstream_probe.py
+++ b/sassafraswood/sidecar/upstream_probe.py
@@ -9,6 +9,7 @@
 from sassafraswood.models import fleet
 from sassafraswood.transport import exchange
 from sassafraswood.transport import json_log
+from sassafraswood.transport import timeouts
 
 # A live upstream sends its next report within about this time anyway.
 TIMEOUT_S: Final = 1.0
@@ -90,12 +91,17 @@
             self._host,
         )
         self._timer = asyncio.get_running_loop().call_later(
-            TIMEOUT_S, self._on_timeout
+            TIMEOUT_S, self._wait_for_last_read
         )
         self._exchange = self._pool.start(
             payload, None, lambda outcome: self._on_outcome(upstream, outcome)
         )
 
+    def _wait_for_last_read(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(
+            timeouts.LAST_READ_S, self._on_timeout
+        )
+
     def _on_timeout(self) -> None:
         if self._exchange is not None:
             self._exchange.cancel()
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -16,6 +16,7 @@
 from sassafraswood.state import held_bytes
 from sassafraswood.transport import response_limits
 from sassafraswood.transport import tcp
+from sassafraswood.transport import timeouts
 
 # Header fields that apply to a single connection (RFC 9110, section 7.6.1) and
 # the content length, which the next sender sets itself.
@@ -725,18 +726,21 @@
         self.connect_count += 1
         loop = asyncio.get_running_loop()
         host, port = self._address
+        connecting = loop.create_task(
+            loop.create_connection(
+                lambda: ExchangeConnection(
+                    self._kept_fields,
+                    self._id_field,
+                    self.held,
+                    self._remove_connection,
+                ),
+                host,
+                port,
+            )
+        )
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: ExchangeConnection(
-                        self._kept_fields,
-                        self._id_field,
-                        self.held,
-                        self._remove_connection,
-                    ),
-                    host,
-                    port,
-                )
+            await timeouts.async_wait(connecting, CONNECT_TIMEOUT_S)
+            _, connection = connecting.result()
         except ConnectionRefusedError:
             return FailureKind.REFUSED
         except OSError:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,8 +1,12 @@
 """Tests of the client of the platform's store."""
 
 import asyncio
+import socket
+import threading
+import time
 
 import pytest
+import uvloop
 
 from lab import platform_store
 from sassafraswood import exceptions
@@ -148,3 +152,32 @@
         server.stop()
 
     asyncio.run(async_main())
+
+
+# Guards against calls of the store that time out before a response that has
+# arrived in time is read.
+def test_response_that_arrives_in_a_hold_up_is_read(monkeypatch) -> None:
+    """All timeouts are over when the event loop goes on."""
+    monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.1)
+
+    def respond_once(server: socket.socket) -> None:
+        connection, _ = server.accept()
+        with connection:
+            connection.recv(4096)
+            time.sleep(0.1)
+            connection.sendall(
+                b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}'
+            )
+            connection.recv(4096)
+
+    async def async_append(address) -> None:
+        client = store.StoreClient(address)
+        asyncio.get_running_loop().call_later(0.05, time.sleep, 0.5)
+        await client.async_append('t', store.StoredRecord(key='k', value=b'v'))
+
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        thread = threading.Thread(target=respond_once, args=(server,))
+        thread.start()
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(async_append(server.getsockname()))
+        thread.join()
--- a/tests/sidecar/test_upstream_probe.py
+++ b/tests/sidecar/test_upstream_probe.py
@@ -1,8 +1,11 @@
 """Tests of the health check of the upstream after a restart of the daemon."""
 
 import asyncio
+import socket
+import time
 
 import pytest
+import uvloop
 
 from sassafraswood import clock
 from sassafraswood.coordination import upstream_registry
@@ -173,3 +176,37 @@
         assert (case.registry.report is not None) == bool(ready)
 
     asyncio.run(async_case())
+
+
+# Guards against an upstream that is not served until its next report, because
+# this process was held up when the health check had its response.
+def test_health_check_that_succeeds_in_a_hold_up_counts(
+    tmp_path, monkeypatch
+) -> None:
+    """The timeout is over when the event loop goes on."""
+    monkeypatch.setattr(upstream_probe, 'TIMEOUT_S', 0.05)
+
+    async def async_case() -> None:
+        case = await async_start_check(tmp_path)
+        loop = asyncio.get_running_loop()
+        ours, upstream = socket.socketpair()
+
+        def respond_and_hold_up() -> None:
+            loop.remove_reader(upstream)
+            upstream.send(b'x')
+            time.sleep(0.1)
+
+        def read() -> None:
+            loop.remove_reader(ours)
+            case.respond(200, b'i1')
+
+        with ours, upstream:
+            loop.add_reader(ours, read)
+            loop.add_reader(upstream, respond_and_hold_up)
+            ours.send(b'x')
+            await asyncio.sleep(0.2)
+        assert case.resumed == 1
+        assert not case.pool.exchange.is_cancelled
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(async_case())
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -3,8 +3,10 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
+import uvloop
 
 from sassafraswood import const
 from sassafraswood.transport import exchange
@@ -511,3 +513,25 @@
         return await asyncio.wait_for(done, 2.0 * const.PEER_TIMEOUT_S)
 
     assert isinstance(asyncio.run(async_run()), exchange.Response)
+
+
+# Guards against calls that are refused because this process was held up while
+# its connection was being made.
+@pytest.mark.parametrize('polls', [0, 1, 2])
+def test_connection_made_in_a_hold_up_is_used(monkeypatch, polls) -> None:
+    """The timeout of connecting is over when the event loop goes on."""
+    monkeypatch.setattr(exchange, 'CONNECT_TIMEOUT_S', 0.1)
+
+    async def async_run(address) -> exchange.FailureKind | None:
+        pool = exchange.ExchangePool(address, KEPT_FIELDS)
+        check = asyncio.create_task(pool.async_check())
+        for _ in range(polls):
+            await asyncio.sleep(0)
+        time.sleep(0.2)
+        failure = await check
+        pool.close_idle()
+        return failure
+
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            assert runner.run(async_run(server.getsockname())) is None
