Let a new member wait though its registration got no response

A daemon whose first record was stored without a response read it back, took itself for a member of before its start and spent its share of each limit at once, with the tokens of a restart, although the others did not know of it yet (rule QUOTA).

A daemon now remembers that it did not find its record.

test_member_is_new_though_a_response_was_lost failed before (registered as a former member) and passes.

--- a/sassafraswood/sidecar/member_follower.py
+++ b/sassafraswood/sidecar/member_follower.py
@@ -64,6 +64,8 @@
         self._written_at: dict[str, float] = {}
         self._history: list[tuple[str, bytes]] = []
         self._is_registered = False
+        # Whether peers may not know this daemon as a member yet.
+        self._is_new_member = False
 
     def document(self, start: int) -> frames.MembersDocument:
         """Return the records from an offset, or all if some are not kept.
@@ -185,6 +187,9 @@
         own_id = self._own_member.daemon_id
         value = member_records.encode(self._own_member)
         is_known = self._rows.get(own_id) == value
+        if not is_known:
+            # The write may succeed without a response.
+            self._is_new_member = True
         if not is_known or self._is_renewal_due:
             await self._async_write(own_id, value)
             self._rows[own_id] = value
@@ -193,7 +198,7 @@
         if not self._is_registered:
             self._is_registered = True
             self._publish_members()
-            self._on_registered(is_known)
+            self._on_registered(not self._is_new_member)
         if not self._duty.is_reader:
             return
         for key in list(self._rows):
--- a/tests/sidecar/test_member_follower.py
+++ b/tests/sidecar/test_member_follower.py
@@ -9,6 +9,7 @@
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import store_duty
 from sassafraswood.coordination import store_knowledge
+from sassafraswood import exceptions
 from sassafraswood.models import fleet
 from sassafraswood.platform import members as member_records
 from sassafraswood.platform import store
@@ -39,6 +40,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.records: list[store.StoredRecord] = []
+        self.loses_response = False
 
     async def async_newest(self, topic: str) -> store.Page:
         """Return all records."""
@@ -54,6 +56,8 @@
     async def async_append(self, topic: str, record) -> None:
         """Keep a record."""
         self.records.append(record)
+        if self.loses_response:
+            raise exceptions.LogOutcomeUnknownError('lost')
 
 
 class Case:
@@ -65,6 +69,8 @@
         self.clock = clock.ManualClock()
         self.members: list[fleet.Member] = []
         self.updates = 0
+        # Whether this daemon was a member before, for each registration.
+        self.registrations: list[bool] = []
         self.reader_ids: set[str] = set()
         self.knowledge = store_knowledge.StoreKnowledge(self.clock)
         self.plan = peer_plan.PeerPlan(make_member(index))
@@ -85,7 +91,7 @@
             knowledge=self.knowledge,
             max_age_s=5.0,
             on_members=self.set_members,
-            on_registered=lambda was_member: None,
+            on_registered=self.registrations.append,
             on_update=self.count_updates,
         )
 
@@ -222,3 +228,25 @@
     case.read()
     asyncio.run(case.follower._async_read(2.0))
     assert case.knowledge.members_age_s == 0.0
+
+
+# Guards against a new member that spends its share of each limit before the
+# other daemons know of it, since it reads a record that it has just written.
+def test_member_is_new_though_a_response_was_lost(tmp_path) -> None:
+    """The second read returns the record."""
+    case = Case(tmp_path)
+    case.store.loses_response = True
+    with pytest.raises(exceptions.LogOutcomeUnknownError):
+        case.read()
+    assert not case.registrations
+    case.read()
+    assert case.registrations == [False]
+
+
+def test_restarted_member_is_not_new(tmp_path) -> None:
+    """Its record is there, so that its share has not been given to others."""
+    case = Case(tmp_path)
+    key, value = make_row(0)
+    case.store.records.append(store.StoredRecord(key=key, value=value))
+    case.read()
+    assert case.registrations == [True]
