Spend no share of a limit once the own record is deleted

The store may apply the deletion by a former process seconds late, when its next process has registered. The others then shared out its part of each limit, while it spent on, for as long as it could not reach the store itself (rule QUOTA).

A daemon that learns of the deletion of its record, also from a peer, is no member, and has no share, until it has written the record again; then it waits for 10 s like any new member, also in the first start of a fleet. Records of peers that do not hold its own yet are no deletion.

test_deleted_member_is_new failed before (registered once; still a member by the news of a peer) and passes.

--- a/sassafraswood/sidecar/member_follower.py
+++ b/sassafraswood/sidecar/member_follower.py
@@ -47,8 +47,8 @@
             max_age_s: Maximum age of the records, in seconds.
             leader: Reader that probes the store while it fails.
             on_members: Called with all members after a change.
-            on_registered: Called once this daemon is a member, with whether
-                it was one before it started.
+            on_registered: Called each time this daemon becomes a member, with
+                whether it was one without a break since before it started.
             on_update: Called after new records, to announce them to peers.
         """
         super().__init__('members', context, max_age_s, leader)
@@ -146,6 +146,8 @@
         rows = [(record.key, record.value) for record in page.records]
         if is_whole:
             self._replace_rows(rows)
+            if self._own_member.daemon_id not in self._rows:
+                self._note_deletion()
         else:
             # Peers may have sent some of these records meanwhile.
             self._add_rows(rows[len(rows) - (page.next_offset - known) :])
@@ -179,8 +181,22 @@
             if value:
                 self._rows[key] = value
             self._written_at[key] = now
+        own_id = self._own_member.daemon_id
+        if own_id not in self._rows and any(key == own_id for key, _ in rows):
+            self._note_deletion()
         self._history = [*self._history, *rows][-MAX_HISTORY_RECORDS:]
 
+    def _note_deletion(self) -> None:
+        """Stop to be a member until the own record is written again.
+
+        The store may apply the deletion by the former process of this daemon
+        late. Other daemons then use its share of each limit.
+        """
+        if self._is_registered:
+            self._log.change('record_deleted')
+            self._is_registered = False
+            self._is_new_member = True
+
     async def _async_maintain_records(self) -> None:
         """Write the own record if due; readers delete expired records."""
         now = self._clock.monotonic()
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -318,6 +318,7 @@
         self._peers.answer_memory.limit = body_bytes
         caller_answer_memory.limit = body_bytes
         self._has_rules = False
+        self._was_registered = False
         self._is_stopping = False
         self._deregistration: asyncio.Task[None] | None = None
         self._slow_tick_at = 0.0
@@ -774,13 +775,17 @@
         A new member waits until all daemons must know of it. A daemon that was
         a member before its start does not wait: it had the same share, and its
         former process has ended. Neither do the daemons of a fleet that starts
-        for the first time, since none of them has spent anything.
+        for the first time, since none of them has spent anything; one whose
+        record is deleted later does.
 
         Args:
-            was_member: Whether this daemon was a member before its start.
+            was_member: Whether this daemon has been a member since before its
+                start.
         """
         spend_from = self._clock.monotonic()
-        if not was_member and not self.settings.is_first_start:
+        may_spend = self.settings.is_first_start and not self._was_registered
+        self._was_registered = True
+        if not was_member and not may_spend:
             spend_from += MAX_MEMBERS_AGE_S
         self._shares.set_spending_start(
             spend_from,
--- a/tests/sidecar/test_member_follower.py
+++ b/tests/sidecar/test_member_follower.py
@@ -250,3 +250,35 @@
     case.store.records.append(store.StoredRecord(key=key, value=value))
     case.read()
     assert case.registrations == [True]
+
+
+# Guards against a daemon that spends its share of each limit although a late
+# deletion by its former process has passed the share to others.
+@pytest.mark.parametrize('is_known_from_peer', [False, True])
+def test_deleted_member_is_new(tmp_path, is_known_from_peer) -> None:
+    """It is none until its record is written, and waits like any new one."""
+    case = Case(tmp_path)
+    for index in (0, 1):
+        key, value = make_row(index)
+        case.store.records.append(store.StoredRecord(key=key, value=value))
+    case.read()
+    assert case.registrations == [True]
+    case.store.records.append(store.StoredRecord(key='d0', value=b''))
+    if is_known_from_peer:
+        case.take(2, 3, ('d0', b''))
+        assert case.names() == ['d1']
+    case.read()
+    assert case.names() == ['d0', 'd1']
+    assert case.registrations == [True, False]
+    assert case.store.records[-1] == store.StoredRecord(
+        key='d0', value=make_row(0)[1]
+    )
+
+
+def test_member_that_peers_do_not_know_yet_stays_one(tmp_path) -> None:
+    """Their records may be older than its own."""
+    case = Case(tmp_path)
+    case.read()
+    case.take(-1, 9, make_row(1))
+    assert case.names() == ['d0', 'd1']
+    assert case.registrations == [False]
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -340,6 +340,9 @@
         assert (await running_call).status == 200
         await asyncio.sleep(0.2)
         assert not fleet.daemons['status']._peers._retiring_links
+        # Its share of the limit has passed to the other one meanwhile.
+        assert fleet.store.newest('keyed.members')['d-billing']
+        assert not fleet.daemons['billing']._shares.refill_per_s('blue')
 
 
 async def async_test_leave_and_restart() -> None:
