Echo the id of an attempt in refusals of the upstream double

In plays with upstreams that are replaced every 0.5 s, calls waited for the timeout of their route and got 504. The test double sent 421 and 503 without the id of the attempt, which upstreams of the platform echo; the daemon dropped these answers as those of other calls, as it has to.

test_call_that_the_upstream_refuses_is_refused failed before (504) and passes.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -253,6 +253,7 @@
         self, head: str, fields: dict[str, str], body: bytes
     ) -> tuple[bytes, bool]:
         """Return the response, and whether to close the connection."""
+        attempt = fields.get('x-attempt-id', '')
         if head.startswith('GET /health '):
             status = 503 if self.is_leaving else 200
             return _build_plain(
@@ -261,10 +262,14 @@
         expected = fields.get('x-expected-instance', self.instance_id)
         if expected != self.instance_id:
             return _build_plain(
-                421, f'X-Instance-Id: {self.instance_id}'
+                421,
+                f'X-Attempt-Id: {attempt}\r\n'
+                f'X-Instance-Id: {self.instance_id}',
             ), False
         if self._running_count >= self.slots:
-            return _build_plain(503, 'X-Not-Executed: 1'), False
+            return _build_plain(
+                503, f'X-Attempt-Id: {attempt}\r\nX-Not-Executed: 1'
+            ), False
         self.seen.append(head)
         self._running_count += 1
         has_succeeded = True
@@ -278,7 +283,6 @@
                 await asyncio.sleep(_DARK_POLL_S)
         finally:
             self._running_count -= 1
-        attempt = fields.get('x-attempt-id', '')
         if not has_succeeded:
             return _build_sealed(500, attempt, b''), False
         body = self.body or self.instance_id.encode() + b' ' + body
@@ -326,9 +330,9 @@
         return head + b'\r\n'
 
 
-def _build_plain(status: int, field: str) -> bytes:
+def _build_plain(status: int, head: str) -> bytes:
     return (
-        f'HTTP/1.1 {status} X\r\n{field}\r\nContent-Length: 0\r\n\r\n'.encode()
+        f'HTTP/1.1 {status} X\r\n{head}\r\nContent-Length: 0\r\n\r\n'.encode()
     )
 
 
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -345,6 +345,18 @@
         assert not fleet.daemons['billing']._shares.refill_per_s('blue')
 
 
+async def async_test_refused_by_upstream(*, is_replaced: bool) -> None:
+    """Send a call to an upstream that is full, or not the expected one."""
+    async with running() as fleet:
+        if is_replaced:
+            fleet.upstreams['billing'].restart_as('i-next')
+        else:
+            fleet.upstreams['billing'].slots = 0
+        refused = await fleet.async_request('status', '/pay/7', method='POST')
+        assert refused.status == 503
+        assert not fleet.upstreams['billing'].seen
+
+
 async def async_test_leave_and_restart() -> None:
     """Deliver a report sent before the leave to the next process."""
     async with running() as fleet:
@@ -797,6 +809,14 @@
     asyncio.run(async_test_leaving())
 
 
+# Guards against calls that wait for their timeout though the upstream has
+# refused them: the test double did not echo their ids.
+@pytest.mark.parametrize('is_replaced', [False, True])
+def test_call_that_the_upstream_refuses_is_refused(is_replaced) -> None:
+    """A refusal says that the call has not run."""
+    asyncio.run(async_test_refused_by_upstream(is_replaced=is_replaced))
+
+
 def test_leave_binds_the_next_process() -> None:
     """A restarted daemon ignores a report sent before the leave."""
     asyncio.run(async_test_leave_and_restart())
