Simulate crashes beside calls that daemons repeat, and a crowd

The model can now let daemons repeat what a crash has lost, once each, and send a crowd of single requests before each crash. Its figures without these are the same requests at the same times.

Tried and reverted: only requests that were there as often without a repeat count as rivals. No code of the daemon changes.

--- a/lab/crash_simulation.py
+++ b/lab/crash_simulation.py
@@ -42,7 +42,11 @@
             crashing request, in seconds.
         crashes: Number of crashes, or of sends of the crashing request.
         is_poisoned: Whether a request causes the crashes.
-        resend_delay_s: Time after which callers send lost requests again.
+        resend_delay_s: Time after which lost requests are sent again.
+        is_repeated: Whether the daemons repeat lost requests, each once, in
+            place of the callers.
+        crowd: Number of further requests, each of a kind of its own, that are
+            sent before each crash, spread over the duration of a request.
     """
 
     kinds: int = 20
@@ -54,6 +58,8 @@
     crashes: int = 6
     is_poisoned: bool = True
     resend_delay_s: float = 0.01
+    is_repeated: bool = False
+    crowd: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -69,13 +75,18 @@
     wrongly_refused: int
 
 
+@dataclasses.dataclass
+class _Run:
+    kind: str
+    started_at: float
+    is_repeat: bool
+
+
 @dataclasses.dataclass
 class _Upstream:
     losses: lost_runs.LostRuns[None]
     up_at: float = 0.0
-    running: dict[int, tuple[str, float]] = dataclasses.field(
-        default_factory=dict
-    )
+    running: dict[int, _Run] = dataclasses.field(default_factory=dict)
 
 
 class _Simulation:
@@ -103,17 +114,21 @@
         for number in range(load.kinds):
             self._schedule_next(f'kind-{number}', 0.0)
         for number in range(load.crashes):
-            self._push(
-                self._WARM_UP_S + number * load.crash_gap_s, 'crash', '', 0
-            )
+            crash_at = self._WARM_UP_S + number * load.crash_gap_s
+            self._push(crash_at, 'crash', '', 0)
+            for index in range(load.crowd):
+                sent_at = crash_at - load.duration_s * self._random.random()
+                self._push(sent_at, 'send_once', f'crowd-{number}-{index}', 0)
         while self._events and self._events[0][0] < self._end_s:
             at, _, event, name, call = heapq.heappop(self._events)
             self._clock.advance(at - self._clock.monotonic())
             if event == 'send':
                 self._schedule_next(name, at)
                 self._start(name)
-            elif event == 'resend':
+            elif event in ('resend', 'send_once'):
                 self._start(name)
+            elif event == 'repeat':
+                self._start(name, is_repeat=True)
             elif event == 'end':
                 self._finish(name, call)
             else:
@@ -137,13 +152,13 @@
         up = [item for item in self._upstreams if item.up_at <= now]
         return self._random.choice(up) if up else None
 
-    def _start(self, kind: str) -> None:
+    def _start(self, kind: str, *, is_repeat: bool = False) -> None:
         upstream = self._pick_upstream()
         if upstream is None or ids.Fingerprint(kind) in self._refused:
             return
         call = next(self._numbers)
         now = self._clock.monotonic()
-        upstream.running[call] = kind, now
+        upstream.running[call] = _Run(kind, now, is_repeat)
         duration_s = self._load.duration_s * self._random.uniform(0.5, 1.5)
         self._push(now + duration_s, 'end', kind, call)
 
@@ -162,17 +177,21 @@
         lost, upstream.running = dict(upstream.running), {}
         upstream.up_at = now + self._load.downtime_s
         if self._load.is_poisoned:
-            lost[next(self._numbers)] = POISON, now
+            lost[next(self._numbers)] = _Run(POISON, now, False)
         self._crash_count += 1
         suspects: dict[str, crash.Suspect] = {}
-        for kind, started_at in lost.values():
+        for run in lost.values():
+            kind = run.kind
+            former = suspects.get(kind)
             suspects[kind] = crash.Suspect(
                 fingerprint=ids.Fingerprint(kind),
                 rate_per_s=upstream.losses.rate_per_s((kind.encode(), '', 0)),
-                age_s=now + _DETECTION_S - started_at,
+                age_s=now + _DETECTION_S - run.started_at,
+                is_repeat=run.is_repeat
+                and (former is None or former.is_repeat),
             )
             if kind != POISON:
-                self._push(now + self._load.resend_delay_s, 'resend', kind, 0)
+                self._send_again(run)
         record = crash.CrashRecord(
             record_id=f'r{next(self._numbers)}',
             service=_SERVICE,
@@ -182,6 +201,16 @@
         for verdict in self._counts.add(record):
             self._refused.add(verdict.fingerprint)
 
+    def _send_again(self, run: _Run) -> None:
+        if self._load.is_repeated and run.is_repeat:
+            return
+        self._push(
+            self._clock.monotonic() + self._load.resend_delay_s,
+            'repeat' if self._load.is_repeated else 'resend',
+            run.kind,
+            0,
+        )
+
 
 def simulate(load: Load, seed: int) -> Outcome:
     """Simulate one run.
--- a/tests/lab/test_crash_simulation.py
+++ b/tests/lab/test_crash_simulation.py
@@ -38,3 +38,25 @@
     assert max(outcome.crashes for outcome in outcomes) <= MAX_CRASHES
     wrong = sum(outcome.wrongly_refused for outcome in outcomes)
     assert wrong <= MAX_WRONG_SHARE * RUNS * load.kinds
+
+
+# Guards against a crashing request that is found late, or not at all, in a
+# crowd that daemons repeat.
+@pytest.mark.parametrize('crash_gap_s', [0.05, 0.3])
+def test_crashing_request_is_found_in_a_repeated_crowd(
+    crash_gap_s: float,
+) -> None:
+    """There are three upstreams, so that repeats meet the next crash."""
+    load = crash_simulation.Load(
+        rate_per_s=0.2,
+        duration_s=0.6,
+        upstreams=3,
+        crash_gap_s=crash_gap_s,
+        crashes=12,
+        is_repeated=True,
+        crowd=40,
+    )
+    outcomes = [crash_simulation.simulate(load, seed) for seed in range(RUNS)]
+    assert max(outcome.crashes for outcome in outcomes) <= MAX_CRASHES
+    wrong = sum(outcome.wrongly_refused for outcome in outcomes)
+    assert wrong <= MAX_WRONG_SHARE * RUNS * load.kinds
