--- a/tests/lab/test_crash_simulation.py
+++ b/tests/lab/test_crash_simulation.py
@@ -60,3 +60,24 @@
     assert max(outcome.crashes for outcome in outcomes) <= MAX_CRASHES
     wrong = sum(outcome.wrongly_refused for outcome in outcomes)
     assert wrong <= MAX_WRONG_SHARE * RUNS * load.kinds
+
+
+# Guards against ordinary requests that are refused, since daemons repeat what
+# a crash has lost, and a crowd is sent again with it.
+@pytest.mark.parametrize('crash_gap_s', [0.05, 0.3])
+def test_ordinary_requests_that_daemons_repeat(crash_gap_s: float) -> None:
+    """The crashes have no request as their cause."""
+    load = crash_simulation.Load(
+        is_poisoned=False,
+        rate_per_s=0.2,
+        duration_s=0.6,
+        upstreams=3,
+        crash_gap_s=crash_gap_s,
+        is_repeated=True,
+        crowd=40,
+    )
+    wrong = sum(
+        crash_simulation.simulate(load, seed).wrongly_refused
+        for seed in range(RUNS)
+    )
+    assert wrong <= MAX_WRONG_SHARE * RUNS * load.kinds
