Wait as a new member after each deletion of the own record

Operators: a daemon whose member record a late write of its former process had deleted could spend its share of a limit at once, beside the daemons that had taken the share over.

Cause: its share came back with the record itself, which a peer may read before its writer has the response; and a deletion that showed only as a gap in all records of a peer was written again without the wait.

Change: a record that is not confirmed yet gives no share, and a read that has no own record counts as its deletion.

Evidence: test_record_known_from_a_peer_registers_nobody and the new case of test_deleted_member_is_new failed before and pass.

--- a/sassafraswood/sidecar/member_follower.py
+++ b/sassafraswood/sidecar/member_follower.py
@@ -187,7 +187,7 @@
         self._history = [*self._history, *rows][-MAX_HISTORY_RECORDS:]
 
     def _note_deletion(self) -> None:
-        """Stop to be a member until the own record is written again.
+        """Stop being a member until the own record is written again.
 
         The store may apply the deletion by the former process of this daemon
         late. Other daemons then use its share of each limit.
@@ -203,6 +203,10 @@
         own_id = self._own_member.daemon_id
         value = member_records.encode(self._own_member)
         is_known = self._rows.get(own_id) == value
+        if own_id not in self._rows:
+            # The records of a peer may have left it out without a deletion,
+            # but this read would have returned it.
+            self._note_deletion()
         if not is_known:
             # The write may succeed without a response.
             self._is_new_member = True
@@ -240,6 +244,9 @@
         if self._is_registered:
             # Records received from a peer may not contain this daemon yet.
             by_address[self._own_member.address] = self._own_member
+        elif self._is_new_member:
+            # It spends no share before its registration is confirmed.
+            by_address.pop(self._own_member.address, None)
         members = list(by_address.values())
         self._log.change(
             'members',
--- a/tests/sidecar/test_member_follower.py
+++ b/tests/sidecar/test_member_follower.py
@@ -254,8 +254,8 @@
 
 # Guards against a daemon that spends its share of each limit although a late
 # deletion by its former process has passed the share to others.
-@pytest.mark.parametrize('is_known_from_peer', [False, True])
-def test_deleted_member_is_new(tmp_path, is_known_from_peer) -> None:
+@pytest.mark.parametrize('source', ['store', 'peer', 'whole_from_peer'])
+def test_deleted_member_is_new(tmp_path, source) -> None:
     """It is none until its record is written, and waits like any new one."""
     case = Case(tmp_path)
     for index in (0, 1):
@@ -264,9 +264,11 @@
     case.read()
     assert case.registrations == [True]
     case.store.records.append(store.StoredRecord(key='d0', value=b''))
-    if is_known_from_peer:
+    if source == 'peer':
         case.take(2, 3, ('d0', b''))
         assert case.names() == ['d1']
+    elif source == 'whole_from_peer':
+        case.take(-1, 3, make_row(1))
     case.read()
     assert case.names() == ['d0', 'd1']
     assert case.registrations == [True, False]
@@ -275,6 +277,27 @@
     )
 
 
+# Guards against a share that is spent without the wait of a new member, since
+# a peer has read the record before its writer has the response.
+def test_record_known_from_a_peer_registers_nobody(tmp_path) -> None:
+    """The share counts from the registration on."""
+    case = Case(tmp_path)
+    for index in (0, 1):
+        key, value = make_row(index)
+        case.store.records.append(store.StoredRecord(key=key, value=value))
+    case.read()
+    case.take(2, 3, ('d0', b''))
+    case.take(3, 4, make_row(0))
+    assert case.names() == ['d1']
+    case.store.records.append(store.StoredRecord(key='d0', value=b''))
+    case.store.records.append(
+        store.StoredRecord(key='d0', value=make_row(0)[1])
+    )
+    case.read()
+    assert case.names() == ['d0', 'd1']
+    assert case.registrations == [True, False]
+
+
 def test_member_that_peers_do_not_know_yet_stays_one(tmp_path) -> None:
     """Their records may be older than its own."""
     case = Case(tmp_path)
