Count a crash before it is stored

Callers: an error while a crash is stored kept the crash from being counted by anybody, so that a request that crashes upstreams was never refused.

Cause: the record was handed to the store's part first.

Evidence: test_crash_counts_though_it_cannot_be_stored failed before.

--- a/sassafraswood/sidecar/crash_exchange.py
+++ b/sassafraswood/sidecar/crash_exchange.py
@@ -113,8 +113,8 @@
             suspects=tuple(suspects),
         )
         self._metrics.count('crash', self._service, 'own')
-        self._on_own(record)
         self._add(record, age_s, 'own')
+        self._on_own(record)
 
     def load(self, records: Iterable[crash.CrashRecord]) -> None:
         """Add the crash records that were read from the store."""
--- a/tests/sidecar/test_crash_exchange.py
+++ b/tests/sidecar/test_crash_exchange.py
@@ -2,6 +2,8 @@
 
 import types
 
+import pytest
+
 from sassafraswood import clock
 from sassafraswood.coordination import crash_counts
 from sassafraswood.models import crash
@@ -40,7 +42,7 @@
 class Node:
     """The crash exchange of one daemon."""
 
-    def __init__(self, tmp_path, name: str) -> None:
+    def __init__(self, tmp_path, name: str, on_own=None) -> None:
         """Start without crashes."""
         self.clock = clock.ManualClock()
         self.counts = crash_counts.CrashCounts(self.clock)
@@ -54,7 +56,7 @@
             counts=self.counts,
             log=json_log.JsonLog(name, self.log_file.fileno()),
             metrics=measures.Measures(),
-            on_own=self.stored.append,
+            on_own=on_own or self.stored.append,
             on_verdicts=self.announced.append,
         )
 
@@ -92,6 +94,20 @@
     assert not link.take_sent()
 
 
+# Guards against crashes that nobody counts, since their daemon fails to store
+# them.
+def test_crash_counts_though_it_cannot_be_stored(tmp_path) -> None:
+    """An error of the store's part comes after the count."""
+
+    def fail(record) -> None:
+        raise ValueError(record)
+
+    node = Node(tmp_path, 'a', on_own=fail)
+    with pytest.raises(ValueError):
+        node.crash(1)
+    assert len(node.counts.records) == 1
+
+
 def test_report_is_resent_to_a_restarted_peer(tmp_path) -> None:
     """A restarted peer has lost the report and has a new connection."""
     node, link = Node(tmp_path, 'a'), FakeLink('b')
