Hand over no limits of which the owner before is not known

Callers of the product's own daemon could get 429 rate_exceeded far below their rate after two hand-overs within 1.25 s, the first of which had lost its state.

Cause: the owner in between exported an empty bucket as if it knew it. A late message of an earlier term could also replace the state of the last one.

Change: such a limit is left out, and an earlier term is ignored.

Evidence: two new tests failed before and pass.

--- a/lab/quota_faults.py
+++ b/lab/quota_faults.py
@@ -92,7 +92,7 @@
     partition = rng.randrange(const.PARTITIONS_PER_SERVICE)
     client = rng.randrange(len(fleet.clients))
     pause_s = rng.choice((0.03, 0.3, 0.9, 1.1, 3.0))
-    kind = rng.randrange(6 if has_publications else 5)
+    kind = rng.randrange(7 if has_publications else 6)
 
     def inject() -> None:
         if kind == 0:
@@ -101,13 +101,13 @@
             fleet.restart_client(client)
         elif kind == 2:
             fleet.owner(service, partition).paused_until = fleet.now + pause_s
-        elif kind == 3 and rng.random() < 0.5:
-            fleet.hand_over(service, partition)
         elif kind == 3:
             fleet.end_lease(service, partition)
             fleet.begin_term(service, partition, wait_s=0.0)
         elif kind == 4:
             _replace_lost_owner(fleet, service, partition)
+        elif kind == 5:
+            fleet.hand_over(service, partition)
         else:
             fleet.publish(service, draw_specs(rng))
 
--- a/sassafraswood/coordination/quota_owner.py
+++ b/sassafraswood/coordination/quota_owner.py
@@ -51,7 +51,6 @@
     """Limits that the owner of a term has handed over."""
 
     term: ids.Term
-    received_at: float
     quota: messages.QuotaState
 
 
@@ -144,7 +143,9 @@
     ) -> messages.QuotaState | None:
         """Return the limits of a term that this daemon no longer uses.
 
-        It is None while the term is used, or if it never was.
+        It is None while the term is used, or if it never was. A limit of which
+        this daemon does not know how many tokens the owner before it had
+        granted is left out, so that the next owner does not know it either.
         """
         key = (entry.service, entry.partition)
         state = self._partitions.get(key)
@@ -164,20 +165,23 @@
                     outstanding=limit.bucket.outstanding,
                 )
                 for workspace, limit in state.limits.items()
+                if now >= limit.usable_at
             ],
         )
 
     def accept(self, message: messages.HandOver) -> None:
-        """Store the limits of a hand-over for the term that follows it."""
+        """Store the limits of a hand-over for the term that follows it.
+
+        Messages of earlier terms may arrive late.
+        """
         if message.quota is None:
             return
-        self._received_states[message.service, message.partition] = (
-            _ReceivedState(
-                term=message.term,
-                received_at=self._clock.monotonic(),
-                quota=message.quota,
+        key = (message.service, message.partition)
+        known = self._received_states.get(key)
+        if known is None or known.term <= message.term:
+            self._received_states[key] = _ReceivedState(
+                term=message.term, quota=message.quota
             )
-        )
 
     def _serve_demand(
         self,
--- a/tests/coordination/test_quota_fleet.py
+++ b/tests/coordination/test_quota_fleet.py
@@ -15,7 +15,7 @@
 _DURATION_S = 15.0
 
 
-@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('seed', range(12))
 def test_no_window_exceeds_rate_and_burst(seed: int) -> None:
     """Guards against calls above the limit after any order of faults."""
     fleet = quota_faults.run(seed, duration_s=8.0)
--- a/tests/coordination/test_quota_owner.py
+++ b/tests/coordination/test_quota_owner.py
@@ -2,10 +2,12 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from lab import quota_simulation
 from sassafraswood import clock
+from sassafraswood import const
 from sassafraswood.coordination import quota_owner
 from sassafraswood.models import document
 from sassafraswood.models import ids
@@ -142,6 +144,37 @@
     assert _tokens(following.ask(10.0, term=2)) == pytest.approx(2.0)
 
 
+# Guards against 429 rate_exceeded after two quick hand-overs, of which the
+# first has lost its state.
+def test_next_owner_is_not_told_of_limits_that_are_not_known() -> None:
+    """The third owner knows no more than the second one."""
+    second, third = _World(), _World()
+    second.begin(2, wait_s=0.0)
+    second.clock.advance(0.5)
+    second.ask(1.0, term=2)
+    entry = second.leases.entries.pop((ids.ServiceName('status'), 0))
+    quota = second.owner.export(entry)
+    third.owner.accept(quota_simulation.build_hand_over(entry, quota))
+    third.begin(3, wait_s=0.0)
+    assert not third.ask(1.0, term=3).grants[0].owned
+
+
+# Guards against a late message that replaces what the last owner has sent.
+def test_limits_of_an_earlier_term_are_ignored() -> None:
+    """The message of the term before it arrives last."""
+    last, following = _World(), _World()
+    last.begin(2, wait_s=const.QUOTA_TOKEN_LIFETIME_S + 1.0)
+    last.clock.advance(1.0)
+    last.ask(2.0, term=2)
+    entry = last.leases.entries.pop((ids.ServiceName('status'), 0))
+    quota = last.owner.export(entry)
+    following.owner.accept(quota_simulation.build_hand_over(entry, quota))
+    late = msgspec.structs.replace(entry, term=ids.Term(1))
+    following.owner.accept(quota_simulation.build_hand_over(late, quota))
+    following.begin(3, wait_s=0.0)
+    assert _tokens(following.ask(5.0, term=3)) > 0.0
+
+
 def test_term_in_use_is_not_exported() -> None:
     """Guards against tokens that are granted after they are handed over."""
     world = _World()
