Reserve the addresses of a soak

The addresses of a soak depended on the process id modulo 254, so that two of many processes at the same time could share them.

Soaks reserve their addresses as the other harnesses do (lab/ports.py). The new test fails on the code before, where both soaks of a process have the same.

--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -4,7 +4,6 @@
 from collections.abc import Coroutine
 import dataclasses
 import json
-import os
 import pathlib
 import random
 import signal
@@ -13,6 +12,7 @@
 
 from lab import platform_store
 from lab import platform_upstream
+from lab import ports
 from lab import relay
 from lab.soak import callers as callers_module
 from lab.soak import faults
@@ -59,14 +59,6 @@
 _RESPONSE_FAULTS: Final = tuple(platform_upstream.Fault)[1:6]
 
 
-def _host(index: int) -> str:
-    """Return the loopback address of a VM.
-
-    It depends on the process id, so that concurrent soaks rarely collide.
-    """
-    return f'127.{1 + os.getpid() % 254}.{index // 250}.{1 + index % 250}'
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Result:
     """Result of a soak: problems, request counts and injected faults."""
@@ -100,6 +92,7 @@
             deployed: Whether to run the daemon that deploy/build installed.
         """
         self.seed = seed
+        self.hosts = ports.reserve_hosts(machines)
         self.ledger = ledger_module.Ledger()
         self.faults = faults.draw_faults(
             seed, length_s=length_s, machines=machines
@@ -155,7 +148,7 @@
         self._machines = [
             machine_module.Machine(
                 name=f'm{index}',
-                host=_host(index),
+                host=self.hosts[index],
                 service=('front', 'deep')[index % 2],
                 domain=f'z{index % 3}',
                 store=address,
--- a/tests/lab/soak/test_soak.py
+++ b/tests/lab/soak/test_soak.py
@@ -20,3 +20,14 @@
     soak = run.Soak(seed=seed, length_s=25.0, machines=6, folder=tmp_path)
     result = asyncio.run(soak.async_run())
     assert result.problems == []
+
+
+# Guards against soaks that fail to start, since another one at the same time
+# listens on their addresses.
+def test_soaks_at_the_same_time_share_no_address(tmp_path) -> None:
+    """They may run in any processes."""
+    first, second = (
+        run.Soak(seed=1, length_s=1.0, machines=6, folder=tmp_path)
+        for _ in range(2)
+    )
+    assert not set(first.hosts) & set(second.hosts)
