--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -264,7 +264,7 @@
             head.encode() + b'\r\n' + body, None, finish
         )
         try:
-            await timeouts.async_wait(outcome_future, timeout_s)
+            await timeouts.async_wait_or_cancel(outcome_future, timeout_s)
         except TimeoutError as error:
             # No response follows on a connection that lost one, so it is
             # closed.
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -739,7 +739,7 @@
             )
         )
         try:
-            await timeouts.async_wait(connecting, CONNECT_TIMEOUT_S)
+            await timeouts.async_wait_or_cancel(connecting, CONNECT_TIMEOUT_S)
             _, connection = connecting.result()
         except ConnectionRefusedError:
             return FailureKind.REFUSED
--- a/sassafraswood/transport/timeouts.py
+++ b/sassafraswood/transport/timeouts.py
@@ -7,7 +7,9 @@
 LAST_READ_S: Final = 0.025
 
 
-async def async_wait(future: asyncio.Future[Any], timeout_s: float) -> None:
+async def async_wait_or_cancel(
+    future: asyncio.Future[Any], timeout_s: float
+) -> None:
     """Wait for a future for some time, and until the event loop has read.
 
     The event loop calls timers before it reads. After the process was held up,
