--- a/sassafraswood/models/traffic.py
+++ b/sassafraswood/models/traffic.py
@@ -63,10 +63,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceRules:
-    """Rules for the upstreams of a service."""
+    """Rules for the upstreams of a service.
+
+    Attributes:
+        cold_s: Time after its start during which an upstream is cold, in
+            seconds; 0 if the operator states none.
+        cold_rate_per_s: Requests per second that a cold upstream tolerates; 0
+            if the operator states no rate.
+    """
 
     health_path: str
     max_connections: int
+    cold_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/sassafraswood/platform/rules.py
+++ b/sassafraswood/platform/rules.py
@@ -41,6 +41,8 @@
 class _Service(_Wire, frozen=True, kw_only=True):
     health_path: str = '/health'
     max_conns: int = 0
+    cold_s: _NotNegative = 0.0
+    cold_per_s: _NotNegative = 0.0
 
 
 class _Limits(_Wire, frozen=True, kw_only=True):
@@ -106,6 +108,8 @@
             ids.ServiceName(name): traffic.ServiceRules(
                 health_path=service.health_path,
                 max_connections=service.max_conns,
+                cold_s=service.cold_s,
+                cold_rate_per_s=service.cold_per_s,
             )
             for name, service in wire.services.items()
         },
--- a/sassafraswood/platform/settings.py
+++ b/sassafraswood/platform/settings.py
@@ -44,6 +44,11 @@
             them.
         quota_slack: Allowed number of requests in a window beyond rate, burst
             and tolerance.
+        cold_excess: Factor on the rate that a cold upstream tolerates up to
+            which requests may arrive there; 0 if no such rate is in force.
+        cold_slack: Requests in a second beyond that product.
+        evacuate_s: Time within which an evacuated failure domain gets no
+            further requests, in seconds.
     """
 
     revoke_s: float = 5.0
@@ -55,6 +60,9 @@
     retry_window_s: float = 10.0
     quota_tolerance: float = 0.1
     quota_slack: float = 20.0
+    cold_excess: float = 0.0
+    cold_slack: float = 0.0
+    evacuate_s: float = 5.0
 
     @property
     def key_age_s(self) -> float:
@@ -114,6 +122,9 @@
     'budget-window-s': 'retry_window_s',
     'quota-tolerance': 'quota_tolerance',
     'quota-slack': 'quota_slack',
+    'cold-excess': 'cold_excess',
+    'cold-slack': 'cold_slack',
+    'evacuate-s': 'evacuate_s',
 }
 
 
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -87,6 +87,10 @@
         deep_load: Load of the daemon or, if higher, HOP_DECAY_FACTOR times the
             load of the services that its upstream calls.
         depth: Levels of calls below this call; None if unknown.
+        pace_per_s: Further calls per second that the upstream is given while
+            it is cold or recovers; 0 if it needs no pace.
+        wait_s: Time that another call of the same kind would wait for a slot,
+            in seconds.
     """
 
     call_id: int
@@ -96,6 +100,8 @@
     load: Amount
     deep_load: Amount
     depth: int | None = None
+    pace_per_s: Amount = 0.0
+    wait_s: Amount = 0.0
 
 
 class Refused(Frame, tag=3):
@@ -106,6 +112,8 @@
             the reason does not apply there.
         has_reached_upstream: Whether the upstream itself refused the call;
             such a call counts towards the retry budget.
+        pace_per_s: As in Answer.
+        wait_s: As in Answer.
     """
 
     call_id: int
@@ -113,6 +121,8 @@
     is_local: bool
     load: Amount
     has_reached_upstream: bool = False
+    pace_per_s: Amount = 0.0
+    wait_s: Amount = 0.0
 
 
 class CallFailed(Frame, tag=4):
@@ -154,6 +164,9 @@
         errors: Fraction of recent calls at its upstream that failed.
         verdicts: Digest of the requests that it refuses because they crashed
             upstreams.
+        pace_per_s: As in Answer.
+        evacuations: Digest of the evacuated failure domains that it knows.
+        store_era: Era of the store that its records come from.
     """
 
     sequence: int
@@ -167,6 +180,9 @@
     slowness: Amount = 1.0
     errors: Amount = 0.0
     verdicts: int = 0
+    pace_per_s: Amount = 0.0
+    evacuations: int = 0
+    store_era: int = 0
 
 
 class FetchRules(Frame, tag=8):
@@ -224,12 +240,14 @@
         load: As in Pong.
         slowness: As in Pong.
         errors: As in Pong.
+        pace_per_s: As in Answer.
     """
 
     is_serving: bool
     load: Amount
     slowness: Amount = 1.0
     errors: Amount = 0.0
+    pace_per_s: Amount = 0.0
 
 
 class CrashReport(Frame, tag=17):
