Add the longest wait to the request to run a call

Calls that wait long at the upstream arrive in the same window of a rate limit as later calls that wait shorter. The daemon that takes the token states how long its call may wait. Nothing sets or reads the field yet.

--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -58,6 +58,10 @@
         is_repeat: Whether another upstream may have run the call before.
         may_redirect: Whether to refuse the call in place of queueing it,
             because the sender knows another daemon that may have a free slot.
+        max_wait_s: Longest time that the call may wait for its start, in
+            seconds; 0 leaves that to the receiver. A call whose workspace is
+            near its rate limit may not wait long, since calls that wait longer
+            than those after them add up in one window of the limit.
     """
 
     call_id: int
@@ -74,6 +78,7 @@
     is_inner: bool
     is_repeat: bool = False
     may_redirect: bool = False
+    max_wait_s: Amount = 0.0
 
 
 class Answer(Frame, tag=2):
