Keep tokens on their way within the capacity of a limit

Cause: a call takes its token where it enters and then waits at its upstream. After a burst the bucket is empty, but up to half a second of calls is still on its way; they start, or give their tokens back, in the same window as the calls that take what is refilled.

Change: tokens that were taken within 0.5 s count against the capacity when the bucket is refilled, as lent ones do. A call of a workspace whose share is nearly spent says that it may wait no longer than that.

--- a/sassafraswood/coordination/quota_shares.py
+++ b/sassafraswood/coordination/quota_shares.py
@@ -41,18 +41,69 @@
 LOAN_LIFETIME_S: Final = 0.5
 # A borrower asks for its expected demand over this time.
 LOAN_DEMAND_S: Final = 0.2
+# A call starts at its upstream, or gives its token back, within this time from
+# when it took the token. A call of a workspace near its limit waits no longer.
+MAX_START_DELAY_S: Final = 0.5
+# A share counts as nearly spent while less than this fraction is left.
+NEARLY_SPENT_FRACTION: Final = 0.5
+# Slots of the count of tokens that were taken within MAX_START_DELAY_S.
+RECENT_SLOTS: Final = 5
+RECENT_SLOT_S: Final = MAX_START_DELAY_S / (RECENT_SLOTS - 1)
 # Weight of the newest sample in the moving average of the demand.
 DEMAND_GAIN: Final = 0.2
 
 
+class _RecentTokens:
+    """Counts the tokens that were taken within MAX_START_DELAY_S.
+
+    A token counts for one slot longer at most.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._slots = [0.0] * RECENT_SLOTS
+        self._slot = int(now / RECENT_SLOT_S)
+        self.count = 0.0
+
+    def advance(self, now: float) -> None:
+        """Drop what was taken earlier."""
+        slot = int(now / RECENT_SLOT_S)
+        for passed in range(
+            self._slot + 1, min(slot, self._slot + RECENT_SLOTS) + 1
+        ):
+            index = passed % RECENT_SLOTS
+            self.count -= self._slots[index]
+            self._slots[index] = 0.0
+        self._slot = slot
+
+    def add(self, tokens: float) -> None:
+        """Count tokens that are taken now."""
+        self._slots[self._slot % RECENT_SLOTS] += tokens
+        self.count += tokens
+
+    def remove_oldest(self) -> None:
+        """Count a token no longer, since it was given back."""
+        for age in range(RECENT_SLOTS - 1, -1, -1):
+            index = (self._slot - age) % RECENT_SLOTS
+            if self._slots[index] >= 1.0:
+                self._slots[index] -= 1.0
+                self.count -= 1.0
+                return
+
+
 class _Share:
-    """This daemon's share of one limit, as a token bucket."""
+    """This daemon's share of one limit, as a token bucket.
+
+    The tokens left and those that calls on their way hold never exceed the
+    capacity together. Otherwise a call that waited would reach its upstream in
+    the same window as those that took the tokens refilled meanwhile.
+    """
 
     def __init__(self, now: float) -> None:
         self.rate_per_s = 0.0
         self.capacity = 0.0
         self.tokens_left = 0.0
         self.refilled_at = now
+        self.recent = _RecentTokens(now)
         self.borrowed = 0.0
         self.borrowed_until = 0.0
         self.calls_since_measurement = 0
@@ -60,10 +111,20 @@
         self.demand_measured_at = now
 
     def refill(self, now: float) -> None:
-        self.tokens_left = min(
+        self.recent.advance(now)
+        # What the rate alone takes in that time does not stop the refill.
+        limit = max(
             self.capacity,
-            self.tokens_left + self.rate_per_s * (now - self.refilled_at),
+            self.rate_per_s * (MAX_START_DELAY_S + RECENT_SLOT_S),
         )
+        room = min(
+            self.capacity - self.tokens_left,
+            limit - self.recent.count - self.tokens_left,
+        )
+        if room > 0.0:
+            self.tokens_left += min(
+                room, self.rate_per_s * (now - self.refilled_at)
+            )
         self.refilled_at = now
 
     def count_call(self, now: float) -> None:
@@ -183,10 +244,21 @@
         share = self._get_share(workspace, now)
         share.refill(now)
         if share.capacity > 0.0:
+            share.recent.remove_oldest()
             share.tokens_left = min(share.capacity, share.tokens_left + 1.0)
         else:
             self.receive(workspace, 1.0)
 
+    def is_nearly_spent(self, workspace: ids.Workspace) -> bool:
+        """Return whether the workspace may soon reach its limit.
+
+        A daemon without a share of its own does not know.
+        """
+        share = self._shares.get(workspace)
+        return share is not None and (
+            share.tokens_left <= NEARLY_SPENT_FRACTION * share.capacity
+        )
+
     def wanted(self, workspace: ids.Workspace) -> float:
         """Return the number of tokens to ask a lender for."""
         share = self._shares.get(workspace)
@@ -213,6 +285,7 @@
             return 0.0
         lent = min(tokens, max(1.0, share.tokens_left / 2.0))
         share.tokens_left -= lent
+        share.recent.add(lent)
         return lent
 
     def receive(self, workspace: ids.Workspace, tokens: float) -> None:
@@ -269,6 +342,7 @@
         if share.tokens_left < 1.0:
             return False
         share.tokens_left -= 1.0
+        share.recent.add(1.0)
         return True
 
     def _get_share(self, workspace: ids.Workspace, now: float) -> _Share:
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -538,6 +538,7 @@
             is_idempotent=call.route.is_idempotent,
             is_inner=call.is_inner,
             is_repeat=call.attempt_count > 1,
+            max_wait_s=self._quota_waits.max_wait_s(call),
         )
 
     def _build_head(self, call: caller_call.CallerCall) -> bytes:
--- a/sassafraswood/sidecar/quota_wait.py
+++ b/sassafraswood/sidecar/quota_wait.py
@@ -165,6 +165,16 @@
             call.has_token = False
             self._shares.give_back(call.workspace)
 
+    def max_wait_s(self, call: caller_call.CallerCall) -> float:
+        """Return how long a call may wait for its start, in seconds.
+
+        Returns:
+            0 if its workspace is not near its limit, so that any wait will do.
+        """
+        if call.has_token and self._shares.is_nearly_spent(call.workspace):
+            return quota_shares.MAX_START_DELAY_S
+        return 0.0
+
     def describe(self, workspace: ids.Workspace) -> dict[str, float]:
         """Return why a call of a workspace gets no token, for log lines.
 
--- a/tests/coordination/test_quota_shares.py
+++ b/tests/coordination/test_quota_shares.py
@@ -110,6 +110,47 @@
     assert largest_window(times) <= fleet.allowed
 
 
+@pytest.mark.parametrize('refused_share', [0.0, 0.4])
+def test_calls_that_wait_for_their_start_exceed_no_window(
+    refused_share: float,
+) -> None:
+    """Guards against a window that holds a burst and what followed it.
+
+    A workspace sends five times its usual; its calls wait at a full upstream,
+    some are refused there, and then the queue is gone.
+    """
+    fleet = Fleet(13, rate=330.0, burst=330.0)
+    generator = random.Random(3)
+    fleet.clock.advance(5.0)
+    start = fleet.clock.monotonic()
+    started: list[float] = []
+    refusals: list[tuple[float, ids.DaemonId]] = []
+    while (now := fleet.clock.monotonic()) < start + 8.0:
+        fleet.clock.advance(generator.expovariate(1000.0))
+        while refusals and refusals[0][0] <= now:
+            fleet.daemons[refusals.pop(0)[1]].give_back(WORKSPACE)
+        name = generator.choice(fleet.names)
+        if not fleet.request(name):
+            continue
+        delay_s = quota_shares.MAX_START_DELAY_S if now < start + 1.0 else 0.0
+        if delay_s and generator.random() < refused_share:
+            refusals.append((now + delay_s, name))
+        else:
+            started.append(now + delay_s)
+    assert largest_window(started) <= fleet.allowed
+
+
+def test_burst_below_the_start_delay_leaves_the_rate() -> None:
+    """Guards against a limit with a small burst that is never reached."""
+    fleet = Fleet(1, rate=300.0, burst=3.0)
+    fleet.clock.advance(5.0)
+    admitted = 0
+    for _ in range(20_000):
+        fleet.clock.advance(0.001)
+        admitted += fleet.request(fleet.names[0])
+    assert admitted >= 300.0 * 20.0
+
+
 @pytest.mark.parametrize('rate', [2.0, 10.0, 60.0])
 def test_load_below_the_rate_is_rarely_refused(rate: float) -> None:
     """At 0.6 of the rate, 13 daemons refuse at most 1 request in 1,000."""
