Write again what a store from an older copy has lost

Cause: the platform's store may come back from a copy some seconds old. What it had acknowledged since is gone, and offsets are given out again. The code knew no era: a reader went on at an offset that another record has now, a follower took lower offsets for older knowledge, and stored leaves, crashes and members of the last seconds were gone for good; deleted members came back.

Change: the era in each response stands above the offset in each position. A read from a position of another era fails as history that is gone.

--- a/lab/platform_store.py
+++ b/lab/platform_store.py
@@ -5,6 +5,7 @@
 import json
 import random
 import struct
+import time
 import urllib.parse
 
 _RECORD_LENGTH = struct.Struct('>I')
@@ -22,6 +23,8 @@
         late_s: Time after which appends are stored, without a response, in
             seconds; 0 for none.
         calls: Number of calls received.
+        era: Number that rises each time that it comes back from a copy; 0
+            leaves it out of responses.
     """
 
     def __init__(self) -> None:
@@ -32,6 +35,9 @@
         self.lost_share = 0.0
         self.late_s = 0.0
         self.calls = 0
+        self.era = 0
+        # When each record was appended, in seconds of monotonic time.
+        self._appended_at: dict[str, list[float]] = {}
         self._random = random.Random(1)
         self._records: dict[str, list[bytes]] = {}
         self._first_offsets: dict[str, int] = {}
@@ -63,9 +69,27 @@
         """
         self._first_offsets[topic] = len(self._records.get(topic, []))
 
+    def rewind(self, age_s: float) -> None:
+        """Come back from a copy that is this old, in seconds.
+
+        What the operator has written since then is written again.
+        """
+        self.era += 1
+        copied_at = time.monotonic() - age_s
+        for topic, times in self._appended_at.items():
+            count = sum(at <= copied_at for at in times)
+            lost = self._records[topic][count:]
+            del self._records[topic][count:], times[count:]
+            if topic == 'keyed.op':
+                for payload in lost:
+                    self._append(topic, payload)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _append(self, topic: str, payload: bytes) -> int:
         records = self._records.setdefault(topic, [])
         records.append(payload)
+        self._appended_at.setdefault(topic, []).append(time.monotonic())
         self._changed.set()
         self._changed = asyncio.Event()
         return len(records) - 1
@@ -114,8 +138,9 @@
                 ):
                     writer.close()
                     return
+                era = f'Store-Era: {self.era}\r\n' if self.era else ''
                 writer.write(
-                    f'HTTP/1.1 {status} X\r\n'
+                    f'HTTP/1.1 {status} X\r\n{era}'
                     f'Content-Length: {len(response)}\r\n\r\n'.encode()
                     + response
                 )
@@ -178,7 +203,7 @@
     ) -> tuple[int, bytes]:
         start = int(query['from'])
         first = self._first_offsets.get(topic, 0)
-        if start < first:
+        if not first <= start <= len(self._records.get(topic, [])):
             return 410, json.dumps({'first': first}).encode()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query.get('wait-ms', '0')) / 1000
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -351,6 +351,8 @@
         if kind is faults.FaultKind.STORE_FORGETS:
             store.forget_history('keyed.op')
             store.forget_history('keyed.members')
+            if fault.variant % 2:
+                await self._async_rewind_store(fault)
             return
         if kind is faults.FaultKind.STORE_DOWN:
             store.is_down = True
@@ -370,6 +372,13 @@
         else:
             store.lost_share = 0.0
 
+    async def _async_rewind_store(self, fault: faults.Fault) -> None:
+        """Let the store come back from a copy that is up to 10 s old."""
+        self._store.is_down = True
+        await asyncio.sleep(0.1 * fault.for_s)
+        self._store.rewind(float(fault.variant % 11))
+        self._store.is_down = False
+
     async def _async_upstream(
         self, fault: faults.Fault, machine: machine_module.Machine
     ) -> None:
--- a/sassafraswood/platform/store.py
+++ b/sassafraswood/platform/store.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from sassafraswood import clock as clock_module
+from sassafraswood.coordination import store_era
 from sassafraswood import exceptions
 from sassafraswood.platform import wire_json
 from sassafraswood.transport import exchange
@@ -38,6 +40,11 @@
 _NOTHING_DONE_STATUSES: Final = frozenset(
     {400, 403, 404, 409, 412, 429, 503, 507}
 )
+# Header field of each response with the era of the store.
+_ERA_FIELD: Final = b'store-era'
+_MAX_ERA: Final = 1 << 20
+# Pause before a lost record is written again after a failure.
+_REWRITE_PAUSE_S: Final = 0.3
 _NO_RESPONSE: Final = 'no response from the store in time'
 _LENGTH: Final = struct.Struct('>I')
 _RANGE: Final = struct.Struct('>QQ')
@@ -57,7 +64,8 @@
 
     Attributes:
         records: Records in the order in which they were written.
-        next_offset: Offset at which the next read starts.
+        next_offset: Position at which the next read starts; it holds the era
+            of the store above the offset (store_era).
     """
 
     records: list[StoredRecord]
@@ -90,19 +98,56 @@
     An append may be sent several times: the records have keys, so that a
     repeat changes nothing unless a newer record of the key precedes it.
 
+    A store that comes back from an older copy has lost what it acknowledged
+    since then; the client writes again what it has written.
+
     Attributes:
         calls: Number of calls made.
     """
 
-    def __init__(self, address: tuple[str, int]) -> None:
-        """Initialize the client with the store's IP address and port."""
+    def __init__(
+        self,
+        address: tuple[str, int],
+        *,
+        clock: clock_module.Clock | None = None,
+        on_rewound: Callable[[int, int], None] = lambda era, count: None,
+    ) -> None:
+        """Initialize the client.
+
+        Args:
+            address: IP address and port of the store.
+            clock: Monotonic clock; the system's by default.
+            on_rewound: Called with the era and the number of records to be
+                written again when the store has come back from a copy.
+        """
         self._host = f'{address[0]}:{address[1]}'
-        self._pool = exchange.ExchangePool(address, frozenset())
+        self._pool = exchange.ExchangePool(address, frozenset({_ERA_FIELD}))
+        self._writes = store_era.RecentWrites(
+            clock or clock_module.SystemClock()
+        )
+        self._on_rewound = on_rewound
+        self._rewriting: asyncio.Task[None] | None = None
         self._pool.held.limit = MAX_HELD_BYTES
         # Newest append in progress of each topic and key.
         self._appends: dict[tuple[str, str], StoredRecord] = {}
         self.calls = 0
 
+    @property
+    def era(self) -> int:
+        """Return the latest known era of the store."""
+        return self._writes.era
+
+    def note_era(self, era: int) -> None:
+        """Record an era that a response or a peer names."""
+        if self._writes.note_era(era):
+            self._on_rewound(era, len(self._writes.find_lost()))
+            self._start_rewriting()
+
+    def stop(self) -> None:
+        """Write no lost record any more."""
+        if self._rewriting is not None:
+            self._rewriting.cancel()
+
     async def async_newest(self, topic: str) -> Page:
         """Return the newest record of each key, ordered by offset.
 
@@ -114,6 +159,7 @@
         items: list[_NewestItem] = []
         query = {'topic': topic, 'part': '0'}
         first_end: int | None = None
+        era = 0
         while True:
             response = await self._async_call_repeatedly(
                 'GET', '/log-newest', query
@@ -124,6 +170,11 @@
             # of the first page, so that it returns later changes.
             if first_end is None:
                 first_end = newest.end
+                era = _get_era(response)
+            if _get_era(response) != era:
+                raise exceptions.LogUnavailableError(
+                    'the store came back from a copy between two pages'
+                )
             if not newest.more or not newest.items:
                 break
             last_key = newest.items[-1].key
@@ -138,33 +189,47 @@
             ]
         except ValueError as error:
             raise exceptions.DecodeError(str(error)) from error
-        return Page(records=records, next_offset=first_end)
+        return Page(
+            records=records,
+            next_offset=store_era.make_position(era, first_end),
+        )
 
     async def async_read(self, topic: str, start: int, wait_s: float) -> Page:
         """Return the records from an offset on, as soon as there are any.
 
         Args:
             topic: Topic to read.
-            start: Offset of the first record.
+            start: Position of the first record.
             wait_s: Time that the store waits for records, in seconds.
 
         Raises:
             LogUnavailableError: The store is unreachable or fails.
             LogOutcomeUnknownError: The response was lost.
-            LogRetentionError: The store does not keep the records.
+            LogRetentionError: The store does not keep the records, or the
+                position is of an earlier era.
             DecodeError: The response is invalid.
         """
+        era = store_era.get_era(start)
+        offset = store_era.get_offset(start)
+        if era < self.era:
+            raise exceptions.LogRetentionError(offset)
         query = {
             'topic': topic,
             'part': '0',
-            'from': str(start),
+            'from': str(offset),
             'max-kb': str(MAX_READ_KB),
             'wait-ms': str(math.ceil(wait_s * 1000)),
         }
         response = await self._async_call_repeatedly(
             'GET', '/log-read', query, wait_s=wait_s
         )
-        return _parse_page(response.body, start)
+        if _get_era(response) != era:
+            # Another record may have the offset now.
+            raise exceptions.LogRetentionError(offset)
+        page = _parse_page(response.body, offset)
+        return dataclasses.replace(
+            page, next_offset=store_era.make_position(era, page.next_offset)
+        )
 
     async def async_append(self, topic: str, record: StoredRecord) -> None:
         """Append a keyed record to a topic.
@@ -180,7 +245,7 @@
         append_id = topic, record.key
         self._appends[append_id] = record
         try:
-            await self._async_call_repeatedly(
+            response = await self._async_call_repeatedly(
                 'POST',
                 '/log-append',
                 {'topic': topic, 'part': '0'},
@@ -190,6 +255,31 @@
         finally:
             if self._appends.get(append_id) is record:
                 del self._appends[append_id]
+        era = _get_era(response)
+        self._writes.note_write(topic, record.key, record.value, era)
+        if era < self.era:
+            self._start_rewriting()
+
+    def _start_rewriting(self) -> None:
+        if self._rewriting is None or self._rewriting.done():
+            self._rewriting = asyncio.get_running_loop().create_task(
+                self._async_rewrite()
+            )
+
+    async def _async_rewrite(self) -> None:
+        """Write the lost records again, each until that succeeds."""
+        while lost := self._writes.find_lost():
+            for topic, key, value in lost:
+                if (topic, key) in self._appends:
+                    # A newer record of the key is being written.
+                    continue
+                try:
+                    await self.async_append(
+                        topic, StoredRecord(key=key, value=value)
+                    )
+                except exceptions.SassafraswoodError:
+                    break
+            await asyncio.sleep(_REWRITE_PAUSE_S)
 
     async def _async_call_repeatedly(
         self,
@@ -275,6 +365,7 @@
             raise
         outcome = outcome_future.result()
         if isinstance(outcome, exchange.Response):
+            self.note_era(_get_era(outcome))
             return _check_status(outcome)
         if outcome in exchange.NOTHING_SENT:
             raise exceptions.LogUnavailableError(outcome.value)
@@ -319,6 +410,14 @@
     return isinstance(call.exception(), exceptions.LogUnavailableError)
 
 
+def _get_era(response: exchange.Response) -> int:
+    """Return the era in a response; 0 if it names none."""
+    value = response.fields.get(_ERA_FIELD, b'')
+    if not value.isdigit() or len(value) > len(str(_MAX_ERA)):
+        return 0
+    return min(int(value), _MAX_ERA)
+
+
 def _check_status(response: exchange.Response) -> exchange.Response:
     """Return a successful response; raise the error of any other."""
     if response.status == 200:
--- a/sassafraswood/sidecar/member_follower.py
+++ b/sassafraswood/sidecar/member_follower.py
@@ -4,6 +4,7 @@
 import math
 from typing import Final
 
+from sassafraswood.coordination import store_era
 from sassafraswood.coordination import store_knowledge
 from sassafraswood import exceptions
 from sassafraswood.models import fleet
@@ -63,6 +64,8 @@
         # seconds of monotonic time.
         self._written_at: dict[str, float] = {}
         self._history: list[tuple[str, bytes]] = []
+        # Deleted records, with when and in which era of the store.
+        self._deleted: dict[str, tuple[float, int, bytes]] = {}
         self._is_registered = False
         # Whether peers may not know this daemon as a member yet.
         self._is_new_member = False
@@ -177,9 +180,13 @@
         for key, value in rows:
             # The newest record is kept last, since it wins if two records
             # have the same address.
-            self._rows.pop(key, None)
+            former = self._rows.pop(key, b'')
+            self._deleted.pop(key, None)
             if value:
                 self._rows[key] = value
+            elif former:
+                era = store_era.get_era(self._knowledge.members_end_offset)
+                self._deleted[key] = (now, era, former)
             self._written_at[key] = now
         own_id = self._own_member.daemon_id
         if own_id not in self._rows and any(key == own_id for key, _ in rows):
@@ -222,10 +229,24 @@
         if not self._duty.is_reader:
             return
         for key in list(self._rows):
-            if now - self._written_at.get(key, now) > RECORD_EXPIRY_S:
+            if now - self._written_at.get(
+                key, now
+            ) > RECORD_EXPIRY_S or self._has_come_back(key, now):
                 await self._async_write(key, b'')
                 self._log.change('member_dropped', member=key)
 
+    def _has_come_back(self, key: str, now: float) -> bool:
+        """Return whether a record was deleted in an earlier era of the store.
+
+        The daemon that deleted it has usually ended.
+        """
+        at, era, value = self._deleted.get(key, (-math.inf, 0, b''))
+        return (
+            now - at < store_era.MAX_COPY_AGE_S
+            and self._rows[key] == value
+            and era < store_era.get_era(self._knowledge.members_end_offset)
+        )
+
     async def _async_write(self, key: str, value: bytes) -> None:
         await self._store.async_append(
             member_records.TOPIC,
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -21,6 +21,7 @@
 from sassafraswood.coordination import repeat_budget
 from sassafraswood.coordination import stop_plan
 from sassafraswood.coordination import store_duty
+from sassafraswood.coordination import store_era
 from sassafraswood.coordination import store_knowledge
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.coordination import upstream_gate
@@ -212,7 +213,11 @@
             stop_plan=caller_stop_plan,
             answer_memory=caller_answer_memory,
         )
-        self._store = store_module.StoreClient(settings.store_address)
+        self._store = store_module.StoreClient(
+            settings.store_address,
+            clock=self._clock,
+            on_rewound=self._on_store_rewound,
+        )
         self._probe = upstream_probe.UpstreamProbe(
             pool=self._pool,
             host=settings.upstream_address[0],
@@ -478,6 +483,11 @@
         if now < self._slow_tick_at:
             return
         self._slow_tick_at = now + SLOW_TICK_S
+        # Peers that read the store may know first that it has come back.
+        if self._knowledge.members_end_offset >= 0:
+            self._store.note_era(
+                store_era.get_era(self._knowledge.members_end_offset)
+            )
         try:
             self._upstream.log_load()
         finally:
@@ -713,6 +723,7 @@
             self._rules.stop,
             self._membership.stop,
             self._upstream_log.stop,
+            self._store.stop,
             self._peers.close,
             *(server.stop_listening for server in self._servers),
             self._log.flush,
@@ -795,6 +806,9 @@
     def _on_update(self) -> None:
         self._peers.announce()
 
+    def _on_store_rewound(self, era: int, lost_count: int) -> None:
+        self._log.change('store_rewound', era=era, writes_again=lost_count)
+
     def _on_serving(self, is_serving: bool) -> None:
         self._peers.set_serving(is_serving)
 
@@ -838,6 +852,7 @@
         metrics.gauge('peers_reachable', self._peers.reachable_count)
         metrics.gauge('peers_accepted', self._peers.accepted_count)
         metrics.gauge('store_calls', self._store.calls)
+        metrics.gauge('store_era', self._store.era)
         metrics.gauge('rules_version', self._knowledge.rules_version)
         metrics.gauge('rules_age_seconds', self._knowledge.rules_age_s)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the client of the platform's store."""
 
 import asyncio
+import math
 import socket
 import threading
 import time
@@ -184,3 +185,41 @@
             thread.start()
             runner.run(async_append(server.getsockname()))
         thread.join()
+
+
+# Guards against records that are gone after the store came back from a copy,
+# and against reads that go on at an offset that another record has now.
+@pytest.mark.parametrize('kept_count', [0, 1, 3])
+def test_writes_outlast_a_store_that_comes_back_from_a_copy(
+    kept_count: int,
+) -> None:
+    """The copy holds the first records; a client writes the others again."""
+    records = [
+        store.StoredRecord(key=f'k{index}', value=b'v') for index in range(3)
+    ]
+
+    async def async_main() -> None:
+        server = platform_store.PlatformStore()
+        server.era = 4
+        client = store.StoreClient(await server.async_start())
+        for record in records:
+            await client.async_append('t', record)
+        page = await client.async_read(
+            't', (await client.async_newest('t')).next_offset, 0.0
+        )
+        server._appended_at['t'][kept_count:] = [math.inf] * (3 - kept_count)
+        server.rewind(0.0)
+        server.put('t', 'other', b'w')
+        with pytest.raises(exceptions.LogRetentionError):
+            await client.async_read('t', page.next_offset, 0.0)
+        for _ in range(200):
+            if len(server.newest('t')) == 4:
+                break
+            await asyncio.sleep(0.05)
+        assert sorted(server.newest('t')) == ['k0', 'k1', 'k2', 'other']
+        newest = await client.async_newest('t')
+        assert newest.next_offset > page.next_offset
+        client.stop()
+        server.stop()
+
+    asyncio.run(async_main())
--- a/tests/sidecar/test_member_follower.py
+++ b/tests/sidecar/test_member_follower.py
@@ -8,6 +8,7 @@
 from sassafraswood import clock
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import store_duty
+from sassafraswood.coordination import store_era
 from sassafraswood.coordination import store_knowledge
 from sassafraswood import exceptions
 from sassafraswood.models import fleet
@@ -40,6 +41,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.records: list[store.StoredRecord] = []
+        self.era = 0
         self.loses_response = False
 
     async def async_newest(self, topic: str) -> store.Page:
@@ -50,7 +52,8 @@
         """Return the records from an offset."""
         await asyncio.sleep(0)
         return store.Page(
-            records=self.records[start:], next_offset=len(self.records)
+            records=self.records[store_era.get_offset(start) :],
+            next_offset=store_era.make_position(self.era, len(self.records)),
         )
 
     async def async_append(self, topic: str, record) -> None:
@@ -195,6 +198,24 @@
     assert store.StoredRecord(key='d1', value=b'') in case.store.records
 
 
+def test_deletion_outlasts_a_store_that_comes_back_from_a_copy(
+    tmp_path,
+) -> None:
+    """Guards against members that have ended and hold a share of limits."""
+    case = Case(tmp_path)
+    case.store.records = [
+        store.StoredRecord(key=key, value=value)
+        for key, value in (make_row(0), make_row(1))
+    ]
+    case.read()
+    case.take(2, 3, ('d1', b''))
+    assert case.names() == ['d0']
+    case.store.era = 1
+    case.follower._reset_offset()
+    case.read()
+    assert case.store.records[-1] == store.StoredRecord(key='d1', value=b'')
+
+
 def test_daemon_with_a_deleted_record_writes_it_again(tmp_path) -> None:
     """A daemon that could not renew its record for long is still alive."""
     case = Case(tmp_path)
