Fail an answer whose status HTTP does not know

Cause: the parser takes any three digits. With a length, a status below 100 counted as an interim response and its caller waited until the deadline; with the end of the connection it was given on as the answer, as was any status from 600 on. Both codes for answers did so.

Change: a status below 100 or above 599 ends the exchange when the head is complete; the connection is closed, the reason is logged and counted, and the caller gets 502. Statuses of another length were rejected before.

Before the change the four new tests of the product's own connection failed, and the first of the exchange (the others were not run then).

--- a/sassafraswood/models/enums.py
+++ b/sassafraswood/models/enums.py
@@ -110,6 +110,7 @@
     UPSTREAM_BROKE = 'upstream_broke'
     ANSWER_TRUNCATED = 'answer_truncated'
     ANSWER_TOO_LARGE = 'answer_too_large'
+    ANSWER_STATUS_INVALID = 'answer_status_invalid'
     PEER_SILENT = 'peer_silent'
 
 
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -78,6 +78,8 @@
     TRUNCATED = 'answer_truncated'
     # The received bytes are not an HTTP response.
     MALFORMED = 'answer_malformed'
+    # The response has a status that HTTP does not know.
+    BAD_STATUS = 'answer_status_invalid'
     TOO_LARGE = 'answer_too_large'
     # The response, and others that are being received, exceed their limit.
     NO_MEMORY = 'answers_exceed_memory'
@@ -367,6 +369,10 @@
         self._has_header = True
         if self._result is not None or self._on_done is None:
             return
+        assert self._parser is not None
+        if not response_limits.is_valid_status(self._parser.get_status_code()):
+            self._fail_exchange(FailureKind.BAD_STATUS)
+            return
         if (
             self._is_head or self._announces_body
         ) and self._is_bodiless_response():
--- a/sassafraswood/transport/response_limits.py
+++ b/sassafraswood/transport/response_limits.py
@@ -8,11 +8,19 @@
 # Framing bytes per body byte; a chunk that carries one byte takes six bytes in
 # total.
 MAX_FRAMING_RATIO: Final = 8
+# Lowest and highest status of HTTP (RFC 9110, section 15).
+MIN_STATUS: Final = 100
+MAX_STATUS: Final = 599
 # Interim responses, and responses to other requests, that may precede the
 # response to the current request.
 MAX_SKIPPED_RESPONSES: Final = 16
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a response may have this status."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
 def is_oversized(
     *,
     received_bytes: int,
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -154,6 +154,9 @@
         self._has_headers = True
         assert self._parser is not None
         status = self._parser.get_status_code()
+        if not response_limits.is_valid_status(status):
+            self._fail_request(enums.RefusalReason.ANSWER_STATUS_INVALID)
+            return
         if self._method == 'HEAD' and status >= 200:
             # The parser would wait for a body, so the connection cannot be
             # reused.
@@ -172,6 +175,8 @@
         """Complete the response unless it is an interim one."""
         assert self._parser is not None
         status = self._parser.get_status_code()
+        if not response_limits.is_valid_status(status):
+            return
         if status < 200:
             self._interim_count += 1
             return
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -538,3 +538,18 @@
     with socket.create_server(('127.0.0.1', 0)) as server:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             assert runner.run(async_run(server.getsockname())) is None
+
+
+# Guards against an answer of no status of HTTP that a caller gets as the
+# upstream's, or that is taken for an interim one and awaited in vain.
+@pytest.mark.parametrize('status', [b'000', b'001', b'099', b'600', b'999'])
+@pytest.mark.parametrize('length', [b'Content-Length: 2\r\n', b''])
+@pytest.mark.parametrize('close', [False, True])
+def test_status_outside_of_http_fails(
+    status: bytes, length: bytes, close: bool
+) -> None:
+    """Framed by its length or by the end of its connection."""
+    response = COMPLETE.replace(b'200 OK', status + b' X').replace(
+        b'Content-Length: 2\r\n', length
+    )
+    assert run(response, close=close) == [exchange.FailureKind.BAD_STATUS]
--- a/tests/transport/test_upstream_connection.py
+++ b/tests/transport/test_upstream_connection.py
@@ -121,3 +121,14 @@
         )
 
     assert asyncio.run(async_run()).status == 200
+
+
+# Guards against an answer of no status of HTTP that a caller gets as the
+# upstream's, or that is taken for an interim one and awaited in vain.
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+def test_status_outside_of_http_fails(status: bytes) -> None:
+    """The connection is closed as soon as the head is complete."""
+    head = HEAD.replace(b'200 OK', status + b' X')
+    parts = [head + b'Content-Length: 2\r\n\r\n', b'ok']
+    _, reason = asyncio.run(async_receive(parts))
+    assert reason is enums.RefusalReason.ANSWER_STATUS_INVALID
