Keep calls from the upstreams of evacuated failure domains

The end of the topic is their revision: daemons compare it with each ping and fetch what is newer, and an older one changes nothing. The daemon beside an upstream of an evacuated domain closes its gate, refuses what waits as not run, and opens it no sooner than the requests are known. Daemons that choose an upstream leave the domain out; a refusal that came before they knew of it does not count towards the refusals of a call.

--- a/sassafraswood/coordination/peer_plan.py
+++ b/sassafraswood/coordination/peer_plan.py
@@ -49,6 +49,15 @@
             ids.ServiceName, list[fleet.Member]
         ] = {}
         self._rankings: dict[ids.ServiceName, list[ids.DaemonId]] = {}
+        self._evacuated: frozenset[ids.FailureDomain] = frozenset()
+
+    def set_evacuated(self, domains: frozenset[ids.FailureDomain]) -> None:
+        """Leave failure domains out of the choice of daemons for calls.
+
+        Their daemons still pass on what they read from the store.
+        """
+        self._evacuated = domains
+        self._rankings = {}
 
     def set_members(self, members: Iterable[fleet.Member]) -> None:
         """Set the members of the fleet; the own record is added."""
@@ -115,7 +124,10 @@
         local: list[ids.DaemonId] = []
         remote: list[ids.DaemonId] = []
         for member in self._members_by_service.get(service, []):
-            if member.daemon_id == self._own.daemon_id:
+            if (
+                member.daemon_id == self._own.daemon_id
+                or member.failure_domain in self._evacuated
+            ):
                 continue
             is_local = member.failure_domain == self._own.failure_domain
             (local if is_local else remote).append(member.daemon_id)
--- a/sassafraswood/models/enums.py
+++ b/sassafraswood/models/enums.py
@@ -93,6 +93,8 @@
     NO_UPSTREAM = 'no_upstream'
     UPSTREAM_UNREACHABLE = 'upstream_unreachable'
     DRAINING = 'draining'
+    # The operator keeps calls from the upstreams of a failure domain.
+    DOMAIN_EVACUATED = 'domain_evacuated'
     PEER_UNREACHABLE = 'peer_unreachable'
     # Idempotency keys.
     IDEMPOTENCY_KEY_MALFORMED = 'idempotency_key_malformed'
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -170,7 +170,9 @@
         verdicts: Digest of the requests that it refuses because they crashed
             upstreams.
         pace_per_s: As in Answer.
-        evacuations: Digest of the evacuated failure domains that it knows.
+        evacuations: Revision of the evacuated failure domains that it knows;
+            0 if it knows none. A higher one includes all that a lower one
+            knows.
         store_era: Era of the store that its records come from.
     """
 
@@ -291,6 +293,22 @@
     wants_reply: bool = False
 
 
+class FetchEvacuations(Frame, tag=20):
+    """Requests the evacuated failure domains that a daemon knows."""
+
+
+class Evacuations(Frame, tag=21):
+    """Evacuated failure domains as of a revision.
+
+    Attributes:
+        revision: As evacuations in Pong.
+        domains: Names of all evacuated failure domains.
+    """
+
+    revision: int
+    domains: list[str]
+
+
 AnyFrame = (
     Hello
     | Run
@@ -310,6 +328,8 @@
     | CrashReport
     | CrashConfirmation
     | Verdicts
+    | FetchEvacuations
+    | Evacuations
 )
 
 
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -664,8 +664,14 @@
         candidate: upstream_choice.Candidate,
         refusal: frames.Refused,
     ) -> None:
-        call.refusal_count += 1
         call.attempt_count -= 1
+        if refusal.reason == enums.RefusalReason.DOMAIN_EVACUATED.value:
+            # All daemons of the domain refuse the call, so that this does not
+            # count towards MAX_REFUSALS. The next Status confirms the state.
+            candidate.is_serving = False
+            self._send(call)
+            return
+        call.refusal_count += 1
         call.upstream_refusal_count += refusal.has_reached_upstream
         if refusal.is_local:
             candidate.note_failure(self._clock.monotonic())
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -17,6 +17,7 @@
 from sassafraswood.models import ids
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import crash_exchange
+from sassafraswood.sidecar import evacuation_exchange
 from sassafraswood.sidecar import member_follower
 from sassafraswood.sidecar import peer_link
 from sassafraswood.sidecar import rules_follower
@@ -53,6 +54,7 @@
         upstream: upstream_side.UpstreamSide,
         knowledge: store_knowledge.StoreKnowledge,
         rules: rules_follower.RulesFollower,
+        evacuations: evacuation_exchange.EvacuationExchange,
         membership: member_follower.MemberFollower,
         log: json_log.JsonLog,
         crashes: crash_exchange.CrashExchange,
@@ -69,6 +71,7 @@
             upstream: Runs calls at the local upstream.
             knowledge: Versions and ages of the data known from the store.
             rules: Traffic rules, exchanged with peers.
+            evacuations: Evacuated failure domains, exchanged with peers.
             membership: Member records, exchanged with peers.
             log: Structured log.
             crashes: Exchange of crash reports and quarantine verdicts.
@@ -83,6 +86,7 @@
         self._upstream = upstream
         self._knowledge = knowledge
         self._rules = rules
+        self._evacuations = evacuations
         self._membership = membership
         self._log = log
         self._crashes = crashes
@@ -202,7 +206,10 @@
         """
         return (
             not self._members
-            or service == self._own.service
+            or (
+                service == self._own.service
+                and not self._upstream.is_evacuated
+            )
             or bool(self._links_by_service.get(service))
         )
 
@@ -233,6 +240,26 @@
                 self._retiring_links.append(link)
         self._review(self._clock.monotonic())
 
+    @property
+    def failure_domains(self) -> set[ids.FailureDomain]:
+        """Return the failure domains of all members; empty before them."""
+        if not self._members:
+            return set()
+        return {
+            self._own.failure_domain,
+            *(item.failure_domain for item in self._members.values()),
+        }
+
+    def set_evacuated(self, domains: frozenset[ids.FailureDomain]) -> None:
+        """Select no daemons of evacuated failure domains for calls.
+
+        They refuse calls themselves; not sending any saves the way there.
+        """
+        self._plan.set_evacuated(domains)
+        self._review(self._clock.monotonic())
+        for service in list(self._links_by_service):
+            self._on_reached(service)
+
     def set_serving(self, is_serving: bool) -> None:
         """Send all peers whether this daemon accepts calls."""
         self._own_candidate.is_serving = is_serving
@@ -602,6 +629,12 @@
                 connection.send(document)
         elif isinstance(message, frames.RulesDocument):
             self._rules.take(message)
+        elif isinstance(message, frames.FetchEvacuations):
+            evacuations = self._evacuations.document()
+            if evacuations is not None:
+                connection.send(evacuations)
+        elif isinstance(message, frames.Evacuations):
+            self._evacuations.take(message)
         elif isinstance(message, frames.FetchMemberRecords):
             connection.send(self._membership.document(message.start))
         elif isinstance(message, frames.MembersDocument):
@@ -662,6 +695,7 @@
             # Nothing was read from the store yet; it may be unreachable.
             connection.send(frames.FetchMemberRecords(start=-1))
             connection.send(frames.FetchRules())
+            connection.send(frames.FetchEvacuations())
 
     def _find_link(
         self, connection: frame_link.FrameConnection
@@ -737,6 +771,7 @@
                 and self._membership.has_recent_response
             ),
             verdicts=self._crashes.digest,
+            evacuations=self._evacuations.revision,
         )
 
     def _handle_pong(
@@ -753,13 +788,19 @@
         knowledge = self._knowledge
         if pong.rules_version > knowledge.rules_version:
             self._fetch('rules', pong.rules_version, link)
+        own_revision = self._evacuations.revision
+        if pong.evacuations > own_revision:
+            self._fetch('evacuations', pong.evacuations, link)
         if pong.members_end_offset > knowledge.members_end_offset:
             self._fetch('members', pong.members_end_offset, link)
         if pinged_at is None:
             return
-        # An age below 0 is unknown.
+        # An age below 0 is unknown. The age counts for rules and evacuations
+        # together, so a peer that knows more or none of these vouches for
+        # nothing.
         if (
-            pong.rules_version == knowledge.rules_version
+            0 < pong.evacuations <= own_revision
+            and pong.rules_version == knowledge.rules_version
             and pong.rules_age_s >= 0.0
         ):
             knowledge.note_rules(
@@ -777,8 +818,9 @@
         """Request a document unless it was requested within FETCH_RETRY_S.
 
         Args:
-            kind: Either "rules" or "members".
-            end: Version of the rules, or end of the member records.
+            kind: Either "rules", "evacuations" or "members".
+            end: Version of the rules, revision of the evacuations, or end of
+                the member records.
             link: Link to the peer that has the document.
         """
         now = self._clock.monotonic()
@@ -795,6 +837,8 @@
         self._fetched_at[kind, end] = now
         if kind == 'rules':
             link.send(frames.FetchRules())
+        elif kind == 'evacuations':
+            link.send(frames.FetchEvacuations())
         else:
             link.send(
                 frames.FetchMemberRecords(
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -16,6 +16,7 @@
 from sassafraswood.coordination import call_depth
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
+from sassafraswood.coordination import evacuation
 from sassafraswood.coordination import peer_plan
 from sassafraswood.coordination import quota_shares
 from sassafraswood.coordination import repeat_budget
@@ -38,6 +39,7 @@
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import crash_exchange
+from sassafraswood.sidecar import evacuation_exchange
 from sassafraswood.sidecar import local_servers
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import member_follower
@@ -158,6 +160,7 @@
         caller_answer_memory = answer_memory.AnswerMemory(
             self._clock, lambda: self._caller_server.unsent_bytes
         )
+        self._evacuations = evacuation.Evacuations(settings.failure_domain)
         self._upstream = upstream_side.UpstreamSide(
             clock=self._clock,
             gate=upstream_gate.UpstreamGate(self._clock, downstream_load),
@@ -174,6 +177,7 @@
             on_serving=self._on_serving,
             on_crash=self._on_crash,
             stop_plan=upstream_stop_plan,
+            evacuations=self._evacuations,
         )
         self._shares = quota_shares.QuotaShares(
             clock=self._clock,
@@ -250,10 +254,18 @@
             ),
             log=self._log,
         )
+        evacuations = evacuation_exchange.EvacuationExchange(
+            evacuations=self._evacuations,
+            own=settings.failure_domain,
+            log=self._log,
+            known_domains=lambda: self._peers.failure_domains,
+            on_change=self._on_evacuations,
+        )
         self._rules = rules_follower.RulesFollower(
             context=reader_context,
             knowledge=self._knowledge,
-            max_age_s=bounds.apply_s,
+            max_age_s=min(bounds.apply_s, bounds.evacuate_s),
+            evacuations=evacuations,
             on_rules=self._on_rules,
             on_update=self._on_update,
         )
@@ -274,6 +286,7 @@
             upstream=self._upstream,
             knowledge=self._knowledge,
             rules=self._rules,
+            evacuations=evacuations,
             membership=self._membership,
             log=self._log,
             crashes=self._crash_exchange,
@@ -795,6 +808,11 @@
     def _on_update(self) -> None:
         self._peers.announce()
 
+    def _on_evacuations(self) -> None:
+        self._upstream.refresh()
+        self._peers.set_evacuated(self._evacuations.domains)
+        self._peers.announce()
+
     def _on_serving(self, is_serving: bool) -> None:
         self._peers.set_serving(is_serving)
 
@@ -838,6 +856,7 @@
         metrics.gauge('peers_reachable', self._peers.reachable_count)
         metrics.gauge('peers_accepted', self._peers.accepted_count)
         metrics.gauge('store_calls', self._store.calls)
+        metrics.gauge('domains_evacuated', len(self._evacuations.domains))
         metrics.gauge('rules_version', self._knowledge.rules_version)
         metrics.gauge('rules_age_seconds', self._knowledge.rules_age_s)
 
--- a/sassafraswood/sidecar/rules_follower.py
+++ b/sassafraswood/sidecar/rules_follower.py
@@ -1,15 +1,18 @@
-"""Follows the traffic rules that the operator publishes."""
+"""Follows what the operator publishes: traffic rules and evacuations."""
 
 from collections.abc import Callable
 import math
 import zlib
 
+from sassafraswood.coordination import evacuation
 from sassafraswood.coordination import store_knowledge
 from sassafraswood import exceptions
 from sassafraswood.models import traffic
+from sassafraswood.platform import evacuations as evacuation_records
 from sassafraswood.platform import rules as rule_documents
 from sassafraswood.platform import store as store_module
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import evacuation_exchange
 from sassafraswood.sidecar import store_reader
 
 
@@ -22,6 +25,7 @@
         context: store_reader.ReaderContext,
         knowledge: store_knowledge.StoreKnowledge,
         max_age_s: float,
+        evacuations: evacuation_exchange.EvacuationExchange,
         on_rules: Callable[[traffic.TrafficRules], None],
         on_update: Callable[[], None],
     ) -> None:
@@ -31,11 +35,13 @@
             context: Dependencies that all readers of the store share.
             knowledge: Keeps the version and age of the rules.
             max_age_s: Maximum age of the rules, in seconds.
+            evacuations: Takes the evacuations that the same topic holds.
             on_rules: Called with rules newer than those in force.
             on_update: Called after on_rules, to announce them to peers.
         """
         super().__init__('rules', context, max_age_s)
         self._knowledge = knowledge
+        self._evacuations = evacuations
         self._on_rules = on_rules
         self._on_update = on_update
         self._document: frames.RulesDocument | None = None
@@ -72,12 +78,19 @@
     async def _async_read(self, wait_s: float) -> bool:
         started_at = self._clock.monotonic()
         topic = store_module.RULES_TOPIC
+        is_whole = self._offset is None
         if self._offset is None:
             page = await self._store.async_newest(topic)
             wait_s = 0.0
         else:
             page = await self._store.async_read(topic, self._offset, wait_s)
         self._offset = page.next_offset
+        # Rules that cannot be decoded do not keep back an evacuation.
+        self._evacuations.apply(
+            evacuation_records.decode(page.records),
+            evacuation.compute_revision(page.next_offset),
+            is_whole=is_whole,
+        )
         newest = None
         for record in page.records:
             if record.key == store_module.RULES_KEY:
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -8,6 +8,7 @@
 from sassafraswood.coordination import call_depth
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
+from sassafraswood.coordination import evacuation
 from sassafraswood.coordination import stop_plan as stop_plan_module
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_health
@@ -82,6 +83,7 @@
         on_serving: Callable[[bool], None],
         on_crash: upstream_watch.OnCrash,
         stop_plan: stop_plan_module.StopPlan,
+        evacuations: evacuation.Evacuations,
     ) -> None:
         """Initialize the upstream side.
 
@@ -104,6 +106,7 @@
             on_crash: Called after a crash with the upstream and the suspects
                 among the requests in flight.
             stop_plan: Decides which calls begin while the daemon stops.
+            evacuations: Evacuated failure domains.
         """
         self._clock = clock
         self._gate = gate
@@ -118,6 +121,9 @@
         self._on_serving = on_serving
         self._crashes = crashes
         self._stop_plan = stop_plan
+        self._evacuations = evacuations
+        # Whether its failure domain was evacuated at the last refresh.
+        self._was_evacuated = False
         self._is_stopping = False
         self.running: set[UpstreamCall] = set()
         # Bodies of calls that have not ended.
@@ -143,6 +149,11 @@
         """Return the load of the upstream."""
         return self._gate.load
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether its failure domain is evacuated."""
+        return self._was_evacuated
+
     @property
     def is_checking_crash(self) -> bool:
         """Return whether it is being checked if the upstream has crashed."""
@@ -166,12 +177,18 @@
     def refresh(self) -> None:
         """Accept or refuse calls by the state of the upstream."""
         self._watch.refresh()
+        is_evacuated = self._evacuations.is_own_evacuated
+        if is_evacuated != self._was_evacuated:
+            self._was_evacuated = is_evacuated
+            if not is_evacuated:
+                self.note_returned()
         status = self._registry.status
         report = self._registry.report
         if (
             report is not None
             and status is enums.UpstreamStatus.READY
             and not self._is_stopping
+            and self._evacuations.may_serve
         ):
             was_serving = self._gate.is_serving
             self._gate.set_upstream(report.slots)
@@ -180,16 +197,27 @@
                 self._set_serving(True, status, report.instance_id)
             return
         if self._gate.is_serving:
-            is_draining = status is not enums.UpstreamStatus.CRASHED
-            self._gate.stop(
-                enums.RefusalReason.DRAINING
-                if is_draining
-                else enums.RefusalReason.NO_UPSTREAM
-            )
+            self._gate.stop(self._find_stop_reason(status))
             self._pool.close_idle()
             instance = '' if report is None else report.instance_id
             self._set_serving(False, status, instance)
 
+    def _find_stop_reason(
+        self, status: enums.UpstreamStatus
+    ) -> enums.RefusalReason:
+        """Return why waiting calls are refused when the gate closes."""
+        if self._was_evacuated:
+            return enums.RefusalReason.DOMAIN_EVACUATED
+        if status is enums.UpstreamStatus.CRASHED:
+            return enums.RefusalReason.NO_UPSTREAM
+        return enums.RefusalReason.DRAINING
+
+    def note_returned(self) -> None:
+        """Prepare for calls after the evacuation of the failure domain.
+
+        The upstream may have become cold meanwhile.
+        """
+
     def set_report_interval(self, interval_s: float) -> None:
         """Set the time between reports of the upstream, in seconds."""
         self._watch.report_interval_s = interval_s
@@ -245,6 +273,10 @@
             call.end()
             self._refuse(call, enums.RefusalReason.UNKNOWN_SERVICE)
             return call
+        if self._was_evacuated:
+            call.end()
+            self._refuse(call, enums.RefusalReason.DOMAIN_EVACUATED)
+            return call
         if not self._take_body(call):
             call.end()
             self._refuse(call, enums.RefusalReason.MEMORY_FULL)
--- a/tests/sidecar/test_unexpected_errors.py
+++ b/tests/sidecar/test_unexpected_errors.py
@@ -21,6 +21,7 @@
 from sassafraswood.sidecar import rules_follower
 from sassafraswood.sidecar import upstream_log
 from sassafraswood.transport import json_log
+from tests.sidecar import test_evacuation_exchange
 from tests.sidecar import test_member_follower
 from tests.sidecar import test_reload
 
@@ -299,11 +300,14 @@
             raise errors.pop()
         applied.set()
 
+    evacuation_case = test_evacuation_exchange.Case(tmp_path)
+
     async def async_main() -> None:
         follower = rules_follower.RulesFollower(
             context=case.context,
             knowledge=case.knowledge,
             max_age_s=2.0,
+            evacuations=evacuation_case.exchange,
             on_rules=apply,
             on_update=lambda: None,
         )
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -9,6 +9,7 @@
 from sassafraswood.coordination import call_tree
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
+from sassafraswood.coordination import evacuation
 from sassafraswood.coordination import stop_plan
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_health
@@ -102,6 +103,8 @@
         self.depth = call_depth.CallDepth()
         self.log_file = open(tmp_path / 'log', 'wb')
         self.stop_plan = stop_plan.StopPlan(self.clock)
+        self.evacuations = evacuation.Evacuations('a')
+        self.evacuations.replace((), 1)
         self.side = upstream_side.UpstreamSide(
             clock=self.clock,
             gate=upstream_gate.UpstreamGate(self.clock, downstream_load),
@@ -120,6 +123,7 @@
                 (upstream.instance_id, found)
             ),
             stop_plan=self.stop_plan,
+            evacuations=self.evacuations,
         )
         self.report()
 
@@ -639,3 +643,43 @@
     case.respond()
     assert isinstance(case.replies[0], frames.CallFailed)
     assert not case.side.running
+
+
+def test_evacuation_of_the_domain_closes_the_gate(tmp_path) -> None:
+    """Running calls end; waiting ones and later ones go to other daemons."""
+    case = Case(tmp_path)
+    for index in range(25):
+        case.submit(call_id=index, is_idempotent=True)
+    running = len(case.pool.requests)
+    assert running < 25
+    case.evacuations.replace(['a'], 2)
+    case.side.refresh()
+    case.submit(call_id=25)
+    assert not case.side.is_serving
+    # A call that ends starts no other one, and a repeat passes no more.
+    case.respond()
+    case.side.tick()
+    assert len(case.pool.requests) == running
+    refused = [
+        reply for reply in case.replies if isinstance(reply, frames.Refused)
+    ]
+    assert len(refused) == 26 - running
+    for refusal in refused:
+        assert refusal.reason == enums.RefusalReason.DOMAIN_EVACUATED.value
+        assert refusal.is_local and not refusal.has_reached_upstream
+    assert isinstance(case.replies[-1], frames.Answer)
+
+
+def test_reports_do_not_open_the_gate_of_an_evacuated_domain(tmp_path) -> None:
+    """Upstreams of the domain go on to report that they are ready."""
+    case = Case(tmp_path)
+    returned = []
+    case.side.note_returned = lambda: returned.append(case.side.is_serving)
+    case.evacuations.replace(['a'], 2)
+    case.report(sequence=2)
+    assert not case.side.is_serving
+    case.evacuations.replace([], 3)
+    case.side.tick()
+    assert case.side.is_serving
+    # The pace of a cold upstream is set before the first call.
+    assert returned == [False]
