--- a/sassafraswood/cli/exit_codes.py
+++ b/sassafraswood/cli/exit_codes.py
@@ -16,3 +16,4 @@
     REFUSED = 4
     OUTCOME_UNKNOWN = 5
     NOT_IN_FORCE = 6
+    FINDINGS = 7
--- a/sassafraswood/cli/main.py
+++ b/sassafraswood/cli/main.py
@@ -37,7 +37,8 @@
     """Overload control layer for service call graphs.
 
     Exit codes: 0 done, 2 bad input, 3 unavailable, 4 refused, 5 outcome
-    unknown, 6 accepted but not in force everywhere in time.
+    unknown, 6 accepted but not in force everywhere in time, 7 a check has
+    findings.
 
     Example: sassafraswood check settings settings.json
     """
--- a/sassafraswood/platform/rules.py
+++ b/sassafraswood/platform/rules.py
@@ -1,6 +1,6 @@
 """Decoding of the operator's configuration into traffic rules."""
 
-from typing import Annotated
+from typing import Annotated, Final
 
 import msgspec
 
@@ -68,6 +68,7 @@
 
 
 _decoder = msgspec.json.Decoder(_Configuration)
+_TABLES: Final = {'routes': _Route, 'services': _Service, 'tenants': _Tenant}
 
 
 def parse_version(text: str) -> int:
@@ -128,6 +129,44 @@
     )
 
 
+def find_problems(document: bytes) -> list[exceptions.Problem]:
+    """Return all problems that keep a configuration from being decoded.
+
+    Each entry of a table is decoded alone, so that one problem does not hide
+    the others.
+    """
+    try:
+        raw = msgspec.json.decode(document)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return [exceptions.Problem('$', str(error), 'JSON')]
+    if not isinstance(raw, dict):
+        return [exceptions.Problem('$', type(raw).__name__, 'an object')]
+    problems = []
+    for table, entry_type in _TABLES.items():
+        entries = raw.get(table)
+        if not isinstance(entries, dict):
+            continue
+        for name, entry in list(entries.items()):
+            try:
+                decoded = msgspec.convert(entry, entry_type)
+                if isinstance(decoded, _Route):
+                    _make_route(name, decoded)
+            except (msgspec.ValidationError, exceptions.DecodeError) as error:
+                problems.append(
+                    exceptions.Problem(
+                        f'$.{table}.{name}', str(error), 'a valid entry'
+                    )
+                )
+                del entries[name]
+    try:
+        decode(msgspec.json.encode(raw))
+    except exceptions.DecodeError as error:
+        problems.append(
+            exceptions.Problem('$', str(error), 'a valid configuration')
+        )
+    return problems
+
+
 def _make_route(name: str, route: _Route) -> traffic.Route:
     split = route.traffic_split or []
     if route.service is not None:
