--- a/sassafraswood/coordination/rules_review.py
+++ b/sassafraswood/coordination/rules_review.py
@@ -153,8 +153,8 @@
     if route.target_s > route.timeout_s:
         yield _contradiction(
             path,
-            f'the latency target of {route.target_s} s is above the timeout of '
-            f'{route.timeout_s} s',
+            f'the latency target of {route.target_s} s is above the timeout '
+            f'of {route.timeout_s} s',
         )
     if not route.is_open and rules.workspaces and not rules.workspaces_by_key:
         yield _never_matches(path, 'it needs a key, and there are no keys')
