Avoid peers that acknowledge nothing

A link that is cut without a reset was noticed after 1.6 s of silence at the earliest, and calls were sent into it until then. A peer is now avoided while its kernel acknowledges nothing for 0.3 s. Its connection stays open, as its calls may still get their reply.

--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -21,6 +21,13 @@
 # A connection is closed as silent if a ping gets no reply and no message
 # arrives within this time; a slow VM takes about 1 s to reply.
 SILENCE_TIMEOUT_S: Final = 1.6
+# A peer whose kernel acknowledges nothing for this time is avoided, since the
+# link to it may be cut. Kernels acknowledge within 0.05 s, also on slow VMs; a
+# lost packet is sent again after 0.2 s.
+UNACKNOWLEDGED_S: Final = 0.3
+# Time for which it is avoided after each such observation; longer than the
+# interval between two of them.
+UNACKNOWLEDGED_AVOID_S: Final = 0.25
 # First and longest timeout of an attempt to connect; a connection takes 2 ms.
 # The first packet to a VM without power is lost. The kernel resends it after
 # 1 s; a new attempt is made sooner.
@@ -84,6 +91,9 @@
         self._sequence = 0
         self._pinged_at_by_sequence: dict[int, float] = {}
         self._pinged_at = 0.0
+        # Last time at which the kernel of the peer is known to have
+        # acknowledged everything, or data of the peer arrived.
+        self._acknowledged_at = 0.0
         self._reply_callbacks: dict[int, OnReply] = {}
 
     @property
@@ -173,6 +183,7 @@
                 self._connecting.add_done_callback(self._on_attempt_done)
             return
         silent_s = self._connection.silent_s
+        self._review_acknowledgement(now, silent_s)
         oldest_pinged_at = next(
             iter(self._pinged_at_by_sequence.values()), now
         )
@@ -198,6 +209,25 @@
         ):
             self._send_ping(now)
 
+    def _review_acknowledgement(self, now: float, silent_s: float) -> None:
+        """Avoid the peer while its kernel acknowledges nothing.
+
+        A silent connection is closed much later, since its calls may still
+        get a reply.
+        """
+        assert self._connection is not None
+        if (
+            not (self._reply_callbacks or self._pinged_at_by_sequence)
+            or not self._connection.undelivered_bytes
+        ):
+            self._acknowledged_at = now
+            return
+        self._acknowledged_at = max(self._acknowledged_at, now - silent_s)
+        if now - self._acknowledged_at >= UNACKNOWLEDGED_S:
+            self.candidate.avoid_until = max(
+                self.candidate.avoid_until, now + UNACKNOWLEDGED_AVOID_S
+            )
+
     def close(self, reason: str) -> None:
         """Close the link for good; calls in flight get None as reply."""
         self._is_closed = True
@@ -242,6 +272,7 @@
             return
         self._connection = connection
         self.connection_count += 1
+        self._acknowledged_at = self._clock.monotonic()
         connection.send(self._hello())
         self._send_ping(self._clock.monotonic())
 
