Give cold and recovering upstreams calls at a pace

Cause: an upstream that had just started or come back got its usual calls at once. Where the operator states the rate that a cold upstream tolerates, the bound on it was exceeded, and upstreams ended again.

Change: coordination/upstream_pace limits the starts of calls in the gate, by tokens at the stated rate, or by a number of calls in flight that grows with responses where no rate is stated. The cold time is taken from reports and from the health check after a restart; an upstream that has not stated any counts as cold for a limited time. Callers learn the pace and send the calls beyond it elsewhere.

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -57,6 +57,13 @@
 # Avoided daemons are considered again while all others have at least this
 # load: some failures cost less than a queue that fails the call trees above.
 MAX_TRUSTED_LOAD: Final = 3.5
+# Fraction of its usual calls that an upstream with a pace gets at first, the
+# lowest one, and the factors on it after a refusal for the pace and after a
+# response.
+START_PACED_SHARE: Final = 0.25
+MIN_PACED_SHARE: Final = 0.02
+PACED_SHARE_CUT: Final = 0.7
+PACED_SHARE_GROWTH: Final = 1.1
 
 
 class Candidate:
@@ -68,6 +75,9 @@
         is_serving: Whether the upstream accepts calls.
         load: Running and waiting calls relative to the capacity.
         avoid_until: Monotonic time until which other daemons are preferred.
+        pace_per_s: Calls per second that the upstream is given while it is
+            cold or recovers; 0 if they are not limited.
+        paced_share: Fraction of its usual calls that it gets meanwhile.
     """
 
     def __init__(self, member: fleet.Member) -> None:
@@ -77,6 +87,8 @@
         self.is_serving = False
         self.load = 0.0
         self.avoid_until = 0.0
+        self.pace_per_s = 0.0
+        self.paced_share = 1.0
         self._slowness: float | None = None
         self._error_fraction = 0.0
         self._reported_slowness = 1.0
@@ -113,6 +125,25 @@
         """Discard the known slowness after the connection was lost."""
         self._slowness = None
         self.record_reported_health(1.0, 0.0)
+        self.record_pace(0.0)
+
+    def record_pace(self, pace_per_s: float) -> None:
+        """Record the pace that the daemon reports."""
+        if not pace_per_s:
+            self.paced_share = 1.0
+        elif not self.pace_per_s:
+            self.paced_share = START_PACED_SHARE
+        elif pace_per_s > self.pace_per_s:
+            self.paced_share *= pace_per_s / self.pace_per_s
+            self.paced_share = min(1.0, self.paced_share)
+        self.pace_per_s = pace_per_s
+
+    def note_cold_refusal(self) -> None:
+        """Record a call that the upstream was not given for its pace."""
+        if self.pace_per_s:
+            self.paced_share = max(
+                MIN_PACED_SHARE, PACED_SHARE_CUT * self.paced_share
+            )
 
     def record_reported_load(self, load: float) -> None:
         """Record the load that a response reports."""
@@ -126,6 +157,8 @@
     def note_response(self, slowness: float, now: float) -> None:
         """Record a response and its latency relative to the baseline."""
         self._failures = 0
+        if self.pace_per_s:
+            self.paced_share = min(1.0, PACED_SHARE_GROWTH * self.paced_share)
         self._update_error_fraction(0.0, now)
         if self._slowness is None:
             self._slowness = slowness
@@ -267,6 +300,14 @@
         trusted = [item for item in usable if item.avoid_until <= now]
         if any(item.load < MAX_TRUSTED_LOAD for item in trusted):
             usable = trusted
+        chosen = self._select(usable, now)
+        if chosen.pace_per_s and self._random.random() >= chosen.paced_share:
+            unpaced = [item for item in usable if not item.pace_per_s]
+            if unpaced:
+                return self._select(unpaced, now)
+        return chosen
+
+    def _select(self, usable: list[Candidate], now: float) -> Candidate:
         if len(usable) == 1:
             return usable[0]
         comparison = _Comparison(usable, now)
@@ -296,6 +337,7 @@
             candidate.is_reachable
             and candidate.is_serving
             and candidate.load < 1.0
+            and not candidate.pace_per_s
             and candidate.avoid_until <= now
             and candidate.member.daemon_id not in tried
             for candidate in candidates
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -9,6 +9,7 @@
 from sassafraswood.coordination import call_tree
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import tree_limit
+from sassafraswood.coordination import upstream_pace
 from sassafraswood.models import enums
 from sassafraswood.models import ids
 from sassafraswood.state import fair_queue
@@ -30,6 +31,9 @@
 # Fraction of the latency target that a new call may wait. An early refusal
 # leaves the caller time for a retry.
 WAIT_FRACTION: Final = 0.125
+# Fraction of the time left that an inner call may wait for a cold upstream. A
+# refusal before leaves time for another upstream.
+PACED_INNER_WAIT_FRACTION: Final = 0.3
 MAX_WAITING: Final = 4096
 MAX_ROUTES: Final = 1024
 
@@ -152,18 +156,24 @@
     Inner calls wait in the order of arrival, because their call tree was
     admitted already. New calls wait in one queue for each route and urgency,
     which shares slot time among workspaces, and start while the limit of
-    their kind allows it.
+    their kind allows it. While the upstream is cold or recovers, its pace
+    limits the starts of all calls.
     """
 
     def __init__(
-        self, clock: clock_module.Clock, below: deep_load.DownstreamLoad
+        self,
+        clock: clock_module.Clock,
+        below: deep_load.DownstreamLoad,
+        pace: upstream_pace.UpstreamPace | None = None,
     ) -> None:
         """Create a gate without an upstream.
 
         Args:
             clock: Monotonic clock.
             below: Load of the services that the upstream calls.
+            pace: Pace of a cold upstream; None for no limit.
         """
+        self.pace = pace or upstream_pace.UpstreamPace(clock)
         self._clock = clock
         self._below = below
         self.tree: call_tree.CallTree[GateCall] = call_tree.CallTree()
@@ -228,6 +238,7 @@
         """Set the slots of the upstream and start waiting calls."""
         self._capacity = max(1, round(MAX_SLOT_FRACTION * slots))
         self._is_serving = True
+        self.pace.set_capacity(self._capacity)
         for route in self._routes.values():
             route.limit.set_capacity(self._capacity)
         self._start_waiting()
@@ -249,6 +260,9 @@
         if not self._is_serving:
             self._refuse(call, enums.RefusalReason.NO_UPSTREAM)
             return
+        if self.pace.is_active:
+            self._submit_paced(call)
+            return
         if call.is_inner:
             if self._in_flight < self._capacity:
                 self._start(call)
@@ -256,8 +270,7 @@
             if call.may_redirect:
                 self._refuse(call, enums.RefusalReason.UPSTREAM_FULL)
                 return
-            self._select_inner_queue(call).append(call)
-            self._waiting_count += 1
+            self._append(call)
             return
         route = self._get_route_state(call)
         if (
@@ -270,8 +283,40 @@
         if call.may_redirect:
             self._refuse(call, enums.RefusalReason.UPSTREAM_FULL)
             return
-        displaced = route.queue.push(call)
+        self._append(call)
+
+    def _submit_paced(self, call: GateCall) -> None:
+        """Start or queue a call, or refuse it if it would wait too long.
+
+        The tokens go to the waiting calls in their order.
+        """
+        now = self._clock.monotonic()
+        max_wait_s = call.wait_s
+        if call.is_inner:
+            max_wait_s = PACED_INNER_WAIT_FRACTION * (call.deadline - now)
+        self._append(call)
+        self._start_waiting()
+        if call.state is not CallState.WAITING:
+            return
+        if (
+            call.may_redirect
+            or self.pace.compute_wait_s(self._waiting_count) > max_wait_s
+        ):
+            self._remove_waiting(call)
+            self._refuse(call, self._select_reason())
+
+    def _select_reason(self) -> enums.RefusalReason:
+        if self.pace.is_active and self._in_flight < self._capacity:
+            return enums.RefusalReason.UPSTREAM_COLD
+        return enums.RefusalReason.UPSTREAM_FULL
+
+    def _append(self, call: GateCall) -> None:
+        """Add a call to its queue; a full queue refuses another one."""
         self._waiting_count += 1
+        if call.is_inner:
+            self._select_inner_queue(call).append(call)
+            return
+        displaced = self._get_route_state(call).queue.push(call)
         if displaced is not None:
             self._waiting_count -= 1
             self._refuse(displaced, enums.RefusalReason.QUEUE_FULL)
@@ -296,6 +341,9 @@
         if call.state is not CallState.WAITING:
             return
         call.end()
+        self._remove_waiting(call)
+
+    def _remove_waiting(self, call: GateCall) -> None:
         self._waiting_count -= 1
         if call.is_inner:
             self._select_inner_queue(call).remove(call)
@@ -305,6 +353,12 @@
     def tick(self) -> None:
         """Refuse calls that waited too long and update the limits."""
         now = self._clock.monotonic()
+        self.pace.tick()
+        late_reason = (
+            enums.RefusalReason.UPSTREAM_COLD
+            if self.pace.is_active
+            else enums.RefusalReason.OVERLOADED
+        )
         due = [
             call
             for call in (*self._urgent_inner, *self._inner)
@@ -322,7 +376,7 @@
             late += route.queue.remove_expired_entries(now)
             self._waiting_count -= len(late)
             for call in late:
-                self._refuse(call, enums.RefusalReason.OVERLOADED)
+                self._refuse(call, late_reason)
         self._start_waiting()
 
     def _get_route_state(self, call: GateCall) -> _RouteState:
@@ -346,6 +400,7 @@
             self._is_serving
             and self._waiting_count
             and self._in_flight < self._capacity
+            and self.pace.may_start(self._in_flight)
         ):
             call = self._pop_next()
             if call is None:
@@ -395,6 +450,7 @@
         call.state = CallState.RUNNING
         call.started_at = now
         self._in_flight += 1
+        self.pace.note_start(now)
         self.tree.start(call)
         if not call.is_inner:
             route = self._routes[call.kind]
--- a/sassafraswood/coordination/upstream_registry.py
+++ b/sassafraswood/coordination/upstream_registry.py
@@ -154,7 +154,7 @@
             sequence=-1,
             slots=upstream.slots,
             status=enums.UpstreamStatus.READY,
-            cold_left_s=0.0,
+            cold_left_s=None,
         )
         if (
             self._report is not None
--- a/sassafraswood/models/enums.py
+++ b/sassafraswood/models/enums.py
@@ -89,6 +89,8 @@
     # All slots of this upstream are in use; the call goes to another one.
     UPSTREAM_FULL = 'upstream_full'
     UPSTREAM_SHED = 'upstream_shed'
+    # The upstream is cold or recovers and gets fewer calls for now.
+    UPSTREAM_COLD = 'upstream_cold'
     # No upstream or daemon is available.
     NO_UPSTREAM = 'no_upstream'
     UPSTREAM_UNREACHABLE = 'upstream_unreachable'
@@ -113,6 +115,17 @@
     PEER_SILENT = 'peer_silent'
 
 
+class PaceReason(enum.StrEnum):
+    """Why an upstream gets fewer calls than it has slots for."""
+
+    # It has stated that it is cold, and the operator has stated a rate.
+    COLD = 'cold'
+    # It may be cold but has not stated it yet.
+    UNKNOWN = 'unknown'
+    # It has just started or recovered; no rate is stated.
+    RECOVERING = 'recovering'
+
+
 class RetryReason(enum.StrEnum):
     """Reason of a retry; each reason has its own counter."""
 
--- a/sassafraswood/models/fields.py
+++ b/sassafraswood/models/fields.py
@@ -17,6 +17,8 @@
             request.
         caller_service: Service on whose VM the request was made.
         instance_id: Id of the upstream that sent the response.
+        cold_ms: Milliseconds that the upstream stays cold, in its response to
+            a health check.
         key: Holds the key of a workspace after key_scheme.
         key_scheme: Authentication scheme in lower case, with the space
             after it.
@@ -30,5 +32,6 @@
     not_run: bytes
     caller_service: bytes
     instance_id: bytes
+    cold_ms: bytes
     key: bytes
     key_scheme: bytes
--- a/sassafraswood/models/fleet.py
+++ b/sassafraswood/models/fleet.py
@@ -43,7 +43,8 @@
             not reported.
         sequence: Number that rises with each report of one process.
         slots: Requests that it runs at once.
-        cold_left_s: Seconds until the slow phase after its start ends.
+        cold_left_s: Seconds until the upstream is no longer cold, as it states
+            it; None if it does not, or if that is not known.
     """
 
     instance_id: str
@@ -53,7 +54,7 @@
     sequence: int
     slots: int
     status: enums.UpstreamStatus
-    cold_left_s: float
+    cold_left_s: float | None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/sassafraswood/platform/headers.py
+++ b/sassafraswood/platform/headers.py
@@ -13,6 +13,7 @@
     not_run=b'x-not-executed',
     caller_service=b'x-caller-service',
     instance_id=b'x-instance-id',
+    cold_ms=b'x-cold-ms',
     key=b'authorization',
     key_scheme=b'token ',
 )
--- a/sassafraswood/platform/reports.py
+++ b/sassafraswood/platform/reports.py
@@ -26,8 +26,7 @@
     slots: wire_json.Slots
     state: str
     sequence: wire_json.Count
-    # Remaining time of slow operation after the start of the upstream.
-    cold_left_s: float = 0.0
+    cold_left_s: float | None = None
     born: wire_json.Count | None = None
 
 
@@ -82,7 +81,7 @@
         sequence=wire.sequence,
         slots=wire.slots,
         status=status,
-        cold_left_s=max(0.0, wire.cold_left_s),
+        cold_left_s=wire.cold_left_s,
     )
 
 
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -32,6 +32,14 @@
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
 
+# Reasons to send a call to another upstream at once. The one that refused it
+# has not failed.
+REDIRECT_REASONS: Final = frozenset(
+    {
+        enums.RefusalReason.UPSTREAM_FULL.value,
+        enums.RefusalReason.UPSTREAM_COLD.value,
+    }
+)
 # A call is refused after this many refusals by daemons.
 MAX_REFUSALS: Final = 3
 # A call that finds all slots of an upstream in use goes to another one at most
@@ -599,6 +607,7 @@
             return
         candidate.record_reported_load(reply.load)
         if isinstance(reply, frames.Answer):
+            candidate.record_pace(reply.pace_per_s)
             self._choice.note_response(
                 candidate,
                 call.route.name,
@@ -610,11 +619,14 @@
             self._note_depth(call, reply.depth, now)
             self._respond(call, reply, now)
         elif isinstance(reply, frames.Refused):
+            candidate.record_pace(reply.pace_per_s)
+            if reply.reason == enums.RefusalReason.UPSTREAM_COLD.value:
+                candidate.note_cold_refusal()
             if (
-                reply.reason == enums.RefusalReason.UPSTREAM_FULL.value
+                reply.reason in REDIRECT_REASONS
                 and call.redirect_count < MAX_REDIRECTS
             ):
-                self._redirect(call)
+                self._redirect(call, reply.reason)
                 return
             if call.counts_as_deep_load:
                 self._downstream_load.note(deep_load.REFUSED_CALL_LOAD, now)
@@ -651,11 +663,11 @@
             )
         call.request.reply(response.status, response.head, response.body)
 
-    def _redirect(self, call: caller_call.CallerCall) -> None:
-        """Send a call to another daemon, since an upstream is full."""
+    def _redirect(self, call: caller_call.CallerCall, reason: str) -> None:
+        """Send a call to another daemon, since an upstream has no room."""
         call.redirect_count += 1
         call.attempt_count -= 1
-        self._metrics.count('redirected', call.service, 'upstream_full')
+        self._metrics.count('redirected', call.service, reason)
         self._send(call)
 
     def _handle_refusal(
@@ -668,7 +680,8 @@
         call.attempt_count -= 1
         call.upstream_refusal_count += refusal.has_reached_upstream
         if refusal.is_local:
-            candidate.note_failure(self._clock.monotonic())
+            if refusal.reason not in REDIRECT_REASONS:
+                candidate.note_failure(self._clock.monotonic())
             if call.refusal_count < MAX_REFUSALS and (
                 not refusal.has_reached_upstream or self._reserve_retry(call)
             ):
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -140,6 +140,7 @@
         self.candidate.is_serving = pong.is_serving
         self.candidate.record_reported_load(pong.load)
         self.candidate.record_reported_health(pong.slowness, pong.errors)
+        self.candidate.record_pace(pong.pace_per_s)
         self.has_store_access = pong.has_store_access
         if not self.candidate.is_reachable:
             self.candidate.is_reachable = True
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -125,8 +125,10 @@
         ] = {}
         self._reviewed_at = 0.0
         self._fetched_at: dict[tuple[str, int], float] = {}
-        # Slowness and error fraction of the local upstream as last sent.
+        # Slowness and error fraction of the local upstream as last sent, and
+        # whether a pace was.
         self._sent_health = 1.0, 0.0
+        self._has_sent_pace = False
         self._server: asyncio.Server | None = None
 
     @property
@@ -247,22 +249,27 @@
         slowness, errors = health.slowness, health.errors
         self._sent_health = slowness, errors
         self._own_candidate.record_reported_health(slowness, errors)
+        pace_per_s = self._upstream.pace_per_s
+        self._has_sent_pace = pace_per_s > 0.0
+        self._own_candidate.record_pace(pace_per_s)
         status = frames.Status(
             is_serving=self._upstream.is_serving,
             load=self._upstream.load,
             slowness=slowness,
             errors=errors,
+            pace_per_s=pace_per_s,
         )
         self._send_to_accepted(status)
 
     def _review_health(self) -> None:
-        """Send the status if the health has changed much since it was sent."""
+        """Send the status if health or pace have changed since it was sent."""
         health = self._upstream.health
         slowness, errors = self._sent_health
         ratio = health.slowness / slowness
         if (
             max(ratio, 1.0 / ratio) > SLOWNESS_CHANGE_RATIO
             or abs(health.errors - errors) > ERROR_FRACTION_CHANGE
+            or self._has_sent_pace != (self._upstream.pace_per_s > 0.0)
         ):
             self._send_status()
 
@@ -636,6 +643,7 @@
         candidate.is_serving = status.is_serving
         candidate.record_reported_load(status.load)
         candidate.record_reported_health(status.slowness, status.errors)
+        candidate.record_pace(status.pace_per_s)
         if status.is_serving and not was_serving and candidate.is_reachable:
             self._on_reached(link.member.service)
 
@@ -737,6 +745,7 @@
                 and self._membership.has_recent_response
             ),
             verdicts=self._crashes.digest,
+            pace_per_s=self._upstream.pace_per_s,
         )
 
     def _handle_pong(
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -25,6 +25,7 @@
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_health
+from sassafraswood.coordination import upstream_pace
 from sassafraswood.coordination import upstream_registry
 from sassafraswood import exceptions
 from sassafraswood.models import crash
@@ -158,9 +159,14 @@
         caller_answer_memory = answer_memory.AnswerMemory(
             self._clock, lambda: self._caller_server.unsent_bytes
         )
+        self._pace = upstream_pace.UpstreamPace(
+            self._clock, is_first_start=settings.is_first_start
+        )
         self._upstream = upstream_side.UpstreamSide(
             clock=self._clock,
-            gate=upstream_gate.UpstreamGate(self._clock, downstream_load),
+            gate=upstream_gate.UpstreamGate(
+                self._clock, downstream_load, self._pace
+            ),
             registry=self._registry,
             pool=self._pool,
             names=names,
@@ -220,6 +226,7 @@
             registry=self._registry,
             log=self._log,
             on_ready=self._upstream.refresh,
+            on_cold_time=self._upstream.note_health_response,
         )
         self._upstream_log = upstream_log.UpstreamLog(
             daemon_id=settings.daemon_id,
@@ -317,6 +324,8 @@
         self._peers.max_unsent_bytes = body_bytes
         self._peers.answer_memory.limit = body_bytes
         caller_answer_memory.limit = body_bytes
+        self._service_rules: traffic.ServiceRules | None = None
+        self._apply_pace()
         self._has_rules = False
         self._was_registered = False
         self._is_stopping = False
@@ -733,6 +742,17 @@
         self._shares.set_tolerated_excess(
             slack=bounds.quota_slack, tolerance=bounds.quota_tolerance
         )
+        self._apply_pace()
+
+    def _apply_pace(self) -> None:
+        bounds = self.settings.bounds
+        rules = self._service_rules
+        self._pace.set_rules(
+            cold_s=0.0 if rules is None else rules.cold_s,
+            rate_per_s=0.0 if rules is None else rules.cold_rate_per_s,
+            excess=bounds.cold_excess,
+            slack=bounds.cold_slack,
+        )
 
     # Callbacks of the components.
 
@@ -746,6 +766,8 @@
         self._callers.set_rules(rules)
         self._shares.set_workspaces(rules.workspaces)
         service = rules.services.get(self.settings.service)
+        self._service_rules = service
+        self._apply_pace()
         if service is None:
             # The rules name no health check for it.
             self._registry.waive_health_check()
@@ -827,6 +849,7 @@
         metrics.gauge('open_requests', self._callers.active_count)
         metrics.gauge('upstream_running', len(self._upstream.running))
         metrics.gauge('upstream_load', self._upstream.load)
+        metrics.gauge('upstream_pace_per_s', self._upstream.pace_per_s)
         metrics.gauge('upstream_connects', self._pool.connect_count)
         metrics.gauge('request_bytes_held', self._caller_server.held.count)
         metrics.gauge('answer_bytes_held', self._pool.held.count)
--- a/sassafraswood/sidecar/upstream_probe.py
+++ b/sassafraswood/sidecar/upstream_probe.py
@@ -36,6 +36,7 @@
         registry: upstream_registry.UpstreamRegistry,
         log: json_log.JsonLog,
         on_ready: Callable[[], None],
+        on_cold_time: Callable[[float | None], None],
     ) -> None:
         """Initialize the probe.
 
@@ -46,6 +47,8 @@
             registry: State of the upstream by its reports.
             log: Log that events are written to.
             on_ready: Called after a check has made the upstream ready.
+            on_cold_time: Called after on_ready with the time in seconds that
+                the upstream stays cold; None if it states none.
         """
         self._pool = pool
         self._host = host.encode()
@@ -53,6 +56,7 @@
         self._registry = registry
         self._log = log
         self._on_ready = on_ready
+        self._on_cold_time = on_cold_time
         self._known_upstream: fleet.StoredUpstream | None = None
         self._health_path: str | None = None
         # The check that waits for its response, and its timeout.
@@ -115,10 +119,12 @@
         if self._timer is not None:
             self._timer.cancel()
         instance = b''
+        cold_ms = b''
         status = 0
         if isinstance(outcome, exchange.Response):
             status = outcome.status
             instance = outcome.fields.get(self._names.instance_id, b'')
+            cold_ms = outcome.fields.get(self._names.cold_ms, b'')
         instance_id = instance.decode('latin-1')
         is_healthy = status == _STATUS_OK
         reported = self._registry.unconfirmed_report
@@ -141,3 +147,12 @@
         )
         if is_confirmed or is_resumed:
             self._on_ready()
+            self._on_cold_time(_parse_cold_s(cold_ms))
+
+
+def _parse_cold_s(cold_ms: bytes) -> float | None:
+    """Return the cold time in seconds; None if there is none or no number."""
+    try:
+        return float(cold_ms) / 1000.0
+    except ValueError:
+        return None
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -30,6 +30,9 @@
 INTERNAL_ERROR: Final = 'internal_error'
 # Status of an upstream that is not the expected instance.
 _STATUS_MISDIRECTED: Final = 421
+# Latency relative to the usual one up to which a recovering upstream gets more
+# calls at once; a cold one takes about twice the usual time.
+MAX_GROWTH_SLOWNESS: Final = 2.5
 
 
 class UpstreamCall(upstream_gate.GateCall):
@@ -119,6 +122,12 @@
         self._crashes = crashes
         self._stop_plan = stop_plan
         self._is_stopping = False
+        self._pace = gate.pace
+        # The last report and process that the pace has noted, and the reason
+        # that was logged last.
+        self._noted_report: fleet.UpstreamReport | None = None
+        self._noted_process: fleet.UpstreamProcess | None = None
+        self._logged_reason: enums.PaceReason | None = None
         self.running: set[UpstreamCall] = set()
         # Bodies of calls that have not ended.
         self.bodies = held_bytes.ByteBudget(limit=sys.maxsize)
@@ -130,6 +139,7 @@
             report_interval_s=report_interval_s,
             running=lambda: self.running,
             on_refused=self.refresh,
+            on_doubt=self._pace.note_doubt,
             on_crash=on_crash,
         )
 
@@ -143,6 +153,11 @@
         """Return the load of the upstream."""
         return self._gate.load
 
+    @property
+    def pace_per_s(self) -> float:
+        """Return the calls per second that it is given; 0 if not limited."""
+        return min(self._pace.pace_per_s, frames.MAX_NUMBER)
+
     @property
     def is_checking_crash(self) -> bool:
         """Return whether it is being checked if the upstream has crashed."""
@@ -168,6 +183,9 @@
         self._watch.refresh()
         status = self._registry.status
         report = self._registry.report
+        if report is not None and report is not self._noted_report:
+            self._noted_report = report
+            self._note_report(report)
         if (
             report is not None
             and status is enums.UpstreamStatus.READY
@@ -176,6 +194,7 @@
             was_serving = self._gate.is_serving
             self._gate.set_upstream(report.slots)
             if not was_serving:
+                self._pace.note_recovery()
                 self.health.reset()
                 self._set_serving(True, status, report.instance_id)
             return
@@ -190,6 +209,44 @@
             instance = '' if report is None else report.instance_id
             self._set_serving(False, status, instance)
 
+    def _note_report(self, report: fleet.UpstreamReport) -> None:
+        """Tell the pace what a new report states."""
+        upstream = upstream_registry.get_upstream_process(report)
+        is_new = upstream != self._noted_process
+        if is_new:
+            self._noted_process = upstream
+            self._pace.note_process()
+        left_s = report.cold_left_s
+        is_valid = self._pace.note_cold_time(left_s, is_late=True)
+        if not is_valid or (is_new and left_s is None):
+            self._log.decision(
+                'cold_time_rejected',
+                instance=report.instance_id,
+                cold_left_s=repr(left_s),
+            )
+
+    def note_health_response(self, cold_left_s: float | None) -> None:
+        """Note the cold time in a response to a health check, in seconds."""
+        if not self._pace.note_cold_time(cold_left_s, is_late=False):
+            self._log.decision(
+                'cold_time_rejected', cold_left_s=repr(cold_left_s)
+            )
+
+    def _log_pace(self) -> None:
+        """Log the begin, the end or a change of the reason of a pace."""
+        reason = self._pace.reason
+        if reason is self._logged_reason:
+            return
+        self._logged_reason = reason
+        if reason is None:
+            self._log.change('pace_ended')
+        else:
+            self._log.change(
+                'pace_begun',
+                reason=reason.value,
+                rate_per_s=round(self.pace_per_s, 2),
+            )
+
     def set_report_interval(self, interval_s: float) -> None:
         """Set the time between reports of the upstream, in seconds."""
         self._watch.report_interval_s = interval_s
@@ -204,6 +261,7 @@
         self.refresh()
         self._watch.tick()
         self._gate.tick()
+        self._log_pace()
         now = self._clock.monotonic()
         for call in list(self.running):
             # The upstream ends calls that are not idempotent itself, at the
@@ -391,6 +449,8 @@
             self.health.note_end(id(call), is_error=outcome.status >= 500)
         elif outcome not in exchange.NOTHING_SENT:
             self.health.note_end(id(call), is_error=True)
+        if self._pace.is_found:
+            self._note_pace(call, outcome)
         self._remove_running(call)
         if isinstance(outcome, exchange.Response):
             self._stop_plan.note_end(call.run.route, call.queued_at)
@@ -415,6 +475,23 @@
         )
         self._deliver_failure(call, outcome.value)
 
+    def _note_pace(
+        self, call: UpstreamCall, outcome: exchange.Outcome
+    ) -> None:
+        """Adapt a pace that is not stated to the outcome of a call."""
+        if isinstance(outcome, exchange.Response):
+            if outcome.status == _STATUS_MISDIRECTED:
+                return
+            if (
+                outcome.status < 500
+                and self._names.not_run not in outcome.fields
+                and self.health.slowness < MAX_GROWTH_SLOWNESS
+            ):
+                elapsed_s = self._clock.monotonic() - call.started_at
+                self._pace.note_response(elapsed_s, self._gate.in_flight)
+                return
+        self._pace.note_overload()
+
     def _deliver_response(
         self, call: UpstreamCall, response: exchange.Response
     ) -> None:
@@ -459,6 +536,7 @@
                     * self._downstream_load.load(self._clock.monotonic()),
                 ),
                 depth=self._depth_of(run.route),
+                pace_per_s=self.pace_per_s,
             ),
         )
 
@@ -499,7 +577,9 @@
         has_reached_upstream: bool = False,
     ) -> None:
         # A redirected call goes on; the daemon that sent it counts it.
-        if reason is not enums.RefusalReason.UPSTREAM_FULL:
+        if reason is not enums.RefusalReason.UPSTREAM_FULL and not (
+            reason is enums.RefusalReason.UPSTREAM_COLD and call.may_redirect
+        ):
             self._log_refusal(call, reason)
         is_local = reason not in (
             enums.RefusalReason.OVERLOADED,
@@ -514,6 +594,7 @@
                 is_local=is_local,
                 has_reached_upstream=has_reached_upstream,
                 load=self._gate.compute_kind_load(call),
+                pace_per_s=self.pace_per_s,
             ),
         )
 
--- a/sassafraswood/sidecar/upstream_watch.py
+++ b/sassafraswood/sidecar/upstream_watch.py
@@ -81,6 +81,7 @@
         report_interval_s: float,
         running: Callable[[], Iterable[WatchedCall]],
         on_refused: Callable[[], None],
+        on_doubt: Callable[[], None],
         on_crash: OnCrash,
     ) -> None:
         """Initialize the watch.
@@ -95,6 +96,8 @@
             running: Returns the calls that wait for a response.
             on_refused: Called when the port of the upstream refuses
                 connections.
+            on_doubt: Called when all earlier connections have ended, but the
+                port accepts new ones: another process may have it.
             on_crash: Called after a crash with the upstream, the suspects and
                 the seconds since the crash, if there were any calls in flight.
         """
@@ -105,6 +108,7 @@
         self.report_interval_s = report_interval_s
         self._running = running
         self._on_refused = on_refused
+        self._on_doubt = on_doubt
         self._on_crash = on_crash
         self._lost_runs: lost_runs.LostRuns[WatchedCall] = lost_runs.LostRuns(
             clock
@@ -229,6 +233,8 @@
         )
         if failure is exchange.FailureKind.REFUSED:
             self.note_port_refused(upstream)
+        elif failure is None:
+            self._on_doubt()
 
     def _note_silence(self) -> None:
         upstream = self._upstream
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -771,6 +771,7 @@
             names.seal,
             names.not_run,
             names.instance_id,
+            names.cold_ms,
             b'content-encoding',
             b'retry-after',
         }
--- a/setup.py
+++ b/setup.py
@@ -25,6 +25,7 @@
     'sassafraswood/coordination/upstream_choice.py',
     'sassafraswood/coordination/upstream_gate.py',
     'sassafraswood/coordination/upstream_health.py',
+    'sassafraswood/coordination/upstream_pace.py',
     'sassafraswood/coordination/upstream_registry.py',
     'sassafraswood/models/fields.py',
     'sassafraswood/models/fleet.py',
--- a/tests/coordination/test_upstream_choice.py
+++ b/tests/coordination/test_upstream_choice.py
@@ -213,3 +213,24 @@
     assert fractions['lossy'] >= 0.5
     full.load = 3.0
     assert measure_fractions(choice, [lossy, full])['lossy'] == 0.0
+
+
+def test_cold_upstream_gets_the_share_that_it_takes() -> None:
+    """The preference for the own domain does not flood a cold upstream."""
+    cold = [make_candidate(f'cold{index}') for index in range(4)]
+    warm = make_candidate('warm', 'b', load=0.5)
+    choice = make_choice()
+    for candidate in cold:
+        candidate.record_pace(8.5)
+    assert not choice.has_spare(cold, [])
+    fractions = measure_fractions(choice, [*cold, warm])
+    assert 0.7 < fractions['warm'] < 0.8
+    for candidate in cold:
+        for _ in range(5):
+            candidate.note_cold_refusal()
+    assert measure_fractions(choice, [*cold, warm])['warm'] > 0.9
+    # Without another upstream, the cold ones get all calls.
+    assert sum(measure_fractions(choice, cold).values()) == 1.0
+    for candidate in cold:
+        candidate.record_pace(0.0)
+    assert measure_fractions(choice, [*cold, warm])['warm'] == 0.0
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -510,6 +510,29 @@
     assert connection.responses[0][0] == 200
 
 
+# Pattern: more calls at a cold upstream than it is given.
+def test_call_leaves_a_cold_upstream(tmp_path) -> None:
+    """The daemon has not failed, but gets fewer calls for now."""
+    case = Fixture(tmp_path)
+    connection = case.send('pay')
+    first, _, _ = case.peers.sent[0]
+    case.reply_to_call(
+        0,
+        lambda run: frames.Refused(
+            call_id=run.call_id,
+            reason='upstream_cold',
+            is_local=True,
+            load=0.1,
+            pace_per_s=8.5,
+        ),
+    )
+    assert first.pace_per_s == 8.5
+    assert first.paced_share < upstream_choice.START_PACED_SHARE
+    assert first.avoid_until == 0.0
+    case.reply_to_call(1, ok)
+    assert connection.responses[0][0] == 200
+
+
 def test_call_returns_if_the_other_daemon_is_lost(tmp_path) -> None:
     """The full upstream is better than none."""
     case = Fixture(tmp_path)
--- a/tests/sidecar/test_upstream_probe.py
+++ b/tests/sidecar/test_upstream_probe.py
@@ -58,6 +58,7 @@
         """Create the probe and its dependencies."""
         self.pool = FakePool()
         self.resumed = 0
+        self.cold_times = []
         self.log_file = open(tmp_path / 'log', 'wb')
         self.registry = upstream_registry.UpstreamRegistry(
             clock=clock.ManualClock(),
@@ -74,18 +75,24 @@
             registry=self.registry,
             log=json_log.JsonLog('d1', self.log_file.fileno()),
             on_ready=self._count,
+            on_cold_time=lambda left_s: self.cold_times.append(left_s),
         )
 
     def _count(self) -> None:
         self.resumed += 1
 
-    def respond(self, status: int, instance: bytes) -> None:
+    def respond(
+        self, status: int, instance: bytes, cold_ms: bytes = b'0'
+    ) -> None:
         """Respond to the health check."""
         self.pool.on_done(
             exchange.Response(
                 status=status,
                 head=b'',
-                fields={headers.NAMES.instance_id: instance},
+                fields={
+                    headers.NAMES.instance_id: instance,
+                    headers.NAMES.cold_ms: cold_ms,
+                },
                 body=b'',
             )
         )
@@ -126,6 +133,20 @@
     asyncio.run(async_case())
 
 
+@pytest.mark.parametrize(
+    ('cold_ms', 'cold_s'), [(b'1500', 1.5), (b'0', 0.0), (b'soon', None)]
+)
+def test_response_tells_the_cold_time(tmp_path, cold_ms, cold_s) -> None:
+    """A restarted daemon learns it before the next report."""
+
+    async def async_case() -> None:
+        case = await async_start_check(tmp_path)
+        case.respond(200, b'i1', cold_ms)
+        assert case.cold_times == [cold_s]
+
+    asyncio.run(async_case())
+
+
 def test_lost_response_changes_nothing(tmp_path) -> None:
     """A broken connection shows neither that the upstream runs nor its id."""
 
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -12,6 +12,7 @@
 from sassafraswood.coordination import stop_plan
 from sassafraswood.coordination import upstream_gate
 from sassafraswood.coordination import upstream_health
+from sassafraswood.coordination import upstream_pace
 from sassafraswood.coordination import upstream_registry
 from sassafraswood.models import crash
 from sassafraswood.models import enums
@@ -38,6 +39,7 @@
     not_run=b'not-run',
     caller_service=b'caller',
     instance_id=b'instance-id',
+    cold_ms=b'cold-left',
     key=b'authorization',
     key_scheme=b'token ',
 )
@@ -102,9 +104,12 @@
         self.depth = call_depth.CallDepth()
         self.log_file = open(tmp_path / 'log', 'wb')
         self.stop_plan = stop_plan.StopPlan(self.clock)
+        self.pace = upstream_pace.UpstreamPace(self.clock)
         self.side = upstream_side.UpstreamSide(
             clock=self.clock,
-            gate=upstream_gate.UpstreamGate(self.clock, downstream_load),
+            gate=upstream_gate.UpstreamGate(
+                self.clock, downstream_load, self.pace
+            ),
             downstream_load=downstream_load,
             depth=self.depth,
             health=upstream_health.UpstreamHealth(self.clock),
@@ -639,3 +644,90 @@
     case.respond()
     assert isinstance(case.replies[0], frames.CallFailed)
     assert not case.side.running
+
+
+def make_paced_case(tmp_path, *, rate_per_s: float = 8.5) -> Case:
+    """Return a side whose upstream has a stated cold time."""
+    case = Case(tmp_path)
+    case.pace.set_rules(
+        cold_s=3.0, rate_per_s=rate_per_s, excess=1.5, slack=8.0
+    )
+    return case
+
+
+def flood(case: Case, **changes) -> int:
+    """Return how many of many calls, also repeats, are sent at once."""
+    sent = len(case.pool.requests)
+    for call_id in range(40):
+        case.submit(call_id=call_id, is_repeat=bool(call_id % 2), **changes)
+    return len(case.pool.requests) - sent
+
+
+@pytest.mark.parametrize('is_inner', [False, True])
+def test_no_call_passes_the_pace_of_a_cold_upstream(
+    tmp_path, is_inner
+) -> None:
+    """Neither do repeats, calls of upstreams, or calls in a stop."""
+    case = make_paced_case(tmp_path)
+    case.report(sequence=2, slots=100, cold_left_s=2.0)
+    assert flood(case, is_inner=is_inner) == 2
+    refusals = [item for item in case.replies if item.reason]
+    assert {item.reason for item in refusals} == {'upstream_cold'}
+    assert all(item.is_local and item.pace_per_s == 8.5 for item in refusals)
+    case.stop_plan.begin(10.0)
+    case.clock.advance(1.0)
+    assert flood(case, is_inner=is_inner) <= 2
+    case.report(sequence=3, slots=100)
+    assert flood(case, is_inner=is_inner) > 10
+
+
+def test_next_process_of_the_upstream_is_cold_until_it_says_otherwise(
+    tmp_path,
+) -> None:
+    """A report without a valid cold time does not open the gate."""
+    case = make_paced_case(tmp_path)
+    case.report(born=2, slots=100, cold_left_s=None)
+    assert flood(case) == 1
+    case.report(born=2, sequence=2, slots=100, cold_left_s=-1.0)
+    assert flood(case) == 0
+    case.report(born=2, sequence=3, slots=100)
+    assert flood(case) > 10
+
+
+def test_lost_connections_at_an_open_port_raise_doubt(tmp_path) -> None:
+    """The upstream may have been replaced before its port was tried."""
+
+    async def async_case() -> None:
+        case = make_paced_case(tmp_path)
+        case.submit()
+        case.pool.is_open = False
+        case.pool.requests[0][2](exchange.FailureKind.BROKEN)
+        case.clock.advance(0.06)
+        case.side.tick()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert case.pool.checks == 1
+        assert flood(case) <= 2
+
+    asyncio.run(async_case())
+
+
+def test_upstream_back_from_a_crash_gets_few_calls_at_first(tmp_path) -> None:
+    """Without a stated rate, responses raise the number of calls."""
+    case = make_paced_case(tmp_path, rate_per_s=0.0)
+    case.report(born=2, slots=100)
+    case.side.refresh()
+    case.clock.advance(6.0)
+    case.side.tick()
+    assert not case.side.is_serving
+    case.report(born=2, sequence=2, slots=100)
+    assert flood(case) == 4
+    case.clock.advance(0.1)
+    for index in range(4):
+        case.respond(index)
+    flood(case)
+    assert len(case.side.running) == 8
+    case.clock.advance(0.3)
+    case.respond(5, 503, not_run=b'1')
+    flood(case)
+    assert len(case.side.running) == 7
