Let calls whose target leaves time wait longer, behind the others

Cause: a new call waited an eighth of its target at most, also where the target is most of the time that its caller gives, so that a refusal leaves the caller no other chance in time; and lookups of such calls were ordered like those of calls that cannot wait. Change: call_schedule measures the runs of each route and says how long a call may wait, when it is due and when it is refused at once; Run.max_wait_s carries the wait that a call tree can bear to its inner calls, and bounds the wait of new ones. A call that cannot end by its deadline is not started. Retry-After is spread below its bound and takes account of the queue.

--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import call_schedule
 from sassafraswood.coordination import call_tree
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import tree_limit
@@ -30,9 +31,6 @@
 # Urgency from which on an inner call counts as urgent; the upper half of all
 # kinds of calls reaches it.
 MIN_URGENT_URGENCY: Final = 0.6
-# Fraction of the latency target that a new call may wait. An early refusal
-# leaves the caller time for a retry.
-WAIT_FRACTION: Final = 0.125
 MAX_WAITING: Final = 4096
 MAX_ROUTES: Final = 1024
 
@@ -57,6 +55,8 @@
         target_s: Latency target; a later response has less value.
         may_redirect: Whether the call is refused in place of waiting, since
             another upstream may have a free slot.
+        max_wait_s: Longest wait of a new call in seconds, and the wait after
+            which an inner call is due; 0 leaves that to the gate.
         start: Called when the call is to be sent to the upstream.
         refuse: Called with the reason when the call is refused.
         state: State of the call in the gate.
@@ -77,6 +77,7 @@
         start: Callable[[], None],
         refuse: Callable[[enums.RefusalReason], None],
         may_redirect: bool = False,
+        max_wait_s: float = 0.0,
     ) -> None:
         """Create a waiting call.
 
@@ -92,6 +93,8 @@
             start: Callback that sends the call to the upstream.
             refuse: Callback that refuses the call.
             may_redirect: Whether to refuse the call if it would wait.
+            max_wait_s: Longest wait of a new call, or the wait after which an
+                inner call is due; 0 if the caller does not state it.
         """
         super().__init__(
             workspace=workspace,
@@ -107,16 +110,12 @@
         self.attempt_id = attempt_id
         self.target_s = target_s
         self.may_redirect = may_redirect
+        self.max_wait_s = max_wait_s
         self.start = start
         self.refuse = refuse
         self.state = CallState.WAITING
         self.started_at = 0.0
 
-    @property
-    def wait_s(self) -> float:
-        """Return the allowed wait of a new call in seconds."""
-        return WAIT_FRACTION * self.target_s
-
     def end(self) -> None:
         """Mark the call as ended, and drop its callbacks.
 
@@ -154,7 +153,7 @@
         )
         self.limit = tree_limit.TreeLimit(capacity=capacity, now=now)
         self.urgency = urgency
-        self.wait_s = 0.0
+        self.schedule = call_schedule.KindSchedule(urgency)
 
 
 class UpstreamGate:
@@ -163,7 +162,8 @@
     Inner calls wait in the order of arrival, because their call tree was
     admitted already. New calls wait in one queue for each route and urgency,
     which shares slot time among workspaces, and start while the limit of
-    their kind allows it.
+    their kind allows it. Calls with slack wait behind the others, as
+    `call_schedule` says.
     """
 
     def __init__(
@@ -181,9 +181,14 @@
         self._capacity = 0
         self._is_serving = False
         self._in_flight = 0
-        # Waiting inner calls from MIN_URGENT_URGENCY on, and the others.
+        self._schedule = call_schedule.CallSchedule()
+        self._starts = call_schedule.StartRate()
+        self._starts_since_slack = 0
+        # Waiting inner calls from MIN_URGENT_URGENCY on, the others, and those
+        # of call trees with slack.
         self._urgent_inner: collections.deque[GateCall] = collections.deque()
         self._inner: collections.deque[GateCall] = collections.deque()
+        self._slack_inner: collections.deque[GateCall] = collections.deque()
         self._routes: dict[tuple[str, float], _RouteState] = {}
         self._waiting_count = 0
 
@@ -224,6 +229,65 @@
             and self.tree.makes_calls(name)
         }
 
+    def route_waits(self) -> dict[str, float]:
+        """Return how long the oldest call of each kind has waited.
+
+        The times are in seconds.
+        """
+        now = self._clock.monotonic()
+        waits = {}
+        for (name, urgency), route in self._routes.items():
+            oldest_at = route.queue.oldest_at
+            if oldest_at is not None:
+                waits[f'{name}/{urgency:.2f}'] = round(now - oldest_at, 3)
+        return waits
+
+    def estimate_wait_s(self, call: GateCall) -> float:
+        """Return how long another call of the same kind would wait.
+
+        Returns:
+            Time in seconds by the queue and the recent rate of starts, at
+            most the time that the call was given.
+        """
+        if not self._waiting_count:
+            return 0.0
+        now = self._clock.monotonic()
+        if call.is_inner:
+            calls = (
+                len(self._urgent_inner)
+                + len(self._inner)
+                + len(self._slack_inner)
+            )
+            starts = self._starts
+        else:
+            route = self._routes.get(call.kind)
+            if route is None:
+                return 0.0
+            calls = len(route.queue)
+            starts = route.schedule.starts
+        if not calls:
+            return 0.0
+        return min(
+            starts.compute_wait_s(calls, now), call.deadline - call.queued_at
+        )
+
+    def compute_inner_wait_s(self, parent: GateCall) -> float:
+        """Return how long a call that a run makes may wait for its start.
+
+        Returns:
+            Time in seconds; 0 if the run has no slack.
+        """
+        if parent.is_inner:
+            return parent.max_wait_s
+        route = self._routes.get(parent.kind)
+        if route is None or not route.schedule.has_slack:
+            return 0.0
+        return self._schedule.compute_inner_wait_s(
+            parent.route,
+            parent.queued_at + parent.target_s,
+            self._clock.monotonic(),
+        )
+
     def compute_kind_load(self, call: GateCall) -> float:
         """Return the load that another call of the same kind would meet."""
         load = self.load
@@ -246,9 +310,10 @@
     def stop(self, reason: enums.RefusalReason) -> None:
         """Start no further calls; refuse the waiting ones."""
         self._is_serving = False
-        waiting = [*self._urgent_inner, *self._inner]
+        waiting = [*self._urgent_inner, *self._inner, *self._slack_inner]
         self._urgent_inner.clear()
         self._inner.clear()
+        self._slack_inner.clear()
         for route in self._routes.values():
             waiting += route.queue.remove_all()
         self._waiting_count = 0
@@ -260,6 +325,11 @@
         if not self._is_serving:
             self._refuse(call, enums.RefusalReason.NO_UPSTREAM)
             return
+        if not self._schedule.can_end(
+            call.route, call.deadline, call.queued_at
+        ):
+            self._refuse(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
+            return
         if call.is_inner:
             if self._in_flight < self._capacity:
                 self._start(call)
@@ -281,6 +351,9 @@
         if call.may_redirect:
             self._refuse(call, enums.RefusalReason.UPSTREAM_FULL)
             return
+        if not self._plan_wait(call, route):
+            self._refuse(call, enums.RefusalReason.OVERLOADED)
+            return
         displaced = route.queue.push(call)
         self._waiting_count += 1
         if displaced is not None:
@@ -294,8 +367,9 @@
         call.end()
         self._in_flight -= 1
         self.tree.end(call)
+        now = self._clock.monotonic()
+        self._schedule.note_run(call.route, now - call.started_at, now)
         if not call.is_inner:
-            now = self._clock.monotonic()
             route = self._routes[call.kind]
             route.limit.note_end()
             route.queue.charge_end(call, now - call.started_at)
@@ -318,8 +392,12 @@
         now = self._clock.monotonic()
         due = [
             call
-            for call in (*self._urgent_inner, *self._inner)
-            if call.deadline <= now
+            for call in (
+                *self._urgent_inner,
+                *self._inner,
+                *self._slack_inner,
+            )
+            if not self._schedule.can_end(call.route, call.deadline, now)
         ]
         for call in due:
             self._select_inner_queue(call).remove(call)
@@ -329,8 +407,7 @@
             route.limit.update(now, route.urgency, self._below.load(now))
             if not len(route.queue):
                 continue
-            late = route.queue.remove_waiting_since(now - route.wait_s)
-            late += route.queue.remove_expired_entries(now)
+            late = route.queue.remove_expired_entries(now)
             self._waiting_count -= len(late)
             for call in late:
                 self._refuse(call, enums.RefusalReason.OVERLOADED)
@@ -348,11 +425,37 @@
                 }
             route = _RouteState(self._capacity, call.urgency, now)
             self._routes[call.kind] = route
-        route.wait_s = call.wait_s
+        route.schedule.note_call(
+            call.target_s,
+            call.deadline - call.queued_at,
+            self._schedule.usual_s(call.route, call.queued_at),
+        )
         return route
 
+    def _plan_wait(self, call: GateCall, route: _RouteState) -> bool:
+        """Set until when a call may wait; return False if that is too short.
+
+        A call with slack waits only if it is expected to start in time.
+        """
+        now = call.queued_at
+        wait_s = route.schedule.wait_s
+        if call.max_wait_s > 0.0:
+            wait_s = min(wait_s, call.max_wait_s)
+        call.start_by = min(
+            now + wait_s,
+            call.deadline - self._schedule.short_s(call.route, now),
+        )
+        if not route.schedule.has_slack or not len(route.queue):
+            return True
+        calls_ahead = route.queue.count_ahead(call.importance, call.workspace)
+        expected_s = route.schedule.starts.compute_wait_s(calls_ahead, now)
+        return expected_s <= wait_s
+
     def _start_waiting(self) -> None:
-        """Start waiting calls, first those whose allowed wait ends first."""
+        """Start waiting calls, first those whose allowed wait ends first.
+
+        A call that would not end by its deadline is refused in its turn.
+        """
         while (
             self._is_serving
             and self._waiting_count
@@ -362,13 +465,23 @@
             if call is None:
                 return
             self._waiting_count -= 1
-            self._start(call)
+            if self._schedule.can_end(
+                call.route, call.deadline, self._clock.monotonic()
+            ):
+                self._start(call)
+            else:
+                self._refuse(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
 
     def _pop_next(self) -> GateCall | None:
-        """Remove and return the call whose allowed wait ends first."""
+        """Remove and return the call whose allowed wait ends first.
+
+        Each SLACK_START_INTERVAL-th start is that of a call with slack.
+        """
         due_route: _RouteState | None = None
+        slack_route: _RouteState | None = None
         inner_queue: collections.deque[GateCall] | None = None
         earliest_due: float | None = None
+        earliest_slack_due: float | None = None
         for queue, wait_s in (
             (self._urgent_inner, URGENT_INNER_WAIT_S),
             (self._inner, INNER_WAIT_S),
@@ -379,14 +492,33 @@
             ):
                 earliest_due = queue[0].queued_at + wait_s
                 inner_queue = queue
+        if self._slack_inner:
+            first = self._slack_inner[0]
+            earliest_slack_due = first.queued_at + first.max_wait_s
         for kind, route in self._routes.items():
             oldest_at = route.queue.oldest_at
             if oldest_at is None or not self._has_capacity(kind[0], route):
                 continue
-            due = oldest_at + route.wait_s
-            if earliest_due is None or due < earliest_due:
+            due = oldest_at + route.schedule.due_s
+            if route.schedule.has_slack:
+                if earliest_slack_due is None or due < earliest_slack_due:
+                    earliest_slack_due = due
+                    slack_route = route
+            elif earliest_due is None or due < earliest_due:
                 earliest_due = due
                 due_route = route
+        if earliest_slack_due is not None:
+            self._starts_since_slack += 1
+            if (
+                earliest_due is None
+                or earliest_slack_due < earliest_due
+                or self._starts_since_slack
+                >= call_schedule.SLACK_START_INTERVAL
+            ):
+                self._starts_since_slack = 0
+                if slack_route is not None:
+                    return slack_route.queue.pop()
+                return self._slack_inner.popleft()
         if due_route is not None:
             return due_route.queue.pop()
         return inner_queue.popleft() if inner_queue else None
@@ -397,6 +529,8 @@
     def _select_inner_queue(
         self, call: GateCall
     ) -> collections.deque[GateCall]:
+        if call.max_wait_s > INNER_WAIT_S:
+            return self._slack_inner
         if call.urgency >= MIN_URGENT_URGENCY:
             return self._urgent_inner
         return self._inner
@@ -406,9 +540,11 @@
         call.state = CallState.RUNNING
         call.started_at = now
         self._in_flight += 1
+        self._starts.note_start(now)
         self.tree.start(call)
         if not call.is_inner:
             route = self._routes[call.kind]
+            route.schedule.starts.note_start(now)
             route.limit.note_start()
             route.queue.charge_start(call)
         call.start()
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -61,7 +61,9 @@
         max_wait_s: Longest time that the call may wait for its start, in
             seconds; 0 leaves that to the receiver. A call whose workspace is
             near its rate limit may not wait long, since calls that wait longer
-            than those after them add up in one window of the limit.
+            than those after them add up in one window of the limit. For an
+            inner call, the time that its call tree can wait for it without
+            missing its target; 0 if the tree has no slack.
     """
 
     call_id: int
--- a/sassafraswood/sidecar/caller_call.py
+++ b/sassafraswood/sidecar/caller_call.py
@@ -32,6 +32,8 @@
         deadline: When the caller stops waiting.
         expires_at: When the call times out; at the deadline at the latest.
         latency_target_s: Latency target of the call in seconds.
+        max_wait_s: Longest wait for a start that is asked for, in seconds; 0
+            leaves it to the daemon beside the upstream.
         call_id: Number of the current attempt.
         candidate: Daemon of the current attempt.
         cancel: Cancels the current attempt; None if there is none.
@@ -55,6 +57,7 @@
         'has_token',
         'is_inner',
         'latency_target_s',
+        'max_wait_s',
         'parent_attempt_id',
         'redirect_count',
         'refusal_count',
@@ -90,6 +93,7 @@
         self.deadline = 0.0
         self.expires_at = 0.0
         self.latency_target_s = route.target_s
+        self.max_wait_s = 0.0
         self.call_id = 0
         self.candidate: upstream_choice.Candidate | None = None
         self.cancel: Callable[[], None] | None = None
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -8,6 +8,7 @@
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import answer_memory as answer_memory_module
 from sassafraswood.coordination import call_depth
+from sassafraswood.coordination import call_schedule
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import quota_shares
@@ -49,15 +50,6 @@
 # Fraction of its timeout that a call of the local upstream may wait for a
 # daemon; it is larger since a refusal wastes the work of the whole call tree.
 INNER_DAEMON_WAIT_FRACTION: Final = 0.5
-# Retry-After as a fraction of the latency target, and the largest random
-# fraction added to it; a retry at that time can still meet the target.
-RETRY_AFTER_FRACTION: Final = 0.25
-RETRY_AFTER_JITTER_FRACTION: Final = 0.3
-# Upper bound of Retry-After as a fraction of the time until the deadline, so
-# that most of this time is left for the retry; RETRY_AFTER_MIN_S may exceed
-# this bound.
-RETRY_AFTER_LEFT_FRACTION: Final = 0.3
-RETRY_AFTER_MIN_S: Final = 0.05
 # Deadline of a request that states none.
 DEFAULT_DEADLINE_S: Final = 30.0
 # Digits of a deadline in milliseconds that are read. A longer one lies years
@@ -398,12 +390,13 @@
         )
 
     def _link_to_parent(self, call: caller_call.CallerCall) -> None:
-        """Take urgency and parent of the call that the local upstream runs."""
+        """Take urgency and slack of the call that the local upstream runs."""
         parent = self._upstream.note_inner_call(call.deadline)
         call.counts_as_deep_load = self._upstream.makes_calls
         if parent is not None:
             call.urgency = parent.urgency
             call.parent_attempt_id = parent.attempt_id
+            call.max_wait_s = self._upstream.compute_inner_wait_s(parent)
 
     def handle_loan(self, loan: frames.LendTokens) -> None:
         """Pass the reply of a lender to the calls that wait for tokens."""
@@ -538,6 +531,7 @@
             is_idempotent=call.route.is_idempotent,
             is_inner=call.is_inner,
             is_repeat=call.attempt_count > 1,
+            max_wait_s=call.max_wait_s,
         )
 
     def _build_head(self, call: caller_call.CallerCall) -> bytes:
@@ -674,7 +668,12 @@
             ):
                 self._send(call)
                 return
-        self._refuse(call, 503, refusal.reason)
+        self._refuse(
+            call,
+            503,
+            refusal.reason,
+            self._compute_retry_after_s(call, refusal.wait_s),
+        )
 
     def _reserve_retry(self, call: caller_call.CallerCall) -> bool:
         """Return whether a retry is allowed, and charge it to the budget."""
@@ -746,19 +745,22 @@
 
     # Responses that this daemon generates.
 
-    def _compute_retry_after_s(self, call: caller_call.CallerCall) -> float:
-        """Return the delay for Retry-After in seconds."""
-        fraction = (
-            RETRY_AFTER_FRACTION
-            + RETRY_AFTER_JITTER_FRACTION * self._random.random()
-        )
-        left_s = call.deadline - self._clock.monotonic()
-        return max(
-            RETRY_AFTER_MIN_S,
-            min(
-                fraction * call.latency_target_s,
-                RETRY_AFTER_LEFT_FRACTION * left_s,
-            ),
+    def _compute_retry_after_s(
+        self, call: caller_call.CallerCall, wait_s: float = 0.0
+    ) -> float:
+        """Return the delay for Retry-After in seconds.
+
+        Args:
+            call: The call that is refused.
+            wait_s: Time in seconds that it would have waited for a start; 0
+                if unknown.
+        """
+        return call_schedule.compute_retry_after_s(
+            target_s=call.latency_target_s,
+            left_s=call.deadline - self._clock.monotonic(),
+            wait_s=wait_s,
+            urgency=call.urgency,
+            jitter=self._random.random(),
         )
 
     def _refuse(
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -161,6 +161,7 @@
                 self._downstream_load.load(self._clock.monotonic()), 2
             ),
             limits=self._gate.route_limits(),
+            waits=self._gate.route_waits(),
         )
 
     def refresh(self) -> None:
@@ -236,6 +237,7 @@
             start=lambda: self._start(call),
             refuse=lambda reason: self._refuse(call, reason),
             may_redirect=run.may_redirect,
+            max_wait_s=run.max_wait_s,
         )
         call.run = run
         call.deliver = deliver
@@ -298,6 +300,13 @@
         """
         return self._gate.tree.note_call(deadline)
 
+    def compute_inner_wait_s(self, parent: upstream_gate.GateCall) -> float:
+        """Return how long a call that a run makes may wait, in seconds.
+
+        It is 0 if the run has no slack.
+        """
+        return self._gate.compute_inner_wait_s(parent)
+
     def cancel(self, call: UpstreamCall) -> None:
         """Cancel a call whose caller no longer waits.
 
@@ -459,6 +468,7 @@
                     * self._downstream_load.load(self._clock.monotonic()),
                 ),
                 depth=self._depth_of(run.route),
+                wait_s=self._gate.estimate_wait_s(call),
             ),
         )
 
@@ -514,6 +524,7 @@
                 is_local=is_local,
                 has_reached_upstream=has_reached_upstream,
                 load=self._gate.compute_kind_load(call),
+                wait_s=self._gate.estimate_wait_s(call),
             ),
         )
 
--- a/sassafraswood/state/fair_queue.py
+++ b/sassafraswood/state/fair_queue.py
@@ -28,6 +28,8 @@
     Attributes:
         weight: Share of slot time relative to the other workspaces.
         deadline: Monotonic time in seconds.
+        start_by: Time until which it may wait, as monotonic time in seconds;
+            the deadline unless it is set.
         queued_at: Monotonic time in seconds.
         charged_slot_time_s: Slot time charged to the workspace so far in
             seconds.
@@ -48,6 +50,7 @@
         self.weight = weight
         self.importance = importance
         self.deadline = deadline
+        self.start_by = deadline
         self.queued_at = queued_at
         self.charged_slot_time_s = 0.0
         self.sequence = -1
@@ -151,7 +154,7 @@
         cls.length += 1
         self._length += 1
         heapq.heappush(
-            self._deadlines, (entry.deadline, entry.sequence, entry)
+            self._deadlines, (entry.start_by, entry.sequence, entry)
         )
         if self._length <= self.max_entries:
             return None
@@ -207,10 +210,10 @@
                     removed.append(entry)
         return removed
 
-    def remove_expired_entries(self, deadline: float) -> list[EntryT]:
-        """Remove and return the entries whose deadline is before a time."""
+    def remove_expired_entries(self, now: float) -> list[EntryT]:
+        """Remove and return the entries that may wait no longer."""
         removed = []
-        while self._deadlines and self._deadlines[0][0] < deadline:
+        while self._deadlines and self._deadlines[0][0] < now:
             entry = heapq.heappop(self._deadlines)[2]
             if self.remove(entry):
                 removed.append(entry)
--- a/setup.py
+++ b/setup.py
@@ -11,6 +11,7 @@
     'sassafraswood/clock.py',
     'sassafraswood/coordination/answer_memory.py',
     'sassafraswood/coordination/call_depth.py',
+    'sassafraswood/coordination/call_schedule.py',
     'sassafraswood/coordination/call_tree.py',
     'sassafraswood/coordination/crash_counts.py',
     'sassafraswood/coordination/deep_load.py',
--- a/tests/coordination/test_upstream_gate.py
+++ b/tests/coordination/test_upstream_gate.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sassafraswood import clock
+from sassafraswood.coordination import call_schedule
 from sassafraswood.coordination import call_tree
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import upstream_gate
@@ -193,3 +194,133 @@
 def test_one_slot_in_twenty_is_unused(slots: int, capacity: int) -> None:
     """No more than that, except at upstreams that are too small for it."""
     assert Gate(slots=slots).gate.capacity == capacity
+
+
+class SlackGate(Gate):
+    """A gate at which calls of the route `hold` have slack."""
+
+    def __init__(self, urgency: float = 0.0) -> None:
+        """Measure runs of half a second, below the target of 4 s."""
+        super().__init__()
+        self.urgency = urgency
+        for index in range(call_schedule.MIN_RUNS):
+            call = self.submit_hold(f'measured{index}')
+            self.clock.advance(0.5)
+            self.gate.finish(call)
+        self.started.clear()
+
+    def submit_hold(self, name: str, **changes) -> upstream_gate.GateCall:
+        """Submit a call with slack."""
+        times = {
+            'target_s': 4.0,
+            'urgency': self.urgency,
+            'deadline': self.clock.monotonic() + 5.0,
+        }
+        return self.submit(name, **({'route': 'hold'} | times | changes))
+
+
+# Load: all slots in use for longer than an eighth of the target.
+def test_call_with_slack_waits_longer() -> None:
+    """It starts when a slot is free, in time for its target."""
+    gate = SlackGate()
+    calls = gate.fill()
+    gate.submit_hold('hold')
+    gate.clock.advance(1.2)
+    gate.gate.tick()
+    assert gate.refused == {}
+    gate.gate.finish(calls[0])
+    assert gate.started == ['hold']
+
+
+# Load: calls with and without slack wait for the same slots.
+def test_call_with_slack_lets_others_start_first() -> None:
+    """It arrived first, and still has time after them."""
+    gate = SlackGate()
+    calls = gate.fill()
+    gate.submit_hold('hold')
+    gate.clock.advance(0.3)
+    gate.submit('new')
+    gate.submit('inner', is_inner=True)
+    for call in calls[:3]:
+        gate.gate.finish(call)
+    assert gate.started == ['inner', 'new', 'hold']
+
+
+# Load: as before, with calls that have slack and matter most.
+def test_urgent_call_with_slack_leaves_little_of_it_to_others() -> None:
+    """It starts when a less urgent call of the same age does."""
+    gate = SlackGate(urgency=1.0)
+    calls = gate.fill()
+    gate.submit_hold('hold')
+    gate.clock.advance(0.45)
+    gate.submit('new')
+    gate.gate.finish(calls[0])
+    assert gate.started == ['hold']
+
+
+# Load: calls without slack take each slot that becomes free.
+def test_calls_with_slack_get_a_least_share_of_the_starts() -> None:
+    """The first of them starts with the SLACK_START_INTERVAL-th slot."""
+    gate = SlackGate()
+    calls = gate.fill()
+    gate.submit_hold('hold')
+    for index in range(20):
+        gate.submit(f'new{index}', is_inner=True)
+    for call in calls[: call_schedule.SLACK_START_INTERVAL]:
+        gate.gate.finish(call)
+    assert gate.started[-1] == 'hold'
+
+
+# Load: a queue that will not drain in time.
+def test_call_with_slack_is_refused_at_once_behind_a_long_queue() -> None:
+    """It is told when it arrives, and not after its wait."""
+    gate = SlackGate()
+    gate.fill()
+    for index in range(200):
+        gate.submit_hold(f'hold{index}')
+    assert gate.refused.pop('hold199') is enums.RefusalReason.OVERLOADED
+    assert 'hold0' not in gate.refused
+    assert gate.gate.waiting < 100
+
+
+# Load: a call that may wait only briefly, as its workspace is near its limit.
+def test_longest_wait_that_a_call_states_is_kept() -> None:
+    """It would otherwise wait for more than a second."""
+    gate = SlackGate()
+    gate.fill()
+    gate.submit_hold('hold', max_wait_s=0.3)
+    gate.clock.advance(0.31)
+    gate.gate.tick()
+    assert gate.refused == {'hold': enums.RefusalReason.OVERLOADED}
+
+
+# Load: lookups of trees with slack and of others at the deepest service.
+def test_inner_call_of_a_tree_with_slack_starts_later() -> None:
+    """It is due after the wait that its tree can bear, not behind all."""
+    gate = SlackGate()
+    parent = gate.submit_hold('hold')
+    wait_s = gate.gate.compute_inner_wait_s(parent)
+    assert upstream_gate.INNER_WAIT_S < wait_s < 0.125 * 4.0
+    gate.gate.finish(parent)
+    calls = gate.fill()
+    gate.submit('slack', is_inner=True, max_wait_s=wait_s)
+    gate.submit('inner', is_inner=True, urgency=0.0)
+    gate.clock.advance(wait_s)
+    gate.submit('later', is_inner=True, urgency=0.0)
+    for call in calls[:3]:
+        gate.gate.finish(call)
+    assert gate.started == ['inner', 'slack', 'later']
+
+
+# Load: calls that waited until their run can no longer end in time.
+def test_call_that_cannot_end_in_time_is_not_started() -> None:
+    """The slot goes to one that can; the refusal says that it has not run."""
+    gate = SlackGate()
+    calls = gate.fill()
+    now = gate.clock.monotonic()
+    gate.submit_hold('late', is_inner=True, deadline=now + 0.6)
+    gate.submit_hold('other', is_inner=True)
+    gate.clock.advance(0.3)
+    gate.gate.finish(calls[0])
+    assert gate.started == ['other']
+    assert gate.refused == {'late': enums.RefusalReason.DEADLINE_UNREACHABLE}
