Decide at the entry whether a call has slack

Cause: the time that the daemon beside the upstream sees is cut by the timeout of the route, so that a target above the timeout, as earlier deployments have it, looked like a target of the whole time given. Change: the first daemon compares the target of the route with the longest time that its callers give, and Run.has_slack tells the result.

--- a/sassafraswood/coordination/call_schedule.py
+++ b/sassafraswood/coordination/call_schedule.py
@@ -2,8 +2,10 @@
 
 The calls of a route have slack if its latency target is most of the time that
 its callers give: they may wait longer than others and still end in time, and
-a refusal would leave their callers little time to come back. All other calls
-wait a fixed fraction of their target.
+a refusal would leave their callers little time to come back. The daemon that
+takes the request decides that, since the timeout of the route may shorten the
+time that the daemon beside the upstream sees. All other calls wait a fixed
+fraction of their target.
 """
 
 import math
@@ -22,7 +24,7 @@
 SLACK_WAIT_FRACTION: Final = 0.5
 # Fraction of this time that each inner call of a run with slack may wait; a
 # run makes several of them in sequence.
-INNER_SLACK_WAIT_FRACTION: Final = 0.125
+INNER_SLACK_WAIT_FRACTION: Final = 0.2
 # One of this many starts is that of a call with slack while any waits, so that
 # calls without slack do not starve them.
 SLACK_START_INTERVAL: Final = 8
@@ -126,6 +128,33 @@
         )
 
 
+class TimesGiven:
+    """Longest time that callers of each route give."""
+
+    def __init__(self) -> None:
+        """Begin without calls."""
+        self._longest_s: dict[str, float] = {}
+
+    def note_call(self, route: str, target_s: float, time_s: float) -> bool:
+        """Record a call; return whether the calls of its route have slack.
+
+        Args:
+            route: Name of the route.
+            target_s: Latency target of the route.
+            time_s: Time that the caller gives; one that came back gives less
+                than at first.
+        """
+        longest_s = self._longest_s.get(route, 0.0)
+        longest_s = max(
+            time_s,
+            longest_s + TIME_GIVEN_SMOOTHING_FACTOR * (time_s - longest_s),
+        )
+        if len(self._longest_s) >= MAX_ROUTES:
+            self._longest_s.clear()
+        self._longest_s[route] = longest_s
+        return target_s >= MIN_SLACK_TARGET_FRACTION * longest_s
+
+
 class KindSchedule:
     """Slack and starts of the new calls of one kind.
 
@@ -148,10 +177,14 @@
         self.due_s = 0.0
         self._urgency = urgency
         self.has_slack = False
-        self._time_given_s = 0.0
 
     def note_call(
-        self, target_s: float, time_left_s: float, usual_s: float
+        self,
+        *,
+        target_s: float,
+        time_left_s: float,
+        usual_s: float,
+        has_slack: bool,
     ) -> None:
         """Update the allowed wait by the times of a new call.
 
@@ -159,19 +192,12 @@
             target_s: Latency target of the call.
             time_left_s: Time until its deadline.
             usual_s: Usual duration of its run; 0 if unknown.
+            has_slack: Whether it has slack.
         """
-        # A caller that came back gives less time than at first.
-        self._time_given_s = max(
-            time_left_s,
-            self._time_given_s
-            + TIME_GIVEN_SMOOTHING_FACTOR * (time_left_s - self._time_given_s),
-        )
-        self.has_slack = (
-            target_s >= MIN_SLACK_TARGET_FRACTION * self._time_given_s
-        )
+        self.has_slack = has_slack
         self.due_s = WAIT_FRACTION * target_s
         self.wait_s = self.due_s
-        if self.has_slack and usual_s > 0.0:
+        if has_slack and usual_s > 0.0:
             slack_s = min(target_s, time_left_s) - usual_s
             self.wait_s = max(self.wait_s, SLACK_WAIT_FRACTION * slack_s)
             self.due_s += (1.0 - self._urgency) * (self.wait_s - self.due_s)
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -57,6 +57,7 @@
             another upstream may have a free slot.
         max_wait_s: Longest wait of a new call in seconds, and the wait after
             which an inner call is due; 0 leaves that to the gate.
+        has_slack: Whether a new call may wait longer than others.
         start: Called when the call is to be sent to the upstream.
         refuse: Called with the reason when the call is refused.
         state: State of the call in the gate.
@@ -78,6 +79,7 @@
         refuse: Callable[[enums.RefusalReason], None],
         may_redirect: bool = False,
         max_wait_s: float = 0.0,
+        has_slack: bool = False,
     ) -> None:
         """Create a waiting call.
 
@@ -95,6 +97,7 @@
             may_redirect: Whether to refuse the call if it would wait.
             max_wait_s: Longest wait of a new call, or the wait after which an
                 inner call is due; 0 if the caller does not state it.
+            has_slack: Whether a new call may wait longer than others.
         """
         super().__init__(
             workspace=workspace,
@@ -111,6 +114,7 @@
         self.target_s = target_s
         self.may_redirect = may_redirect
         self.max_wait_s = max_wait_s
+        self.has_slack = has_slack
         self.start = start
         self.refuse = refuse
         self.state = CallState.WAITING
@@ -279,8 +283,7 @@
         """
         if parent.is_inner:
             return parent.max_wait_s
-        route = self._routes.get(parent.kind)
-        if route is None or not route.schedule.has_slack:
+        if not parent.has_slack:
             return 0.0
         return self._schedule.compute_inner_wait_s(
             parent.route,
@@ -426,9 +429,10 @@
             route = _RouteState(self._capacity, call.urgency, now)
             self._routes[call.kind] = route
         route.schedule.note_call(
-            call.target_s,
-            call.deadline - call.queued_at,
-            self._schedule.usual_s(call.route, call.queued_at),
+            target_s=call.target_s,
+            time_left_s=call.deadline - call.queued_at,
+            usual_s=self._schedule.usual_s(call.route, call.queued_at),
+            has_slack=call.has_slack,
         )
         return route
 
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -64,6 +64,8 @@
             than those after them add up in one window of the limit. For an
             inner call, the time that its call tree can wait for it without
             missing its target; 0 if the tree has no slack.
+        has_slack: Whether the target of the call is most of the time that its
+            caller gives, so that it may wait longer than others.
     """
 
     call_id: int
@@ -81,6 +83,7 @@
     is_repeat: bool = False
     may_redirect: bool = False
     max_wait_s: Amount = 0.0
+    has_slack: bool = False
 
 
 class Answer(Frame, tag=2):
--- a/sassafraswood/sidecar/caller_call.py
+++ b/sassafraswood/sidecar/caller_call.py
@@ -32,6 +32,7 @@
         deadline: When the caller stops waiting.
         expires_at: When the call times out; at the deadline at the latest.
         latency_target_s: Latency target of the call in seconds.
+        has_slack: Whether the target is most of the time that callers give.
         max_wait_s: Longest wait for a start that is asked for, in seconds; 0
             leaves it to the daemon beside the upstream.
         call_id: Number of the current attempt.
@@ -54,6 +55,7 @@
         'counts_as_deep_load',
         'deadline',
         'expires_at',
+        'has_slack',
         'has_token',
         'is_inner',
         'latency_target_s',
@@ -93,6 +95,7 @@
         self.deadline = 0.0
         self.expires_at = 0.0
         self.latency_target_s = route.target_s
+        self.has_slack = False
         self.max_wait_s = 0.0
         self.call_id = 0
         self.candidate: upstream_choice.Candidate | None = None
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -127,6 +127,7 @@
         self._urgency_by_order: dict[tuple[int, int], float] = {}
         # Levels of calls below each route, taken from responses.
         self._depth_by_route: dict[str, int] = {}
+        self._times_given = call_schedule.TimesGiven()
         self._budget = budget
         self._stop_plan = stop_plan
         self._answer_memory = answer_memory
@@ -262,6 +263,10 @@
         self._set_times(call)
         if call.is_inner:
             self._link_to_parent(call)
+        else:
+            call.has_slack = self._times_given.note_call(
+                route.name, route.target_s, call.deadline - call.started_at
+            )
         self._active[id(call)] = call
         request.context = call
         is_refusing = (
@@ -532,6 +537,7 @@
             is_inner=call.is_inner,
             is_repeat=call.attempt_count > 1,
             max_wait_s=call.max_wait_s,
+            has_slack=call.has_slack,
         )
 
     def _build_head(self, call: caller_call.CallerCall) -> bytes:
@@ -756,7 +762,12 @@
                 if unknown.
         """
         return call_schedule.compute_retry_after_s(
-            target_s=call.latency_target_s,
+            # The timeout of the route starts again with the caller's return.
+            target_s=(
+                call.route.target_s
+                if call.has_slack
+                else call.latency_target_s
+            ),
             left_s=call.deadline - self._clock.monotonic(),
             wait_s=wait_s,
             urgency=call.urgency,
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -238,6 +238,7 @@
             refuse=lambda reason: self._refuse(call, reason),
             may_redirect=run.may_redirect,
             max_wait_s=run.max_wait_s,
+            has_slack=run.has_slack,
         )
         call.run = run
         call.deliver = deliver
