--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -330,6 +330,19 @@
     assert 0.0 < float(head.split(b':')[1]) < 0.8
 
 
+# Load: routes with and without time to spare compete for the same slots.
+@pytest.mark.parametrize(
+    ('deadline_ms', 'has_slack'), [(b'1200', True), (b'2000', False)]
+)
+def test_slack_follows_from_the_time_of_callers(
+    tmp_path, deadline_ms: bytes, has_slack: bool
+) -> None:
+    """The timeout of the route, 1 s for a target of 0.8 s, gives no slack."""
+    fixture = Fixture(tmp_path)
+    fixture.send('pay', deadline_ms=deadline_ms)
+    assert fixture.peers.sent[0][1].has_slack is has_slack
+
+
 def test_refusal_after_an_attempt_that_may_have_run(tmp_path) -> None:
     """The call fails, since a 503 would state that it has not run."""
     fixture = Fixture(tmp_path)
