Merge the schedule of calls at an upstream

The gate plans the wait of a new call also while the upstream is cold; a call of a workspace near its limit waits no longer than its token allows.

--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -187,6 +187,7 @@
                 self._downstream_load.load(self._clock.monotonic()), 2
             ),
             limits=self._gate.route_limits(),
+            waits=self._gate.route_waits(),
         )
 
     def refresh(self) -> None:
@@ -321,6 +322,8 @@
             start=lambda: self._start(call),
             refuse=lambda reason: self._refuse(call, reason),
             may_redirect=run.may_redirect,
+            max_wait_s=run.max_wait_s,
+            has_slack=run.has_slack,
         )
         call.run = run
         call.deliver = deliver
@@ -387,6 +390,13 @@
         """
         return self._gate.tree.note_call(deadline)
 
+    def compute_inner_wait_s(self, parent: upstream_gate.GateCall) -> float:
+        """Return how long a call that a run makes may wait, in seconds.
+
+        It is 0 if the run has no slack.
+        """
+        return self._gate.compute_inner_wait_s(parent)
+
     def cancel(self, call: UpstreamCall) -> None:
         """Cancel a call whose caller no longer waits.
 
@@ -568,6 +578,7 @@
                 ),
                 depth=self._depth_of(run.route),
                 pace_per_s=self.pace_per_s,
+                wait_s=self._gate.estimate_wait_s(call),
             ),
         )
 
@@ -626,6 +637,7 @@
                 has_reached_upstream=has_reached_upstream,
                 load=self._gate.compute_kind_load(call),
                 pace_per_s=self.pace_per_s,
+                wait_s=self._gate.estimate_wait_s(call),
             ),
         )
 
