Round the capacity of an upstream down, below its knee

Of 44 slots 42 were used (0.955), of 68 slots 65 (0.956): upstreams that slow down above 95 percent of their slots did so whenever they were full. The capacity is rounded down from 20 slots on; one slot is at most 5 percent of them. Upstreams of fewer slots are rounded to the nearest as before, since there one unused slot costs more than the slowdown gains.

test_full_gate_stays_below_the_knee fails without the change at 44, 64, 68 and 86 slots; the tests of the gate pass.

--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -16,6 +16,9 @@
 # Fraction of the slots in use at most: upstreams slow down when nearly all of
 # their slots are in use.
 MAX_SLOT_FRACTION: Final = 0.95
+# The capacity of fewer slots is rounded to the nearest, since leaving another
+# one unused costs more than 5 percent of them.
+MIN_FLOORED_SLOTS: Final = 20
 # Wait that orders inner calls (those made by running calls) among new ones;
 # the second value is for urgent ones. The call whose wait ends first starts
 # first, so an inner call may start after a new call with a short wait that
@@ -226,7 +229,10 @@
 
     def set_upstream(self, slots: int) -> None:
         """Set the slots of the upstream and start waiting calls."""
-        self._capacity = max(1, round(MAX_SLOT_FRACTION * slots))
+        capacity = MAX_SLOT_FRACTION * slots
+        self._capacity = max(
+            1, int(capacity) if slots >= MIN_FLOORED_SLOTS else round(capacity)
+        )
         self._is_serving = True
         for route in self._routes.values():
             route.limit.set_capacity(self._capacity)
--- a/tests/coordination/test_upstream_gate.py
+++ b/tests/coordination/test_upstream_gate.py
@@ -189,3 +189,14 @@
 def test_unused_slots_are_rounded(slots: int, capacity: int) -> None:
     """One slot in twenty is kept free."""
     assert Gate(slots=slots).gate.capacity == capacity
+
+
+# Pattern: more calls than slots, at upstreams that slow down above 95 percent.
+@pytest.mark.parametrize('slots', [20, 44, 64, 68, 86, 100])
+def test_full_gate_stays_below_the_knee(slots) -> None:
+    """Rounding leaves at least 5 percent of the slots unused."""
+    gate = Gate(slots=slots)
+    gate.fill()
+    gate.submit('late', is_inner=True)
+    assert gate.gate.in_flight <= 0.95 * slots
+    assert gate.gate.in_flight > 0.95 * slots - 1
