Compare expected waits before calls leave a failure domain

Above a load of 0.85 calls were drawn over all failure domains, so that most of them crossed a domain although their own upstream had free slots. Each daemon measures how long calls occupy a slot of its upstream and reports the wait of the next call in answers and refusals. Even upstreams are chosen as before.

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import completion_estimate
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 
@@ -68,6 +69,7 @@
         is_serving: Whether the upstream accepts calls.
         load: Running and waiting calls relative to the capacity.
         avoid_until: Monotonic time until which other daemons are preferred.
+        estimate: Expected wait and duration of calls.
     """
 
     def __init__(self, member: fleet.Member) -> None:
@@ -77,6 +79,7 @@
         self.is_serving = False
         self.load = 0.0
         self.avoid_until = 0.0
+        self.estimate = completion_estimate.CompletionEstimate()
         self._slowness: float | None = None
         self._error_fraction = 0.0
         self._reported_slowness = 1.0
@@ -112,6 +115,7 @@
     def forget(self) -> None:
         """Discard the known slowness after the connection was lost."""
         self._slowness = None
+        self.estimate.forget()
         self.record_reported_health(1.0, 0.0)
 
     def record_reported_load(self, load: float) -> None:
@@ -127,6 +131,7 @@
         """Record a response and its latency relative to the baseline."""
         self._failures = 0
         self._update_error_fraction(0.0, now)
+        self.estimate.note_duration(slowness)
         if self._slowness is None:
             self._slowness = slowness
         else:
@@ -247,12 +252,14 @@
         self,
         candidates: Iterable[Candidate],
         tried: Sequence[ids.DaemonId] = (),
+        route: str = '',
     ) -> Candidate | None:
         """Return the daemon to send a call to, or None if there is none.
 
         Args:
             candidates: The daemons of the service.
             tried: Daemons to leave out, as they were tried for this call.
+            route: Name of the route of the call.
         """
         now = self._clock.monotonic()
         usable = [
@@ -278,8 +285,61 @@
         chosen = self._select_best(local, comparison)
         if chosen is not None and comparison.is_good_enough(chosen):
             return chosen
+        if (
+            chosen is None or comparison.is_healthy(chosen)
+        ) and completion_estimate.are_uneven(
+            [item.estimate for item in usable]
+        ):
+            return self._select_earliest(
+                chosen, usable, comparison, self._baseline_s.get(route, 0.0)
+            )
         return self._draw_weighted(usable, comparison)
 
+    def _select_earliest(
+        self,
+        local: Candidate | None,
+        candidates: list[Candidate],
+        comparison: '_Comparison',
+        baseline_s: float,
+    ) -> Candidate:
+        """Return the candidate that begins a call first.
+
+        Of the other failure domains two are compared: the best of all would
+        get the calls of all callers until its load is reported.
+
+        Args:
+            local: Best candidate of the own failure domain, if there is one.
+            candidates: All candidates.
+            comparison: Comparison of the candidates.
+            baseline_s: Usual duration of the call in seconds.
+        """
+        remote = [
+            item
+            for item in candidates
+            if item.member.failure_domain != self._domain
+            and comparison.is_healthy(item)
+        ]
+        if not remote:
+            return local or self._draw_weighted(candidates, comparison)
+        if len(remote) > 2:
+            remote = self._random.sample(remote, 2)
+        now = comparison.now
+        delay_s, _, index = min(
+            (
+                completion_estimate.compute_remote_delay_s(
+                    item.estimate, item.load, baseline_s, now
+                ),
+                item.load,
+                index,
+            )
+            for index, item in enumerate(remote)
+        )
+        if local is not None and not completion_estimate.should_spill(
+            local.estimate, delay_s, baseline_s, now
+        ):
+            return local
+        return remote[index]
+
     def has_spare(
         self,
         candidates: Iterable[Candidate],
@@ -352,7 +412,7 @@
     """Compares the candidates of one call with the best of them."""
 
     def __init__(self, candidates: list[Candidate], now: float) -> None:
-        self._now = now
+        self.now = now
         self.best_slowness = min(
             self._bounded_slowness(item) for item in candidates
         )
@@ -364,28 +424,31 @@
         """Return the slowness (1 if unknown), raised by overdue calls."""
         # Overdue calls raise the value before the first slow response.
         return self._bounded_slowness(candidate) * (
-            1.0 + candidate.overdue(self._now)
+            1.0 + candidate.overdue(self.now)
         )
 
     def _bounded_slowness(self, candidate: Candidate) -> float:
-        slowness = candidate.slowness(self._now)
+        slowness = candidate.slowness(self.now)
         return 1.0 if slowness is None else max(1e-3, slowness)
 
     def success_weight(self, candidate: Candidate) -> float:
         """Return a weight that falls with errors beyond those of the best."""
         excess_errors = (
-            candidate.errors(self._now) - self._lowest_error_fraction
+            candidate.errors(self.now) - self._lowest_error_fraction
         )
         return max(0.01, 1.0 - excess_errors) ** ERROR_EXPONENT
 
     def is_good_enough(self, candidate: Candidate) -> bool:
         """Return whether a local candidate needs no comparison with others."""
+        return candidate.load < LOCAL_MAX_LOAD and self.is_healthy(candidate)
+
+    def is_healthy(self, candidate: Candidate) -> bool:
+        """Return whether a candidate is neither slow nor has many errors."""
         excess_errors = (
-            candidate.errors(self._now) - self._lowest_error_fraction
+            candidate.errors(self.now) - self._lowest_error_fraction
         )
         return (
-            candidate.load < LOCAL_MAX_LOAD
-            and excess_errors < LOCAL_MAX_EXCESS_ERRORS
+            excess_errors < LOCAL_MAX_EXCESS_ERRORS
             and self.slowness(candidate)
             <= LOCAL_MAX_SLOWNESS_RATIO * self.best_slowness
         )
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -227,6 +227,22 @@
         calls = route.limit.in_flight + len(route.queue)
         return max(load, calls / max(1.0, route.limit.limit))
 
+    def compute_wait_s(self, call: GateCall, slot_s: float) -> float:
+        """Return the time that another call of the same kind would wait.
+
+        Args:
+            call: A call of the kind.
+            slot_s: Mean time that calls occupy a slot, in seconds.
+        """
+        wait_s = 0.0
+        if self._capacity and self._in_flight >= self._capacity:
+            wait_s = slot_s * (1 + self._waiting_count) / self._capacity
+        route = None if call.is_inner else self._routes.get(call.kind)
+        if route is not None and not self._has_capacity(call.route, route):
+            count = 1 + len(route.queue)
+            wait_s = max(wait_s, slot_s * count / route.limit.limit)
+        return wait_s
+
     def set_upstream(self, slots: int) -> None:
         """Set the slots of the upstream and start waiting calls."""
         capacity = MAX_SLOT_FRACTION * slots
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -463,10 +463,11 @@
             self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
             return
         candidates = self._peers.candidates(call.service)
-        candidate = self._choice.pick(candidates, call.tried_daemon_ids)
+        route = call.route.name
+        candidate = self._choice.pick(candidates, call.tried_daemon_ids, route)
         if candidate is None and call.redirect_count:
             # The daemons with full upstreams are left.
-            candidate = self._choice.pick(candidates)
+            candidate = self._choice.pick(candidates, (), route)
         if candidate is None:
             self._wait_for_daemon(call)
             return
@@ -598,6 +599,8 @@
             self._handle_failure(call, 'peer_lost')
             return
         candidate.record_reported_load(reply.load)
+        if not isinstance(reply, frames.CallFailed):
+            candidate.estimate.note_wait(reply.wait_s, now)
         if isinstance(reply, frames.Answer):
             self._choice.note_response(
                 candidate,
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -6,6 +6,7 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import call_depth
+from sassafraswood.coordination import completion_estimate
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import stop_plan as stop_plan_module
@@ -119,6 +120,7 @@
         self._crashes = crashes
         self._stop_plan = stop_plan
         self._is_stopping = False
+        self._slot_time = completion_estimate.SlotTime()
         self.running: set[UpstreamCall] = set()
         # Bodies of calls that have not ended.
         self.bodies = held_bytes.ByteBudget(limit=sys.maxsize)
@@ -161,6 +163,8 @@
                 self._downstream_load.load(self._clock.monotonic()), 2
             ),
             limits=self._gate.route_limits(),
+            slot_s=round(self._slot_time.mean_s, 4),
+            slowness=round(self.health.slowness, 2),
         )
 
     def refresh(self) -> None:
@@ -177,6 +181,7 @@
             self._gate.set_upstream(report.slots)
             if not was_serving:
                 self.health.reset()
+                self._slot_time.reset()
                 self._set_serving(True, status, report.instance_id)
             return
         if self._gate.is_serving:
@@ -388,7 +393,12 @@
         self, call: UpstreamCall, outcome: exchange.Outcome
     ) -> None:
         if isinstance(outcome, exchange.Response):
-            self.health.note_end(id(call), is_error=outcome.status >= 500)
+            is_error = outcome.status >= 500
+            self.health.note_end(id(call), is_error=is_error)
+            if not is_error:
+                self._slot_time.note_end(
+                    self._clock.monotonic() - call.started_at
+                )
         elif outcome not in exchange.NOTHING_SENT:
             self.health.note_end(id(call), is_error=True)
         self._remove_running(call)
@@ -459,6 +469,7 @@
                     * self._downstream_load.load(self._clock.monotonic()),
                 ),
                 depth=self._depth_of(run.route),
+                wait_s=self._gate.compute_wait_s(call, self._slot_time.mean_s),
             ),
         )
 
@@ -514,6 +525,7 @@
                 is_local=is_local,
                 has_reached_upstream=has_reached_upstream,
                 load=self._gate.compute_kind_load(call),
+                wait_s=self._gate.compute_wait_s(call, self._slot_time.mean_s),
             ),
         )
 
--- a/tests/coordination/test_upstream_gate.py
+++ b/tests/coordination/test_upstream_gate.py
@@ -200,3 +200,16 @@
     gate.submit('late', is_inner=True)
     assert gate.gate.in_flight <= 0.95 * slots
     assert gate.gate.in_flight > 0.95 * slots - 1
+
+
+# Pattern: uneven upstreams; callers compare what they would wait at each.
+def test_wait_follows_the_queue_and_the_slot_time() -> None:
+    """A free slot means no wait, a queue as many calls as are ahead."""
+    gate = Gate()
+    calls = gate.fill()
+    gate.gate.finish(calls.pop())
+    call = calls[0]
+    assert gate.gate.compute_wait_s(call, 0.19) == 0.0
+    for index in range(6):
+        gate.submit(f'inner{index}', is_inner=True)
+    assert gate.gate.compute_wait_s(call, 0.19) == pytest.approx(0.06)
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -110,6 +110,8 @@
         self.log_file = open(tmp_path / 'log', 'wb')
         self.stop_plan = stop_plan.StopPlan(self.clock)
         self.unsent_bytes = 0
+        self.upstream = FakeUpstream()
+        self.downstream_load = deep_load.DownstreamLoad()
         self.answer_memory = answer_memory.AnswerMemory(
             self.clock, lambda: self.unsent_bytes
         )
@@ -129,8 +131,8 @@
             choice=upstream_choice.UpstreamSelector(
                 clock=self.clock, random=source, domain='a'
             ),
-            upstream=FakeUpstream(),
-            downstream_load=deep_load.DownstreamLoad(),
+            upstream=self.upstream,
+            downstream_load=self.downstream_load,
             depth=call_depth.CallDepth(),
             crashes=self.crashes,
             log=json_log.JsonLog('own', self.log_file.fileno()),
@@ -680,3 +682,16 @@
     monkeypatch.setattr(fixture.caller, '_cancel', cancel)
     fixture.caller.end_all()
     assert [item.responses[0][0] for item in connections] == [502, 504, 504]
+
+
+# Pattern: uneven upstreams that make calls wait.
+@pytest.mark.parametrize('reply', [ok, refused])
+def test_reported_wait_is_kept_for_the_next_choice(tmp_path, reply) -> None:
+    """Answers and refusals say how long the next call would wait."""
+    fixture = Fixture(tmp_path)
+    fixture.send('read')
+    fixture.reply_to_call(
+        0, lambda run: msgspec.structs.replace(reply(run), wait_s=0.25)
+    )
+    estimate = fixture.peers.sent[0][0].estimate
+    assert estimate.wait_s(fixture.clock.monotonic()) == 0.25
