Count only refusals for load as load of the services below

A refusal by a daemon whose upstream is gone, or by an upstream that rejects a part of its calls at any load, counted as a load of 2. So entries cut their limits while other upstreams below had free slots.

test_only_refusals_for_load_count_as_load fails without the change for the reasons no_upstream and upstream_shed.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -58,6 +58,16 @@
 # this bound.
 RETRY_AFTER_LEFT_FRACTION: Final = 0.3
 RETRY_AFTER_MIN_S: Final = 0.05
+# Refusals that show a load; the others are of an upstream that is not there,
+# or that rejects a part of its calls at any load.
+_LOAD_REASONS: Final = frozenset(
+    {
+        enums.RefusalReason.OVERLOADED.value,
+        enums.RefusalReason.QUEUE_FULL.value,
+        enums.RefusalReason.DEADLINE_UNREACHABLE.value,
+        enums.RefusalReason.UPSTREAM_FULL.value,
+    }
+)
 # Deadline of a request that states none.
 DEFAULT_DEADLINE_S: Final = 30.0
 # Digits of a deadline in milliseconds that are read. A longer one lies years
@@ -619,7 +629,7 @@
             ):
                 self._redirect(call)
                 return
-            if call.counts_as_deep_load:
+            if call.counts_as_deep_load and reply.reason in _LOAD_REASONS:
                 self._downstream_load.note(deep_load.REFUSED_CALL_LOAD, now)
             self._handle_refusal(call, candidate, reply)
         elif reply.reason == enums.RefusalReason.MEMORY_FULL.value:
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -684,6 +684,23 @@
     assert [item.responses[0][0] for item in connections] == [502, 504, 504]
 
 
+# Pattern: an upstream below is gone, or rejects a part of its calls.
+@pytest.mark.parametrize(
+    ('reason', 'load'),
+    [('no_upstream', 0.0), ('upstream_shed', 0.0), ('overloaded', 2.0)],
+)
+def test_only_refusals_for_load_count_as_load(tmp_path, reason, load) -> None:
+    """Otherwise entries would refuse calls that others could take."""
+    fixture = Fixture(tmp_path)
+    fixture.upstream.makes_calls = True
+    fixture.send('peek', None, '10.0.0.9')
+    fixture.reply_to_call(
+        0, lambda run: msgspec.structs.replace(refused(run), reason=reason)
+    )
+    now = fixture.clock.monotonic()
+    assert fixture.downstream_load.load(now) == pytest.approx(load)
+
+
 # Pattern: uneven upstreams that make calls wait.
 @pytest.mark.parametrize('reply', [ok, refused])
 def test_reported_wait_is_kept_for_the_next_choice(tmp_path, reply) -> None:
