Use an upstream at once when it returns

Callers avoid a daemon for up to 4 s after failures in a row, also when these were refusals while its upstream was away, and counted them as errors for further seconds. When a daemon that is connected reports that its upstream accepts calls again, failures and errors from before are discarded. Those of a lost connection count on.

test_upstream_that_returns_is_used_at_once fails without the change (the method is missing; with is_serving set in place of it, no call goes there).

--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -118,6 +118,19 @@
         self.estimate.forget()
         self.record_reported_health(1.0, 0.0)
 
+    def record_serving(self, is_serving: bool) -> None:
+        """Record whether the daemon reports that its upstream accepts calls.
+
+        Failures before the return of an upstream say nothing about it.
+        """
+        if is_serving and not self.is_serving and self.is_reachable:
+            self.avoid_until = 0.0
+            self._failures = 0
+            self._error_fraction = 0.0
+            self._slowness = None
+            self.estimate.forget()
+        self.is_serving = is_serving
+
     def record_reported_load(self, load: float) -> None:
         """Record the load that a response reports."""
         self.load = load
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -137,7 +137,7 @@
             Monotonic time in seconds at which the ping was sent; None if the
             message replies to no ping of this connection.
         """
-        self.candidate.is_serving = pong.is_serving
+        self.candidate.record_serving(pong.is_serving)
         self.candidate.record_reported_load(pong.load)
         self.candidate.record_reported_health(pong.slowness, pong.errors)
         self.has_store_access = pong.has_store_access
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -235,7 +235,7 @@
 
     def set_serving(self, is_serving: bool) -> None:
         """Send all peers whether this daemon accepts calls."""
-        self._own_candidate.is_serving = is_serving
+        self._own_candidate.record_serving(is_serving)
         self._own_candidate.record_reported_load(self._upstream.load)
         self._send_status()
         if is_serving:
@@ -633,7 +633,7 @@
             return
         candidate = link.candidate
         was_serving = candidate.is_serving
-        candidate.is_serving = status.is_serving
+        candidate.record_serving(status.is_serving)
         candidate.record_reported_load(status.load)
         candidate.record_reported_health(status.slowness, status.errors)
         if status.is_serving and not was_serving and candidate.is_reachable:
--- a/tests/coordination/test_upstream_choice.py
+++ b/tests/coordination/test_upstream_choice.py
@@ -213,3 +213,32 @@
     assert fractions['lossy'] >= 0.5
     full.load = 3.0
     assert measure_fractions(choice, [lossy, full])['lossy'] == 0.0
+
+
+# Pattern: an upstream crashes and comes back while the others are busy.
+def test_upstream_that_returns_is_used_at_once() -> None:
+    """Refusals while it was away do not keep calls from it for seconds."""
+    manual_clock = clock.ManualClock()
+    choice = make_choice(manual_clock)
+    returning = make_candidate('returning', load=0.1)
+    busy = make_candidate('busy', load=0.8)
+    for _ in range(8):
+        returning.note_failure(manual_clock.monotonic())
+    returning.record_serving(False)
+    assert choice.pick([returning, busy]) is busy
+    returning.record_serving(True)
+    assert measure_fractions(choice, [returning, busy])['returning'] == 1.0
+
+
+# Pattern: connections to a daemon are reset again and again.
+def test_connection_that_returns_is_still_avoided() -> None:
+    """Calls that were lost with the connection count on."""
+    manual_clock = clock.ManualClock()
+    choice = make_choice(manual_clock)
+    unsteady = make_candidate('unsteady', load=0.1)
+    busy = make_candidate('busy', load=0.8)
+    unsteady.note_failure(manual_clock.monotonic())
+    unsteady.is_reachable = unsteady.is_serving = False
+    unsteady.record_serving(True)
+    unsteady.is_reachable = True
+    assert choice.pick([unsteady, busy]) is busy
