--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -639,3 +639,16 @@
     case.respond()
     assert isinstance(case.replies[0], frames.CallFailed)
     assert not case.side.running
+
+
+# Pattern: uneven upstreams; callers compare what a call would wait at each.
+def test_answer_of_a_full_upstream_says_how_long_the_next_call_waits(
+    tmp_path,
+) -> None:
+    """It follows from the time for which calls occupy one of 19 slots."""
+    case = Case(tmp_path)
+    for _ in range(20):
+        case.submit(is_inner=True)
+    case.clock.advance(0.19)
+    case.respond()
+    assert case.replies[0].wait_s == pytest.approx(0.01)
