--- a/sassafraswood/coordination/upstream_choice.py
+++ b/sassafraswood/coordination/upstream_choice.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sassafraswood import clock as clock_module
+from sassafraswood.coordination import completion_estimate
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 
@@ -78,6 +79,7 @@
         pace_per_s: Calls per second that the upstream is given while it is
             cold or recovers; 0 if they are not limited.
         paced_share: Fraction of its usual calls that it gets meanwhile.
+        estimate: Expected wait and duration of calls.
     """
 
     def __init__(self, member: fleet.Member) -> None:
@@ -89,6 +91,7 @@
         self.avoid_until = 0.0
         self.pace_per_s = 0.0
         self.paced_share = 1.0
+        self.estimate = completion_estimate.CompletionEstimate()
         self._slowness: float | None = None
         self._error_fraction = 0.0
         self._reported_slowness = 1.0
@@ -124,6 +127,7 @@
     def forget(self) -> None:
         """Discard the known slowness after the connection was lost."""
         self._slowness = None
+        self.estimate.forget()
         self.record_reported_health(1.0, 0.0)
         self.record_pace(0.0)
 
@@ -145,6 +149,19 @@
                 MIN_PACED_SHARE, PACED_SHARE_CUT * self.paced_share
             )
 
+    def record_serving(self, is_serving: bool) -> None:
+        """Record whether the daemon reports that its upstream accepts calls.
+
+        Failures before the return of an upstream say nothing about it.
+        """
+        if is_serving and not self.is_serving and self.is_reachable:
+            self.avoid_until = 0.0
+            self._failures = 0
+            self._error_fraction = 0.0
+            self._slowness = None
+            self.estimate.forget()
+        self.is_serving = is_serving
+
     def record_reported_load(self, load: float) -> None:
         """Record the load that a response reports."""
         self.load = load
@@ -160,6 +177,7 @@
         if self.pace_per_s:
             self.paced_share = min(1.0, PACED_SHARE_GROWTH * self.paced_share)
         self._update_error_fraction(0.0, now)
+        self.estimate.note_duration(slowness)
         if self._slowness is None:
             self._slowness = slowness
         else:
@@ -280,12 +298,14 @@
         self,
         candidates: Iterable[Candidate],
         tried: Sequence[ids.DaemonId] = (),
+        route: str = '',
     ) -> Candidate | None:
         """Return the daemon to send a call to, or None if there is none.
 
         Args:
             candidates: The daemons of the service.
             tried: Daemons to leave out, as they were tried for this call.
+            route: Name of the route of the call.
         """
         now = self._clock.monotonic()
         usable = [
@@ -300,14 +320,17 @@
         trusted = [item for item in usable if item.avoid_until <= now]
         if any(item.load < MAX_TRUSTED_LOAD for item in trusted):
             usable = trusted
-        chosen = self._select(usable, now)
+        baseline_s = self._baseline_s.get(route, 0.0)
+        chosen = self._select(usable, baseline_s, now)
         if chosen.pace_per_s and self._random.random() >= chosen.paced_share:
             unpaced = [item for item in usable if not item.pace_per_s]
             if unpaced:
-                return self._select(unpaced, now)
+                return self._select(unpaced, baseline_s, now)
         return chosen
 
-    def _select(self, usable: list[Candidate], now: float) -> Candidate:
+    def _select(
+        self, usable: list[Candidate], baseline_s: float, now: float
+    ) -> Candidate:
         if len(usable) == 1:
             return usable[0]
         comparison = _Comparison(usable, now)
@@ -319,8 +342,61 @@
         chosen = self._select_best(local, comparison)
         if chosen is not None and comparison.is_good_enough(chosen):
             return chosen
+        if (
+            chosen is None or comparison.is_healthy(chosen)
+        ) and completion_estimate.are_uneven(
+            [item.estimate for item in usable]
+        ):
+            return self._select_earliest(
+                chosen, usable, comparison, baseline_s
+            )
         return self._draw_weighted(usable, comparison)
 
+    def _select_earliest(
+        self,
+        local: Candidate | None,
+        candidates: list[Candidate],
+        comparison: '_Comparison',
+        baseline_s: float,
+    ) -> Candidate:
+        """Return the candidate that begins a call first.
+
+        Of the other failure domains two are compared: the best of all would
+        get the calls of all callers until its load is reported.
+
+        Args:
+            local: Best candidate of the own failure domain, if there is one.
+            candidates: All candidates.
+            comparison: Comparison of the candidates.
+            baseline_s: Usual duration of the call in seconds.
+        """
+        remote = [
+            item
+            for item in candidates
+            if item.member.failure_domain != self._domain
+            and comparison.is_healthy(item)
+        ]
+        if not remote:
+            return local or self._draw_weighted(candidates, comparison)
+        if len(remote) > 2:
+            remote = self._random.sample(remote, 2)
+        now = comparison.now
+        delay_s, _, index = min(
+            (
+                completion_estimate.compute_remote_delay_s(
+                    item.estimate, item.load, baseline_s, now
+                ),
+                item.load,
+                index,
+            )
+            for index, item in enumerate(remote)
+        )
+        if local is not None and not completion_estimate.should_spill(
+            local.estimate, delay_s, baseline_s, now
+        ):
+            return local
+        return remote[index]
+
     def has_spare(
         self,
         candidates: Iterable[Candidate],
@@ -394,7 +470,7 @@
     """Compares the candidates of one call with the best of them."""
 
     def __init__(self, candidates: list[Candidate], now: float) -> None:
-        self._now = now
+        self.now = now
         self.best_slowness = min(
             self._bounded_slowness(item) for item in candidates
         )
@@ -406,28 +482,31 @@
         """Return the slowness (1 if unknown), raised by overdue calls."""
         # Overdue calls raise the value before the first slow response.
         return self._bounded_slowness(candidate) * (
-            1.0 + candidate.overdue(self._now)
+            1.0 + candidate.overdue(self.now)
         )
 
     def _bounded_slowness(self, candidate: Candidate) -> float:
-        slowness = candidate.slowness(self._now)
+        slowness = candidate.slowness(self.now)
         return 1.0 if slowness is None else max(1e-3, slowness)
 
     def success_weight(self, candidate: Candidate) -> float:
         """Return a weight that falls with errors beyond those of the best."""
         excess_errors = (
-            candidate.errors(self._now) - self._lowest_error_fraction
+            candidate.errors(self.now) - self._lowest_error_fraction
         )
         return max(0.01, 1.0 - excess_errors) ** ERROR_EXPONENT
 
     def is_good_enough(self, candidate: Candidate) -> bool:
         """Return whether a local candidate needs no comparison with others."""
+        return candidate.load < LOCAL_MAX_LOAD and self.is_healthy(candidate)
+
+    def is_healthy(self, candidate: Candidate) -> bool:
+        """Return whether a candidate is neither slow nor has many errors."""
         excess_errors = (
-            candidate.errors(self._now) - self._lowest_error_fraction
+            candidate.errors(self.now) - self._lowest_error_fraction
         )
         return (
-            candidate.load < LOCAL_MAX_LOAD
-            and excess_errors < LOCAL_MAX_EXCESS_ERRORS
+            excess_errors < LOCAL_MAX_EXCESS_ERRORS
             and self.slowness(candidate)
             <= LOCAL_MAX_SLOWNESS_RATIO * self.best_slowness
         )
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -196,7 +196,6 @@
         self._is_serving = False
         self._in_flight = 0
         self._schedule = call_schedule.CallSchedule()
-        self._starts = call_schedule.StartRate()
         self._starts_since_slack = 0
         # Waiting inner calls from MIN_URGENT_URGENCY on, the others, and those
         # of call trees with slack.
@@ -256,35 +255,6 @@
                 waits[f'{name}/{urgency:.2f}'] = round(now - oldest_at, 3)
         return waits
 
-    def estimate_wait_s(self, call: GateCall) -> float:
-        """Return how long another call of the same kind would wait.
-
-        Returns:
-            Time in seconds by the queue and the recent rate of starts, at
-            most the time that the call was given.
-        """
-        if not self._waiting_count:
-            return 0.0
-        now = self._clock.monotonic()
-        if call.is_inner:
-            calls = (
-                len(self._urgent_inner)
-                + len(self._inner)
-                + len(self._slack_inner)
-            )
-            starts = self._starts
-        else:
-            route = self._routes.get(call.kind)
-            if route is None:
-                return 0.0
-            calls = len(route.queue)
-            starts = route.schedule.starts
-        if not calls:
-            return 0.0
-        return min(
-            starts.compute_wait_s(calls, now), call.deadline - call.queued_at
-        )
-
     def compute_inner_wait_s(self, parent: GateCall) -> float:
         """Return how long a call that a run makes may wait for its start.
 
@@ -312,6 +282,22 @@
         calls = route.limit.in_flight + len(route.queue)
         return max(load, calls / max(1.0, route.limit.limit))
 
+    def compute_wait_s(self, call: GateCall, slot_s: float) -> float:
+        """Return the time that another call of the same kind would wait.
+
+        Args:
+            call: A call of the kind.
+            slot_s: Mean time that calls occupy a slot, in seconds.
+        """
+        wait_s = 0.0
+        if self._capacity and self._in_flight >= self._capacity:
+            wait_s = slot_s * (1 + self._waiting_count) / self._capacity
+        route = None if call.is_inner else self._routes.get(call.kind)
+        if route is not None and not self._has_capacity(call.route, route):
+            count = 1 + len(route.queue)
+            wait_s = max(wait_s, slot_s * count / route.limit.limit)
+        return wait_s
+
     def set_upstream(self, slots: int) -> None:
         """Set the slots of the upstream and start waiting calls."""
         self._capacity = _compute_capacity(slots)
@@ -608,7 +594,6 @@
         call.started_at = now
         self._in_flight += 1
         self.pace.note_start(now)
-        self._starts.note_start(now)
         self.tree.start(call)
         if not call.is_inner:
             route = self._routes[call.kind]
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -58,6 +58,16 @@
 # Fraction of its timeout that a call of the local upstream may wait for a
 # daemon; it is larger since a refusal wastes the work of the whole call tree.
 INNER_DAEMON_WAIT_FRACTION: Final = 0.5
+# Refusals that show a load; the others are of an upstream that is not there,
+# or that rejects a part of its calls at any load.
+_LOAD_REASONS: Final = frozenset(
+    {
+        enums.RefusalReason.OVERLOADED.value,
+        enums.RefusalReason.QUEUE_FULL.value,
+        enums.RefusalReason.DEADLINE_UNREACHABLE.value,
+        enums.RefusalReason.UPSTREAM_FULL.value,
+    }
+)
 # Deadline of a request that states none.
 DEFAULT_DEADLINE_S: Final = 30.0
 # Digits of a deadline in milliseconds that are read. A longer one lies years
@@ -469,10 +479,11 @@
             self._refuse(call, 503, enums.RefusalReason.DRAINING.value)
             return
         candidates = self._peers.candidates(call.service)
-        candidate = self._choice.pick(candidates, call.tried_daemon_ids)
+        route = call.route.name
+        candidate = self._choice.pick(candidates, call.tried_daemon_ids, route)
         if candidate is None and call.redirect_count:
             # The daemons with full upstreams are left.
-            candidate = self._choice.pick(candidates)
+            candidate = self._choice.pick(candidates, (), route)
         if candidate is None:
             self._wait_for_daemon(call)
             return
@@ -606,6 +617,8 @@
             self._handle_failure(call, 'peer_lost')
             return
         candidate.record_reported_load(reply.load)
+        if not isinstance(reply, frames.CallFailed):
+            candidate.estimate.note_wait(reply.wait_s, now)
         if isinstance(reply, frames.Answer):
             candidate.record_pace(reply.pace_per_s)
             self._choice.note_response(
@@ -628,7 +641,7 @@
             ):
                 self._redirect(call, reply.reason)
                 return
-            if call.counts_as_deep_load:
+            if call.counts_as_deep_load and reply.reason in _LOAD_REASONS:
                 self._downstream_load.note(deep_load.REFUSED_CALL_LOAD, now)
             self._handle_refusal(call, candidate, reply)
         elif reply.reason == enums.RefusalReason.MEMORY_FULL.value:
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -147,7 +147,7 @@
             Monotonic time in seconds at which the ping was sent; None if the
             message replies to no ping of this connection.
         """
-        self.candidate.is_serving = pong.is_serving
+        self.candidate.record_serving(pong.is_serving)
         self.candidate.record_reported_load(pong.load)
         self.candidate.record_reported_health(pong.slowness, pong.errors)
         self.candidate.record_pace(pong.pace_per_s)
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -264,7 +264,7 @@
 
     def set_serving(self, is_serving: bool) -> None:
         """Send all peers whether this daemon accepts calls."""
-        self._own_candidate.is_serving = is_serving
+        self._own_candidate.record_serving(is_serving)
         self._own_candidate.record_reported_load(self._upstream.load)
         self._send_status()
         if is_serving:
@@ -673,7 +673,7 @@
             return
         candidate = link.candidate
         was_serving = candidate.is_serving
-        candidate.is_serving = status.is_serving
+        candidate.record_serving(status.is_serving)
         candidate.record_reported_load(status.load)
         candidate.record_reported_health(status.slowness, status.errors)
         candidate.record_pace(status.pace_per_s)
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -6,6 +6,7 @@
 
 from sassafraswood import clock as clock_module
 from sassafraswood.coordination import call_depth
+from sassafraswood.coordination import completion_estimate
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import evacuation
@@ -134,6 +135,7 @@
         self._noted_report: fleet.UpstreamReport | None = None
         self._noted_process: fleet.UpstreamProcess | None = None
         self._logged_reason: enums.PaceReason | None = None
+        self._slot_time = completion_estimate.SlotTime()
         self.running: set[UpstreamCall] = set()
         # Bodies of calls that have not ended.
         self.bodies = held_bytes.ByteBudget(limit=sys.maxsize)
@@ -188,6 +190,8 @@
             ),
             limits=self._gate.route_limits(),
             waits=self._gate.route_waits(),
+            slot_s=round(self._slot_time.mean_s, 4),
+            slowness=round(self.health.slowness, 2),
         )
 
     def refresh(self) -> None:
@@ -214,6 +218,7 @@
             if not was_serving:
                 self._pace.note_recovery()
                 self.health.reset()
+                self._slot_time.reset()
                 self._set_serving(True, status, report.instance_id)
             return
         if self._gate.is_serving:
@@ -487,7 +492,12 @@
         self, call: UpstreamCall, outcome: exchange.Outcome
     ) -> None:
         if isinstance(outcome, exchange.Response):
-            self.health.note_end(id(call), is_error=outcome.status >= 500)
+            is_error = outcome.status >= 500
+            self.health.note_end(id(call), is_error=is_error)
+            if not is_error:
+                self._slot_time.note_end(
+                    self._clock.monotonic() - call.started_at
+                )
         elif outcome not in exchange.NOTHING_SENT:
             self.health.note_end(id(call), is_error=True)
         if self._pace.is_found:
@@ -578,7 +588,7 @@
                 ),
                 depth=self._depth_of(run.route),
                 pace_per_s=self.pace_per_s,
-                wait_s=self._gate.estimate_wait_s(call),
+                wait_s=self._gate.compute_wait_s(call, self._slot_time.mean_s),
             ),
         )
 
@@ -637,7 +647,7 @@
                 has_reached_upstream=has_reached_upstream,
                 load=self._gate.compute_kind_load(call),
                 pace_per_s=self.pace_per_s,
-                wait_s=self._gate.estimate_wait_s(call),
+                wait_s=self._gate.compute_wait_s(call, self._slot_time.mean_s),
             ),
         )
 
--- a/tests/coordination/test_upstream_choice.py
+++ b/tests/coordination/test_upstream_choice.py
@@ -234,3 +234,22 @@
     for candidate in cold:
         candidate.record_pace(0.0)
     assert measure_fractions(choice, [*cold, warm])['warm'] == 0.0
+
+
+# Pattern: an upstream crashes and comes back while the others are busy.
+def test_upstream_that_returns_is_used_at_once() -> None:
+    """Refusals while it was away do not keep calls from it for seconds."""
+    manual_clock = clock.ManualClock()
+    choice = make_choice(manual_clock)
+    returning = make_candidate('returning', load=0.1)
+    busy = make_candidate('busy', load=0.8)
+    for _ in range(8):
+        returning.note_failure(manual_clock.monotonic())
+    # A connection that returns proves nothing.
+    returning.is_reachable = returning.is_serving = False
+    returning.record_serving(True)
+    returning.is_reachable = True
+    assert choice.pick([returning, busy]) is busy
+    returning.record_serving(False)
+    returning.record_serving(True)
+    assert measure_fractions(choice, [returning, busy])['returning'] == 1.0
--- a/tests/coordination/test_upstream_gate.py
+++ b/tests/coordination/test_upstream_gate.py
@@ -387,3 +387,23 @@
     gate.gate.finish(calls[0])
     assert gate.started == ['other']
     assert gate.refused == {'late': enums.RefusalReason.DEADLINE_UNREACHABLE}
+
+
+# Pattern: more calls than slots, at upstreams that slow down above 95 percent.
+@pytest.mark.parametrize('slots', [20, 44, 64, 68, 86, 100])
+def test_full_gate_stays_below_the_knee(slots) -> None:
+    """Rounding leaves at least 5 percent of the slots unused."""
+    capacity = Gate(slots=slots).gate.capacity
+    assert 0.95 * slots - 1 < capacity <= 0.95 * slots
+
+
+# Pattern: uneven upstreams; callers compare what they would wait at each.
+def test_wait_follows_the_queue_and_the_slot_time() -> None:
+    """A free slot means no wait, a queue as many calls as are ahead."""
+    gate = Gate()
+    calls = gate.fill()
+    gate.gate.finish(calls.pop())
+    assert gate.gate.compute_wait_s(calls[0], 0.19) == 0.0
+    for index in range(6):
+        gate.submit(f'inner{index}', is_inner=True)
+    assert gate.gate.compute_wait_s(calls[0], 0.19) == pytest.approx(0.06)
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -110,6 +110,8 @@
         self.log_file = open(tmp_path / 'log', 'wb')
         self.stop_plan = stop_plan.StopPlan(self.clock)
         self.unsent_bytes = 0
+        self.upstream = FakeUpstream()
+        self.downstream_load = deep_load.DownstreamLoad()
         self.answer_memory = answer_memory.AnswerMemory(
             self.clock, lambda: self.unsent_bytes
         )
@@ -129,8 +131,8 @@
             choice=upstream_choice.UpstreamSelector(
                 clock=self.clock, random=source, domain='a'
             ),
-            upstream=FakeUpstream(),
-            downstream_load=deep_load.DownstreamLoad(),
+            upstream=self.upstream,
+            downstream_load=self.downstream_load,
             depth=call_depth.CallDepth(),
             crashes=self.crashes,
             log=json_log.JsonLog('own', self.log_file.fileno()),
@@ -743,3 +745,25 @@
     # Later calls do not go there.
     fixture.send('pay')
     assert fixture.peers.sent[-1][0] is fixture.peers.sent[-2][0]
+
+
+# Pattern: an upstream below is gone, or rejects a part of its calls.
+@pytest.mark.parametrize(
+    ('reason', 'load'),
+    [('no_upstream', 0.0), ('upstream_shed', 0.0), ('overloaded', 2.0)],
+)
+def test_only_refusals_for_load_count_as_load(tmp_path, reason, load) -> None:
+    """Otherwise entries would refuse calls that others could take."""
+    fixture = Fixture(tmp_path)
+    fixture.upstream.makes_calls = True
+    fixture.send('peek', None, '10.0.0.9')
+    fixture.reply_to_call(
+        0,
+        lambda run: msgspec.structs.replace(
+            refused(run), reason=reason, wait_s=0.25
+        ),
+    )
+    now = fixture.clock.monotonic()
+    assert fixture.downstream_load.load(now) == pytest.approx(load)
+    # The wait is kept for the next choice.
+    assert fixture.peers.sent[0][0].estimate.wait_s(now) == 0.25
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -775,3 +775,16 @@
     case.respond(5, 503, not_run=b'1')
     flood(case)
     assert len(case.side.running) == 7
+
+
+# Pattern: uneven upstreams; callers compare what a call would wait at each.
+def test_answer_of_a_full_upstream_says_how_long_the_next_call_waits(
+    tmp_path,
+) -> None:
+    """It follows from the time for which calls occupy one of 19 slots."""
+    case = Case(tmp_path)
+    for _ in range(20):
+        case.submit(is_inner=True)
+    case.clock.advance(0.19)
+    case.respond()
+    assert case.replies[0].wait_s == pytest.approx(0.01)
