--- a/lab/process_site.py
+++ b/lab/process_site.py
@@ -130,6 +130,15 @@
         if not self._writer.is_closing():
             self._writer.write(data)
 
+    async def async_send(self, data: bytes) -> None:
+        """Send bytes as fast as the daemon takes them.
+
+        Raises:
+            OSError: The connection has ended.
+        """
+        self._writer.write(data)
+        await self._writer.drain()
+
     def end_sending(self) -> None:
         """End the direction to the daemon only."""
         self._writer.write_eof()
