Count what the connections of clients hold in one budget

A crowd of clients that stop within their requests made a daemon exceed the memory of its VM. Refused bodies were kept until their connection closed; each chunk took an object of its own; heads, requests that wait behind others and the listeners for readiness, reports and metrics were not counted against a common limit.

ClientBudget counts all of it and decides which incomplete requests are given up while it is full: those of the address that holds most, the slowest first. A body over the limit is rejected by its length, chunks are joined, and a body of more than 4 KiB that no route or handler needs is read and dropped. One request at a time may exceed the limit, so that a large body is served in calm. If a route comes into force while a body is dropped, the request is refused with 503, never passed on without it.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -262,6 +262,12 @@
         if route is None:
             self._refuse_request(request, 404, 'unknown_route')
             return
+        if not request.has_body:
+            # The route was added after the body was dropped.
+            self._refuse_request(
+                request, 503, 'body_dropped', retry_after_s=0.0
+            )
+            return
         call = caller_call.CallerCall(
             request, route, self._splits[route.name].next()
         )
@@ -307,6 +313,11 @@
         )
         return True
 
+    def needs_body(self, request: ingress.IngressRequest) -> bool:
+        """Return whether the request has a route."""
+        path = request.target.partition(b'?')[0]
+        return self._index.find(request.host, path) is not None
+
     def abandon(self, request: ingress.IngressRequest) -> None:
         """Cancel the call of a request whose client closed the connection."""
         call = request.context
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -30,6 +30,11 @@
         """Respond with 200 if the daemon is ready, else with 503."""
         request.reply(200 if self._is_ready() else 503)
 
+    def needs_body(self, request: ingress.IngressRequest) -> bool:
+        """Return False, since a check has no body."""
+        del request
+        return False
+
     def abandon(self, request: ingress.IngressRequest) -> None:
         """Do nothing, since every request gets its response at once."""
 
@@ -62,6 +67,11 @@
             exposition.Exposition(self._metrics).render(),
         )
 
+    def needs_body(self, request: ingress.IngressRequest) -> bool:
+        """Return False, since a scrape has no body."""
+        del request
+        return False
+
     def abandon(self, request: ingress.IngressRequest) -> None:
         """Do nothing, since every request gets its response at once."""
 
@@ -114,6 +124,11 @@
             return
         self._upstream_log.record_leave(leave, lambda: _acknowledge(request))
 
+    def needs_body(self, request: ingress.IngressRequest) -> bool:
+        """Return True, since the body is the report."""
+        del request
+        return True
+
     def abandon(self, request: ingress.IngressRequest) -> None:
         """Do nothing, since a leave is stored even without its sender."""
 
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -14,6 +14,7 @@
 from sassafraswood import const
 from sassafraswood.coordination import answer_memory
 from sassafraswood.coordination import call_depth
+from sassafraswood.coordination import client_budget
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import peer_plan
@@ -94,6 +95,8 @@
 # not read, and for bodies of calls at the upstream. Each body is held twice
 # while it is forwarded, and the process itself takes a tenth of the memory.
 BODY_MEMORY_FRACTION: Final = 0.15
+# Fraction that one request at a time may hold apart from these.
+SINGLE_BODY_FRACTION: Final = 0.2
 # Fraction of the free descriptors that connections of callers leave to others:
 # to the upstream, one for each running call, to peers, and to local servers.
 DESCRIPTOR_RESERVE_FRACTION: Final = 0.6
@@ -311,7 +314,12 @@
             self._metrics_server,
         )
         body_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
-        self._caller_server.held.limit = body_bytes
+        self._client_budget = client_budget.ClientBudget(body_bytes)
+        self._client_budget.max_single_bytes = int(
+            SINGLE_BODY_FRACTION * settings.memory_bytes
+        )
+        for server in self._servers:
+            server.held = self._client_budget
         self._pool.held.limit = body_bytes
         self._upstream.bodies.limit = body_bytes
         self._peers.max_unsent_bytes = body_bytes
@@ -828,7 +836,8 @@
         metrics.gauge('upstream_running', len(self._upstream.running))
         metrics.gauge('upstream_load', self._upstream.load)
         metrics.gauge('upstream_connects', self._pool.connect_count)
-        metrics.gauge('request_bytes_held', self._caller_server.held.count)
+        metrics.gauge('request_bytes_held', self._client_budget.count)
+        metrics.gauge('requests_evicted', self._client_budget.evicted_count)
         metrics.gauge('answer_bytes_held', self._pool.held.count)
         metrics.gauge('call_bytes_held', self._upstream.bodies.count)
         metrics.gauge(
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -16,9 +16,9 @@
 
 import httptools
 
+from sassafraswood.coordination import client_budget
 from sassafraswood.models import fields
 from sassafraswood.models import traffic
-from sassafraswood.state import held_bytes
 from sassafraswood.transport import acceptor
 from sassafraswood.transport import exchange
 from sassafraswood.transport import json_log
@@ -27,16 +27,24 @@
 # Requests on one connection that wait for the response to an earlier one; from
 # this number on, received bytes are kept unparsed.
 MAX_PIPELINED_REQUESTS: Final = 16
-# Bytes that are parsed at once, so that they hold few requests.
+# Bytes that are parsed at once: of a body, of what was received at once, and
+# otherwise, so that they hold few requests.
 MAX_PARSED_BYTES: Final = 16 * 1024
+MAX_DIRECT_BYTES: Final = 4 * 1024
+MAX_PARSED_HEAD_BYTES: Final = 1024
 # Unparsed bytes of one client above which nothing more is received from it.
-MAX_KEPT_BYTES: Final = 64 * 1024
+MAX_KEPT_BYTES: Final = 32 * 1024
+# Bytes of responses that a client has not read, above which none of its
+# further requests is handled.
+MAX_UNREAD_BYTES: Final = 16 * 1024
+# Time without progress after which clients that do not read their responses
+# are disconnected, where these fill the memory for them.
+UNREAD_STALL_S: Final = 2.0
 LISTEN_BACKLOG: Final = 1024
 # Larger bodies are not copied behind the head of their response.
 MAX_COPIED_BYTES: Final = 64 * 1024
-# Allowed beyond the header limit, since the event loop reads up to 256 KiB at
-# a time.
-MAX_READ_BYTES: Final = 256 * 1024
+# Allowed beyond the header limit for what is parsed at once, and for framing.
+MAX_FRAMING_BYTES: Final = 2 * MAX_PARSED_BYTES
 # Time between the decision to close an idle connection and its close, in which
 # a request is read that arrived before the decision.
 IDLE_CLOSE_DELAY_S: Final = 0.01
@@ -117,6 +125,9 @@
         key: API key; empty if its scheme is unknown, None without the field.
         received_at: Time of the event loop when the request was complete.
         is_closing: Whether the client asked to close the connection.
+        has_body: Whether the body is complete; otherwise it was dropped,
+            since the handler did not need it.
+        held_bytes: Bytes that are reserved for the request.
         context: State that the handler keeps for the request.
     """
 
@@ -126,7 +137,9 @@
         'connection',
         'context',
         'deadline_ms',
+        'has_body',
         'head',
+        'held_bytes',
         'host',
         'is_closing',
         'key',
@@ -148,6 +161,8 @@
         self.key: bytes | None = None
         self.received_at = 0.0
         self.is_closing = False
+        self.has_body = True
+        self.held_bytes = 0
         self.context: typing.Any = None
 
     def reply(
@@ -172,6 +187,12 @@
     def handle(self, request: IngressRequest) -> None:
         """Handle a complete request; its reply may be sent later."""
 
+    def needs_body(self, request: IngressRequest) -> bool:
+        """Return whether a request with a large body may need it.
+
+        The head of the request is complete.
+        """
+
     def abandon(self, request: IngressRequest) -> None:
         """Stop handling a request that gets no response of the handler.
 
@@ -207,7 +228,12 @@
         self._sent_ahead_bytes = 0
         self._probe_timer: asyncio.TimerHandle | None = None
         self._close_timer: asyncio.TimerHandle | None = None
-        # Header fields that delimit the body of the incomplete request.
+        # Encoded fields of the incomplete request that are forwarded, their
+        # size, and the names of fields that are not.
+        self._head: list[bytes] = []
+        self._header_bytes = 0
+        self._removed_fields: set[bytes] = set()
+        # Header fields that delimit its body.
         self._framing: list[bytes] = []
         # Whether the client of the incomplete request waits for an interim
         # response before it sends the body.
@@ -231,8 +257,20 @@
         # Idle limit when the connection began or its last response was sent.
         self._idle_limit_s = server.limits.idle_timeout_s
         self.peer = ''
-        self._body: list[bytes] = []
+        # The only part of a body, or all parts of it.
+        self._body_part = b''
+        self._body = bytearray()
         self._body_bytes = 0
+        # Value of the Content-Length field; -1 without one.
+        self._content_length = -1
+        # Bytes that are reserved for the incomplete request, and those of
+        # them for its head.
+        self.held_bytes = 0
+        self._held_head_bytes = 0
+        self._is_holder = False
+        # Whether the body of the incomplete request is needed; None before
+        # the handler was asked.
+        self._needs_body: bool | None = None
         # Bytes received since the parser last completed a header, a part of a
         # body or a request.
         self._unparsed_bytes = 0
@@ -351,7 +389,10 @@
         if self.has_unsent_data or (
             self._is_closing and self._undelivered_bytes
         ):
-            if self._measure_stall_s(now) > limits.idle_timeout_s:
+            limit_s = limits.idle_timeout_s
+            if self._server.is_short_of_memory:
+                limit_s = min(limit_s, UNREAD_STALL_S)
+            if self._measure_stall_s(now) > limit_s:
                 self.abort()
         elif self._incomplete is not None:
             is_slow = (
@@ -400,12 +441,17 @@
         """Close the connection, and refuse a request that is incomplete."""
         state = self.state
         if state is ClientState.RECEIVING:
-            self._reject(503, b'Retry-After: %.3f\r\n' % RETRY_AFTER_S)
+            self._refuse_incomplete()
         elif state in _SILENT_STATES:
             self._close_silent()
         else:
             self.close()
 
+    def evict(self) -> None:
+        """Refuse the incomplete request to make room for others."""
+        if self._incomplete is not None:
+            self._refuse_incomplete()
+
     def close_if_unused(self) -> None:
         """Close the connection soon, if it is idle and not a new one."""
         if self.may_be_closed and not self.awaits_first_request:
@@ -440,6 +486,7 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         peername = transport.get_extra_info('peername')
         self.peer = peername[0] if peername else ''
+        self._transport.set_write_buffer_limits(MAX_UNREAD_BYTES)
         self._server.connections.add(self)
         self._server.note_accepted(connection.fileno())
 
@@ -448,7 +495,7 @@
         self._received_bytes += len(data)
         if (
             self._kept
-            or len(data) > MAX_PARSED_BYTES
+            or len(data) > MAX_DIRECT_BYTES
             or len(self._pending) >= MAX_PIPELINED_REQUESTS
         ):
             self._keep(data)
@@ -482,6 +529,53 @@
             self._reject(400)
         else:
             self._limit_unparsed_bytes(len(data))
+            if self._incomplete is not None:
+                self._count_incomplete()
+
+    def _count_incomplete(self) -> None:
+        """Reserve memory for the head of an incomplete request."""
+        if not self._is_holder:
+            self._is_holder = True
+            self._server.held.add(self)
+        size = (
+            self._header_bytes
+            + self._unparsed_bytes
+            + client_budget.FIELD_BYTES
+            * (
+                len(self._head)
+                + len(self._framing)
+                + len(self._removed_fields)
+            )
+            - client_budget.FREE_HEAD_BYTES
+        )
+        if size <= self._held_head_bytes:
+            return
+        if self._take(size - self._held_head_bytes):
+            self._held_head_bytes = size
+        else:
+            self._refuse_incomplete()
+
+    def _take(self, size: int) -> bool:
+        """Reserve memory for the incomplete request.
+
+        Requests of other clients are refused if there is no room and they
+        are to be given up first.
+
+        Returns:
+            Whether it was reserved.
+        """
+        held = self._server.held
+        if not held.take(size) and not held.take_single(size, self):
+            for victim in held.find_victims(size, self, self._loop.time()):
+                typing.cast(IngressConnection, victim).evict()
+            if not held.take(size):
+                return False
+        self.held_bytes += size
+        return True
+
+    def _refuse_incomplete(self) -> None:
+        """Refuse a request of which nothing was forwarded."""
+        self._reject(503, b'Retry-After: %.3f\r\n' % RETRY_AFTER_S)
 
     def eof_received(self) -> bool:
         """Answer the requests that were read, then close.
@@ -577,17 +671,16 @@
                 timer.cancel()
         self._probe_timer = self._close_timer = None
         self._incomplete = None
-        self._body = []
         self._server.connections.discard(self)
         self._server.forget_unsent(self)
         current, self._current = self._current, None
         self._release_incomplete()
         self._take_kept(len(self._kept))
         for request in self._pending:
-            self._server.held.release(len(request.body))
+            self._release(request)
         self._pending.clear()
         if current is not None:
-            self._server.held.release(len(current.body))
+            self._release(current)
             self._abandon(current)
             current.context = None
 
@@ -608,11 +701,12 @@
             return
         self._incomplete = IngressRequest(self)
         self.since = self._loop.time()
-        self._head: list[bytes] = []
-        self._body = []
+        self._head = []
         self._framing = []
+        self._content_length = -1
+        self._needs_body = None
         self._expects_continue = False
-        self._removed_fields: set[bytes] = set()
+        self._removed_fields = set()
         self._header_bytes = 0
 
     def on_url(self, url: bytes) -> None:
@@ -648,6 +742,8 @@
                 self._record_named_fields(value)
             elif lower in (b'content-length', b'transfer-encoding'):
                 self._framing.append(b'%b: %b\r\n' % (name, value))
+                if lower == b'content-length' and value.isdigit():
+                    self._content_length = int(value)
             return
         elif lower == b'expect':
             # Clients of HTTP/1.0 know no interim responses.
@@ -660,9 +756,19 @@
         self._head.append(b'%b: %b\r\n' % (name, value))
 
     def on_headers_complete(self) -> None:
-        """Record that the header is complete."""
+        """Record that the header is complete, or reject the request.
+
+        Raises:
+            RequestRejectedError: The body is to exceed its limit.
+        """
         self._unparsed_bytes = 0
         self._is_behind_head = False
+        if (
+            self._content_length > self._server.limits.max_body_bytes
+            and self._incomplete is not None
+        ):
+            self._reject(413)
+            raise RequestRejectedError('body exceeds max_body_bytes')
         self._continue_if_expected()
 
     def _continue_if_expected(self) -> None:
@@ -691,12 +797,42 @@
         if self._body_bytes + len(data) > self._server.limits.max_body_bytes:
             self._reject(413)
             raise RequestRejectedError('body exceeds max_body_bytes')
-        if not self._server.held.take(len(data)):
+        if self._needs_body is None and (
+            self._body_bytes + len(data) > MAX_DIRECT_BYTES
+        ):
+            self._ask_for_body(self._incomplete)
+        if self._needs_body is False:
+            self._body_bytes += len(data)
+            return
+        if not self._take(len(data)):
             # Nothing was forwarded, so the client may send the request again.
-            self._reject(503, b'Retry-After: %.3f\r\n' % RETRY_AFTER_S)
+            self._refuse_incomplete()
             raise RequestRejectedError('all bodies exceed their limit')
+        if not self._body_bytes:
+            self._body_part = data
+        else:
+            if self._body_part:
+                self._body += self._body_part
+                self._body_part = b''
+            # Small parts would take far more memory each than their bytes.
+            self._body += data
         self._body_bytes += len(data)
-        self._body.append(data)
+
+    def _ask_for_body(self, request: IngressRequest) -> None:
+        """Drop the body if the handler does not need it."""
+        request.method = self._parser.get_method() if self._parser else b''
+        self._needs_body = self._server.handler.needs_body(request)
+        if not self._needs_body:
+            request.has_body = False
+            self._clear_body()
+            released_bytes = self.held_bytes - self._held_head_bytes
+            self._server.held.release(released_bytes)
+            self.held_bytes -= released_bytes
+
+    def _clear_body(self) -> None:
+        self._body_part = b''
+        if self._body:
+            self._body = bytearray()
 
     def on_message_complete(self) -> None:
         """Queue the request for the handler."""
@@ -720,15 +856,44 @@
         request.head = b''.join(self._head)
         if self._removed_fields:
             request.head = _remove_fields(request.head, self._removed_fields)
-        body, self._body = self._body, []
-        request.body = body[0] if len(body) == 1 else b''.join(body)
-        # The body stays counted until the request gets its response or the
-        # client disconnects.
+            self._removed_fields = set()
+        self._head = []
+        request.body = bytes(self._body) if self._body else self._body_part
+        self._clear_body()
         self._body_bytes = 0
+        if not self._reserve_complete(request):
+            self._end_input()
+            return
         # It is handled when all received bytes are parsed: whether a response
         # closes the connection depends on the requests behind it.
         self._pending.append(request)
 
+    def _reserve_complete(self, request: IngressRequest) -> bool:
+        """Reserve memory for a request until its response or the close.
+
+        Returns:
+            Whether the request is handled; one behind others counts as not
+            read while they hold too much.
+        """
+        held = self._server.held
+        head_bytes = len(request.head) + len(request.target)
+        size = len(request.body)
+        is_behind = self._current is not None or len(self._pending) > 0
+        if is_behind:
+            size += head_bytes + client_budget.REQUEST_BYTES
+        elif head_bytes > client_budget.FREE_HEAD_BYTES:
+            size += head_bytes - client_budget.FREE_HEAD_BYTES
+        if size != self.held_bytes:
+            held.take_anyway(size - self.held_bytes)
+        self.held_bytes = size
+        if is_behind and held.is_exceeded:
+            return False
+        request.held_bytes = size
+        held.complete_single(self, request)
+        self.held_bytes = self._held_head_bytes = 0
+        self._forget_holder()
+        return True
+
     def reply(
         self,
         request: IngressRequest,
@@ -782,7 +947,7 @@
         self._current = None
         # The state of the handler refers to the request.
         request.context = None
-        self._server.held.release(len(request.body))
+        self._release(request)
         self.since = self._loop.time()
         self._is_delivering = True
         self._idle_limit_s = self._server.limits.idle_timeout_s
@@ -824,7 +989,7 @@
                 elif (
                     self._kept and len(self._pending) < MAX_PIPELINED_REQUESTS
                 ):
-                    self._receive(self._take_kept(MAX_PARSED_BYTES))
+                    self._receive(self._take_kept(self._parsed_bytes))
                 else:
                     break
         finally:
@@ -835,6 +1000,20 @@
                 self.close()
         self._limit_kept()
 
+    @property
+    def _parsed_bytes(self) -> int:
+        """Return the number of kept bytes that are parsed next."""
+        if self._incomplete is None or not self._body_bytes:
+            return MAX_PARSED_HEAD_BYTES
+        if self._content_length < 0:
+            return MAX_PARSED_BYTES
+        return min(
+            MAX_PARSED_BYTES,
+            max(
+                MAX_PARSED_HEAD_BYTES, self._content_length - self._body_bytes
+            ),
+        )
+
     def _end_input(self) -> None:
         """Read no request after those that are handled or pending."""
         self._is_input_over = True
@@ -845,14 +1024,15 @@
     def _limit_kept(self) -> None:
         """Receive nothing while too many bytes are kept.
 
-        The end of the connection is not seen then, and is probed for.
+        The end of the connection is not seen then, and is probed for. If the
+        clients hold too much together, what is kept counts as not read.
         """
         if self._transport is None or self._has_eof:
             return
         held = self._server.held
-        is_paused = len(self._kept) > MAX_KEPT_BYTES or (
-            len(self._kept) > 0 and held.count > held.limit
-        )
+        if self._kept and held.is_exceeded:
+            self._end_input()
+        is_paused = len(self._kept) > MAX_KEPT_BYTES
         if is_paused == self._is_receiving_paused:
             return
         self._is_receiving_paused = is_paused
@@ -898,7 +1078,7 @@
         self._unparsed_bytes += size
         if (
             self._unparsed_bytes
-            > self._server.limits.max_header_bytes + MAX_READ_BYTES
+            > self._server.limits.max_header_bytes + MAX_FRAMING_BYTES
         ):
             self._reject(431)
 
@@ -939,11 +1119,27 @@
             if name not in (b'close', b'keep-alive', b'', b'host'):
                 self._removed_fields.add(name)
 
+    def _release(self, request: IngressRequest) -> None:
+        """Release the memory of a complete request."""
+        self._server.held.end_single(request)
+        self._server.held.release(request.held_bytes)
+
     def _release_incomplete(self) -> None:
-        """Release the body bytes of a partly received request."""
-        if self._body_bytes:
-            self._server.held.release(self._body_bytes)
-            self._body_bytes = 0
+        """Release the memory of a partly received request."""
+        if self.held_bytes:
+            self._server.held.end_single(self)
+            self._server.held.release(self.held_bytes)
+            self.held_bytes = self._held_head_bytes = 0
+        self._body_bytes = 0
+        self._clear_body()
+        self._head = []
+        self._removed_fields = set()
+        self._forget_holder()
+
+    def _forget_holder(self) -> None:
+        if self._is_holder:
+            self._is_holder = False
+            self._server.held.discard(self)
 
     def _reject(self, status: int, head: bytes = b'') -> None:
         """Send an error response to a rejected request and close.
@@ -1028,8 +1224,12 @@
         self.handler = handler
         self.names = names
         self.limits = DEFAULT_LIMITS
-        # Counts body bytes of requests that have no response yet.
-        self.held = held_bytes.ByteBudget()
+        # Counts what is held of requests that have no response yet; servers
+        # may share it.
+        self.held = client_budget.ClientBudget()
+        # Whether responses that clients have not read fill half of the memory
+        # that requests may hold.
+        self.is_short_of_memory = False
         # Whether connections close after their next response.
         self.is_closing = False
         self.connections: set[IngressConnection] = set()
@@ -1167,6 +1367,7 @@
         Args:
             now: Time of the event loop, in seconds.
         """
+        self.is_short_of_memory = self.unsent_bytes > self.held.limit // 2
         self._run_each(
             'tick_failed',
             [
--- a/setup.py
+++ b/setup.py
@@ -12,6 +12,7 @@
     'sassafraswood/coordination/answer_memory.py',
     'sassafraswood/coordination/call_depth.py',
     'sassafraswood/coordination/call_tree.py',
+    'sassafraswood/coordination/client_budget.py',
     'sassafraswood/coordination/crash_counts.py',
     'sassafraswood/coordination/deep_load.py',
     'sassafraswood/coordination/lost_runs.py',
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -63,6 +63,9 @@
         """Record written bytes."""
         self.written += data
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Do nothing."""
+
     def get_write_buffer_size(self) -> int:
         """Return the number of bytes that the client has not read."""
         return self.unread
@@ -91,6 +94,10 @@
         """Record a request."""
         self.requests.append(request)
 
+    def needs_body(self, request) -> bool:
+        """Return whether the request has a route here."""
+        return not request.target.startswith(b'/none/')
+
     def abandon(self, request) -> None:
         """Record a request whose client has disconnected."""
         self.abandoned.append(request)
@@ -326,6 +333,106 @@
     client.disconnect()
 
 
+# Guards against bodies that are kept before they are refused.
+def test_body_over_the_limit_is_rejected_by_its_length() -> None:
+    """No byte of it is waited for."""
+    client = Client(POST.partition(b'5')[0] + b'51\r\n\r\n')
+    assert b' 413 ' in client.transport.written
+    assert client.transport.is_closed
+    client.disconnect()
+
+
+# Guards against the memory of refused requests, of many small chunks and of
+# bodies that nobody needs.
+@pytest.mark.parametrize('target', [b'/a/1', b'/none/1'])
+def test_chunks_of_one_byte_are_joined(target) -> None:
+    """The body is whole; without a route it is dropped, and answered."""
+    client = Client()
+    client.server.limits = dataclasses.replace(LIMITS, max_body_bytes=9000)
+    head = b'POST %b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n' % target
+    client.connection.data_received(head)
+    for _ in range(50):
+        client.connection.data_received(b'1\r\nx\r\n' * 100)
+    has_route = target == b'/a/1'
+    assert client.server.held.count == (5000 if has_route else 0)
+    client.connection.data_received(b'0\r\n\r\n')
+    (request,) = client.handler.requests
+    assert request.has_body == has_route
+    assert request.body == (b'x' * 5000 if has_route else b'')
+    request.reply(404)
+    client.connection.data_received(GET)
+    client.handler.requests[1].reply(200)
+    assert client.transport.written.count(b'HTTP/1.1') == 2
+    assert client.server.held.count == 0
+    client.disconnect()
+
+
+# Guards against a crowd of requests without end that shuts out the others.
+def test_request_without_end_makes_room() -> None:
+    """It is refused as not run, and the memory of its body is free."""
+    client = Client(POST[:-1])
+    client.server.held.limit = 8
+    client.connection.since -= 2.0
+    other = ingress.IngressConnection
+    transport = FakeTransport()
+
+    async def async_connect() -> ingress.IngressConnection:
+        connection = other(client.server)
+        connection.connection_made(transport)
+        return connection
+
+    connection = client.loop.run_until_complete(async_connect())
+    connection.data_received(POST)
+    (request,) = client.handler.requests
+    assert request.connection is connection
+    assert b' 503 ' in client.transport.written
+    assert b'Retry-After' in client.transport.written
+    assert client.server.held.count == 5
+    request.reply(200)
+    assert b' 200 ' in transport.written
+    connection.connection_lost(None)
+    client.disconnect()
+
+
+# Guards against heads of very many short fields, which take far more memory
+# than their bytes.
+@pytest.mark.parametrize('is_whole', [False, True])
+def test_heads_are_counted(is_whole) -> None:
+    """What the fields take is, until the request has its response."""
+    fields = b'a:b\r\n' * 1000
+    client = Client()
+    client.server.limits = dataclasses.replace(LIMITS, max_header_bytes=9000)
+    data = GET[:-2] + fields + b'\r\n' * is_whole
+    client.connection.data_received(data)
+    least = 3000 if is_whole else 40_000
+    assert client.server.held.count > least
+    if is_whole:
+        client.handler.requests[0].reply(200)
+        assert client.server.held.count == 0
+    client.disconnect()
+    assert client.server.held.count == 0
+
+
+# Guards against requests ahead that fill the memory behind a slow one.
+def test_requests_ahead_beyond_the_memory_are_not_read() -> None:
+    """Those in memory get their responses, the last of which says so."""
+    client = Client()
+    client.server.held.limit = 2000
+    for _ in range(3):
+        client.connection.data_received(GET * 4)
+    count = 0
+    while count < len(client.handler.requests):
+        request = client.handler.requests[count]
+        count += 1
+        request.reply(200)
+    assert 2 < count < 12
+    assert client.transport.written.count(b'HTTP/1.1 200') == count
+    last = client.transport.written.rpartition(b'HTTP/1.1')[2]
+    assert b'Connection: close' in last
+    assert client.transport.is_closed and client.server.held.count == 0
+    client.disconnect()
+
+
 # Guards against requests that run while their connection is closed without a
 # response, since other bytes follow them.
 @pytest.mark.parametrize(
