--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -367,6 +367,54 @@
     client.disconnect()
 
 
+# Guards against requests that run although their client sends them again.
+@pytest.mark.parametrize('following', [GET, POST, GET * 20])
+def test_request_behind_a_closing_one_is_not_handled(following) -> None:
+    """It counts as not read, also if it arrives before the response."""
+    client = Client(GET[:-2] + b'Connection: close\r\n\r\n' + following)
+    client.connection.data_received(following)
+    client.handler.requests[0].reply(200)
+    client.connection.data_received(following)
+    assert len(client.handler.requests) == 1
+    assert client.transport.is_closed
+    client.disconnect()
+    assert not client.handler.abandoned
+
+
+# Guards against slow readers whose responses take the memory of others.
+def test_stalled_reader_is_closed_sooner_without_room() -> None:
+    """It is after 2 s where responses fill half of the memory."""
+    client = Client(GET)
+    client.server.held.limit = 100
+    client.handler.requests[0].reply(200, b'', b'x' * 90)
+    client.transport.unread = 90
+    now = client.connection.since
+    client.server.close_slow_connections(now + 1.9)
+    assert not client.transport.is_closed
+    client.server.close_slow_connections(now + 2.1)
+    assert client.transport.is_aborted
+    client.disconnect()
+
+
+# Guards against a crowd at a local address that takes all descriptors.
+def test_oldest_of_too_many_connections_is_closed() -> None:
+    """One whose request is handled stays open."""
+    client = Client(GET)
+    client.server.max_connections = 2
+    transports = [FakeTransport() for _ in range(3)]
+
+    async def async_connect() -> None:
+        for transport in transports:
+            connection = ingress.IngressConnection(client.server)
+            connection.connection_made(transport)
+            await asyncio.sleep(0)
+
+    client.loop.run_until_complete(async_connect())
+    assert not client.transport.is_closed
+    assert transports[0].is_aborted
+    client.disconnect()
+
+
 # Guards against a crowd of requests without end that shuts out the others.
 def test_request_without_end_makes_room() -> None:
     """It is refused as not run, and the memory of its body is free."""
