Run idempotent requests that are sent ahead side by side

Requests on one connection ran one after the other, so that a client which sends several ahead waited for the sum of their times. Up to eight that may run more than once now run at a time; their responses are kept until those before them are sent. A request that may not run twice, and all behind it, start only once those before are answered, and no response closes the connection while a later request was started: a request behind one that closes is never passed on.

Tested without a network: each order of ends, a stop in between, an error of the handler, a client that leaves, a request that may not be repeated.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -313,6 +313,12 @@
         )
         return True
 
+    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+        """Return whether the request may run more than once."""
+        path = request.target.partition(b'?')[0]
+        route = self._index.find(request.host, path)
+        return route is not None and route.is_idempotent
+
     def needs_body(self, request: ingress.IngressRequest) -> bool:
         """Return whether the request has a route."""
         path = request.target.partition(b'?')[0]
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -30,6 +30,11 @@
         """Respond with 200 if the daemon is ready, else with 503."""
         request.reply(200 if self._is_ready() else 503)
 
+    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+        """Return False, since each request gets its response soon."""
+        del request
+        return False
+
     def needs_body(self, request: ingress.IngressRequest) -> bool:
         """Return False, since a check has no body."""
         del request
@@ -67,6 +72,11 @@
             exposition.Exposition(self._metrics).render(),
         )
 
+    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+        """Return False, since each request gets its response soon."""
+        del request
+        return False
+
     def needs_body(self, request: ingress.IngressRequest) -> bool:
         """Return False, since a scrape has no body."""
         del request
@@ -124,6 +134,11 @@
             return
         self._upstream_log.record_leave(leave, lambda: _acknowledge(request))
 
+    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+        """Return False, since each request gets its response soon."""
+        del request
+        return False
+
     def needs_body(self, request: ingress.IngressRequest) -> bool:
         """Return True, since the body is the report."""
         del request
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -27,6 +27,8 @@
 # Requests on one connection that wait for the response to an earlier one; from
 # this number on, received bytes are kept unparsed.
 MAX_PIPELINED_REQUESTS: Final = 16
+# Requests of one connection that are handled behind an earlier one.
+MAX_REQUESTS_AHEAD: Final = 7
 # Bytes that are parsed at once: of a body, of what was received at once, and
 # otherwise, so that they hold few requests.
 MAX_PARSED_BYTES: Final = 16 * 1024
@@ -129,6 +131,8 @@
             since the handler did not need it.
         held_bytes: Bytes that are reserved for the request.
         context: State that the handler keeps for the request.
+        response: Status, head and body of the response while those of earlier
+            requests are awaited.
     """
 
     __slots__ = (
@@ -145,6 +149,7 @@
         'key',
         'method',
         'received_at',
+        'response',
         'target',
     )
 
@@ -164,6 +169,7 @@
         self.has_body = True
         self.held_bytes = 0
         self.context: typing.Any = None
+        self.response: tuple[int, bytes, bytes] | None = None
 
     def reply(
         self,
@@ -187,6 +193,13 @@
     def handle(self, request: IngressRequest) -> None:
         """Handle a complete request; its reply may be sent later."""
 
+    def may_run_ahead(self, request: IngressRequest) -> bool:
+        """Return whether to handle a request before earlier ones are answered.
+
+        The connection may be lost before its response can be sent, so that
+        its client sends it again.
+        """
+
     def needs_body(self, request: IngressRequest) -> bool:
         """Return whether a request with a large body may need it.
 
@@ -201,7 +214,12 @@
 
 
 class IngressConnection(asyncio.Protocol):
-    """Connection of a client whose requests are handled one at a time."""
+    """Connection of a client, with responses in the order of requests.
+
+    Requests are handled one at a time, but for those that may run ahead. The
+    connection closes behind a response only if no later request was passed to
+    the handler.
+    """
 
     def __init__(self, server: 'IngressServer') -> None:
         """Initialize a connection without a transport.
@@ -218,7 +236,11 @@
             httptools.HttpRequestParser(self)
         )
         self._pending: collections.deque[IngressRequest] = collections.deque()
+        # The request whose response is sent next, and later ones that are
+        # handled or have their responses.
         self._current: IngressRequest | None = None
+        self._ahead: collections.deque[IngressRequest] = collections.deque()
+        self._delayed_bytes = 0
         self._incomplete: IngressRequest | None = None
         self._loop = asyncio.get_running_loop()
         self._is_closing = False
@@ -346,7 +368,7 @@
         """
         if not self.has_unsent_data:
             self._written_bytes = 0
-        return self._written_bytes
+        return self._written_bytes + self._delayed_bytes
 
     @property
     def has_unsent_data(self) -> bool:
@@ -697,10 +719,14 @@
         for request in self._pending:
             self._release(request)
         self._pending.clear()
-        if current is not None:
-            self._release(current)
-            self._abandon(current)
-            current.context = None
+        handled = [] if current is None else [current, *self._ahead]
+        self._ahead.clear()
+        self._delayed_bytes = 0
+        for request in handled:
+            self._release(request)
+            if request.response is None:
+                self._abandon(request)
+                request.context = None
 
     def pause_writing(self) -> None:
         """Handle no further request while the client reads slowly."""
@@ -918,9 +944,43 @@
         status: int,
         head: bytes,
         body: bytes,
+    ) -> None:
+        """Send the response, once those of earlier requests are sent."""
+        if self._transport is None:
+            return
+        if request is not self._current:
+            self._delay(request, status, head, body)
+            return
+        self._respond(request, status, head, body)
+        while self._current is not None:
+            following = self._current
+            if following.response is None:
+                break
+            status, head, body = following.response
+            self._delayed_bytes -= len(head) + len(body)
+            self._respond(following, status, head, body)
+        if not self._is_closing:
+            if self._pending or self._kept:
+                self._advance()
+            self._continue_if_expected()
+
+    def _delay(
+        self, request: IngressRequest, status: int, head: bytes, body: bytes
+    ) -> None:
+        """Keep the response to a request that is handled ahead."""
+        if request.response is not None or request not in self._ahead:
+            return
+        request.response = status, head, body
+        # The state of the handler refers to the request.
+        request.context = None
+        self._delayed_bytes += len(head) + len(body)
+        self._server.note_unsent(self)
+
+    def _respond(
+        self, request: IngressRequest, status: int, head: bytes, body: bytes
     ) -> None:
         """Send the response to the current request."""
-        if request is not self._current or self._transport is None:
+        if self._transport is None:
             return
         if self._server.is_closing:
             self._late_responses += 1
@@ -931,6 +991,7 @@
                 or self._has_failed
                 or self._is_input_over
             )
+            and not self._ahead
             and not self._pending
             and not self._kept
             and not self._delays_close()
@@ -962,8 +1023,7 @@
             self._transport.write(body)
         self._written_bytes += len(begin) + len(body)
         self._server.note_unsent(self)
-        self._current = None
-        # The state of the handler refers to the request.
+        self._current = self._ahead.popleft() if self._ahead else None
         request.context = None
         self._release(request)
         self.since = self._loop.time()
@@ -975,9 +1035,6 @@
                 self.close()
             else:
                 self._close_after_input()
-        elif self._pending or self._kept:
-            self._advance()
-        self._continue_if_expected()
 
     def _delays_close(self) -> bool:
         """Return whether another request is being received.
@@ -1000,8 +1057,8 @@
             while not self._is_closing:
                 if (
                     self._pending
-                    and self._current is None
                     and not self._is_paused
+                    and self._may_start(self._pending[0])
                 ):
                     self._start(self._pending.popleft())
                 elif (
@@ -1061,6 +1118,14 @@
         else:
             self._transport.resume_reading()
 
+    def _may_start(self, request: IngressRequest) -> bool:
+        """Return whether to handle the first request that is pending."""
+        return self._current is None or (
+            len(self._ahead) < MAX_REQUESTS_AHEAD
+            and not self._has_failed
+            and self._server.handler.may_run_ahead(request)
+        )
+
     def _start(self, request: IngressRequest) -> None:
         """Pass a request to the handler.
 
@@ -1068,12 +1133,17 @@
         gets a 500, and the connection closes after the requests that have
         arrived behind it.
         """
-        self._current = request
+        if self._current is None:
+            self._current = request
+        else:
+            self._ahead.append(request)
         try:
             self._server.handler.handle(request)
         except Exception:
             self._server.log_failure(request)
-            if self._current is request:
+            if request is self._current or (
+                request in self._ahead and request.response is None
+            ):
                 self._has_failed = True
                 self._abandon(request)
                 self.reply(request, 500, b'', b'')
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -94,6 +94,10 @@
         """Record a request."""
         self.requests.append(request)
 
+    def may_run_ahead(self, request) -> bool:
+        """Return whether the request is one of those for these tests."""
+        return request.target.startswith(b'/safe/')
+
     def needs_body(self, request) -> bool:
         """Return whether the request has a route here."""
         return not request.target.startswith(b'/none/')
@@ -381,6 +385,88 @@
     assert not client.handler.abandoned
 
 
+SAFE = GET.replace(b'/a/', b'/safe/')
+
+
+def get_bodies(client: Client) -> list[bytes]:
+    """Return the bodies of the responses that a client got."""
+    return [
+        part.partition(b'\r\n\r\n')[2]
+        for part in client.transport.written.split(b'HTTP/1.1 ')[1:]
+    ]
+
+
+# Load: requests ahead behind a slow one.
+@pytest.mark.parametrize('order', [(0, 1, 2), (2, 1, 0), (1, 0, 2), (2, 0, 1)])
+def test_requests_that_may_run_ahead_are_answered_in_order(order) -> None:
+    """They run side by side; the last response may close the connection."""
+    client = Client(SAFE * 3)
+    assert len(client.handler.requests) == 3
+    client.server.is_closing = True
+    for count, index in enumerate(order):
+        assert not client.transport.is_closed
+        client.handler.requests[index].reply(200, b'', b'%d' % index)
+        client.handler.requests[index].reply(200, b'', b'again')
+        done = set(order[: count + 1])
+        ready = next(item for item in range(4) if item not in done)
+        assert get_bodies(client) == [b'%d' % item for item in range(ready)]
+        assert (client.connection.unsent_bytes > 0) == (len(done) > ready)
+    assert client.transport.written.count(b'Connection: close') == 1
+    assert client.transport.is_closed
+    client.disconnect()
+    assert not client.handler.abandoned
+
+
+# Guards against a request that runs although an earlier response closes the
+# connection, or that is started where it may not be repeated.
+def test_other_requests_wait_for_all_earlier_responses() -> None:
+    """Also the requests behind them do, and those beyond a number."""
+    client = Client(SAFE * 2 + POST + SAFE)
+    first, second = client.handler.requests
+    second.reply(200)
+    assert len(client.handler.requests) == 2
+    first.reply(200)
+    _, _, third, fourth = client.handler.requests
+    assert third.body == b'hello' and fourth.target == b'/safe/1'
+    client.disconnect()
+    assert client.handler.abandoned == [third, fourth]
+    assert client.server.held.count == 0
+    many = Client(SAFE * 20)
+    assert len(many.handler.requests) == 1 + ingress.MAX_REQUESTS_AHEAD
+    many.handler.requests[0].reply(200)
+    assert len(many.handler.requests) == 2 + ingress.MAX_REQUESTS_AHEAD
+    many.disconnect()
+
+
+# Guards against responses that are lost with their client, and work for it
+# that goes on.
+def test_requests_ahead_of_a_client_that_leaves_are_abandoned() -> None:
+    """Those without a response are."""
+    client = Client(SAFE * 3)
+    client.handler.requests[1].reply(200)
+    client.disconnect()
+    assert client.handler.abandoned == client.handler.requests[::2]
+    assert client.server.held.count == 0
+
+
+# Guards against a close that cuts off requests that are handled ahead.
+def test_error_beside_requests_ahead_is_answered_in_order() -> None:
+    """Those that were started get their responses before the close."""
+    failing = POST.replace(b'/a/', b'/safe/')
+    client = Client(SAFE + failing + SAFE, RaisingHandler())
+    first, _ = client.handler.requests
+    first.reply(200)
+    third = client.handler.requests[2]
+    assert not client.transport.is_closed
+    third.reply(200)
+    statuses = [
+        part[:3] for part in client.transport.written.split(b'HTTP/1.1 ')[1:]
+    ]
+    assert statuses == [b'200', b'500', b'200']
+    assert client.transport.is_closed
+    client.disconnect()
+
+
 # Guards against slow readers whose responses take the memory of others.
 def test_stalled_reader_is_closed_sooner_without_room() -> None:
     """It is after 2 s where responses fill half of the memory."""
