--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -273,6 +273,12 @@
         if route is None:
             self._refuse_request(request, 404, 'unknown_route')
             return
+        if not request.has_body:
+            # The route was added after the body was dropped.
+            self._refuse_request(
+                request, 503, 'body_dropped', retry_after_s=0.0
+            )
+            return
         call = caller_call.CallerCall(
             request, route, self._splits[route.name].next()
         )
@@ -322,6 +328,17 @@
         )
         return True
 
+    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+        """Return whether the request may run more than once."""
+        path = request.target.partition(b'?')[0]
+        route = self._index.find(request.host, path)
+        return route is not None and route.is_idempotent
+
+    def needs_body(self, request: ingress.IngressRequest) -> bool:
+        """Return whether the request has a route."""
+        path = request.target.partition(b'?')[0]
+        return self._index.find(request.host, path) is not None
+
     def abandon(self, request: ingress.IngressRequest) -> None:
         """Cancel the call of a request whose client closed the connection."""
         call = request.context
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -14,6 +14,7 @@
 from sassafraswood import const
 from sassafraswood.coordination import answer_memory
 from sassafraswood.coordination import call_depth
+from sassafraswood.coordination import client_budget
 from sassafraswood.coordination import crash_counts
 from sassafraswood.coordination import deep_load
 from sassafraswood.coordination import evacuation
@@ -42,6 +43,7 @@
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import crash_exchange
 from sassafraswood.sidecar import evacuation_exchange
+from sassafraswood.sidecar import heap
 from sassafraswood.sidecar import local_servers
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import member_follower
@@ -98,9 +100,13 @@
 # not read, and for bodies of calls at the upstream. Each body is held twice
 # while it is forwarded, and the process itself takes a tenth of the memory.
 BODY_MEMORY_FRACTION: Final = 0.15
+# Fraction that one request at a time may hold apart from these.
+SINGLE_BODY_FRACTION: Final = 0.2
 # Fraction of the free descriptors that connections of callers leave to others:
 # to the upstream, one for each running call, to peers, and to local servers.
 DESCRIPTOR_RESERVE_FRACTION: Final = 0.6
+# Open connections for readiness checks, for reports and for scrapes each.
+MAX_LOCAL_CONNECTIONS: Final = 64
 # Settings that a running process applies from a changed file.
 RELOADABLE_SETTINGS: Final = ('bounds', 'report_interval_s')
 # Age of the member records above which a daemon spends no share of a limit,
@@ -336,7 +342,15 @@
             self._metrics_server,
         )
         body_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
-        self._caller_server.held.limit = body_bytes
+        self._client_budget = client_budget.ClientBudget(body_bytes)
+        self._client_budget.max_single_bytes = int(
+            SINGLE_BODY_FRACTION * settings.memory_bytes
+        )
+        self._heap = heap.HeapTrimmer()
+        for server in self._servers:
+            server.held = self._client_budget
+            if server is not self._caller_server:
+                server.max_connections = MAX_LOCAL_CONNECTIONS
         self._pool.held.limit = body_bytes
         self._upstream.bodies.limit = body_bytes
         self._peers.max_unsent_bytes = body_bytes
@@ -517,6 +531,13 @@
         if not self._is_stopping:
             for server in self._servers:
                 server.close_slow_connections(now)
+        self._heap.note(
+            self._client_budget.count
+            + self._pool.held.count
+            + self._upstream.bodies.count
+            + self._caller_server.unsent_bytes
+            + self._peers.unsent_bytes
+        )
 
     def _log_unhandled_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
@@ -883,7 +904,8 @@
         metrics.gauge('upstream_load', self._upstream.load)
         metrics.gauge('upstream_pace_per_s', self._upstream.pace_per_s)
         metrics.gauge('upstream_connects', self._pool.connect_count)
-        metrics.gauge('request_bytes_held', self._caller_server.held.count)
+        metrics.gauge('request_bytes_held', self._client_budget.count)
+        metrics.gauge('requests_evicted', self._client_budget.evicted_count)
         metrics.gauge('answer_bytes_held', self._pool.held.count)
         metrics.gauge('call_bytes_held', self._upstream.bodies.count)
         metrics.gauge(
--- a/setup.py
+++ b/setup.py
@@ -13,6 +13,7 @@
     'sassafraswood/coordination/call_depth.py',
     'sassafraswood/coordination/call_schedule.py',
     'sassafraswood/coordination/call_tree.py',
+    'sassafraswood/coordination/client_budget.py',
     'sassafraswood/coordination/completion_estimate.py',
     'sassafraswood/coordination/crash_counts.py',
     'sassafraswood/coordination/deep_load.py',
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -63,6 +63,9 @@
         """Record written bytes."""
         self.written += data
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Do nothing."""
+
     def get_write_buffer_size(self) -> int:
         """Return the number of bytes that the client has not read."""
         return self.unread
@@ -91,6 +94,14 @@
         """Record a request."""
         self.requests.append(request)
 
+    def may_run_ahead(self, request) -> bool:
+        """Return whether the request is one of those for these tests."""
+        return request.target.startswith(b'/safe/')
+
+    def needs_body(self, request) -> bool:
+        """Return whether the request has a route here."""
+        return not request.target.startswith(b'/none/')
+
     def abandon(self, request) -> None:
         """Record a request whose client has disconnected."""
         self.abandoned.append(request)
@@ -326,6 +337,236 @@
     client.disconnect()
 
 
+# Guards against bodies that are kept before they are refused.
+def test_body_over_the_limit_is_rejected_by_its_length() -> None:
+    """No byte of it is waited for."""
+    client = Client(POST.partition(b'5')[0] + b'51\r\n\r\n')
+    assert b' 413 ' in client.transport.written
+    assert client.transport.is_closed
+    client.disconnect()
+
+
+# Guards against the memory of refused requests, of many small chunks and of
+# bodies that nobody needs.
+@pytest.mark.parametrize('target', [b'/a/1', b'/none/1'])
+def test_chunks_of_one_byte_are_joined(target) -> None:
+    """The body is whole; without a route it is dropped, and answered."""
+    client = Client()
+    client.server.limits = dataclasses.replace(LIMITS, max_body_bytes=9000)
+    head = b'POST %b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n' % target
+    client.connection.data_received(head)
+    for _ in range(50):
+        client.connection.data_received(b'1\r\nx\r\n' * 100)
+    has_route = target == b'/a/1'
+    assert client.server.held.count == (5000 if has_route else 0)
+    client.connection.data_received(b'0\r\n\r\n')
+    (request,) = client.handler.requests
+    assert request.has_body == has_route
+    assert request.body == (b'x' * 5000 if has_route else b'')
+    request.reply(404)
+    client.connection.data_received(GET)
+    client.handler.requests[1].reply(200)
+    assert client.transport.written.count(b'HTTP/1.1') == 2
+    assert client.server.held.count == 0
+    client.disconnect()
+
+
+# Guards against requests that run although their client sends them again.
+@pytest.mark.parametrize('following', [GET, POST, GET * 20])
+def test_request_behind_a_closing_one_is_not_handled(following) -> None:
+    """It counts as not read, also if it arrives before the response."""
+    client = Client(GET[:-2] + b'Connection: close\r\n\r\n' + following)
+    client.connection.data_received(following)
+    client.handler.requests[0].reply(200)
+    client.connection.data_received(following)
+    assert len(client.handler.requests) == 1
+    assert client.transport.is_closed
+    client.disconnect()
+    assert not client.handler.abandoned
+
+
+SAFE = GET.replace(b'/a/', b'/safe/')
+
+
+def get_bodies(client: Client) -> list[bytes]:
+    """Return the bodies of the responses that a client got."""
+    return [
+        part.partition(b'\r\n\r\n')[2]
+        for part in client.transport.written.split(b'HTTP/1.1 ')[1:]
+    ]
+
+
+# Load: requests ahead behind a slow one.
+@pytest.mark.parametrize('order', [(0, 1, 2), (2, 1, 0), (1, 0, 2), (2, 0, 1)])
+def test_requests_that_may_run_ahead_are_answered_in_order(order) -> None:
+    """They run side by side; the last response may close the connection."""
+    client = Client(SAFE * 3)
+    assert len(client.handler.requests) == 3
+    client.server.is_closing = True
+    for count, index in enumerate(order):
+        assert not client.transport.is_closed
+        client.handler.requests[index].reply(200, b'', b'%d' % index)
+        client.handler.requests[index].reply(200, b'', b'again')
+        done = set(order[: count + 1])
+        ready = next(item for item in range(4) if item not in done)
+        assert get_bodies(client) == [b'%d' % item for item in range(ready)]
+        assert (client.connection.unsent_bytes > 0) == (len(done) > ready)
+    assert client.transport.written.count(b'Connection: close') == 1
+    assert client.transport.is_closed
+    client.disconnect()
+    assert not client.handler.abandoned
+
+
+# Guards against a request that runs although an earlier response closes the
+# connection, or that is started where it may not be repeated.
+def test_other_requests_wait_for_all_earlier_responses() -> None:
+    """Also the requests behind them do, and those beyond a number."""
+    client = Client(SAFE * 2 + POST + SAFE)
+    first, second = client.handler.requests
+    second.reply(200)
+    assert len(client.handler.requests) == 2
+    first.reply(200)
+    _, _, third, fourth = client.handler.requests
+    assert third.body == b'hello' and fourth.target == b'/safe/1'
+    client.disconnect()
+    assert client.handler.abandoned == [third, fourth]
+    assert client.server.held.count == 0
+    many = Client(SAFE * 20)
+    assert len(many.handler.requests) == 1 + ingress.MAX_REQUESTS_AHEAD
+    many.handler.requests[0].reply(200)
+    assert len(many.handler.requests) == 2 + ingress.MAX_REQUESTS_AHEAD
+    many.disconnect()
+
+
+# Guards against responses that are lost with their client, and work for it
+# that goes on.
+def test_requests_ahead_of_a_client_that_leaves_are_abandoned() -> None:
+    """Those without a response are."""
+    client = Client(SAFE * 3)
+    client.handler.requests[1].reply(200)
+    client.disconnect()
+    assert client.handler.abandoned == client.handler.requests[::2]
+    assert client.server.held.count == 0
+
+
+# Guards against a close that cuts off requests that are handled ahead.
+def test_error_beside_requests_ahead_is_answered_in_order() -> None:
+    """Those that were started get their responses before the close."""
+    failing = POST.replace(b'/a/', b'/safe/')
+    client = Client(SAFE + failing + SAFE, RaisingHandler())
+    first, _ = client.handler.requests
+    first.reply(200)
+    third = client.handler.requests[2]
+    assert not client.transport.is_closed
+    third.reply(200)
+    statuses = [
+        part[:3] for part in client.transport.written.split(b'HTTP/1.1 ')[1:]
+    ]
+    assert statuses == [b'200', b'500', b'200']
+    assert client.transport.is_closed
+    client.disconnect()
+
+
+# Guards against slow readers whose responses take the memory of others.
+def test_stalled_reader_is_closed_sooner_without_room() -> None:
+    """It is after 2 s where responses fill half of the memory."""
+    client = Client(GET)
+    client.server.held.limit = 100
+    client.handler.requests[0].reply(200, b'', b'x' * 90)
+    client.transport.unread = 90
+    now = client.connection.since
+    client.server.close_slow_connections(now + 1.9)
+    assert not client.transport.is_closed
+    client.server.close_slow_connections(now + 2.1)
+    assert client.transport.is_aborted
+    client.disconnect()
+
+
+# Guards against a crowd at a local address that takes all descriptors.
+def test_oldest_of_too_many_connections_is_closed() -> None:
+    """One whose request is handled stays open."""
+    client = Client(GET)
+    client.server.max_connections = 2
+    transports = [FakeTransport() for _ in range(3)]
+
+    async def async_connect() -> None:
+        for transport in transports:
+            connection = ingress.IngressConnection(client.server)
+            connection.connection_made(transport)
+            await asyncio.sleep(0)
+
+    client.loop.run_until_complete(async_connect())
+    assert not client.transport.is_closed
+    assert transports[0].is_aborted
+    client.disconnect()
+
+
+# Guards against a crowd of requests without end that shuts out the others.
+def test_request_without_end_makes_room() -> None:
+    """It is refused as not run, and the memory of its body is free."""
+    client = Client(POST[:-1])
+    client.server.held.limit = 8
+    client.connection.since -= 2.0
+    other = ingress.IngressConnection
+    transport = FakeTransport()
+
+    async def async_connect() -> ingress.IngressConnection:
+        connection = other(client.server)
+        connection.connection_made(transport)
+        return connection
+
+    connection = client.loop.run_until_complete(async_connect())
+    connection.data_received(POST)
+    (request,) = client.handler.requests
+    assert request.connection is connection
+    assert b' 503 ' in client.transport.written
+    assert b'Retry-After' in client.transport.written
+    assert client.server.held.count == 5
+    request.reply(200)
+    assert b' 200 ' in transport.written
+    connection.connection_lost(None)
+    client.disconnect()
+
+
+# Guards against heads of very many short fields, which take far more memory
+# than their bytes.
+@pytest.mark.parametrize('is_whole', [False, True])
+def test_heads_are_counted(is_whole) -> None:
+    """What the fields take is, until the request has its response."""
+    fields = b'a:b\r\n' * 1000
+    client = Client()
+    client.server.limits = dataclasses.replace(LIMITS, max_header_bytes=9000)
+    data = GET[:-2] + fields + b'\r\n' * is_whole
+    client.connection.data_received(data)
+    least = 3000 if is_whole else 40_000
+    assert client.server.held.count > least
+    if is_whole:
+        client.handler.requests[0].reply(200)
+        assert client.server.held.count == 0
+    client.disconnect()
+    assert client.server.held.count == 0
+
+
+# Guards against requests ahead that fill the memory behind a slow one.
+def test_requests_ahead_beyond_the_memory_are_not_read() -> None:
+    """Those in memory get their responses, the last of which says so."""
+    client = Client()
+    client.server.held.limit = 2000
+    for _ in range(3):
+        client.connection.data_received(GET * 4)
+    count = 0
+    while count < len(client.handler.requests):
+        request = client.handler.requests[count]
+        count += 1
+        request.reply(200)
+    assert 2 < count < 12
+    assert client.transport.written.count(b'HTTP/1.1 200') == count
+    last = client.transport.written.rpartition(b'HTTP/1.1')[2]
+    assert b'Connection: close' in last
+    assert client.transport.is_closed and client.server.held.count == 0
+    client.disconnect()
+
+
 # Guards against requests that run while their connection is closed without a
 # response, since other bytes follow them.
 @pytest.mark.parametrize(
