Fold whole and partial reads of evacuations alike

A whole read goes through the same fold as the records of a page, so that the newest record of a domain counts in both. The kernel is asked for what a peer has not acknowledged only where nothing has arrived for 0.1 s.

--- a/sassafraswood/coordination/evacuation.py
+++ b/sassafraswood/coordination/evacuation.py
@@ -85,7 +85,11 @@
         return self._own in self.domains
 
     def apply(
-        self, requests: Iterable[EvacuationRequest], revision: int
+        self,
+        requests: Iterable[EvacuationRequest],
+        revision: int,
+        *,
+        is_whole: bool = False,
     ) -> EvacuationChange:
         """Apply records that end at a revision.
 
@@ -97,8 +101,10 @@
         Args:
             requests: Requests in the order in which they were written.
             revision: Revision after the last record.
+            is_whole: Whether they hold the newest record of each domain, so
+                that a domain without one is not evacuated.
         """
-        domains = set(self.domains)
+        domains = set() if is_whole else set(self.domains)
         for request in requests:
             if request.is_evacuated:
                 domains.add(request.domain)
--- a/sassafraswood/sidecar/evacuation_exchange.py
+++ b/sassafraswood/sidecar/evacuation_exchange.py
@@ -58,17 +58,10 @@
         Args:
             requests: Requests in the order in which they were written.
             revision: Revision after the last record that was read.
-            is_whole: Whether the newest record of each domain was read, so
-                that domains without one are not evacuated.
+            is_whole: Whether the newest record of each domain was read.
         """
         was_known = self._evacuations.is_known
-        if is_whole:
-            change = self._evacuations.replace(
-                {item.domain for item in requests if item.is_evacuated},
-                revision,
-            )
-        else:
-            change = self._evacuations.apply(requests, revision)
+        change = self._evacuations.apply(requests, revision, is_whole=is_whole)
         self._note(change, was_known, 'store')
 
     def take(self, message: frames.Evacuations) -> None:
@@ -108,7 +101,7 @@
             ('domain_returned', change.returned),
         ):
             # The own domain comes first, so that it is always named.
-            domains.sort(key=self._own.__ne__)
+            domains.sort(key=lambda domain: domain != self._own)
             for domain in domains[:MAX_NAMED_DOMAINS]:
                 self._log.change(
                     event,
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -25,6 +25,8 @@
 # link to it may be cut. Kernels acknowledge within 0.05 s, also on slow VMs; a
 # lost packet is sent again after 0.2 s.
 UNACKNOWLEDGED_S: Final = 0.3
+# The kernel is not asked while data of the peer has arrived within this time.
+UNACKNOWLEDGED_CHECK_S: Final = 0.1
 # Time for which it is avoided after each such observation; longer than the
 # interval between two of them.
 UNACKNOWLEDGED_AVOID_S: Final = 0.25
@@ -216,13 +218,12 @@
         get a reply.
         """
         assert self._connection is not None
-        if (
-            not (self._reply_callbacks or self._pinged_at_by_sequence)
-            or not self._connection.undelivered_bytes
-        ):
+        if silent_s < UNACKNOWLEDGED_CHECK_S:
+            self._acknowledged_at = now - silent_s
+            return
+        if not self._connection.undelivered_bytes:
             self._acknowledged_at = now
             return
-        self._acknowledged_at = max(self._acknowledged_at, now - silent_s)
         if now - self._acknowledged_at >= UNACKNOWLEDGED_S:
             self.candidate.avoid_until = max(
                 self.candidate.avoid_until, now + UNACKNOWLEDGED_AVOID_S
