Ask an upstream for its cold time when it may have turned cold

Cause: an upstream that serves again after a pause without a new report, such as after its failure domain was given back, or whose connections have all ended, may have turned cold since its last report. The next one comes up to 1.5 s later.

Change: such an upstream counts as cold until it states otherwise, and the daemon sends one health check, whose response states the cold time.

Result: the tests of the upstream side and of the health check pass.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -179,6 +179,7 @@
             report_interval_s=settings.report_interval_s,
             on_serving=self._on_serving,
             on_crash=self._on_crash,
+            on_cold_unknown=lambda: self._probe.ask_cold_time(),
             stop_plan=upstream_stop_plan,
         )
         self._shares = quota_shares.QuotaShares(
--- a/sassafraswood/sidecar/upstream_probe.py
+++ b/sassafraswood/sidecar/upstream_probe.py
@@ -90,8 +90,19 @@
         if upstream is None and self._registry.unconfirmed_report is None:
             return
         self._known_upstream = None
+        self._send(upstream, self._health_path)
+
+    def ask_cold_time(self) -> None:
+        """Send a health check to an upstream that may have turned cold.
+
+        It is not repeated; the next report states the cold time, too.
+        """
+        if self._health_path is not None and self._exchange is None:
+            self._send(None, self._health_path)
+
+    def _send(self, upstream: fleet.StoredUpstream | None, path: str) -> None:
         payload = b'GET %b HTTP/1.1\r\nHost: %b\r\n\r\n' % (
-            self._health_path.encode(),
+            path.encode(),
             self._host,
         )
         self._timer = asyncio.get_running_loop().call_later(
@@ -147,6 +158,8 @@
         )
         if is_confirmed or is_resumed:
             self._on_ready()
+        report = self._registry.report
+        if report is not None and report.instance_id == instance_id:
             self._on_cold_time(_parse_cold_s(cold_ms))
 
 
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -84,6 +84,7 @@
         report_interval_s: float,
         on_serving: Callable[[bool], None],
         on_crash: upstream_watch.OnCrash,
+        on_cold_unknown: Callable[[], None],
         stop_plan: stop_plan_module.StopPlan,
     ) -> None:
         """Initialize the upstream side.
@@ -106,6 +107,8 @@
             on_serving: Called on each change of whether calls are accepted.
             on_crash: Called after a crash with the upstream and the suspects
                 among the requests in flight.
+            on_cold_unknown: Called when it is not known whether the upstream
+                is cold.
             stop_plan: Decides which calls begin while the daemon stops.
         """
         self._clock = clock
@@ -119,6 +122,7 @@
         self.health = health
         self._log = log
         self._on_serving = on_serving
+        self._on_cold_unknown = on_cold_unknown
         self._crashes = crashes
         self._stop_plan = stop_plan
         self._is_stopping = False
@@ -183,7 +187,8 @@
         self._watch.refresh()
         status = self._registry.status
         report = self._registry.report
-        if report is not None and report is not self._noted_report:
+        is_new_report = report is not self._noted_report
+        if report is not None and is_new_report:
             self._noted_report = report
             self._note_report(report)
         if (
@@ -194,6 +199,9 @@
             was_serving = self._gate.is_serving
             self._gate.set_upstream(report.slots)
             if not was_serving:
+                if not is_new_report:
+                    # It may have turned cold since its last report.
+                    self._pace.note_doubt()
                 self._pace.note_recovery()
                 self.health.reset()
                 self._set_serving(True, status, report.instance_id)
@@ -246,6 +254,8 @@
                 reason=reason.value,
                 rate_per_s=round(self.pace_per_s, 2),
             )
+        if reason is enums.PaceReason.UNKNOWN:
+            self._on_cold_unknown()
 
     def set_report_interval(self, interval_s: float) -> None:
         """Set the time between reports of the upstream, in seconds."""
--- a/tests/sidecar/test_upstream_probe.py
+++ b/tests/sidecar/test_upstream_probe.py
@@ -147,6 +147,26 @@
     asyncio.run(async_case())
 
 
+def test_cold_time_of_a_ready_upstream_is_asked_for(tmp_path) -> None:
+    """Only the upstream that the report names tells it."""
+
+    async def async_case() -> None:
+        case = Case(tmp_path)
+        case.probe.ask_cold_time()
+        assert not case.pool.payloads
+        case.probe.set_health_path('/alive')
+        case.registry.apply(make_report(1))
+        case.probe.check()
+        assert not case.pool.payloads
+        for instance in (b'i2', b'i1'):
+            case.probe.ask_cold_time()
+            case.respond(200, instance, b'700')
+        assert case.cold_times == [0.7]
+        assert case.resumed == 0
+
+    asyncio.run(async_case())
+
+
 def test_lost_response_changes_nothing(tmp_path) -> None:
     """A broken connection shows neither that the upstream runs nor its id."""
 
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -92,6 +92,7 @@
         self.pool = FakePool()
         self.replies = []
         self.crashed = []
+        self.asked = []
         self.crashes = crash_counts.CrashCounts(self.clock)
         self.registry = upstream_registry.UpstreamRegistry(
             clock=self.clock,
@@ -124,6 +125,7 @@
             on_crash=lambda upstream, found, age_s: self.crashed.append(
                 (upstream.instance_id, found)
             ),
+            on_cold_unknown=lambda: self.asked.append(True),
             stop_plan=self.stop_plan,
         )
         self.report()
@@ -688,6 +690,8 @@
     case = make_paced_case(tmp_path)
     case.report(born=2, slots=100, cold_left_s=None)
     assert flood(case) == 1
+    case.side.tick()
+    assert len(case.asked) == 1
     case.report(born=2, sequence=2, slots=100, cold_left_s=-1.0)
     assert flood(case) == 0
     case.report(born=2, sequence=3, slots=100)
@@ -731,3 +735,20 @@
     case.respond(5, 503, not_run=b'1')
     flood(case)
     assert len(case.side.running) == 7
+
+
+def test_upstream_that_serves_again_may_have_turned_cold(tmp_path) -> None:
+    """Its last report is older than the pause."""
+    case = make_paced_case(tmp_path)
+    case.registry.silence_s = 0.5
+    case.clock.advance(0.6)
+    case.side.tick()
+    assert not case.side.is_serving
+    case.registry.silence_s = 5.0
+    case.side.tick()
+    assert case.side.is_serving
+    assert case.asked
+    assert flood(case) <= 2
+    assert case.side.pace_per_s == 8.5
+    case.side.note_health_response(0.0)
+    assert case.side.pace_per_s == 0.0
