Keep the known pace after refusals for other reasons

Cause: refusals that the daemon sends without asking the gate, such as for memory, carry no pace, and so ended the one that the caller knew. A resumed upstream was logged as one that states no cold time.

Change: the caller takes the pace from refusals for the pace only; the line is written for reports only.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -619,8 +619,8 @@
             self._note_depth(call, reply.depth, now)
             self._respond(call, reply, now)
         elif isinstance(reply, frames.Refused):
-            candidate.record_pace(reply.pace_per_s)
             if reply.reason == enums.RefusalReason.UPSTREAM_COLD.value:
+                candidate.record_pace(reply.pace_per_s)
                 candidate.note_cold_refusal()
             if (
                 reply.reason in REDIRECT_REASONS
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -226,7 +226,9 @@
             self._pace.note_process()
         left_s = report.cold_left_s
         is_valid = self._pace.note_cold_time(left_s, is_late=True)
-        if not is_valid or (is_new and left_s is None):
+        # A resumed upstream has not reported; its sequence number is negative.
+        is_missing = is_new and left_s is None and report.sequence >= 0
+        if is_missing or not is_valid:
             self._log.decision(
                 'cold_time_rejected',
                 instance=report.instance_id,
