--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -86,6 +86,7 @@
         report_interval_s: float,
         on_serving: Callable[[bool], None],
         on_crash: upstream_watch.OnCrash,
+        on_cold_unknown: Callable[[], None],
         stop_plan: stop_plan_module.StopPlan,
         evacuations: evacuation.Evacuations,
     ) -> None:
@@ -109,6 +110,8 @@
             on_serving: Called on each change of whether calls are accepted.
             on_crash: Called after a crash with the upstream and the suspects
                 among the requests in flight.
+            on_cold_unknown: Called when it is not known whether the upstream
+                is cold.
             stop_plan: Decides which calls begin while the daemon stops.
             evacuations: Evacuated failure domains.
         """
@@ -123,6 +126,7 @@
         self.health = health
         self._log = log
         self._on_serving = on_serving
+        self._on_cold_unknown = on_cold_unknown
         self._crashes = crashes
         self._stop_plan = stop_plan
         self._evacuations = evacuations
@@ -204,7 +208,8 @@
                 self.note_returned()
         status = self._registry.status
         report = self._registry.report
-        if report is not None and report is not self._noted_report:
+        is_new_report = report is not self._noted_report
+        if report is not None and is_new_report:
             self._noted_report = report
             self._note_report(report)
         if (
@@ -216,6 +221,9 @@
             was_serving = self._gate.is_serving
             self._gate.set_upstream(report.slots)
             if not was_serving:
+                if not is_new_report:
+                    # It may have turned cold since its last report.
+                    self._pace.note_doubt()
                 self._pace.note_recovery()
                 self.health.reset()
                 self._slot_time.reset()
@@ -251,7 +259,9 @@
             self._pace.note_process()
         left_s = report.cold_left_s
         is_valid = self._pace.note_cold_time(left_s, is_late=True)
-        if not is_valid or (is_new and left_s is None):
+        # A resumed upstream has not reported; its sequence number is negative.
+        is_missing = is_new and left_s is None and report.sequence >= 0
+        if is_missing or not is_valid:
             self._log.decision(
                 'cold_time_rejected',
                 instance=report.instance_id,
@@ -279,6 +289,8 @@
                 reason=reason.value,
                 rate_per_s=round(self.pace_per_s, 2),
             )
+        if reason is enums.PaceReason.UNKNOWN:
+            self._on_cold_unknown()
 
     def set_report_interval(self, interval_s: float) -> None:
         """Set the time between reports of the upstream, in seconds."""
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -108,6 +108,7 @@
         self.evacuations = evacuation.Evacuations('a')
         self.evacuations.replace((), 1)
         self.pace = upstream_pace.UpstreamPace(self.clock)
+        self.asked: list[bool] = []
         self.side = upstream_side.UpstreamSide(
             clock=self.clock,
             gate=upstream_gate.UpstreamGate(
@@ -127,6 +128,7 @@
             on_crash=lambda upstream, found, age_s: self.crashed.append(
                 (upstream.instance_id, found)
             ),
+            on_cold_unknown=lambda: self.asked.append(True),
             stop_plan=self.stop_plan,
             evacuations=self.evacuations,
         )
@@ -784,3 +786,14 @@
         case.side.tick()
     assert case.side.is_serving
     assert flood(case) <= 2
+
+
+def test_upstream_that_may_be_cold_is_asked(tmp_path) -> None:
+    """It is asked when it serves again with the report from before."""
+    case = make_paced_case(tmp_path)
+    for silence_s in (0.5, 5.0):
+        case.registry.silence_s = silence_s
+        case.clock.advance(0.6)
+        case.side.tick()
+    assert case.asked
+    assert flood(case) == 2
