--- a/tests/coordination/test_completion_estimate.py
+++ b/tests/coordination/test_completion_estimate.py
@@ -3,7 +3,6 @@
 import pytest
 
 from sassafraswood import clock
-from sassafraswood.coordination import completion_estimate
 
 from tests.coordination import test_upstream_choice
 
