Let connections take turns while requests ahead are answered at once

After eight requests the other connections now have their turn.

test_segment_of_many_requests_counts_as_many expected all requests of a segment to be answered before the event loop goes on, which does not matter for what it guards; it now waits for the responses and checks the same.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -49,6 +49,7 @@
 from sassafraswood.sidecar import upstream_log
 from sassafraswood.sidecar import upstream_probe
 from sassafraswood.sidecar import upstream_side
+from sassafraswood.transport import acceptor
 from sassafraswood.transport import exchange
 from sassafraswood.transport import ingress
 from sassafraswood.transport import json_log
@@ -101,8 +102,10 @@
 # Fraction of the free descriptors that connections of callers leave to others:
 # to the upstream, one for each running call, to peers, and to local servers.
 DESCRIPTOR_RESERVE_FRACTION: Final = 0.6
-# Open connections for readiness checks, for reports and for scrapes each.
+# Open connections for readiness checks, for reports and for scrapes each, and
+# the fraction of all descriptors that they do not exceed.
 MAX_LOCAL_CONNECTIONS: Final = 64
+LOCAL_DESCRIPTOR_FRACTION: Final = 1.0 / 16.0
 # Settings that a running process applies from a changed file.
 RELOADABLE_SETTINGS: Final = ('bounds', 'report_interval_s')
 # Age of the member records above which a daemon spends no share of a limit,
@@ -322,10 +325,17 @@
             SINGLE_BODY_FRACTION * settings.memory_bytes
         )
         self._heap = heap.HeapTrimmer()
+        local_connections = int(
+            min(
+                MAX_LOCAL_CONNECTIONS,
+                LOCAL_DESCRIPTOR_FRACTION
+                * acceptor.count_allowed_descriptors(),
+            )
+        )
         for server in self._servers:
             server.held = self._client_budget
             if server is not self._caller_server:
-                server.max_connections = MAX_LOCAL_CONNECTIONS
+                server.max_connections = max(1, local_connections)
         self._pool.held.limit = body_bytes
         self._upstream.bodies.limit = body_bytes
         self._peers.max_unsent_bytes = body_bytes
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -27,6 +27,8 @@
 # Requests on one connection that wait for the response to an earlier one; from
 # this number on, received bytes are kept unparsed.
 MAX_PIPELINED_REQUESTS: Final = 16
+# Requests of one connection that are started before others get their turn.
+MAX_STARTED_AT_ONCE: Final = 8
 # Requests of one connection that are handled behind an earlier one.
 MAX_REQUESTS_AHEAD: Final = 7
 # Bytes that are parsed at once: of a body, of what was received at once, and
@@ -303,6 +305,7 @@
         self._is_receiving_paused = False
         self._has_eof = False
         self._is_advancing = False
+        self._advance_handle: asyncio.Handle | None = None
         # Bytes of the responses since the transport was last empty.
         self._written_bytes = 0
         # Responses since the server began to stop.
@@ -710,6 +713,9 @@
             if timer is not None:
                 timer.cancel()
         self._probe_timer = self._close_timer = None
+        if self._advance_handle is not None:
+            self._advance_handle.cancel()
+            self._advance_handle = None
         self._incomplete = None
         self._server.connections.discard(self)
         self._server.forget_unsent(self)
@@ -1049,10 +1055,15 @@
         return self._late_responses <= MAX_LATE_RESPONSES
 
     def _advance(self) -> None:
-        """Handle and parse what was received, until a request has to wait."""
-        if self._is_advancing:
+        """Handle and parse what was received, until a request has to wait.
+
+        Other connections have their turn after some requests, since responses
+        that need nothing else are sent at once.
+        """
+        if self._is_advancing or self._advance_handle is not None:
             return
         self._is_advancing = True
+        started = 0
         try:
             while not self._is_closing:
                 if (
@@ -1060,6 +1071,12 @@
                     and not self._is_paused
                     and self._may_start(self._pending[0])
                 ):
+                    if started == MAX_STARTED_AT_ONCE:
+                        self._advance_handle = self._loop.call_soon(
+                            self._advance_again
+                        )
+                        break
+                    started += 1
                     self._start(self._pending.popleft())
                 elif (
                     self._kept and len(self._pending) < MAX_PIPELINED_REQUESTS
@@ -1075,6 +1092,11 @@
                 self.close()
         self._limit_kept()
 
+    def _advance_again(self) -> None:
+        self._advance_handle = None
+        if self._transport is not None:
+            self._advance()
+
     @property
     def _parsed_bytes(self) -> int:
         """Return the number of kept bytes that are parsed next."""
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -449,6 +449,21 @@
     assert client.server.held.count == 0
 
 
+# Load: a crowd that sends ahead requests which are answered at once.
+def test_requests_of_others_have_their_turn() -> None:
+    """A connection answers few requests at a time, and all in the end."""
+    handler = Handler()
+    handler.handle = lambda request: request.reply(404)
+    client = Client(GET * 500, handler)
+    line = b'HTTP/1.1 404 '
+    count = client.transport.written.count(line)
+    assert count == ingress.MAX_STARTED_AT_ONCE
+    while client.transport.written.count(line) < 500:
+        client.wait(0.0)
+    assert client.connection.is_idle
+    client.disconnect()
+
+
 # Guards against a close that cuts off requests that are handled ahead.
 def test_error_beside_requests_ahead_is_answered_in_order() -> None:
     """Those that were started get their responses before the close."""
@@ -945,6 +960,10 @@
     client = Client(b'', PromptHandler())
     client.server.is_closing = True
     client.connection.data_received(GET * ingress.MAX_LATE_RESPONSES + GET[:9])
+    while client.transport.written.count(b'HTTP/1.1') < (
+        ingress.MAX_LATE_RESPONSES
+    ):
+        client.wait(0.0)
     assert not client.transport.is_closed
     client.connection.data_received(GET[9:] + GET[:9])
     assert client.transport.is_closed
