Refuse only calls that hardly any run would save

Cause: a call with less time left than one in twenty runs took was refused. Change: the bound is the duration of the shortest of a hundred runs.

--- a/sassafraswood/coordination/call_schedule.py
+++ b/sassafraswood/coordination/call_schedule.py
@@ -29,8 +29,8 @@
 # calls without slack do not starve them.
 SLACK_START_INTERVAL: Final = 8
 # Quantiles of the duration of runs, and the relative change of their estimates
-# with each run. Few runs are shorter than the first.
-SHORT_QUANTILE: Final = 0.05
+# with each run. Hardly any run is shorter than the first.
+SHORT_QUANTILE: Final = 0.01
 USUAL_QUANTILE: Final = 0.8
 QUANTILE_STEP: Final = 0.1
 MIN_RUNS: Final = 20
@@ -62,7 +62,7 @@
     """Quantiles of the duration of the runs of one route.
 
     Attributes:
-        short_s: Duration in seconds that few runs fall below.
+        short_s: Duration in seconds that hardly any run falls below.
         usual_s: Duration in seconds that most runs do not exceed.
     """
 
@@ -227,7 +227,7 @@
         return durations.usual_s
 
     def short_s(self, route: str, now: float) -> float:
-        """Return the duration that few runs fall below; 0 if unknown."""
+        """Return the duration of the shortest runs; 0 if unknown."""
         durations = self._routes.get(route)
         if durations is None or not durations.is_known(now):
             return 0.0
