Keep a slowdown under many calls out of the baseline

The baseline of a route followed each call by a fiftieth. At 270 calls a second a slowdown by 5.9 became the baseline within 0.3 s, since the first calls after its start, slowed down for a part of their time only, are below the ratio that counts as slow. The daemon then told callers of a slowness of 1.0 for the 7 s that it lasted. The baseline now follows within 10 s at the soonest, whatever the rate; it is the mean of the first 50 calls.

test_slowdown_under_many_calls_does_not_become_the_baseline fails without the change.

--- a/sassafraswood/coordination/upstream_health.py
+++ b/sassafraswood/coordination/upstream_health.py
@@ -5,6 +5,7 @@
 calls to it.
 """
 
+import math
 from typing import Final
 
 from sassafraswood import clock as clock_module
@@ -18,6 +19,11 @@
 BASELINE_GAIN: Final = 0.02
 SLOW_BASELINE_GAIN_FACTOR: Final = 0.05
 SLOW_RATIO: Final = 3.0
+# Least time in which the baseline of a route follows a change. Many calls a
+# second would otherwise make a slowdown the baseline within 0.3 s.
+BASELINE_TIME_CONSTANT_S: Final = 10.0
+# The baseline is the mean of as many first calls.
+FIRST_CALLS: Final = 50
 MAX_ROUTES: Final = 1024
 # A call is overdue after this multiple of the baseline latency of its route;
 # the slowest 1 percent of the calls take five times the baseline.
@@ -35,6 +41,10 @@
         """Start with a healthy upstream and no baselines."""
         self._clock = clock
         self._baseline_s: dict[str, float] = {}
+        # Monotonic time at which each baseline was updated.
+        self._baseline_at: dict[str, float] = {}
+        # Calls that each baseline contains, up to FIRST_CALLS.
+        self._baseline_count: dict[str, int] = {}
         # Route, start and overdue time (monotonic) of each running call.
         self._running: dict[int, tuple[str, float, float]] = {}
         self._excess_slowness = 0.0
@@ -64,6 +74,8 @@
     def reset(self) -> None:
         """Discard baselines and averages after a change of the upstream."""
         self._baseline_s.clear()
+        self._baseline_at.clear()
+        self._baseline_count.clear()
         self._excess_slowness = 0.0
         self._error_fraction = 0.0
 
@@ -97,10 +109,18 @@
         elapsed_s = max(1e-6, now - started_at)
         if len(self._baseline_s) >= MAX_ROUTES:
             self._baseline_s.clear()
+            self._baseline_at.clear()
+            self._baseline_count.clear()
         baseline_s = self._baseline_s.get(route, elapsed_s)
         ratio = elapsed_s / baseline_s
-        gain = BASELINE_GAIN
-        if ratio > SLOW_RATIO:
+        age_s = now - self._baseline_at.get(route, -math.inf)
+        self._baseline_at[route] = now
+        gain = min(BASELINE_GAIN, age_s / BASELINE_TIME_CONSTANT_S)
+        count = self._baseline_count.get(route, 0)
+        if count < FIRST_CALLS:
+            self._baseline_count[route] = count + 1
+            gain = 1.0 / (count + 1)
+        elif ratio > SLOW_RATIO:
             gain *= SLOW_BASELINE_GAIN_FACTOR
         self._baseline_s[route] = baseline_s + gain * (elapsed_s - baseline_s)
         self._excess_slowness = self._update_average(
--- a/tests/coordination/test_upstream_health.py
+++ b/tests/coordination/test_upstream_health.py
@@ -99,3 +99,16 @@
     for _ in range(4000):
         upstream.run(0.12)
     assert upstream.health.slowness < 1.5
+
+
+# Pattern: an upstream of many short calls turns slower by six for seconds. The
+# first calls after that are slowed down for a part of their time only.
+def test_slowdown_under_many_calls_does_not_become_the_baseline() -> None:
+    """Callers are told of it as long as it lasts."""
+    upstream = Upstream()
+    for number in range(3000):
+        slowdown = min(6.0, max(1.0, (number - 2000) / 20.0))
+        upstream.run(0.004 * slowdown)
+        if number < 2000:
+            upstream.clock.advance(0.001)
+    assert upstream.health.slowness > 3.0
