--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -178,7 +178,6 @@
         evacuations: Revision of the evacuated failure domains that it knows;
             0 if it knows none. A higher one includes all that a lower one
             knows.
-        store_era: Era of the store that its records come from.
     """
 
     sequence: int
@@ -194,7 +193,6 @@
     verdicts: int = 0
     pace_per_s: Amount = 0.0
     evacuations: int = 0
-    store_era: int = 0
 
 
 class FetchRules(Frame, tag=8):
