Answer requests without an error behind each in compiled code

Cause: since requests run ahead, reply() compares its request with the current one and goes on with the next. mypy takes the comparison for a proof that there is a current request; the compiled function then raises a TypeError when there is none, behind every response. The source code does not, and the tests run the source code.

Change: the comparison and the loop over kept responses are functions of their own.

--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -64,6 +64,9 @@
 UPSTREAM_RELAY: Final = 7007
 STORE_RELAY: Final = 7008
 
+# Begin of a traceback in a log line.
+_TRACEBACK: Final = 'Traceback (most recent call last)'
+
 
 class UpstreamEnd(enum.Enum):
     """How an upstream crashes and when its successor starts."""
@@ -456,6 +459,14 @@
         """Return the path of the settings file of the daemon."""
         return self._folder / f'{self.name}.toml'
 
+    def find_unexpected_error(self) -> str:
+        """Return the first log line of the daemon that holds a traceback.
+
+        Compiled code may raise errors that the source code does not.
+        """
+        with self.log_path.open(encoding='utf-8', errors='replace') as log:
+            return next((line for line in log if _TRACEBACK in line), '')
+
     @property
     def log_path(self) -> pathlib.Path:
         """Return the path of the output of all processes of the daemon."""
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -421,6 +421,8 @@
                     f'{machine.name} exited unexpectedly: '
                     f'{machine.unexpected_exits}'
                 )
+            if error := machine.find_unexpected_error():
+                problems.append(f'{machine.name} logged {error}')
             if machine.peak_mb > MAX_MEMORY_MB:
                 problems.append(f'{machine.name} used {machine.peak_mb} MB')
         attempts = list(self.ledger.attempts.values())
--- a/sassafraswood/transport/ingress.py
+++ b/sassafraswood/transport/ingress.py
@@ -954,22 +954,34 @@
         """Send the response, once those of earlier requests are sent."""
         if self._transport is None:
             return
-        if request is not self._current:
+        if not self._is_current(request):
             self._delay(request, status, head, body)
             return
         self._respond(request, status, head, body)
-        while self._current is not None:
-            following = self._current
-            if following.response is None:
-                break
-            status, head, body = following.response
-            self._delayed_bytes -= len(head) + len(body)
-            self._respond(following, status, head, body)
+        self._respond_delayed()
         if not self._is_closing:
             if self._pending or self._kept:
                 self._advance()
             self._continue_if_expected()
 
+    def _is_current(self, request: IngressRequest) -> bool:
+        """Return whether the response to a request is sent next.
+
+        Compiled code would take a comparison in place for a proof that there
+        is a current request until the end of the function, also after its
+        response.
+        """
+        return request is self._current
+
+    def _respond_delayed(self) -> None:
+        """Send the responses that were kept until the earlier ones."""
+        following = self._current
+        while following is not None and following.response is not None:
+            status, head, body = following.response
+            self._delayed_bytes -= len(head) + len(body)
+            self._respond(following, status, head, body)
+            following = self._current
+
     def _delay(
         self, request: IngressRequest, status: int, head: bytes, body: bytes
     ) -> None:
@@ -1163,7 +1175,7 @@
             self._server.handler.handle(request)
         except Exception:
             self._server.log_failure(request)
-            if request is self._current or (
+            if self._is_current(request) or (
                 request in self._ahead and request.response is None
             ):
                 self._has_failed = True
