Keep an evacuation that an older copy of the store lacks

Cause: a store that came back from an older copy may lack a request of the operator to evacuate a failure domain. All daemons read the topic whole in the new era and gave the domain back at once, until the operator had written the request again: calls went to upstreams that were to get none, and back.

Daemons tell each other which ones are unconfirmed and count the time themselves.

--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -306,10 +306,13 @@
     Attributes:
         revision: As evacuations in Pong.
         domains: Names of all evacuated failure domains.
+        unconfirmed: Those of them whose request the store lacks since it came
+            back from an older copy.
     """
 
     revision: int
     domains: list[str]
+    unconfirmed: list[str] = []
 
 
 AnyFrame = (
--- a/sassafraswood/sidecar/evacuation_exchange.py
+++ b/sassafraswood/sidecar/evacuation_exchange.py
@@ -68,10 +68,16 @@
         """Apply the evacuations that a peer knows, if they are newer."""
         was_known = self._evacuations.is_known
         change = self._evacuations.replace(
-            map(ids.FailureDomain, message.domains), message.revision
+            map(ids.FailureDomain, message.domains),
+            message.revision,
+            map(ids.FailureDomain, message.unconfirmed),
         )
         self._note(change, was_known, 'peer')
 
+    def tick(self) -> None:
+        """End evacuations that the operator has not written again in time."""
+        self._note(self._evacuations.expire(), True, 'expired')
+
     def document(self) -> frames.Evacuations | None:
         """Return the message for peers; None while nothing is known."""
         if not self._evacuations.is_known:
@@ -79,6 +85,7 @@
         return frames.Evacuations(
             revision=self._evacuations.revision,
             domains=sorted(self._evacuations.domains),
+            unconfirmed=self._evacuations.unconfirmed,
         )
 
     def _note(
@@ -99,6 +106,7 @@
         for event, domains in (
             ('domain_evacuated', change.evacuated),
             ('domain_returned', change.returned),
+            ('evacuation_unconfirmed', change.unconfirmed),
         ):
             # The own domain comes first, so that it is always named.
             domains.sort(key=lambda domain: domain != self._own)
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -171,7 +171,9 @@
         caller_answer_memory = answer_memory.AnswerMemory(
             self._clock, lambda: self._caller_server.unsent_bytes
         )
-        self._evacuations = evacuation.Evacuations(settings.failure_domain)
+        self._evacuations = evacuation.Evacuations(
+            settings.failure_domain, self._clock
+        )
         self._pace = upstream_pace.UpstreamPace(
             self._clock, is_first_start=settings.is_first_start
         )
@@ -276,7 +278,7 @@
             ),
             log=self._log,
         )
-        evacuations = evacuation_exchange.EvacuationExchange(
+        self._evacuation_exchange = evacuation_exchange.EvacuationExchange(
             evacuations=self._evacuations,
             own=settings.failure_domain,
             log=self._log,
@@ -287,7 +289,7 @@
             context=reader_context,
             knowledge=self._knowledge,
             max_age_s=min(bounds.apply_s, bounds.evacuate_s),
-            evacuations=evacuations,
+            evacuations=self._evacuation_exchange,
             on_rules=self._on_rules,
             on_update=self._on_update,
         )
@@ -308,7 +310,7 @@
             upstream=self._upstream,
             knowledge=self._knowledge,
             rules=self._rules,
-            evacuations=evacuations,
+            evacuations=self._evacuation_exchange,
             membership=self._membership,
             log=self._log,
             crashes=self._crash_exchange,
@@ -535,6 +537,7 @@
             self._store.note_era(
                 store_era.get_era(self._knowledge.members_end_offset)
             )
+        self._evacuation_exchange.tick()
         try:
             self._upstream.log_load()
         finally:
