--- a/sassafraswood/sidecar/evacuation_exchange.py
+++ b/sassafraswood/sidecar/evacuation_exchange.py
@@ -85,7 +85,7 @@
         return frames.Evacuations(
             revision=self._evacuations.revision,
             domains=sorted(self._evacuations.domains),
-            unconfirmed=self._evacuations.unconfirmed,
+            unconfirmed=list(self._evacuations.unconfirmed),
         )
 
     def _note(
