Give connections of clients a module of their own

Change: transport/ingress_connection holds the request, the connection and, as ConnectionOwner, what the connections of a server share; transport/ingress holds the server, which is one. No code of either changes otherwise.

Result: the tests of both pass; none changes but for the names of modules.

--- a/sassafraswood/sidecar/caller_call.py
+++ b/sassafraswood/sidecar/caller_call.py
@@ -6,7 +6,7 @@
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.models import ids
 from sassafraswood.models import traffic
-from sassafraswood.transport import ingress
+from sassafraswood.transport import ingress_connection
 
 # Urgency of calls whose importance is unknown.
 DEFAULT_URGENCY: Final = 0.5
@@ -77,7 +77,7 @@
 
     def __init__(
         self,
-        request: ingress.IngressRequest,
+        request: ingress_connection.IngressRequest,
         route: traffic.Route,
         service: ids.ServiceName,
     ) -> None:
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -30,7 +30,7 @@
 from sassafraswood.sidecar import quota_wait
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.state import route_index
-from sassafraswood.transport import ingress
+from sassafraswood.transport import ingress_connection
 from sassafraswood.transport import json_log
 
 # Reasons to send a call to another upstream at once. The one that refused it
@@ -235,14 +235,16 @@
 
     # Incoming requests.
 
-    def handle(self, request: ingress.IngressRequest) -> None:
+    def handle(self, request: ingress_connection.IngressRequest) -> None:
         """Start a call for a request that was received completely."""
         try:
             self._handle(request)
         except Exception:
             self._end_after_error(request)
 
-    def _end_after_error(self, request: ingress.IngressRequest) -> None:
+    def _end_after_error(
+        self, request: ingress_connection.IngressRequest
+    ) -> None:
         """Log the exception being handled, and respond to its request.
 
         The request may have run only if it was sent.
@@ -263,7 +265,7 @@
         if cancel is not None:
             cancel()
 
-    def _handle(self, request: ingress.IngressRequest) -> None:
+    def _handle(self, request: ingress_connection.IngressRequest) -> None:
         rules = self._rules
         if rules is None or self._peers is None:
             self._refuse_request(request, 503, 'no_rules', retry_after_s=0.5)
@@ -328,18 +330,20 @@
         )
         return True
 
-    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+    def may_run_ahead(
+        self, request: ingress_connection.IngressRequest
+    ) -> bool:
         """Return whether the request may run more than once."""
         path = request.target.partition(b'?')[0]
         route = self._index.find(request.host, path)
         return route is not None and route.is_idempotent
 
-    def needs_body(self, request: ingress.IngressRequest) -> bool:
+    def needs_body(self, request: ingress_connection.IngressRequest) -> bool:
         """Return whether the request has a route."""
         path = request.target.partition(b'?')[0]
         return self._index.find(request.host, path) is not None
 
-    def abandon(self, request: ingress.IngressRequest) -> None:
+    def abandon(self, request: ingress_connection.IngressRequest) -> None:
         """Cancel the call of a request whose client closed the connection."""
         call = request.context
         if call is None or id(call) not in self._active:
@@ -881,7 +885,7 @@
 
     def _refuse_request(
         self,
-        request: ingress.IngressRequest,
+        request: ingress_connection.IngressRequest,
         status: int,
         reason: str,
         retry_after_s: float | None = None,
--- a/sassafraswood/sidecar/local_servers.py
+++ b/sassafraswood/sidecar/local_servers.py
@@ -9,7 +9,7 @@
 from sassafraswood.platform import reports
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import upstream_log
-from sassafraswood.transport import ingress
+from sassafraswood.transport import ingress_connection
 from sassafraswood.transport import json_log
 
 JSON_HEAD = b'Content-Type: application/json\r\n'
@@ -26,21 +26,23 @@
         """
         self._is_ready = is_ready
 
-    def handle(self, request: ingress.IngressRequest) -> None:
+    def handle(self, request: ingress_connection.IngressRequest) -> None:
         """Respond with 200 if the daemon is ready, else with 503."""
         request.reply(200 if self._is_ready() else 503)
 
-    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+    def may_run_ahead(
+        self, request: ingress_connection.IngressRequest
+    ) -> bool:
         """Return False, since each request gets its response soon."""
         del request
         return False
 
-    def needs_body(self, request: ingress.IngressRequest) -> bool:
+    def needs_body(self, request: ingress_connection.IngressRequest) -> bool:
         """Return False, since a check has no body."""
         del request
         return False
 
-    def abandon(self, request: ingress.IngressRequest) -> None:
+    def abandon(self, request: ingress_connection.IngressRequest) -> None:
         """Do nothing, since every request gets its response at once."""
 
 
@@ -59,7 +61,7 @@
         self._metrics = metrics
         self._refresh = refresh
 
-    def handle(self, request: ingress.IngressRequest) -> None:
+    def handle(self, request: ingress_connection.IngressRequest) -> None:
         """Respond with the metrics in the Prometheus text format."""
         # The import takes a fifth of the start of a process, and most
         # processes are never scraped.
@@ -72,17 +74,19 @@
             exposition.Exposition(self._metrics).render(),
         )
 
-    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+    def may_run_ahead(
+        self, request: ingress_connection.IngressRequest
+    ) -> bool:
         """Return False, since each request gets its response soon."""
         del request
         return False
 
-    def needs_body(self, request: ingress.IngressRequest) -> bool:
+    def needs_body(self, request: ingress_connection.IngressRequest) -> bool:
         """Return False, since a scrape has no body."""
         del request
         return False
 
-    def abandon(self, request: ingress.IngressRequest) -> None:
+    def abandon(self, request: ingress_connection.IngressRequest) -> None:
         """Do nothing, since every request gets its response at once."""
 
 
@@ -109,7 +113,7 @@
         self._log = log
         self._on_change = on_change
 
-    def handle(self, request: ingress.IngressRequest) -> None:
+    def handle(self, request: ingress_connection.IngressRequest) -> None:
         """Apply a report or leave, then acknowledge it.
 
         Outdated reports are acknowledged too, so that their sender stops
@@ -134,17 +138,19 @@
             return
         self._upstream_log.record_leave(leave, lambda: _acknowledge(request))
 
-    def may_run_ahead(self, request: ingress.IngressRequest) -> bool:
+    def may_run_ahead(
+        self, request: ingress_connection.IngressRequest
+    ) -> bool:
         """Return False, since each request gets its response soon."""
         del request
         return False
 
-    def needs_body(self, request: ingress.IngressRequest) -> bool:
+    def needs_body(self, request: ingress_connection.IngressRequest) -> bool:
         """Return True, since the body is the report."""
         del request
         return True
 
-    def abandon(self, request: ingress.IngressRequest) -> None:
+    def abandon(self, request: ingress_connection.IngressRequest) -> None:
         """Do nothing, since a leave is stored even without its sender."""
 
     def _apply_report(
@@ -202,5 +208,5 @@
         return leave
 
 
-def _acknowledge(request: ingress.IngressRequest) -> None:
+def _acknowledge(request: ingress_connection.IngressRequest) -> None:
     request.reply(200, JSON_HEAD, b'{}')
--- a/setup.py
+++ b/setup.py
@@ -52,6 +52,7 @@
     'sassafraswood/transport/exchange.py',
     'sassafraswood/transport/frame_link.py',
     'sassafraswood/transport/ingress.py',
+    'sassafraswood/transport/ingress_connection.py',
     'sassafraswood/transport/json_log.py',
     'sassafraswood/transport/response_limits.py',
 ]
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -25,6 +25,7 @@
 from sassafraswood.sidecar import fingerprints
 from sassafraswood.sidecar import measures
 from sassafraswood.transport import ingress
+from sassafraswood.transport import ingress_connection
 from sassafraswood.transport import json_log
 
 from tests.sidecar.test_upstream_side import NAMES
@@ -194,7 +195,7 @@
         """Send a request and return its connection."""
         connection = RecordingConnection()
         connection.peer = peer
-        request = ingress.IngressRequest(connection)
+        request = ingress_connection.IngressRequest(connection)
         request.method = b'GET'
         request.host = b'shop.example'
         request.target = f'/{name}/7'.encode()
@@ -706,7 +707,7 @@
     transport = test_ingress.FakeTransport()
 
     async def async_connect() -> None:
-        connection = ingress.IngressConnection(server)
+        connection = ingress_connection.IngressConnection(server)
         connection.connection_made(transport)
         connection.data_received(
             b'GET /peek/7 HTTP/1.1\r\nHost: shop.example\r\n\r\n' * 2
--- a/tests/sidecar/test_whole_path.py
+++ b/tests/sidecar/test_whole_path.py
@@ -22,7 +22,7 @@
 from sassafraswood.platform import upstream_records
 from sassafraswood.sidecar import caller_side
 from sassafraswood.sidecar import process
-from sassafraswood.transport import ingress
+from sassafraswood.transport import ingress_connection
 
 RULES = {
     'version': 'r1',
@@ -648,7 +648,9 @@
         address = daemon.settings.caller_address
         with socket.create_connection(address) as client:
             client.sendall(PEEK)
-            loop.call_soon(time.sleep, ingress.FIRST_REQUEST_TIME_S + 0.1)
+            loop.call_soon(
+                time.sleep, ingress_connection.FIRST_REQUEST_TIME_S + 0.1
+            )
             await daemon._async_disconnect_callers(loop.time())
             client.settimeout(1.0)
             assert client.recv(12) in (b'HTTP/1.1 404', b'HTTP/1.1 503')
--- a/tests/transport/test_ingress.py
+++ b/tests/transport/test_ingress.py
@@ -16,6 +16,7 @@
 
 from sassafraswood.models import traffic
 from sassafraswood.transport import ingress
+from sassafraswood.transport import ingress_connection
 from sassafraswood.transport import json_log
 from sassafraswood.transport import tcp
 
@@ -141,8 +142,8 @@
         self.connection = self.loop.run_until_complete(self._async_connect())
         self.connection.data_received(data)
 
-    async def _async_connect(self) -> ingress.IngressConnection:
-        connection = ingress.IngressConnection(self.server)
+    async def _async_connect(self) -> ingress_connection.IngressConnection:
+        connection = ingress_connection.IngressConnection(self.server)
         connection.connection_made(self.transport)
         return connection
 
@@ -277,7 +278,7 @@
     monkeypatch,
 ) -> None:
     """The wait for the end of a client does not abort its response."""
-    monkeypatch.setattr(ingress, 'LINGER_S', 0.01)
+    monkeypatch.setattr(ingress_connection, 'LINGER_S', 0.01)
     client = Client(GET + b'\x00\x01\r\n\r\n')
     client.handler.requests[0].reply(200, b'', b'x' * 100)
     client.transport.unread = 50
@@ -432,9 +433,13 @@
     assert client.handler.abandoned == [third, fourth]
     assert client.server.held.count == 0
     many = Client(SAFE * 20)
-    assert len(many.handler.requests) == 1 + ingress.MAX_REQUESTS_AHEAD
+    assert (
+        len(many.handler.requests) == 1 + ingress_connection.MAX_REQUESTS_AHEAD
+    )
     many.handler.requests[0].reply(200)
-    assert len(many.handler.requests) == 2 + ingress.MAX_REQUESTS_AHEAD
+    assert (
+        len(many.handler.requests) == 2 + ingress_connection.MAX_REQUESTS_AHEAD
+    )
     many.disconnect()
 
 
@@ -457,7 +462,7 @@
     client = Client(GET * 500, handler)
     line = b'HTTP/1.1 404 '
     count = client.transport.written.count(line)
-    assert count == ingress.MAX_STARTED_AT_ONCE
+    assert count == ingress_connection.MAX_STARTED_AT_ONCE
     while client.transport.written.count(line) < 500:
         client.wait(0.0)
     assert client.connection.is_idle
@@ -506,7 +511,7 @@
 
     async def async_connect() -> None:
         for transport in transports:
-            connection = ingress.IngressConnection(client.server)
+            connection = ingress_connection.IngressConnection(client.server)
             connection.connection_made(transport)
             await asyncio.sleep(0)
 
@@ -522,10 +527,10 @@
     client = Client(POST[:-1])
     client.server.held.limit = 8
     client.connection.since -= 2.0
-    other = ingress.IngressConnection
+    other = ingress_connection.IngressConnection
     transport = FakeTransport()
 
-    async def async_connect() -> ingress.IngressConnection:
+    async def async_connect() -> ingress_connection.IngressConnection:
         connection = other(client.server)
         connection.connection_made(transport)
         return connection
@@ -832,8 +837,13 @@
 
     run_client(handler, async_use)
     # A read has 256 KiB at most.
-    parsed_at_once = ingress.MAX_PARSED_BYTES // len(template % 1) + 1
-    assert max(seen)[0] < ingress.MAX_PIPELINED_REQUESTS + parsed_at_once
+    parsed_at_once = (
+        ingress_connection.MAX_PARSED_BYTES // len(template % 1) + 1
+    )
+    assert (
+        max(seen)[0]
+        < ingress_connection.MAX_PIPELINED_REQUESTS + parsed_at_once
+    )
     assert max(item[1] for item in seen) <= (64 + 256 + 8) * 1024
 
 
@@ -944,13 +954,13 @@
     client = Client(b'', PromptHandler())
     client.server.is_closing = True
     client.connection.data_received(GET[:9])
-    for _ in range(ingress.MAX_LATE_RESPONSES + 1):
+    for _ in range(ingress_connection.MAX_LATE_RESPONSES + 1):
         assert not client.transport.is_closed
         client.connection.data_received(GET[9:] + GET[:9])
     assert client.transport.is_closed
     answers = client.transport.written.split(b'HTTP/1.1 ')[1:]
     assert [b'Connection: close' in answer for answer in answers] == (
-        [False] * ingress.MAX_LATE_RESPONSES + [True]
+        [False] * ingress_connection.MAX_LATE_RESPONSES + [True]
     )
     client.disconnect()
 
@@ -959,9 +969,11 @@
     """Guards against clients that send much ahead, a segment at a time."""
     client = Client(b'', PromptHandler())
     client.server.is_closing = True
-    client.connection.data_received(GET * ingress.MAX_LATE_RESPONSES + GET[:9])
+    client.connection.data_received(
+        GET * ingress_connection.MAX_LATE_RESPONSES + GET[:9]
+    )
     while client.transport.written.count(b'HTTP/1.1') < (
-        ingress.MAX_LATE_RESPONSES
+        ingress_connection.MAX_LATE_RESPONSES
     ):
         client.wait(0.0)
     assert not client.transport.is_closed
@@ -1012,7 +1024,7 @@
         descriptor = writer.get_extra_info('socket').fileno()
         # Runs just before the close, without a poll in between.
         asyncio.get_running_loop().call_later(
-            ingress.IDLE_CLOSE_DELAY_S, os.write, descriptor, GET
+            ingress_connection.IDLE_CLOSE_DELAY_S, os.write, descriptor, GET
         )
         server.close_idle()
         assert (await reader.readline()).startswith(b'HTTP/1.1 200')
@@ -1030,7 +1042,7 @@
         await asyncio.sleep(0.01)
         server.is_closing = True
         server.close_idle()
-        await asyncio.sleep(3.0 * ingress.IDLE_CLOSE_DELAY_S)
+        await asyncio.sleep(3.0 * ingress_connection.IDLE_CLOSE_DELAY_S)
         writer.write(GET)
         assert (await reader.readline()).startswith(b'HTTP/1.1 200')
 
@@ -1093,7 +1105,7 @@
         server.is_closing = True
         writer.write(GET)
         await reader.readuntil(b'\r\n\r\n')
-        await asyncio.sleep(ingress.LINGER_S + 0.2)
+        await asyncio.sleep(ingress_connection.LINGER_S + 0.2)
         writer.write(GET)
         assert len(await reader.readexactly(size)) == size
 
@@ -1107,7 +1119,7 @@
     client.handler.requests[0].reply(200)
     client.server.close_idle()
     client.server.close_slow_connections(client.connection.since + 16.0)
-    client.wait(2 * ingress.IDLE_CLOSE_DELAY_S)
+    client.wait(2 * ingress_connection.IDLE_CLOSE_DELAY_S)
     assert not client.transport.is_closed
     client.connection.resume_writing()
     assert client.handler.requests[1].body == b'hello'
@@ -1202,7 +1214,7 @@
             assert len(await async_read(client, part)) == part
         server.close_slow_connections(now + 35.0)
         server.close_slow_connections(now + 49.0)
-        await asyncio.sleep(3.0 * ingress.IDLE_CLOSE_DELAY_S)
+        await asyncio.sleep(3.0 * ingress_connection.IDLE_CLOSE_DELAY_S)
         client.send(GET)
         assert await async_read(client, 12) == b'HTTP/1.1 200'
 
@@ -1215,7 +1227,7 @@
     """The input of the client is read until it has got all."""
 
     async def async_use(server, client) -> None:
-        await asyncio.sleep(ingress.LINGER_S + 0.2)
+        await asyncio.sleep(ingress_connection.LINGER_S + 0.2)
         client.send(GET)
         assert len(await async_read(client, HELD_BYTES)) == HELD_BYTES
 
@@ -1231,12 +1243,12 @@
     client.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=2.0)
     since = client.connection.since
     client.server.close_slow_connections(since + 14.0)
-    client.wait(2 * ingress.IDLE_CLOSE_DELAY_S)
+    client.wait(2 * ingress_connection.IDLE_CLOSE_DELAY_S)
     assert not client.transport.is_closed
     client.connection.data_received(GET)
     client.handler.requests[1].reply(200)
     client.server.close_slow_connections(client.connection.since + 2.1)
-    client.wait(2 * ingress.IDLE_CLOSE_DELAY_S)
+    client.wait(2 * ingress_connection.IDLE_CLOSE_DELAY_S)
     assert client.transport.is_closed
     client.disconnect()
 
@@ -1276,7 +1288,7 @@
         writer.write(POST.replace(b'5', b'5000'))
         for _ in range(8):
             writer.write(b'x' * 100)
-            await asyncio.sleep(ingress.LINGER_S / 5.0)
+            await asyncio.sleep(ingress_connection.LINGER_S / 5.0)
         assert (await reader.readline()).startswith(b'HTTP/1.1 413')
 
     run_client(Handler(), async_use)
