--- a/sassafraswood/coordination/call_tree.py
+++ b/sassafraswood/coordination/call_tree.py
@@ -36,6 +36,8 @@
 # of its behaviour have an effect.
 MEMORY_RUNS: Final = 200.0
 MAX_ROUTES: Final = 1024
+# Gain of the moving average of the urgency of unmatched calls.
+URGENCY_GAIN: Final = 0.1
 
 
 class Run(Protocol):
@@ -44,10 +46,12 @@
     Attributes:
         route: Name of the route.
         deadline: Monotonic time in seconds.
+        urgency: From 0 to 1.
     """
 
     route: str
     deadline: float
+    urgency: float
 
 
 RunT = TypeVar('RunT', bound=Run)
@@ -74,7 +78,12 @@
 
 
 class CallTree(Generic[RunT]):
-    """Counts calls and attributes them to the runs with equal deadlines."""
+    """Counts calls and attributes them to the runs with equal deadlines.
+
+    Attributes:
+        unmatched_urgency: Mean urgency of the runs that may have made the
+            calls without a matching run; None before the first of them.
+    """
 
     def __init__(self) -> None:
         """Create a tree without runs."""
@@ -82,8 +91,10 @@
         self._routes: dict[str, _Counts] = {}
         self._calls = 0.0
         self._matched = 0.0
-        self._unsampled_count = 0
+        # The first unmatched call is examined.
+        self._unsampled_count = SAMPLE_INTERVAL - 1
         self._runs = 0.0
+        self.unmatched_urgency: float | None = None
 
     @property
     def has_inner_calls(self) -> bool:
@@ -175,17 +186,34 @@
         if self._unsampled_count < SAMPLE_INTERVAL:
             return
         self._unsampled_count = 0
-        routes = {
-            run.route
+        outlasting = [
+            run
             for run_deadline_ms, run in self._runs_by_deadline_ms.items()
             if run_deadline_ms >= deadline_ms
-        }
+        ]
+        self._note_urgency(outlasting)
+        routes = {run.route for run in outlasting}
         if len(routes) != 1:
             return
         counts = self._routes.get(routes.pop())
         if counts is not None:
             counts.outlasting += SAMPLE_INTERVAL
 
+    def _note_urgency(self, runs: list[RunT]) -> None:
+        """Add those of some runs that may make calls to the mean urgency."""
+        urgencies = [
+            run.urgency for run in runs if self.may_make_calls(run.route)
+        ]
+        if not urgencies:
+            return
+        mean = sum(urgencies) / len(urgencies)
+        if self.unmatched_urgency is None:
+            self.unmatched_urgency = mean
+        else:
+            self.unmatched_urgency += URGENCY_GAIN * (
+                mean - self.unmatched_urgency
+            )
+
     def _find_run(
         self, deadline_ms: int, offsets: tuple[int, ...]
     ) -> RunT | None:
--- a/sassafraswood/sidecar/caller_call.py
+++ b/sassafraswood/sidecar/caller_call.py
@@ -41,6 +41,9 @@
         sent_at: When the current attempt was sent; 0 before the first.
         attempt_count: Attempts that may have run.
         refusal_count: Attempts that were refused.
+        siblings: Calls that the same run of the local upstream has made
+            before this one; 0 if unknown.
+        shed_daemon_ids: Daemons whose upstream refused an attempt.
         upstream_refusal_count: Attempts that an upstream itself refused.
         redirect_count: Attempts that found all slots of an upstream in use.
         reserved_bytes: Memory that is reserved for its answer.
@@ -68,6 +71,8 @@
         'route',
         'sent_at',
         'service',
+        'shed_daemon_ids',
+        'siblings',
         'started_at',
         'tried_daemon_ids',
         'upstream_refusal_count',
@@ -106,6 +111,8 @@
         self.reserved_bytes = 0
         self.redirect_count = 0
         self.upstream_refusal_count = 0
+        self.shed_daemon_ids: set[ids.DaemonId] = set()
+        self.siblings = 0
         self.tried_daemon_ids: list[ids.DaemonId] = []
 
     def describe(self, status: int, reason: str) -> dict[str, Any]:
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -41,8 +41,10 @@
         enums.RefusalReason.UPSTREAM_COLD.value,
     }
 )
-# A call is refused after this many refusals by daemons.
+# A call is refused after this many refusals by daemons, or by upstreams. The
+# budget of repeats bounds the latter.
 MAX_REFUSALS: Final = 3
+MAX_UPSTREAM_REFUSALS: Final = 6
 # A call that finds all slots of an upstream in use goes to another one at most
 # this often; then it waits.
 MAX_REDIRECTS: Final = 2
@@ -437,9 +439,15 @@
         """Take urgency and slack of the call that the local upstream runs."""
         parent = self._upstream.note_inner_call(call.deadline)
         call.counts_as_deep_load = self._upstream.makes_calls
-        if parent is not None:
+        if parent is None:
+            urgency = self._upstream.unmatched_urgency
+            if urgency is not None:
+                call.urgency = urgency
+        else:
             call.urgency = parent.urgency
             call.parent_attempt_id = parent.attempt_id
+            call.siblings = parent.child_count
+            parent.child_count += 1
             call.max_wait_s = self._upstream.compute_inner_wait_s(parent)
 
     def handle_loan(self, loan: frames.LendTokens) -> None:
@@ -501,9 +509,17 @@
             return
         candidates = self._peers.candidates(call.service)
         route = call.route.name
-        candidate = self._choice.pick(candidates, call.tried_daemon_ids, route)
-        if candidate is None and call.redirect_count:
-            # The daemons with full upstreams are left.
+        tried = call.tried_daemon_ids
+        if len(call.shed_daemon_ids) >= call.route.max_upstreams:
+            candidates = [
+                item
+                for item in candidates
+                if item.member.daemon_id in call.shed_daemon_ids
+            ]
+            tried = tried[-1:]
+        candidate = self._choice.pick(candidates, tried, route)
+        if candidate is None and (call.redirect_count or call.shed_daemon_ids):
+            # The daemons whose upstreams are full or refused it are left.
             candidate = self._choice.pick(candidates, (), route)
         if candidate is None:
             self._wait_for_daemon(call)
@@ -718,11 +734,13 @@
             self._send(call)
             return
         call.refusal_count += 1
-        call.upstream_refusal_count += refusal.has_reached_upstream
+        if refusal.has_reached_upstream:
+            call.upstream_refusal_count += 1
+            call.shed_daemon_ids.add(candidate.member.daemon_id)
         if refusal.is_local:
             if refusal.reason not in REDIRECT_REASONS:
                 candidate.note_failure(self._clock.monotonic())
-            if call.refusal_count < MAX_REFUSALS and (
+            if self._may_send_again(call) and (
                 not refusal.has_reached_upstream or self._reserve_retry(call)
             ):
                 self._send(call)
@@ -734,17 +752,34 @@
             self._compute_retry_after_s(call, refusal.wait_s),
         )
 
+    def _may_send_again(self, call: caller_call.CallerCall) -> bool:
+        """Return whether few enough daemons and upstreams refused a call."""
+        return (
+            call.refusal_count - call.upstream_refusal_count < MAX_REFUSALS
+            and call.upstream_refusal_count < MAX_UPSTREAM_REFUSALS
+        )
+
     def _reserve_retry(self, call: caller_call.CallerCall) -> bool:
-        """Return whether a retry is allowed, and charge it to the budget."""
+        """Return whether a retry is allowed, and charge it to the budget.
+
+        A call that no upstream has run may go to the same ones again.
+        """
         now = self._clock.monotonic()
-        if (
+        is_spread = (
             call.attempt_count + call.upstream_refusal_count
             >= call.route.max_upstreams
+        )
+        if (
+            (is_spread and call.attempt_count)
             or call.expires_at - now
             < MIN_RETRY_TIME_FRACTION * call.latency_target_s
         ):
             return False
-        if self._budget.take(call.service, self._depth_of(call)):
+        if self._budget.take(
+            call.service,
+            self._depth_of(call),
+            repeat_budget.make_rank(call.urgency, call.siblings),
+        ):
             return True
         self._metrics.count('not_repeated', call.service, 'budget')
         return False
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -407,6 +407,11 @@
         """
         return self._gate.tree.note_call(deadline)
 
+    @property
+    def unmatched_urgency(self) -> float | None:
+        """Return the urgency of calls whose run is unknown, if measured."""
+        return self._gate.tree.unmatched_urgency
+
     def compute_inner_wait_s(self, parent: upstream_gate.GateCall) -> float:
         """Return how long a call that a run makes may wait, in seconds.
 
@@ -504,13 +509,14 @@
         self, call: UpstreamCall, outcome: exchange.Outcome
     ) -> None:
         if isinstance(outcome, exchange.Response):
-            is_error = outcome.status >= 500
+            is_error = call.has_failed = outcome.status >= 500
             self.health.note_end(id(call), is_error=is_error)
             if not is_error:
                 self._slot_time.note_end(
                     self._clock.monotonic() - call.started_at
                 )
         elif outcome not in exchange.NOTHING_SENT:
+            call.has_failed = True
             self.health.note_end(id(call), is_error=True)
         if self._pace.is_found:
             self._note_pace(call, outcome)
--- a/tests/coordination/test_call_tree.py
+++ b/tests/coordination/test_call_tree.py
@@ -2,16 +2,21 @@
 
 import random
 
+import pytest
+
 from sassafraswood.coordination import call_tree
 
 
 class Run:
     """A call that runs at an upstream."""
 
-    def __init__(self, route: str, deadline: float) -> None:
+    def __init__(
+        self, route: str, deadline: float, urgency: float = 0.5
+    ) -> None:
         """Create a run with the attributes that the tree reads."""
         self.route = route
         self.deadline = deadline
+        self.urgency = urgency
 
 
 def simulate_runs(
@@ -85,3 +90,25 @@
         if index % 100 == 0:
             tree.note_call(70.0 + index)
     assert not tree.has_inner_calls
+
+
+# Load: many calls have a shorter timeout than the runs that make them.
+def test_unmatched_calls_have_the_urgency_of_possible_runs() -> None:
+    """Guards against unimportant calls that go before known urgent ones.
+
+    Runs that end earlier than the call, and those of routes that make no
+    calls, do not count.
+    """
+    tree = call_tree.CallTree()
+    assert tree.unmatched_urgency is None
+    for _ in range(call_tree.CLASSIFICATION_RUNS):
+        leaf = Run('leaf', 50.0, 1.0)
+        tree.start(leaf)
+        tree.end(leaf)
+    tree.start(Run('leaf', 50.0, 1.0))
+    tree.start(Run('short', 10.0, 1.0))
+    tree.start(Run('look-up', 60.0, 0.0))
+    tree.start(Run('look-up', 61.0, 0.4))
+    for _ in range(call_tree.SAMPLE_INTERVAL):
+        assert tree.note_call(20.0) is None
+    assert tree.unmatched_urgency == pytest.approx(0.2)
--- a/tests/coordination/test_repeat_budget.py
+++ b/tests/coordination/test_repeat_budget.py
@@ -70,6 +70,48 @@
     assert taken <= SLACK
 
 
+# Load: all upstreams of a service reject a part of their requests.
+def test_urgent_calls_get_the_last_repeats() -> None:
+    """Guards against repeats that are spread too thinly to save call trees.
+
+    Four call trees ask for each repeat that is allowed; one of the four is
+    urgent. Of equally urgent ones, those that have made calls go first.
+    """
+    now = clock.ManualClock()
+    budget = make_budget(now, members=1000)
+    ranks = [
+        repeat_budget.Rank(urgency, siblings)
+        for urgency in (0.0, 0.0, 0.0, 1.0)
+        for siblings in (0, 1)
+    ]
+    granted = dict.fromkeys(ranks, 0)
+    for second in range(40):
+        for _ in range(20):
+            for rank in ranks:
+                for _ in range(2):
+                    budget.count_request(SERVICE, 0)
+                if budget.take(SERVICE, 0, rank) and second >= 20:
+                    granted[rank] += 1
+            now.advance(0.05)
+    total = sum(granted.values())
+    # A tenth of the requests, of which there were 16 in each of 400 rounds.
+    assert 0.9 * 640 <= total <= 1.05 * 640
+    assert granted[repeat_budget.Rank(1.0, 1)] >= 0.95 * 400
+    assert granted[repeat_budget.Rank(1.0, 0)] >= 0.8 * (total - 400)
+
+
+def test_less_urgent_calls_get_repeats_that_nobody_else_wants() -> None:
+    """Guards against a budget that is kept for calls that don't come."""
+    now = clock.ManualClock()
+    budget = make_budget(now, members=1000)
+    for _ in range(1000):
+        budget.count_request(SERVICE, 0)
+    assert budget.take(SERVICE, 0, repeat_budget.HIGHEST_RANK)
+    now.advance(5.0)
+    lowest = repeat_budget.Rank(urgency=0.0)
+    assert sum(budget.take(SERVICE, 0, lowest) for _ in range(200)) >= 97
+
+
 def test_changed_bounds_give_nothing_back() -> None:
     """Guards against a change of settings that resets the spent budget."""
     now = clock.ManualClock()
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -87,6 +87,7 @@
     """An upstream that makes no calls."""
 
     makes_calls = False
+    unmatched_urgency = 0.2
 
     def note_inner_call(self, deadline):
         """Return None: the parent call is unknown."""
@@ -469,6 +470,24 @@
     assert arrivals - 100 <= 0.05 * 100 + 12
 
 
+# Load: all upstreams of a service reject a part of their requests.
+def test_rejected_call_goes_to_no_more_upstreams_than_allowed(
+    tmp_path,
+) -> None:
+    """No upstream has run it, so that it may go to the same ones again."""
+    fixture = Fixture(tmp_path)
+    fixture.peers.members += [fixture.peers.add(2), fixture.peers.add(3)]
+    connection = fixture.send('pay')
+    for index in range(3):
+        fixture.reply_to_call(index, rejected)
+    fixture.reply_to_call(3, ok)
+    assert connection.responses[0][0] == 200
+    daemon_ids = [item.member.daemon_id for item, _, _ in fixture.peers.sent]
+    assert len(set(daemon_ids)) == 2
+    # It alternates between them.
+    assert daemon_ids[:2] == daemon_ids[2:]
+
+
 def test_lowest_call_level_gets_half_of_the_budget(tmp_path) -> None:
     """Retries at the lowest level cost least and save whole call trees."""
     fixture = Fixture(tmp_path)
