Send large bodies on in parts

Cause: a single request inside the limits (a body of 64 MiB on a VM of 200 MB) got 503 always: a body was held whole by both daemons, with copies for the message, the transport and the request to the upstream, so that only 0.2 of the memory could be allowed for one.

Change: a body of over 4 MiB is held once, by the daemon that took it, and goes to the daemon beside the upstream in parts of 64 KiB as the upstream reads them; that daemon asks for 256 KiB ahead. One request at a time may hold 0.35 of the memory. A call that is cancelled before the upstream has its whole body is broken off, whatever its kind, and a response that comes before the end of the body closes the connection. Bodies up to 4 MiB go as before.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import enum
+import hashlib
 import random
 import time
 
@@ -70,6 +71,7 @@
         fault_share: Fraction of the responses with the fault, from 0 to 1.
         seen: Heads of the requests that ran.
         streams: Stream of the connection of each attempt that runs.
+        digests: Hash of the body of each attempt that was received whole.
         body: Body of each response; its id and the body of the request if
             empty.
         slots: Requests that run at once; further ones are refused.
@@ -103,6 +105,7 @@
         self.fault_share = 0.0
         self.seen: list[str] = []
         self.streams: dict[str, asyncio.StreamReader] = {}
+        self.digests: dict[str, str] = {}
         self.body = b''
         self.slots = SLOTS
         self.is_dark = False
@@ -231,6 +234,7 @@
                     int(fields.get('content-length', '0'))
                 )
                 attempt = fields.get('x-attempt-id', '')
+                self.digests[attempt] = hashlib.sha256(body).hexdigest()
                 self.streams[attempt] = reader
                 try:
                     response, is_last = await self._async_handle_request(
--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -24,6 +24,7 @@
 MAX_ROUND: Final = 64
 Amount = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NUMBER)]
 SignedAmount = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Size = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
 Round = Annotated[int, msgspec.Meta(ge=0, le=MAX_ROUND)]
 
 
@@ -66,6 +67,9 @@
             missing its target; 0 if the tree has no slack.
         has_slack: Whether the target of the call is most of the time that its
             caller gives, so that it may wait longer than others.
+        body_bytes: Size of a body that follows in parts, as the receiver asks
+            for them; 0 if the message holds the body.
+        body_hash: Hash of such a body.
     """
 
     call_id: int
@@ -84,6 +88,8 @@
     may_redirect: bool = False
     max_wait_s: Amount = 0.0
     has_slack: bool = False
+    body_bytes: Size = 0
+    body_hash: bytes = b''
 
 
 class Answer(Frame, tag=2):
@@ -315,6 +321,20 @@
     unconfirmed: list[str] = []
 
 
+class BodyRequest(Frame, tag=22):
+    """Asks for a body of a call up to an offset, which may lie behind it."""
+
+    call_id: int
+    end: Size
+
+
+class BodyPart(Frame, tag=23):
+    """Next part of the body of a call."""
+
+    call_id: int
+    data: bytes
+
+
 AnyFrame = (
     Hello
     | Run
@@ -336,6 +356,8 @@
     | Verdicts
     | FetchEvacuations
     | Evacuations
+    | BodyRequest
+    | BodyPart
 )
 
 
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -538,7 +538,7 @@
         run = self._build_run(call)
         run.may_redirect = (
             call.redirect_count < MAX_REDIRECTS
-            and len(run.body) <= MAX_REDIRECTED_BODY_BYTES
+            and max(len(run.body), run.body_bytes) <= MAX_REDIRECTED_BODY_BYTES
             and self._choice.has_spare(candidates, call.tried_daemon_ids)
         )
         call.cancel = None
@@ -548,6 +548,7 @@
             lambda reply: self._handle_reply(
                 call, candidate, run.call_id, reply
             ),
+            call.request.large_body,
         )
         if id(call) in self._active and call.call_id == run.call_id:
             call.cancel = lambda: self._cancel(
@@ -594,6 +595,8 @@
             is_repeat=call.attempt_count > 1,
             max_wait_s=call.max_wait_s or self._quota_waits.max_wait_s(call),
             has_slack=call.has_slack,
+            body_bytes=len(request.large_body or b''),
+            body_hash=request.body_hash,
         )
 
     def _build_head(self, call: caller_call.CallerCall) -> bytes:
--- a/sassafraswood/sidecar/fingerprints.py
+++ b/sassafraswood/sidecar/fingerprints.py
@@ -29,7 +29,11 @@
     path, query_mark, _ = target.partition(b'?')
     return [
         quarantine.hash_parts(
-            method, part, host, run.workspace.encode(), run.body
+            method,
+            part,
+            host,
+            run.workspace.encode(),
+            run.body_hash or run.body,
         )
         for part in ((target, path) if query_mark else (target,))
     ]
@@ -43,7 +47,7 @@
     """
     # Without the version of the protocol, which follows the target.
     line = run.head.partition(b'\r\n')[0].rpartition(b' ')[0]
-    body_hash = hash(run.body)
+    body_hash = hash(run.body_hash or run.body)
     path, query_mark, _ = line.partition(b'?')
     return [
         (part, run.workspace, body_hash)
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -8,6 +8,7 @@
 from sassafraswood.coordination import upstream_choice
 from sassafraswood.models import fleet
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import body_parts
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.transport import frame_link
 from sassafraswood.transport import json_log
@@ -97,6 +98,8 @@
         # acknowledged everything, or data of the peer arrived.
         self._acknowledged_at = 0.0
         self._reply_callbacks: dict[int, OnReply] = {}
+        # Bodies that are sent in parts, by call id.
+        self._bodies: dict[int, body_parts.BodySender] = {}
 
     @property
     def is_open(self) -> bool:
@@ -126,18 +129,44 @@
         self._connection.send(message)
         return True
 
-    def start_call(self, run: frames.Run, on_reply: OnReply) -> None:
-        """Send a call; on_reply gets None if the connection is lost."""
+    def start_call(
+        self,
+        run: frames.Run,
+        on_reply: OnReply,
+        large_body: bytearray | None = None,
+    ) -> None:
+        """Send a call; on_reply gets None if the connection is lost.
+
+        Args:
+            run: The message that asks for the call.
+            on_reply: Called with the reply.
+            large_body: Body that the peer gets in parts, if any.
+        """
         self._reply_callbacks[run.call_id] = on_reply
+        if large_body is not None:
+            self._bodies[run.call_id] = body_parts.BodySender(
+                large_body,
+                lambda data: self.send(
+                    frames.BodyPart(call_id=run.call_id, data=data)
+                ),
+            )
         self.send(run)
 
+    def send_body(self, request: frames.BodyRequest) -> None:
+        """Send parts of a body that the peer asks for."""
+        sender = self._bodies.get(request.call_id)
+        if sender is not None:
+            sender.send_up_to(request.end)
+
     def cancel_call(self, call_id: int) -> None:
         """Cancel a call at the peer; its reply is discarded."""
+        self._bodies.pop(call_id, None)
         if self._reply_callbacks.pop(call_id, None) is not None:
             self.send(frames.Cancel(call_id=call_id))
 
     def handle_reply(self, reply: upstream_side.Reply) -> None:
         """Pass a reply to its call, unless that was cancelled."""
+        self._bodies.pop(reply.call_id, None)
         on_reply = self._reply_callbacks.pop(reply.call_id, None)
         if on_reply is not None:
             on_reply(reply)
@@ -306,6 +335,7 @@
         self._pinged_at_by_sequence.clear()
         if connection is not None and connection.is_open:
             connection.close(reason)
+        self._bodies.clear()
         calls, self._reply_callbacks = self._reply_callbacks, {}
         for call_id, on_reply in calls.items():
             try:
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -16,6 +16,7 @@
 from sassafraswood.models import fleet
 from sassafraswood.models import ids
 from sassafraswood.protocol import frames
+from sassafraswood.sidecar import body_parts
 from sassafraswood.sidecar import crash_exchange
 from sassafraswood.sidecar import evacuation_exchange
 from sassafraswood.sidecar import member_follower
@@ -309,14 +310,24 @@
         candidate: upstream_choice.Candidate,
         run: frames.Run,
         on_reply: peer_link.OnReply,
+        large_body: bytearray | None = None,
     ) -> Callable[[], None]:
         """Send a call; on_reply gets None if the connection is lost.
 
+        Args:
+            candidate: Daemon that the call is sent to.
+            run: The message that asks for the call.
+            on_reply: Called with the reply.
+            large_body: Body that is sent in parts, if any.
+
         Returns:
             Function that cancels the call.
         """
         if candidate is self._own_candidate:
-            call = self._upstream.submit(run, on_reply)
+            if large_body is None:
+                call = self._upstream.submit(run, on_reply)
+            else:
+                call = self._submit_large(run, on_reply, large_body)
             return lambda: self._upstream.cancel(call)
         link = self._links.get(candidate.member.daemon_id)
         if link is None or not link.is_open:
@@ -331,9 +342,28 @@
             )
             return lambda: None
         link.used_at = self._clock.monotonic()
-        link.start_call(run, on_reply)
+        link.start_call(run, on_reply, large_body)
         return lambda: link.cancel_call(run.call_id)
 
+    def _submit_large(
+        self,
+        run: frames.Run,
+        on_reply: peer_link.OnReply,
+        large_body: bytearray,
+    ) -> upstream_side.UpstreamCall:
+        """Run a call at the local upstream, with its body in parts."""
+        loop = asyncio.get_running_loop()
+        sender = body_parts.BodySender(
+            large_body, lambda data: self._upstream.feed_body(call, data)
+        )
+        call = self._upstream.submit(
+            run,
+            on_reply,
+            # A part may be asked for while another one is written.
+            lambda end: loop.call_soon(sender.send_up_to, end),
+        )
+        return call
+
     def send(self, daemon_id: ids.DaemonId, message: frames.AnyFrame) -> bool:
         """Send a message; return False if the peer is not connected."""
         link = self._links.get(daemon_id)
@@ -571,6 +601,14 @@
             call = self._running.pop((connection, message.call_id), None)
             if call is not None:
                 self._upstream.cancel(call)
+        elif isinstance(message, frames.BodyPart):
+            call = self._running.get((connection, message.call_id))
+            if call is not None:
+                self._upstream.feed_body(call, message.data)
+        elif isinstance(message, frames.BodyRequest):
+            link = self._find_link(connection)
+            if link is not None:
+                link.send_body(message)
         elif isinstance(message, frames.Ping):
             connection.send(self._build_pong(message.sequence))
         elif isinstance(message, frames.Pong):
@@ -758,7 +796,13 @@
                 )
             connection.send(reply)
 
-        call = self._upstream.submit(run, deliver)
+        call = self._upstream.submit(
+            run,
+            deliver,
+            lambda end: connection.send(
+                frames.BodyRequest(call_id=run.call_id, end=end)
+            ),
+        )
         if call.state is not call.state.ENDED:
             self._running[key] = call
 
--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -102,7 +102,7 @@
 # while it is forwarded, and the process itself takes a tenth of the memory.
 BODY_MEMORY_FRACTION: Final = 0.15
 # Fraction that one request at a time may hold apart from these.
-SINGLE_BODY_FRACTION: Final = 0.2
+SINGLE_BODY_FRACTION: Final = 0.35
 # Fraction of the free descriptors that connections of callers leave to others:
 # to the upstream, one for each running call, to peers, and to local servers.
 DESCRIPTOR_RESERVE_FRACTION: Final = 0.6
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -48,6 +48,7 @@
         is_abandoned: Whether its caller no longer waits for the reply.
         bodies: The budget in which its body is counted; None if it is not.
         counted_bytes: Bytes that are counted there.
+        request_body: Asks for the body up to an offset, if it comes in parts.
     """
 
     run: frames.Run
@@ -57,6 +58,7 @@
     is_abandoned = False
     bodies: held_bytes.ByteBudget | None = None
     counted_bytes = 0
+    request_body: exchange.RequestBody | None = None
 
     def end(self) -> None:
         """Mark the call as ended, and release its body."""
@@ -318,13 +320,21 @@
             elif self._stop_plan.is_stopping:
                 self._stop_plan.note_running(call.run.route, call.queued_at)
 
-    def submit(self, run: frames.Run, deliver: Deliver) -> UpstreamCall:
+    def submit(
+        self,
+        run: frames.Run,
+        deliver: Deliver,
+        request_body: exchange.RequestBody | None = None,
+    ) -> UpstreamCall:
         """Start, queue or refuse a call.
 
         Args:
             run: The message that asks for the call.
             deliver: Called once with the reply; not called after the
-                cancellation of a call that waits or is idempotent.
+                cancellation of a call that waits, is idempotent, or whose
+                body is not complete.
+            request_body: Asks for the body up to an offset, if it comes in
+                parts.
         """
         now = self._clock.monotonic()
         call = UpstreamCall(
@@ -344,6 +354,7 @@
         )
         call.run = run
         call.deliver = deliver
+        call.request_body = request_body
         if run.service != self._service:
             # The address may have passed to a VM of another service since the
             # peer learned it.
@@ -379,6 +390,8 @@
         """
         # It is copied behind the head of the request.
         size = 2 * len(call.run.body)
+        if call.run.body_bytes:
+            size = exchange.BODY_WINDOW_BYTES
         if not size:
             return True
         if not self.bodies.count:
@@ -428,12 +441,20 @@
             self._gate.cancel(call)
             return
         call.is_abandoned = True
-        if call.run.is_idempotent and call in self.running:
+        is_incomplete = (
+            call.running is not None and call.running.is_sending_body
+        )
+        if (call.run.is_idempotent or is_incomplete) and call in self.running:
             self._watch.record_lost_run(call, is_broken=False)
             self._remove_running(call)
             if call.running is not None:
                 call.running.cancel()
 
+    def feed_body(self, call: UpstreamCall, data: bytes) -> None:
+        """Pass the next part of a body on to the upstream."""
+        if call in self.running and call.running is not None:
+            call.running.write_body(data)
+
     def _start(self, call: UpstreamCall) -> None:
         """Send a call to the upstream; if that fails, only this call ends."""
         try:
@@ -473,7 +494,8 @@
             self._refuse(call, enums.RefusalReason.NO_UPSTREAM)
             return
         time_left_ms = int(1000 * (call.deadline - self._clock.monotonic()))
-        has_length = run.body or not run.head.startswith(
+        body_bytes = run.body_bytes or len(run.body)
+        has_length = body_bytes or not run.head.startswith(
             (b'GET ', b'HEAD ', b'DELETE ')
         )
         payload = b'%b%b: %d\r\n%b: %b\r\n%b\r\n%b' % (
@@ -482,7 +504,7 @@
             max(1, time_left_ms),
             self._names.expected_instance,
             report.instance_id.encode(),
-            b'content-length: %d\r\n' % len(run.body) if has_length else b'',
+            b'content-length: %d\r\n' % body_bytes if has_length else b'',
             run.body,
         )
         self.running.add(call)
@@ -493,6 +515,11 @@
             run.attempt_id or None,
             lambda outcome: self._on_outcome(call, outcome),
             may_retry=run.is_idempotent,
+            body=(
+                exchange.BodyInParts(run.body_bytes, call.request_body)
+                if run.body_bytes and call.request_body is not None
+                else None
+            ),
         )
 
     def _on_outcome(
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -37,6 +37,8 @@
 # The first bytes of each body are held even if other responses fill the limit
 # on them; as many calls as an upstream runs at once need little memory for it.
 SMALL_BODY_BYTES: Final = 64 * 1024
+# Bytes of a body that are asked for ahead of what the server has read.
+BODY_WINDOW_BYTES: Final = 256 * 1024
 # Idle timeout of connections whose server announces none; it is below the
 # usual timeouts of servers.
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -109,6 +111,21 @@
 
 
 Outcome = Response | FailureKind
+# Asks for the body of a request up to an offset.
+RequestBody = Callable[[int], object]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyInParts:
+    """Body of a request that follows its head in parts.
+
+    Attributes:
+        size: Size of the whole body in bytes.
+        request: Asks for parts up to an offset.
+    """
+
+    size: int
+    request: RequestBody
 
 
 class ExchangeConnection(asyncio.Protocol):
@@ -178,6 +195,9 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.idle_since = 0.0
         self._may_reuse = True
+        self._body_in_parts: BodyInParts | None = None
+        self._written_body_bytes = 0
+        self._is_writing_paused = False
         self._reset_response()
 
     @property
@@ -220,6 +240,7 @@
         payload: bytes,
         request_id: bytes | None,
         on_done: Callable[[Outcome], None],
+        body: BodyInParts | None = None,
     ) -> None:
         """Send a request and call on_done once with the outcome.
 
@@ -227,6 +248,7 @@
             payload: The encoded request.
             request_id: Id that the response carries, if any.
             on_done: Called once with the outcome.
+            body: Body that follows the payload, if any.
         """
         if self._is_closed or self._transport is None:
             on_done(FailureKind.CONNECT)
@@ -244,6 +266,47 @@
         self._reset_response()
         self._read_limit.apply(self._transport, len(payload))
         self._transport.write(payload)
+        self._body_in_parts = body
+        self._written_body_bytes = 0
+        self._request_body()
+
+    @property
+    def is_sending_body(self) -> bool:
+        """Return whether a part of the body of the request is missing."""
+        return (
+            self._body_in_parts is not None
+            and self._written_body_bytes < self._body_in_parts.size
+        )
+
+    def write_body(self, data: bytes) -> None:
+        """Send the next part of the body, unless the exchange has ended."""
+        body = self._body_in_parts
+        if self._on_done is None or self._transport is None or body is None:
+            return
+        self._written_body_bytes += len(data)
+        if self._written_body_bytes > body.size:
+            # What follows the body would be taken for another request.
+            self._fail_exchange(FailureKind.MALFORMED)
+            return
+        self._transport.write(data)
+        self._request_body()
+
+    def _request_body(self) -> None:
+        """Ask for further parts of the body while the server reads them."""
+        body = self._body_in_parts
+        if body is not None and self.is_sending_body:
+            if not self._is_writing_paused:
+                body.request(self._written_body_bytes + BODY_WINDOW_BYTES)
+
+    def pause_writing(self) -> None:
+        """Ask for no further part of a body, since the server reads slowly."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Ask for further parts of a body."""
+        self._is_writing_paused = False
+        if self._on_done is not None:
+            self._request_body()
 
     def cancel(self) -> None:
         """Abort the exchange without calling on_done."""
@@ -469,6 +532,9 @@
         self._on_done = None
         self._discard_response()
         self.idle_since = time.monotonic()
+        if self.is_sending_body:
+            # The server would read the next request as the rest of the body.
+            self._may_reuse = False
         if self._has_excess_data or not self._may_reuse:
             self.close()
         if on_done is not None and result is not None:
@@ -550,6 +616,18 @@
         """Set the connection that carries the exchange."""
         self._connection = connection
 
+    @property
+    def is_sending_body(self) -> bool:
+        """Return whether a part of the body of the request is missing."""
+        return (
+            self._connection is not None and self._connection.is_sending_body
+        )
+
+    def write_body(self, data: bytes) -> None:
+        """Send the next part of the body."""
+        if self._connection is not None:
+            self._connection.write_body(data)
+
     def cancel(self) -> None:
         """Cancel the exchange and close its connection."""
         self._is_cancelled = True
@@ -628,6 +706,7 @@
         on_done: Callable[[Outcome], None],
         *,
         may_retry: bool = True,
+        body: BodyInParts | None = None,
     ) -> Exchange:
         """Send a request on an idle or a new connection.
 
@@ -639,14 +718,17 @@
             may_retry: Whether the request may be sent again if it is lost.
                 If not, it is sent on a new connection or on one that was idle
                 for at most MAX_IDLE_WITHOUT_RETRY_S.
+            body: Body that follows the payload, if any.
         """
         exchange = Exchange()
         connection = self._pop_idle_connection(may_retry)
         if connection is not None:
-            self._send(connection, exchange, payload, request_id, on_done)
+            self._send(
+                connection, exchange, payload, request_id, on_done, body
+            )
             return exchange
         task = asyncio.get_running_loop().create_task(
-            self._async_connect(exchange, payload, request_id, on_done)
+            self._async_connect(exchange, payload, request_id, on_done, body)
         )
         self._connect_tasks.add(task)
         task.add_done_callback(self._connect_tasks.discard)
@@ -697,6 +779,7 @@
         payload: bytes,
         request_id: bytes | None,
         on_done: Callable[[Outcome], None],
+        body: BodyInParts | None,
     ) -> None:
         exchange.attach(connection)
         idle_s = connection.idle_s if connection.idle_since else 0.0
@@ -708,7 +791,7 @@
                 self._idle_limit.reduce_after_reset(idle_s)
             on_done(outcome)
 
-        connection.start(payload, request_id, finish)
+        connection.start(payload, request_id, finish, body)
 
     async def _async_connect(
         self,
@@ -716,6 +799,7 @@
         payload: bytes,
         request_id: bytes | None,
         on_done: Callable[[Outcome], None],
+        body: BodyInParts | None,
     ) -> None:
         connection = await self._async_open_connection()
         if isinstance(connection, FailureKind):
@@ -725,7 +809,7 @@
         if exchange.is_cancelled:
             connection.close()
             return
-        self._send(connection, exchange, payload, request_id, on_done)
+        self._send(connection, exchange, payload, request_id, on_done, body)
 
     async def _async_open_connection(self) -> ExchangeConnection | FailureKind:
         """Return a new connection, or how opening it failed."""
--- a/sassafraswood/transport/ingress_connection.py
+++ b/sassafraswood/transport/ingress_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import enum
+import hashlib
 import http
 import socket
 import typing
@@ -36,6 +37,8 @@
 # Time without progress after which clients that do not read their responses
 # are disconnected, where these fill the memory or descriptors are scarce.
 UNREAD_STALL_S: Final = 2.0
+# Larger bodies of requests are not copied when they are complete.
+LARGE_BODY_BYTES: Final = 4 * 1024 * 1024
 # Larger bodies are not copied behind the head of their response.
 MAX_COPIED_BYTES: Final = 64 * 1024
 # Allowed beyond the header limit for what is parsed at once, and for framing.
@@ -100,7 +103,9 @@
         target: Request target.
         host: Value of the Host field.
         head: Encoded header fields to forward.
-        body: Body without its transfer encoding.
+        body: Body without its transfer encoding; empty if it is large.
+        large_body: Body of more than LARGE_BODY_BYTES, or None.
+        body_hash: SHA-256 hash of a large body.
         attempt_id: Value of the attempt id field; empty without one.
         deadline_ms: Value of the deadline field; empty without one.
         key: API key; empty if its scheme is unknown, None without the field.
@@ -117,6 +122,7 @@
     __slots__ = (
         'attempt_id',
         'body',
+        'body_hash',
         'connection',
         'context',
         'deadline_ms',
@@ -126,6 +132,7 @@
         'host',
         'is_closing',
         'key',
+        'large_body',
         'method',
         'received_at',
         'response',
@@ -140,6 +147,8 @@
         self.host = b''
         self.head = b''
         self.body = b''
+        self.large_body: bytearray | None = None
+        self.body_hash = b''
         self.attempt_id = b''
         self.deadline_ms = b''
         self.key: bytes | None = None
@@ -340,6 +349,9 @@
         self._body_part = b''
         self._body = bytearray()
         self._body_bytes = 0
+        # Hash of a large body, which is computed part by part.
+        self._body_hash = hashlib.sha256()
+        self._hashed_bytes = 0
         # Value of the Content-Length field; -1 without one.
         self._content_length = -1
         # Bytes that are reserved for the incomplete request, and those of
@@ -921,6 +933,16 @@
             # Small parts would take far more memory each than their bytes.
             self._body += data
         self._body_bytes += len(data)
+        if self._body_bytes > LARGE_BODY_BYTES:
+            self._hash_body()
+
+    def _hash_body(self) -> None:
+        """Add the part of the body that was received last to its hash."""
+        if not self._hashed_bytes:
+            self._body_hash = hashlib.sha256()
+        with memoryview(self._body) as body:
+            self._body_hash.update(body[self._hashed_bytes :])
+        self._hashed_bytes = len(self._body)
 
     def _ask_for_body(self, request: IngressRequest) -> None:
         """Drop the body if the handler does not need it."""
@@ -935,6 +957,7 @@
 
     def _clear_body(self) -> None:
         self._body_part = b''
+        self._hashed_bytes = 0
         if self._body:
             self._body = bytearray()
 
@@ -962,7 +985,11 @@
             request.head = _remove_fields(request.head, self._removed_fields)
             self._removed_fields = set()
         self._head = []
-        request.body = bytes(self._body) if self._body else self._body_part
+        if len(self._body) > LARGE_BODY_BYTES:
+            request.large_body = self._body
+            request.body_hash = self._body_hash.digest()
+        else:
+            request.body = bytes(self._body) if self._body else self._body_part
         self._clear_body()
         self._body_bytes = 0
         if not self._reserve_complete(request):
@@ -982,6 +1009,8 @@
         held = self._server.held
         head_bytes = len(request.head) + len(request.target)
         size = len(request.body)
+        if request.large_body is not None:
+            size = len(request.large_body)
         is_behind = self._current is not None or len(self._pending) > 0
         if is_behind:
             size += head_bytes + client_budget.REQUEST_BYTES
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -77,7 +77,7 @@
         """Return the value that the test has set."""
         return self.has_others
 
-    def start_call(self, candidate, run, on_reply):
+    def start_call(self, candidate, run, on_reply, large_body=None):
         """Record a call."""
         self.sent.append((candidate, run, on_reply))
         return lambda: self.cancelled.append(run)
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -58,9 +58,10 @@
         self.port = None
         self.checks = 0
 
-    def start(self, payload, request_id, on_done, *, may_retry):
+    def start(self, payload, request_id, on_done, *, may_retry, body):
         """Keep a request."""
         self.requests.append((payload, request_id, on_done))
+        self.body = body
         return exchange.Exchange()
 
     def close_idle(self) -> None:
@@ -265,6 +266,25 @@
     assert len(case.side.running) == 1
 
 
+# Guards against a request that an upstream runs although the rest of its body
+# will not come.
+def test_cancelled_call_without_its_whole_body_is_broken_off(
+    tmp_path, monkeypatch
+) -> None:
+    """Not so once the upstream may run it: it may run once at most."""
+    case = Case(tmp_path)
+    cancelled = []
+    for is_sending_body in (False, True):
+        call = case.submit(body=b'', body_bytes=1 << 23)
+        assert b'content-length: 8388608\r\n' in case.pool.requests[-1][0]
+        monkeypatch.setattr(
+            exchange.Exchange, 'is_sending_body', is_sending_body
+        )
+        case.side.cancel(call)
+        cancelled.append(call.running.is_cancelled)
+    assert cancelled == [False, True]
+
+
 def test_calls_in_flight_at_a_crash_are_suspects(tmp_path) -> None:
     """The port refuses connections just after those of the calls broke."""
     case = Case(tmp_path)
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -553,3 +553,83 @@
         b'Content-Length: 2\r\n', length
     )
     assert run(response, close=close) == [exchange.FailureKind.BAD_STATUS]
+
+
+async def async_upload(early: bool) -> tuple[bytes, list[int], int]:
+    """Upload a body in parts to a server that reads it slowly.
+
+    Returns:
+        The body that the server got, how far it was asked for ahead of what
+        was written, and the number of connections.
+    """
+    body = bytes(range(256)) * 4096
+    received = bytearray()
+    connections = []
+
+    async def async_serve(reader, writer) -> None:
+        connections.append(writer)
+        head = await reader.readuntil(b'\r\n\r\n')
+        if head.startswith(b'POST'):
+            if early:
+                writer.write(COMPLETE)
+            while len(received) < len(body):
+                data = await reader.read(65536)
+                if not data:
+                    return
+                received.extend(data)
+                await asyncio.sleep(0.001)
+            writer.write(COMPLETE)
+            await reader.readuntil(b'\r\n\r\n')
+        writer.write(COMPLETE)
+
+    server = await asyncio.start_server(
+        async_serve, '127.0.0.1', 0, limit=16384
+    )
+    pool = exchange.ExchangePool(
+        server.sockets[0].getsockname(), KEPT_FIELDS, b'attempt'
+    )
+    loop = asyncio.get_running_loop()
+    ahead: list[int] = []
+    sent = 0
+
+    def send_up_to(end: int) -> None:
+        nonlocal sent
+        ahead.append(end - sent)
+        while sent < min(end, len(body)):
+            part = body[sent : sent + 32768]
+            sent += len(part)
+            started.write_body(part)
+
+    done = loop.create_future()
+    started = pool.start(
+        b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body),
+        b'a1',
+        done.set_result,
+        body=exchange.BodyInParts(
+            len(body), lambda end: loop.call_soon(send_up_to, end)
+        ),
+    )
+    assert (await asyncio.wait_for(done, 5.0)).body == b'ok'
+    follows = loop.create_future()
+    pool.start(REQUEST, b'a1', follows.set_result)
+    assert (await asyncio.wait_for(follows, 5.0)).body == b'ok'
+    pool.close_idle()
+    server.close()
+    for writer in connections:
+        writer.close()
+    return bytes(received), ahead, len(connections)
+
+
+def test_body_in_parts_is_sent_as_the_server_reads() -> None:
+    """Guards against a large body that is held whole for a slow server."""
+    received, ahead, _ = asyncio.run(async_upload(early=False))
+    assert received == bytes(range(256)) * 4096
+    assert max(ahead) <= exchange.BODY_WINDOW_BYTES
+
+
+# Guards against a request that the server reads as the rest of a body.
+def test_early_response_to_a_body_in_parts_closes_the_connection() -> None:
+    """What is left of the body is not sent."""
+    received, _, connections = asyncio.run(async_upload(early=True))
+    assert len(received) < 4096 * 256
+    assert connections == 2
