Send bodies in parts only to peers that take them

Cause: found while writing the design note: a daemon of an earlier version ignores the fields that say a body follows, and would run the request without its body during a rolling update.

Change: Hello says whether its sender takes bodies in parts; the others count as unreachable for such calls, which is a refusal before any send.

Result: test_body_in_parts_goes_only_to_peers_that_know_of_it; tests/sidecar/test_large_bodies.py passes.

--- a/sassafraswood/protocol/frames.py
+++ b/sassafraswood/protocol/frames.py
@@ -38,10 +38,13 @@
     Attributes:
         daemon_id: Name of the sender.
         started_at: Unix time at which the sender started, in microseconds.
+        takes_body_parts: Whether the sender runs calls whose body follows in
+            parts.
     """
 
     daemon_id: str
     started_at: int
+    takes_body_parts: bool = False
 
 
 class Run(Frame, tag=1):
--- a/sassafraswood/sidecar/peer_link.py
+++ b/sassafraswood/sidecar/peer_link.py
@@ -129,6 +129,12 @@
         self._connection.send(message)
         return True
 
+    def may_take(self, run: frames.Run) -> bool:
+        """Return whether a call can be sent, as it is, to the peer."""
+        return self._connection is not None and (
+            not run.body_bytes or self._connection.takes_body_parts
+        )
+
     def start_call(
         self,
         run: frames.Run,
--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -330,7 +330,8 @@
                 call = self._submit_large(run, on_reply, large_body)
             return lambda: self._upstream.cancel(call)
         link = self._links.get(candidate.member.daemon_id)
-        if link is None or not link.is_open:
+        if link is None or not link.may_take(run):
+            # A peer of an earlier version would run it without its body.
             on_reply(
                 frames.Refused(
                     call_id=run.call_id,
@@ -720,12 +721,15 @@
 
     def _build_hello(self) -> frames.Hello:
         return frames.Hello(
-            daemon_id=self._own.daemon_id, started_at=self._started_at
+            daemon_id=self._own.daemon_id,
+            started_at=self._started_at,
+            takes_body_parts=True,
         )
 
     def _handle_hello(
         self, connection: frame_link.FrameConnection, hello: frames.Hello
     ) -> None:
+        connection.takes_body_parts = hello.takes_body_parts
         if connection not in self._accepted:
             if connection.daemon_id != hello.daemon_id:
                 connection.close(
--- a/sassafraswood/transport/frame_link.py
+++ b/sassafraswood/transport/frame_link.py
@@ -43,6 +43,8 @@
         self._loop = asyncio.get_running_loop()
         # Id of the peer; None until it is known.
         self.daemon_id: str | None = None
+        # Whether the peer runs calls whose body follows in parts.
+        self.takes_body_parts = False
 
     @property
     def is_open(self) -> bool:
--- a/tests/sidecar/test_large_bodies.py
+++ b/tests/sidecar/test_large_bodies.py
@@ -1,5 +1,6 @@
 """Tests of daemon processes that forward a body near their memory limit."""
 
+import asyncio
 import hashlib
 import os
 
@@ -16,6 +17,10 @@
 BODY_BYTES = 33 << 20
 MAX_BODY_BYTES = 34 << 20
 LIMIT_S = 60.0
+# Clients that hold such a body just short of its end, and the time for which
+# they send at most.
+CROWD_CLIENTS = 8
+CROWD_S = 10.0
 
 
 # Guards against a legal body that is refused in calm, and against a daemon
@@ -66,3 +71,46 @@
             machine.record_memory(process.pid)
             assert process.poll() is None
             assert machine.peak_mb < MEMORY_MB
+
+
+# Guards against clients whose large bodies together exceed the memory.
+async def test_crowd_with_large_bodies_is_outlived(tmp_path) -> None:
+    """Each stops just short of the end of its body, and stays connected."""
+    rules = process_site.build_rules(
+        ['near'],
+        LIMIT_S,
+        max_body_bytes=MAX_BODY_BYTES,
+        header_timeout_s=LIMIT_S,
+        idle_timeout_s=LIMIT_S,
+    )
+    async with process_site.async_site(
+        tmp_path, ['near'], rules=rules, has_daemons=False
+    ) as site:
+        with site.first.settings_path.open('a') as settings:
+            settings.write(f'[limits]\nmemory-mb = {MEMORY_MB}\n')
+        process = site.launch('near')
+        await site.async_wait_ready('near', process)
+        await site.async_wait_served('near')
+        head = process_site.build_request(
+            'near', method='POST', deadline='60000', length=BODY_BYTES
+        )
+        crowd = [
+            await site.async_connect(machine_module.CALLER)
+            for _ in range(CROWD_CLIENTS)
+        ]
+        sending = [
+            asyncio.create_task(
+                client.async_send(head + bytes(BODY_BYTES - 1))
+            )
+            for client in crowd
+        ]
+        await asyncio.wait(sending, timeout=CROWD_S)
+        for task in sending:
+            task.cancel()
+        await asyncio.gather(*sending, return_exceptions=True)
+        await site.async_wait_served('near', timeout_s=LIMIT_S)
+        site.first.record_memory(process.pid)
+        for client in crowd:
+            client.reset()
+        assert process.poll() is None
+        assert site.first.peak_mb < MEMORY_MB
--- a/tests/sidecar/test_peer_link.py
+++ b/tests/sidecar/test_peer_link.py
@@ -247,3 +247,24 @@
         assert link.is_open
 
     asyncio.run(async_test())
+
+
+# Guards against a request that runs without its body during a rolling update.
+def test_body_in_parts_goes_only_to_peers_that_know_of_it(
+    tmp_path, monkeypatch
+) -> None:
+    """A peer of an earlier version takes all other calls."""
+
+    async def async_test() -> None:
+        link = LinkFixture(tmp_path, monkeypatch).link
+        whole, in_parts = (
+            mock.Mock(body_bytes=body_bytes) for body_bytes in (0, 1 << 23)
+        )
+        assert not link.may_take(whole)
+        connection = link._connection = link._create_connection()
+        assert link.may_take(whole)
+        assert not link.may_take(in_parts)
+        connection.takes_body_parts = True
+        assert link.may_take(in_parts)
+
+    asyncio.run(async_test())
