Free a large body with its request

Cause: found in a review of the diff: the connection to the upstream kept the request for parts of a body until its next exchange, and the call kept it in a reference cycle; beside its own upstream both hold the whole body.

Change: both drop it when the exchange and the call end.

Result: test_body_in_parts_is_sent_as_the_server_reads asserts it; it fails before.

--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -63,6 +63,7 @@
     def end(self) -> None:
         """Mark the call as ended, and release its body."""
         super().end()
+        self.request_body = None
         if self.bodies is not None:
             self.bodies.release(self.counted_bytes)
             self.bodies = None
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -311,6 +311,7 @@
     def cancel(self) -> None:
         """Abort the exchange without calling on_done."""
         self._on_done = None
+        self._body_in_parts = None
         self._discard_response()
         self.close()
 
@@ -535,6 +536,7 @@
         if self.is_sending_body:
             # The server would read the next request as the rest of the body.
             self._may_reuse = False
+        self._body_in_parts = None
         if self._has_excess_data or not self._may_reuse:
             self.close()
         if on_done is not None and result is not None:
@@ -543,6 +545,7 @@
     def _fail_exchange(self, kind: FailureKind) -> None:
         on_done = self._on_done
         self._on_done = None
+        self._body_in_parts = None
         self._discard_response()
         if not self._is_closed:
             self.close()
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -610,6 +610,8 @@
         ),
     )
     assert (await asyncio.wait_for(done, 5.0)).body == b'ok'
+    # It would keep the whole body until the next request.
+    assert started._connection._body_in_parts is None
     follows = loop.create_future()
     pool.start(REQUEST, b'a1', follows.set_result)
     assert (await asyncio.wait_for(follows, 5.0)).body == b'ok'
