Take out the two changes of the limits of call trees

Change: limits grow and are cut as before; the order of the repeats, the further sends of rejected calls and the urgency of unmatched calls stay.

--- a/sassafraswood/coordination/tree_limit.py
+++ b/sassafraswood/coordination/tree_limit.py
@@ -34,12 +34,6 @@
 # The limit grows only if the calls in flight used this fraction of it.
 MIN_USED_FRACTION: Final = 0.8
 MIN_LIMIT: Final = 1.0
-# Gain of the moving average of failed runs, which covers about the last ten,
-# and the average from which on the limit grows at its lowest rate. A run that
-# fails early makes few calls, so that the load is lower than that of as many
-# complete runs.
-FAILURE_GAIN: Final = 0.1
-MAX_FAILED_FRACTION: Final = 0.25
 
 
 class TreeLimit:
@@ -53,7 +47,6 @@
         self._peak_in_flight = 0
         self._updated_at = now
         self._last_cut_at = -math.inf
-        self._failed_fraction = 0.0
 
     @property
     def limit(self) -> float:
@@ -81,25 +74,11 @@
         self._in_flight += 1
         self._peak_in_flight = max(self._peak_in_flight, self._in_flight)
 
-    def note_end(self, *, has_failed: bool = False) -> None:
-        """Count a call that ended, and whether its run failed."""
+    def note_end(self) -> None:
+        """Count a call that ended."""
         self._in_flight -= 1
-        self._failed_fraction += FAILURE_GAIN * (
-            has_failed - self._failed_fraction
-        )
-
-    def is_due(self, now: float) -> bool:
-        """Return whether the next update changes anything."""
-        return now - self._updated_at >= UPDATE_INTERVAL_S
 
-    def update(
-        self,
-        now: float,
-        urgency: float,
-        deep_load: float,
-        *,
-        is_protected: bool = False,
-    ) -> None:
+    def update(self, now: float, urgency: float, deep_load: float) -> None:
         """Adapt the limit to the load of the downstream services.
 
         Args:
@@ -107,10 +86,8 @@
             urgency: Urgency of the calls of the route, from 0 to 1.
             deep_load: Load of the downstream services; at 1 every slot is in
                 use.
-            is_protected: Whether the limits of less urgent calls are cut
-                before this one.
         """
-        if not self.is_due(now):
+        if now - self._updated_at < UPDATE_INTERVAL_S:
             return
         self._updated_at = now
         peak_in_flight, self._peak_in_flight = (
@@ -121,12 +98,9 @@
         if now - self._last_cut_at < CUT_INTERVAL_S:
             return
         if deep_load > cut_load:
-            if not is_protected:
-                self._cut_limit(now, peak_in_flight, cut_load / deep_load)
+            self._cut_limit(now, peak_in_flight, cut_load / deep_load)
         elif peak_in_flight >= MIN_USED_FRACTION * (self._limit - 1.0):
             headroom = (cut_load - deep_load) / (cut_load - FAST_GROWTH_LOAD)
-            if self._failed_fraction > MAX_FAILED_FRACTION:
-                headroom = 0.0
             growth_fraction = GROWTH_FRACTION + min(1.0, headroom) * (
                 FAST_GROWTH_FRACTION - GROWTH_FRACTION
             )
--- a/sassafraswood/coordination/upstream_gate.py
+++ b/sassafraswood/coordination/upstream_gate.py
@@ -66,7 +66,6 @@
         refuse: Called with the reason when the call is refused.
         state: State of the call in the gate.
         started_at: Monotonic time at which the call started.
-        has_failed: Whether the run of the call has failed.
         child_count: Calls that the run has made.
     """
 
@@ -125,7 +124,6 @@
         self.refuse = refuse
         self.state = CallState.WAITING
         self.started_at = 0.0
-        self.has_failed = False
         self.child_count = 0
 
     def end(self) -> None:
@@ -417,9 +415,9 @@
         self._schedule.note_run(call.route, now - call.started_at, now)
         if not call.is_inner:
             route = self._routes[call.kind]
-            route.limit.note_end(has_failed=call.has_failed)
+            route.limit.note_end()
             route.queue.charge_end(call, now - call.started_at)
-            self._update_limit(route, now)
+            route.limit.update(now, route.urgency, self._below.load(now))
         self._start_waiting()
 
     def cancel(self, call: GateCall) -> None:
@@ -459,7 +457,7 @@
             self._waiting_count -= 1
             self._refuse(call, enums.RefusalReason.DEADLINE_UNREACHABLE)
         for route in self._routes.values():
-            self._update_limit(route, now)
+            route.limit.update(now, route.urgency, self._below.load(now))
             if not len(route.queue):
                 continue
             late = route.queue.remove_expired_entries(now)
@@ -468,27 +466,6 @@
                 self._refuse(call, late_reason)
         self._start_waiting()
 
-    def _update_limit(self, route: _RouteState, now: float) -> None:
-        """Adapt the limit of a kind, after those of less urgent kinds.
-
-        A kind with a small share of the calls would else be cut to the few
-        that are in flight, while less urgent ones still run.
-        """
-        if not route.limit.is_due(now):
-            return
-        is_protected = any(
-            other.urgency < route.urgency
-            and other.limit.in_flight > tree_limit.MIN_LIMIT
-            and self.tree.makes_calls(name)
-            for (name, _), other in self._routes.items()
-        )
-        route.limit.update(
-            now,
-            route.urgency,
-            self._below.load(now),
-            is_protected=is_protected,
-        )
-
     def _get_route_state(self, call: GateCall) -> _RouteState:
         route = self._routes.get(call.kind)
         if route is None:
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -537,14 +537,13 @@
         self, call: UpstreamCall, outcome: exchange.Outcome
     ) -> None:
         if isinstance(outcome, exchange.Response):
-            is_error = call.has_failed = outcome.status >= 500
+            is_error = outcome.status >= 500
             self.health.note_end(id(call), is_error=is_error)
             if not is_error:
                 self._slot_time.note_end(
                     self._clock.monotonic() - call.started_at
                 )
         elif outcome not in exchange.NOTHING_SENT:
-            call.has_failed = True
             self.health.note_end(id(call), is_error=True)
         if self._pace.is_found:
             self._note_pace(call, outcome)
