Name a local variable and a comment for what they mean

Cause: found in a second reading: is_spread says nothing of the bound that it compares with, and a comment could not be understood. Result: the tests of both files and the linter pass; no code changes otherwise.

--- a/sassafraswood/coordination/evacuation.py
+++ b/sassafraswood/coordination/evacuation.py
@@ -12,7 +12,8 @@
 # received them from a peer.
 UNKNOWN: Final = 0
 # Time in seconds for which an evacuation stays in force that the store lacks
-# since it came back from an older copy. The operator writes it again in it.
+# since it came back from an older copy. The operator has this time to write it
+# again.
 UNCONFIRMED_S: Final = 10.0
 
 
--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -768,12 +768,12 @@
         A call that no upstream has run may go to the same ones again.
         """
         now = self._clock.monotonic()
-        is_spread = (
+        is_at_limit = (
             call.attempt_count + call.upstream_refusal_count
             >= call.route.max_upstreams
         )
         if (
-            (is_spread and call.attempt_count)
+            (is_at_limit and call.attempt_count)
             or call.expires_at - now
             < MIN_RETRY_TIME_FRACTION * call.latency_target_s
         ):
