Reproduce responses without end that come in small parts

Callers of a daemon beside a faulty upstream lost its other requests: processes ended for their memory, or stood still for seconds. The test double sends chunks of one and two bytes, pieces and events of a stream, behind 200 and 500, and chunks that have no end.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -41,6 +41,16 @@
     ENDLESS_CHUNKS = 'endless_chunks'
     ENDLESS_TRAILERS = 'endless_trailers'
     ENDLESS_LENGTH = 'endless_length'
+    # Chunks of one and of two bytes, digits of the size of a chunk, a chunk of
+    # a great size, and what is no size where one is expected.
+    ENDLESS_BYTE_CHUNKS = 'endless_byte_chunks'
+    ENDLESS_PAIR_CHUNKS = 'endless_pair_chunks'
+    ENDLESS_SIZE = 'endless_size'
+    ENDLESS_CHUNK = 'endless_chunk'
+    ENDLESS_JUNK = 'endless_junk'
+    # Events of a stream, and pieces of a stream that complete no event.
+    ENDLESS_EVENTS = 'endless_events'
+    ENDLESS_PIECES = 'endless_pieces'
 
 
 _FIELDS = b'x-field: value\r\n' * 4096
@@ -52,6 +62,23 @@
     Fault.ENDLESS_CHUNKS: b'10000\r\n' + b'x' * 65536 + b'\r\n',
     Fault.ENDLESS_TRAILERS: _FIELDS,
     Fault.ENDLESS_LENGTH: b'x' * 65536,
+    Fault.ENDLESS_BYTE_CHUNKS: b'1\r\nx\r\n' * 8192,
+    Fault.ENDLESS_PAIR_CHUNKS: b'2\r\nxy\r\n' * 8192,
+    Fault.ENDLESS_SIZE: b'0' * 65536,
+    Fault.ENDLESS_CHUNK: b'x' * 65536,
+    Fault.ENDLESS_JUNK: b'junk' * 16384,
+    Fault.ENDLESS_EVENTS: b'9\r\ndata: x\n\n\r\n' * 4096,
+    Fault.ENDLESS_PIECES: b'4\r\nx: y\r\n' * 8192,
+}
+# Faults of which the first bytes without end are due where a chunk begins.
+_CHUNKED = {
+    Fault.ENDLESS_CHUNKS,
+    Fault.ENDLESS_BYTE_CHUNKS,
+    Fault.ENDLESS_PAIR_CHUNKS,
+    Fault.ENDLESS_SIZE,
+    Fault.ENDLESS_JUNK,
+    Fault.ENDLESS_EVENTS,
+    Fault.ENDLESS_PIECES,
 }
 _FORMER_REFUSAL = (
     b'HTTP/1.1 503 X\r\nX-Attempt-Id: former\r\nX-Not-Executed: 1\r\n'
@@ -69,6 +96,7 @@
             health check then fails.
         fault: Fault in a fraction of the responses.
         fault_share: Fraction of the responses with the fault, from 0 to 1.
+        fault_status: Status of responses without end.
         seen: Heads of the requests that ran.
         streams: Stream of the connection of each attempt that runs.
         digests: Hash of the body of each attempt that was received whole.
@@ -103,6 +131,7 @@
         self.is_leaving = False
         self.fault = Fault.NONE
         self.fault_share = 0.0
+        self.fault_status = 200
         self.seen: list[str] = []
         self.streams: dict[str, asyncio.StreamReader] = {}
         self.digests: dict[str, str] = {}
@@ -331,17 +360,22 @@
 
     def _begin_endless(self, response: bytes) -> bytes:
         """Return what precedes the bytes without end."""
-        head = response.partition(b'\r\nContent-Length')[0] + b'\r\n'
+        first, _, others = response.partition(b'\r\n')
+        first = first.replace(b'200', str(self.fault_status).encode())
         if self.fault is Fault.ENDLESS_HEAD:
-            return response.partition(b'\r\n')[0] + b'\r\nx: '
+            return first + b'\r\nx: '
+        fields = others.partition(b'Content-Length')[0]
+        head = first + b'\r\n' + fields
         if self.fault is Fault.ENDLESS_FIELDS:
             return head
-        if self.fault is Fault.ENDLESS_CHUNKS:
-            return head + b'Transfer-Encoding: chunked\r\n\r\n'
         if self.fault is Fault.ENDLESS_TRAILERS:
             return head + b'Transfer-Encoding: chunked\r\n\r\n0\r\n'
         if self.fault is Fault.ENDLESS_LENGTH:
             return head + b'Content-Length: 99999999999\r\n\r\n'
+        if self.fault in _CHUNKED:
+            return head + b'Transfer-Encoding: chunked\r\n\r\n'
+        if self.fault is Fault.ENDLESS_CHUNK:
+            return head + b'Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n'
         return head + b'\r\n'
 
 
--- a/tests/sidecar/test_process_memory.py
+++ b/tests/sidecar/test_process_memory.py
@@ -52,10 +52,15 @@
 
 
 async def async_flood(
-    folder: pathlib.Path, fault: platform_upstream.Fault
+    folder: pathlib.Path, fault: platform_upstream.Fault, status: int
 ) -> tuple[process_site.Site, list[int], list[int]]:
     """Let an upstream flood its daemon; return the statuses of clients.
 
+    Args:
+        folder: Folder of the settings and log files.
+        fault: What the upstream sends.
+        status: Status of its responses without end.
+
     Returns:
         The site, the statuses of its faulty service and of its sound one.
     """
@@ -64,6 +69,7 @@
         await site.async_start()
         upstream = site.upstream('faulty')
         upstream.fault, upstream.fault_share = fault, 1.0
+        upstream.fault_status = status
         flooded: list[int] = []
         sound: list[int] = []
         tasks = [
@@ -80,8 +86,8 @@
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.gather(*tasks)
         upstream.fault_share = 0.0
-        status = await site.async_get('faulty')
-        assert status == 200, await async_read_last_lines(site)
+        last_status = await site.async_get('faulty')
+        assert last_status == 200, await async_read_last_lines(site)
         return site, flooded, sound
     finally:
         await site.async_stop()
@@ -102,7 +108,49 @@
 )
 def test_bytes_without_end_are_not_kept(tmp_path, fault) -> None:
     """Each call fails, others succeed, and both daemons stay small."""
-    site, flooded, sound = asyncio.run(async_flood(tmp_path, fault))
+    check_flood(tmp_path, fault, 200)
+
+
+# Guards against daemons that run out of memory, or stand still, beside an
+# upstream whose response never ends and comes in very many parts.
+@pytest.mark.process
+@pytest.mark.parametrize('status', [200, 500])
+@pytest.mark.parametrize(
+    'fault',
+    [
+        platform_upstream.Fault.ENDLESS_BYTE_CHUNKS,
+        platform_upstream.Fault.ENDLESS_PAIR_CHUNKS,
+        platform_upstream.Fault.ENDLESS_PIECES,
+        platform_upstream.Fault.ENDLESS_EVENTS,
+    ],
+)
+def test_small_parts_without_end_fill_no_memory(
+    tmp_path, fault, status
+) -> None:
+    """Each call fails, others succeed, and both daemons stay small."""
+    check_flood(tmp_path, fault, status)
+
+
+# Guards against daemons that wait for the end of a chunk that has none.
+@pytest.mark.process
+@pytest.mark.parametrize(
+    'fault',
+    [
+        platform_upstream.Fault.ENDLESS_SIZE,
+        platform_upstream.Fault.ENDLESS_CHUNK,
+        platform_upstream.Fault.ENDLESS_JUNK,
+    ],
+)
+def test_chunk_without_end_is_not_kept(tmp_path, fault) -> None:
+    """Each call fails, others succeed, and both daemons stay small."""
+    check_flood(tmp_path, fault, 200)
+
+
+def check_flood(
+    folder: pathlib.Path, fault: platform_upstream.Fault, status: int
+) -> None:
+    """Check the daemons and their clients beside an upstream that floods."""
+    site, flooded, sound = asyncio.run(async_flood(folder, fault, status))
     peaks_mb = {
         name: machine.peak_mb for name, machine in site.machines.items()
     }
