Log late ticks, resident memory and the parts of responses

Beside an upstream that sends small parts without end, the log of its daemon could not tell memory that is not counted, memory that stays after the calls, and an event loop that is too busy apart: it had no line for any of them. There are now the event late_tick, bytes and parts of the response in connection_lost and, at the deadline, in upstream_failed, and metrics of parts and of resident memory.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -48,6 +48,7 @@
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import member_follower
 from sassafraswood.sidecar import peers
+from sassafraswood.sidecar import resident_memory
 from sassafraswood.sidecar import rules_follower
 from sassafraswood.sidecar import store_reader
 from sassafraswood.sidecar import upstream_log
@@ -61,6 +62,8 @@
 
 TICK_S: Final = 0.025
 SLOW_TICK_S: Final = 0.5
+# A tick that comes later is logged, since calls and peers have waited too.
+LATE_TICK_S: Final = 0.25
 # Ticks for which requests that have arrived are waited for at the end of a
 # stop, however long they take: the event loop reads from a connection some
 # polls after it has accepted it.
@@ -512,6 +515,7 @@
         while True:
             self._ticked_at = loop.time()
             await _async_wait_tick()
+            self._log_late_tick(loop.time() - self._ticked_at - TICK_S)
             for tick in (
                 self._upstream.tick,
                 self._callers.tick,
@@ -527,6 +531,18 @@
                         'tick_failed', error=traceback.format_exc()
                     )
 
+    def _log_late_tick(self, late_s: float) -> None:
+        """Log a tick that the event loop was too busy to take in time."""
+        if late_s > LATE_TICK_S:
+            self._log.decision(
+                'late_tick',
+                late_s=round(late_s, 3),
+                answer_parts=self._pool.parts.count,
+                answer_bytes_held=self._pool.held.count,
+                request_bytes_held=self._client_budget.count,
+                resident_mb=round(resident_memory.read_bytes() / 1e6, 1),
+            )
+
     def _tick_slowly(self) -> None:
         now = asyncio.get_running_loop().time()
         if now < self._slow_tick_at:
@@ -921,6 +937,8 @@
         metrics.gauge('request_bytes_held', self._client_budget.count)
         metrics.gauge('requests_evicted', self._client_budget.evicted_count)
         metrics.gauge('answer_bytes_held', self._pool.held.count)
+        metrics.gauge('answer_parts', self._pool.parts.count)
+        metrics.gauge('resident_bytes', resident_memory.read_bytes())
         metrics.gauge('call_bytes_held', self._upstream.bodies.count)
         metrics.gauge(
             'answer_bytes_unsent',
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -657,9 +657,10 @@
         self._watch.record_lost_run(call, is_broken=False)
         self._stop_plan.note_end(call.run.route, call.queued_at)
         self._remove_running(call)
+        received = {} if call.running is None else call.running.describe()
         if call.running is not None:
             call.running.cancel()
-        self._deliver_failure(call, reason.value)
+        self._deliver_failure(call, reason.value, received)
 
     def _remove_running(self, call: UpstreamCall) -> None:
         self.running.discard(call)
@@ -709,13 +710,19 @@
             waiting=self._gate.waiting,
         )
 
-    def _deliver_failure(self, call: UpstreamCall, reason: str) -> None:
+    def _deliver_failure(
+        self,
+        call: UpstreamCall,
+        reason: str,
+        received: dict[str, float | None] | None = None,
+    ) -> None:
         self._log.decision(
             'upstream_failed',
             attempt=call.run.attempt_id.decode('latin-1'),
             route=call.run.route,
             reason=reason,
             ran_s=round(self._clock.monotonic() - call.started_at, 4),
+            **(received or {}),
         )
         self._deliver(
             call,
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -128,6 +128,14 @@
     request: RequestBody
 
 
+class PartCounter:
+    """Counts the parts in which the parser has delivered bodies."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.count = 0
+
+
 class ExchangeConnection(asyncio.Protocol):
     """Sends one request at a time and reads its complete response.
 
@@ -147,6 +155,7 @@
         id_field: bytes | None = None,
         held: held_bytes.ByteBudget | None = None,
         on_lost: Callable[['ExchangeConnection'], None] | None = None,
+        parts: PartCounter | None = None,
     ) -> None:
         """Initialize a connection without a transport.
 
@@ -158,12 +167,14 @@
             held: Limits the body bytes of incomplete responses.
             on_lost: Called when the connection has ended, before the on_done
                 callback of its exchange.
+            parts: Counts the parts of all bodies.
         """
         # Set by the pool, which numbers its connections in ascending order.
         self.number = 0
         self._on_lost = on_lost
         self._kept_fields = kept_fields
         self._held = held or held_bytes.ByteBudget()
+        self._parts = parts or PartCounter()
         # Body bytes of this response that are counted in held.
         self._size = 0
         self._id_field = id_field
@@ -180,9 +191,11 @@
         # Whether the method of the request is HEAD.
         self._is_head = False
         self._result: Outcome | None = None
-        # Totals of this exchange: all bytes, body bytes and skipped responses.
+        # Totals of this exchange: all bytes, those of bodies, the parts in
+        # which these came, and skipped responses.
         self._received_bytes = 0
         self._body_bytes = 0
+        self._part_count = 0
         self._skipped_count = 0
         # Whether the parser has got nothing of this exchange, and whether
         # bytes were dropped in it.
@@ -233,6 +246,8 @@
             'connection': self.number,
             'idle_s': idle_s,
             'received_bytes': self._received_bytes,
+            'body_bytes': self._body_bytes,
+            'body_parts': self._part_count,
         }
 
     def start(
@@ -259,6 +274,7 @@
         self._result = None
         self._received_bytes = 0
         self._body_bytes = 0
+        self._part_count = 0
         self._skipped_count = 0
         self._is_unparsed = True
         self._has_dropped_bytes = False
@@ -448,6 +464,8 @@
         if self._result is not None or self._on_done is None:
             return
         self._body_bytes += len(data)
+        self._part_count += 1
+        self._parts.count += 1
         size = self._size + len(data)
         if size <= SMALL_BODY_BYTES:
             self._held.take_anyway(len(data))
@@ -701,6 +719,8 @@
         # Number of the most recent connection.
         self.opened = 0
         self.held = held_bytes.ByteBudget()
+        # Parts of all bodies since the start.
+        self.parts = PartCounter()
 
     def start(
         self,
@@ -826,6 +846,7 @@
                     self._id_field,
                     self.held,
                     self._remove_connection,
+                    self.parts,
                 ),
                 host,
                 port,
