Hold the parts of a response in one buffer

Callers lost all requests of a daemon that was ended for its memory, beside an upstream whose response came in small parts without end. Cause: each part of a body and each field of a head was an object in a list, which takes 8 bytes (one byte, shared objects) to 28 times its bytes, while limits count the bytes. Parts are appended to one buffer now, as those of requests were before; a body that comes in one part is still not copied. The clients of the own daemon and its interface did the same with their bodies.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -14,6 +14,7 @@
 
 from sassafraswood.models import fields
 from sassafraswood.state import held_bytes
+from sassafraswood.transport import body_buffer
 from sassafraswood.transport import response_limits
 from sassafraswood.transport import tcp
 from sassafraswood.transport import timeouts
@@ -211,6 +212,7 @@
         self._body_in_parts: BodyInParts | None = None
         self._written_body_bytes = 0
         self._is_writing_paused = False
+        self._body = body_buffer.BodyBuffer()
         self._reset_response()
 
     @property
@@ -442,7 +444,7 @@
             self._process_connection_field(lower, value)
             if lower != b'content-length' or not self._keeps_length():
                 return
-        self._head.append(b'%b: %b\r\n' % (name, value))
+        self._head += b'%b: %b\r\n' % (name, value)
 
     def on_headers_complete(self) -> None:
         """Record that the header is complete, and with it maybe all."""
@@ -541,9 +543,9 @@
         assert self._parser is not None
         self._result = Response(
             status=self._parser.get_status_code(),
-            head=b''.join(self._head),
+            head=bytes(self._head),
             fields=self._fields,
-            body=b''.join(self._body),
+            body=self._body.take(),
         )
 
     def _finish_exchange(self) -> None:
@@ -586,9 +588,9 @@
 
     def _reset_response(self) -> None:
         self._release_bytes()
-        self._head: list[bytes] = []
+        self._head = bytearray()
         self._fields: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        self._body.clear()
         self._is_framed = False
         # Whether a length above 0 or a transfer encoding is stated.
         self._announces_body = False
--- a/sassafraswood/transport/http_server.py
+++ b/sassafraswood/transport/http_server.py
@@ -19,6 +19,7 @@
 from sassafraswood.models import call
 from sassafraswood.models import enums
 from sassafraswood.protocol import problems
+from sassafraswood.transport import body_buffer
 from sassafraswood.transport import tcp
 
 Scope = MutableMapping[str, Any]
@@ -63,17 +64,19 @@
         if len(body) > limit_bytes:
             raise BodyTooLargeError
         return body
-    parts = [body]
+    parts = body_buffer.BodyBuffer()
+    parts.append(body)
     size_bytes = len(body)
     while message.get('more_body', False):
         message = await receive()
         if message['type'] == 'http.disconnect':
             raise CallerDisconnectedError
-        parts.append(message.get('body', b''))
-        size_bytes += len(parts[-1])
+        part = message.get('body', b'')
+        parts.append(part)
+        size_bytes += len(part)
         if size_bytes > limit_bytes:
             raise BodyTooLargeError
-    return b''.join(parts)
+    return parts.take()
 
 
 async def async_send(
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -8,6 +8,7 @@
 from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import enums
+from sassafraswood.transport import body_buffer
 from sassafraswood.transport import response_limits
 from sassafraswood.transport import tcp
 
@@ -47,6 +48,7 @@
         self._received_bytes = 0
         self._all_body_bytes = 0
         self._interim_count = 0
+        self._body = body_buffer.BodyBuffer()
         self._reset_response()
 
     @property
@@ -189,7 +191,7 @@
 
     def _reset_response(self) -> None:
         self._headers: call.Headers = []
-        self._body: list[bytes] = []
+        self._body.clear()
         self._body_bytes = 0
         self._is_framed = False
         self._has_headers = False
@@ -198,7 +200,7 @@
         if self._response is None or self._response.done():
             return
         answer = call.Answer(
-            status=status, headers=self._headers, body=b''.join(self._body)
+            status=status, headers=self._headers, body=self._body.take()
         )
         self._is_reusable = is_reusable
         self._response.set_result(answer)
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import time
+import tracemalloc
 
 import pytest
 import uvloop
@@ -635,3 +636,58 @@
     received, _, connections = asyncio.run(async_upload(early=True))
     assert len(received) < 4096 * 256
     assert connections == 2
+
+
+async def async_measure_memory(received: bytes, body_bytes: int) -> int:
+    """Return the memory of an exchange that has received a part of a response.
+
+    Args:
+        received: The part, behind the status line.
+        body_bytes: Bytes of the body in it.
+    """
+    release = asyncio.Event()
+
+    async def async_serve(reader, writer) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n' + received)
+        await release.wait()
+        writer.close()
+
+    server = await asyncio.start_server(async_serve, '127.0.0.1', 0)
+    pool = exchange.ExchangePool(server.sockets[0].getsockname(), KEPT_FIELDS)
+    done = asyncio.get_running_loop().create_future()
+    before, _ = tracemalloc.get_traced_memory()
+    pool.start(REQUEST, None, done.set_result)
+    async with asyncio.timeout(10.0):
+        while pool.held.count < body_bytes:
+            await asyncio.sleep(0.01)
+    # Lets the server drop what it has sent.
+    await asyncio.sleep(0.1)
+    after, _ = tracemalloc.get_traced_memory()
+    release.set()
+    await asyncio.wait_for(done, 5.0)
+    server.close()
+    return after - before
+
+
+# Guards against responses in small parts that take far more memory than is
+# counted as held.
+@pytest.mark.parametrize(
+    ('received', 'body_bytes'),
+    [
+        (
+            b'Transfer-Encoding: chunked\r\n\r\n' + b'2\r\nxy\r\n' * 60_000,
+            120_000,
+        ),
+        (b'a:b\r\n' * 25_000 + b'Content-Length: 9\r\n\r\nx', 1),
+    ],
+    ids=['chunks', 'fields'],
+)
+def test_small_parts_take_little_memory(received, body_bytes) -> None:
+    """What is held of a response takes little more than its bytes."""
+    tracemalloc.start()
+    try:
+        memory_bytes = asyncio.run(async_measure_memory(received, body_bytes))
+    finally:
+        tracemalloc.stop()
+    assert memory_bytes < 2 * len(received)
--- a/tests/transport/test_freed_connections.py
+++ b/tests/transport/test_freed_connections.py
@@ -97,7 +97,7 @@
             await asyncio.wait_for(done, 5.0)
             connection = running._connection
             assert connection.is_reusable
-            assert (connection._result, connection._body) == (None, [])
+            assert (connection._result, len(connection._body)) == (None, 0)
             pool.close_idle()
 
     asyncio.run(async_case())
