Parse small parts of responses in turns, and limit their number

Beside an upstream that sent chunks of one byte without end, calls of other clients waited for seconds, and reports and peers with them. Cause: all that was received was parsed at once, a read after the other while there was more, and limits counted bytes, though each part takes processor time however small it is. Like requests of clients, responses are parsed 16 KiB at a time now; a connection that has met 2,048 fields and parts waits, unread, for its turn, and one turn is taken in an iteration of the event loop. A response fails with answer_parts_too_small behind 262,144 parts if further ones have less than 16 bytes on the average, so that none takes processor time up to its deadline; one of 100,000 chunks of a byte is accepted as before.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -537,7 +537,7 @@
             self._log.decision(
                 'late_tick',
                 late_s=round(late_s, 3),
-                answer_parts=self._pool.parts.count,
+                answer_parts=self._pool.turns.part_count,
                 answer_bytes_held=self._pool.held.count,
                 request_bytes_held=self._client_budget.count,
                 resident_mb=round(resident_memory.read_bytes() / 1e6, 1),
@@ -937,7 +937,7 @@
         metrics.gauge('request_bytes_held', self._client_budget.count)
         metrics.gauge('requests_evicted', self._client_budget.evicted_count)
         metrics.gauge('answer_bytes_held', self._pool.held.count)
-        metrics.gauge('answer_parts', self._pool.parts.count)
+        metrics.gauge('answer_parts', self._pool.turns.part_count)
         metrics.gauge('resident_bytes', resident_memory.read_bytes())
         metrics.gauge('call_bytes_held', self._upstream.bodies.count)
         metrics.gauge(
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -15,6 +15,7 @@
 from sassafraswood.models import fields
 from sassafraswood.state import held_bytes
 from sassafraswood.transport import body_buffer
+from sassafraswood.transport import parse_turns
 from sassafraswood.transport import response_limits
 from sassafraswood.transport import tcp
 from sassafraswood.transport import timeouts
@@ -64,6 +65,10 @@
 # What a server sends behind a complete response may arrive up to this time
 # after the next request was sent. Few responses arrive so soon.
 EXCESS_S: Final = 0.02
+# Bytes of responses that are parsed at once, and the number of fields and body
+# parts after which the rest of what was received waits for a turn.
+MAX_PARSED_BYTES: Final = 16 * 1024
+MAX_EVENTS_AT_ONCE: Final = 2048
 # An attempt to connect that takes longer counts as failed.
 CONNECT_TIMEOUT_S: Final = 1.0
 
@@ -84,6 +89,7 @@
     # The response has a status that HTTP does not know.
     BAD_STATUS = 'answer_status_invalid'
     TOO_LARGE = 'answer_too_large'
+    TOO_MANY_PARTS = 'answer_parts_too_small'
     # The response, and others that are being received, exceed their limit.
     NO_MEMORY = 'answers_exceed_memory'
     CANCELLED = 'cancelled'
@@ -129,14 +135,6 @@
     request: RequestBody
 
 
-class PartCounter:
-    """Counts the parts in which the parser has delivered bodies."""
-
-    def __init__(self) -> None:
-        """Start at zero."""
-        self.count = 0
-
-
 class ExchangeConnection(asyncio.Protocol):
     """Sends one request at a time and reads its complete response.
 
@@ -156,7 +154,7 @@
         id_field: bytes | None = None,
         held: held_bytes.ByteBudget | None = None,
         on_lost: Callable[['ExchangeConnection'], None] | None = None,
-        parts: PartCounter | None = None,
+        turns: parse_turns.ParseTurns | None = None,
     ) -> None:
         """Initialize a connection without a transport.
 
@@ -168,14 +166,15 @@
             held: Limits the body bytes of incomplete responses.
             on_lost: Called when the connection has ended, before the on_done
                 callback of its exchange.
-            parts: Counts the parts of all bodies.
+            turns: Gives turns to connections whose responses are slow to
+                parse.
         """
         # Set by the pool, which numbers its connections in ascending order.
         self.number = 0
         self._on_lost = on_lost
         self._kept_fields = kept_fields
         self._held = held or held_bytes.ByteBudget()
-        self._parts = parts or PartCounter()
+        self._turns = turns or parse_turns.ParseTurns()
         # Body bytes of this response that are counted in held.
         self._size = 0
         self._id_field = id_field
@@ -202,6 +201,12 @@
         # bytes were dropped in it.
         self._is_unparsed = True
         self._has_dropped_bytes = False
+        # Fields and parts of a body that the parser has delivered.
+        self._event_count = 0
+        # Received bytes that wait for a turn of this connection.
+        self._unparsed = b''
+        # Whether this exchange has used up a turn.
+        self._takes_turns = False
         self._started_at = 0.0
         self._is_closed = False
         self._has_excess_data = False
@@ -278,6 +283,7 @@
         self._body_bytes = 0
         self._part_count = 0
         self._skipped_count = 0
+        self._takes_turns = False
         self._is_unparsed = True
         self._has_dropped_bytes = False
         self._started_at = time.monotonic()
@@ -357,24 +363,77 @@
             if not data:
                 return
             self._is_unparsed = False
-        self._received_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self._result is None:
-                self._fail_exchange(FailureKind.MALFORMED)
+        if self._takes_turns:
+            self._wait_for_turn(data)
+        else:
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes, or those of one turn if they are many."""
+        start = 0
+        last_event = self._event_count + MAX_EVENTS_AT_ONCE
+        while self._parser is not None:
+            part = data
+            if len(data) > MAX_PARSED_BYTES:
+                part = data[start : start + MAX_PARSED_BYTES]
+            start += len(part)
+            self._received_bytes += len(part)
+            try:
+                self._parser.feed_data(part)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                if self._result is None:
+                    self._fail_exchange(FailureKind.MALFORMED)
+                    return
+                self._has_excess_data = True
+            if self._result is not None:
+                if start < len(data):
+                    self._has_excess_data = True
+                self._finish_exchange()
                 return
-            self._has_excess_data = True
-        if self._result is not None:
-            self._finish_exchange()
+            if self._on_done is None:
+                return
+            if response_limits.is_oversized(
+                received_bytes=self._received_bytes,
+                body_bytes=self._body_bytes,
+                skipped_count=self._skipped_count,
+                max_body_bytes=MAX_RESPONSE_BYTES,
+            ):
+                self._fail_exchange(FailureKind.TOO_LARGE)
+                return
+            if response_limits.has_excessive_parts(
+                part_count=self._part_count, body_bytes=self._body_bytes
+            ):
+                self._fail_exchange(FailureKind.TOO_MANY_PARTS)
+                return
+            if start >= len(data):
+                return
+            if self._event_count >= last_event:
+                self._wait_for_turn(data[start:])
+                return
+
+    def _wait_for_turn(self, data: bytes) -> None:
+        """Keep received bytes, and receive no more, until the next turn."""
+        if self._transport is None or self._transport.is_closing():
             return
-        if self._on_done is not None and response_limits.is_oversized(
-            received_bytes=self._received_bytes,
-            body_bytes=self._body_bytes,
-            skipped_count=self._skipped_count,
-            max_body_bytes=MAX_RESPONSE_BYTES,
+        self._takes_turns = True
+        if self._unparsed:
+            self._unparsed += data
+            return
+        self._unparsed = data
+        self._transport.pause_reading()
+        self._turns.request(self)
+
+    def continue_parsing(self) -> None:
+        """Parse kept bytes, and receive further ones."""
+        data, self._unparsed = self._unparsed, b''
+        if (
+            self._on_done is None
+            or self._transport is None
+            or self._transport.is_closing()
         ):
-            self._fail_exchange(FailureKind.TOO_LARGE)
+            return
+        self._transport.resume_reading()
+        self._parse(data)
 
     def _drop_excess(self, data: bytes) -> bytes:
         """Return received bytes without those of an earlier exchange.
@@ -437,6 +496,7 @@
         """Store a header field."""
         if self._result is not None or self._on_done is None:
             return
+        self._event_count += 1
         lower = name.lower()
         if lower in self._kept_fields:
             self._fields[lower] = value
@@ -466,8 +526,9 @@
         if self._result is not None or self._on_done is None:
             return
         self._body_bytes += len(data)
+        self._event_count += 1
         self._part_count += 1
-        self._parts.count += 1
+        self._turns.part_count += 1
         size = self._size + len(data)
         if size <= SMALL_BODY_BYTES:
             self._held.take_anyway(len(data))
@@ -584,6 +645,7 @@
         ended.
         """
         self._result = None
+        self._unparsed = b''
         self._reset_response()
 
     def _reset_response(self) -> None:
@@ -721,8 +783,7 @@
         # Number of the most recent connection.
         self.opened = 0
         self.held = held_bytes.ByteBudget()
-        # Parts of all bodies since the start.
-        self.parts = PartCounter()
+        self.turns = parse_turns.ParseTurns()
 
     def start(
         self,
@@ -848,7 +909,7 @@
                     self._id_field,
                     self.held,
                     self._remove_connection,
-                    self.parts,
+                    self.turns,
                 ),
                 host,
                 port,
--- /dev/null
+++ b/sassafraswood/transport/parse_turns.py
@@ -0,0 +1,46 @@
+"""Turns of connections that have received more than is parsed at once."""
+
+import asyncio
+import collections
+from typing import Protocol
+
+
+class Parsing(Protocol):
+    """A connection with received bytes that are not parsed yet."""
+
+    def continue_parsing(self) -> None:
+        """Parse further bytes; may ask for another turn."""
+
+
+class ParseTurns:
+    """Gives one connection a turn in each iteration of the event loop.
+
+    However many connections receive responses that are slow to parse, the rest
+    of the process waits for one turn at most.
+
+    Attributes:
+        part_count: Parts of bodies that were parsed since the start.
+    """
+
+    def __init__(self) -> None:
+        """Initialize without connections."""
+        self.part_count = 0
+        self._waiting: collections.deque[Parsing] = collections.deque()
+        self._is_scheduled = False
+
+    def request(self, connection: Parsing) -> None:
+        """Give a connection a turn behind those that wait already."""
+        self._waiting.append(connection)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_scheduled = False
+        connection = self._waiting.popleft()
+        if self._waiting:
+            self._schedule()
+        connection.continue_parsing()
--- a/sassafraswood/transport/response_limits.py
+++ b/sassafraswood/transport/response_limits.py
@@ -8,6 +8,10 @@
 # Framing bytes per body byte; a chunk that carries one byte takes six bytes in
 # total.
 MAX_FRAMING_RATIO: Final = 8
+# Parts of a body, such as its chunks, that may be of any size, and the least
+# mean size of further ones. Each part takes processor time, however small.
+MAX_SMALL_PARTS: Final = 256 * 1024
+MIN_PART_BYTES: Final = 16
 # Lowest and highest status of HTTP (RFC 9110, section 15).
 MIN_STATUS: Final = 100
 MAX_STATUS: Final = 599
@@ -42,3 +46,13 @@
         or received_bytes > (1 + MAX_FRAMING_RATIO) * max_body_bytes
         or skipped_count > MAX_SKIPPED_RESPONSES
     )
+
+
+def has_excessive_parts(*, part_count: int, body_bytes: int) -> bool:
+    """Return whether bodies have come in too many small parts.
+
+    Args:
+        part_count: Parts of bodies since the request was sent.
+        body_bytes: Bytes of these parts.
+    """
+    return part_count > MAX_SMALL_PARTS + body_bytes // MIN_PART_BYTES
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -47,6 +47,7 @@
         # Totals since the request was sent.
         self._received_bytes = 0
         self._all_body_bytes = 0
+        self._part_count = 0
         self._interim_count = 0
         self._body = body_buffer.BodyBuffer()
         self._reset_response()
@@ -79,6 +80,7 @@
         self._is_reusable = False
         self._received_bytes = 0
         self._all_body_bytes = 0
+        self._part_count = 0
         self._interim_count = 0
         # If the connection ends before the first byte of this response, the
         # state of the previous response must not make it count as truncated.
@@ -128,6 +130,10 @@
             ),
         ):
             self._fail_request(enums.RefusalReason.ANSWER_TOO_LARGE)
+        if response_limits.has_excessive_parts(
+            part_count=self._part_count, body_bytes=self._all_body_bytes
+        ):
+            self._fail_request(enums.RefusalReason.ANSWER_TOO_LARGE)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request whose response is incomplete, if any."""
@@ -168,6 +174,7 @@
         """Store a part of the body, or fail if the body is too large."""
         self._body_bytes += len(data)
         self._all_body_bytes += len(data)
+        self._part_count += 1
         if self._body_bytes > self._max_body_bytes:
             self._fail_request(enums.RefusalReason.ANSWER_TOO_LARGE)
             return
--- a/setup.py
+++ b/setup.py
@@ -49,11 +49,13 @@
     'sassafraswood/state/held_bytes.py',
     'sassafraswood/state/route_index.py',
     'sassafraswood/state/route_maxima.py',
+    'sassafraswood/transport/body_buffer.py',
     'sassafraswood/transport/exchange.py',
     'sassafraswood/transport/frame_link.py',
     'sassafraswood/transport/ingress.py',
     'sassafraswood/transport/ingress_connection.py',
     'sassafraswood/transport/json_log.py',
+    'sassafraswood/transport/parse_turns.py',
     'sassafraswood/transport/response_limits.py',
 ]
 
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -317,13 +317,14 @@
 
 
 async def async_flood(
-    head: bytes, piece: bytes
+    head: bytes, piece: bytes, held: int = 1 << 20
 ) -> tuple[exchange.Outcome, int]:
     """Return the outcome of an endless response, and the bytes sent.
 
     Args:
         head: First bytes of the response.
         piece: Bytes that are repeated until the client closes.
+        held: Limit on the bytes of bodies.
     """
     sent = 0
     has_ended = asyncio.Event()
@@ -345,7 +346,7 @@
     pool = exchange.ExchangePool(
         server.sockets[0].getsockname(), KEPT_FIELDS, b'attempt'
     )
-    pool.held.limit = 1 << 20
+    pool.held.limit = held
     done = asyncio.get_running_loop().create_future()
     pool.start(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n', b'a1', done.set_result)
     outcome = await asyncio.wait_for(done, 5.0)
@@ -389,6 +390,69 @@
     assert sent < 16 << 20
 
 
+# Guards against endless responses that take processor time until the deadline.
+@pytest.mark.parametrize(
+    'piece',
+    [b'1\r\nx\r\n', b'2\r\nxy\r\n', b'9\r\ndata: x\n\n\r\n'],
+    ids=['bytes', 'pairs', 'events'],
+)
+def test_endless_response_in_small_parts_is_aborted(piece) -> None:
+    """The exchange fails before small parts fill the limit on bodies."""
+    outcome, sent = asyncio.run(
+        async_flood(CHUNKED, 1000 * piece, held=64 << 20)
+    )
+    assert outcome is exchange.FailureKind.TOO_MANY_PARTS
+    assert sent < 16 << 20
+
+
+async def async_measure_turns(responses: int, response: bytes) -> int:
+    """Return the most body bytes received in an iteration of the loop.
+
+    Args:
+        responses: Responses that are received at the same time.
+        response: What their server sends.
+    """
+
+    async def async_serve(reader, writer) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(response)
+        await writer.drain()
+
+    server = await asyncio.start_server(async_serve, '127.0.0.1', 0)
+    pool = exchange.ExchangePool(server.sockets[0].getsockname(), KEPT_FIELDS)
+    pool.held.limit = 64 << 20
+    outcomes: list[exchange.Outcome] = []
+    for _ in range(responses):
+        pool.start(REQUEST, None, outcomes.append)
+    most = before = 0
+    async with asyncio.timeout(20.0):
+        while len(outcomes) < responses:
+            await asyncio.sleep(0)
+            most = max(most, pool.held.count - before)
+            before = pool.held.count
+    assert {type(outcome) for outcome in outcomes} == {exchange.Response}
+    pool.close_idle()
+    server.close()
+    return most
+
+
+# Guards against responses in small parts that hold up all other calls.
+def test_small_parts_are_parsed_in_turns() -> None:
+    """The event loop runs on after a bounded number of parts."""
+    chunk = b'1\r\nx\r\n'
+    connections = 4
+    parts_of_turn = (
+        exchange.MAX_EVENTS_AT_ONCE + exchange.MAX_PARSED_BYTES // len(chunk)
+    )
+    most = asyncio.run(
+        async_measure_turns(
+            connections, CHUNKED + 100_000 * chunk + b'0\r\n\r\n'
+        )
+    )
+    # Each connection may begin in the same iteration.
+    assert most <= (connections + 1) * parts_of_turn
+
+
 def test_response_of_small_chunks_is_accepted() -> None:
     """Guards against limits that small chunks exceed.
 
