--- a/sassafraswood/transport/parse_turns.py
+++ b/sassafraswood/transport/parse_turns.py
@@ -23,7 +23,7 @@
     of the process waits for one turn at most.
 
     Attributes:
-        part_count: Parts of bodies that were parsed since the start.
+        part_count: Body parts of responses that were parsed since the start.
     """
 
     def __init__(self) -> None:
--- a/tests/transport/test_upstream_connection.py
+++ b/tests/transport/test_upstream_connection.py
@@ -42,9 +42,15 @@
         self.is_aborted = True
 
 
-async def async_receive(parts) -> tuple[int, enums.RefusalReason]:
+async def async_receive(
+    parts, max_body_bytes: int = MAX_BODY_BYTES
+) -> tuple[int, enums.RefusalReason]:
     """Feed the parts of a response until it fails.
 
+    Args:
+        parts: What is received, piece by piece.
+        max_body_bytes: Largest accepted body.
+
     Returns:
         Bytes that were received, and how the request failed.
     """
@@ -53,7 +59,7 @@
     connection.connection_made(transport)
     request = call.HttpRequest(method='GET', target='/', headers=[], body=b'')
     sending = asyncio.create_task(
-        connection.async_send(request, MAX_BODY_BYTES)
+        connection.async_send(request, max_body_bytes)
     )
     await asyncio.sleep(0)
     size = 0
@@ -91,6 +97,18 @@
     )
 
 
+# Guards against responses that take processor time for each of their bytes.
+def test_response_in_too_many_small_parts_fails() -> None:
+    """The connection is closed long before the limit on the body."""
+    chunk = b'1\r\nx\r\n'
+    head = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+    parts = itertools.chain([head], itertools.repeat(chunk * 2048, 2000))
+    max_body_bytes = 1 << 20
+    size, reason = asyncio.run(async_receive(parts, max_body_bytes))
+    assert reason is enums.RefusalReason.ANSWER_TOO_LARGE
+    assert size <= 2 * len(chunk) * response_limits.MAX_SMALL_PARTS
+
+
 # Guards against requests that the kernel breaks off because their upstream
 # reads a long body late.
 def test_upstream_may_read_a_large_request_late() -> None:
