Let responses of the soak's upstreams never end

The soak had no upstream that sends bytes without end, and its checks look at the memory and the exits of daemons.

--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -42,6 +42,8 @@
     UPSTREAM_COLD = 'upstream_cold'
     # Clients send bodies that stop just short of their end.
     CROWD = 'crowd'
+    # Responses of an upstream never end.
+    UPSTREAM_FLOODS = 'upstream_floods'
 
 
 # Kinds that were added after the regression seeds were found; they are drawn
@@ -50,6 +52,7 @@
     FaultKind.EVACUATE,
     FaultKind.UPSTREAM_COLD,
     FaultKind.CROWD,
+    FaultKind.UPSTREAM_FLOODS,
 )
 # Number of faults of the other kinds for each one of these.
 _LATER_KIND_INTERVAL: Final = 4
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -56,10 +56,20 @@
         faults.FaultKind.UPSTREAM_SILENT,
         faults.FaultKind.BURST,
         faults.FaultKind.UPSTREAM_COLD,
+        faults.FaultKind.UPSTREAM_FLOODS,
     }
 )
 # Only these, in this order: the faults of the regression seeds depend on it.
 _RESPONSE_FAULTS: Final = tuple(platform_upstream.Fault)[1:6]
+# Their ends are no complete response, whenever they come.
+_FLOODS: Final = (
+    platform_upstream.Fault.ENDLESS_BYTE_CHUNKS,
+    platform_upstream.Fault.ENDLESS_EVENTS,
+    platform_upstream.Fault.ENDLESS_FIELDS,
+    platform_upstream.Fault.ENDLESS_LENGTH,
+    platform_upstream.Fault.ENDLESS_CHUNKS,
+    platform_upstream.Fault.ENDLESS_SIZE,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -446,6 +456,10 @@
         delay_s = upstream.delay_s
         if kind is faults.FaultKind.UPSTREAM_SLOW:
             upstream.delay_s = 10.0 * delay_s
+        elif kind is faults.FaultKind.UPSTREAM_FLOODS:
+            upstream.fault = _FLOODS[fault.variant % len(_FLOODS)]
+            upstream.fault_status = (200, 500)[fault.variant // 16 % 2]
+            upstream.fault_share = 0.3
         else:
             upstream.fault = _RESPONSE_FAULTS[
                 fault.variant % len(_RESPONSE_FAULTS)
