Name kept bytes, the protocol of turns and a failure for what they are

The exchange had _is_unparsed, a flag of the exchange, beside _unparsed, bytes; the bytes are _kept, as on connections of clients. ParsingConnection is the protocol that was Parsing, and PARTS_TOO_SMALL the failure whose reason says so. Names only; linter, type check and the tests of the transport pass.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -87,7 +87,7 @@
     # The response has a status that HTTP does not know.
     BAD_STATUS = 'answer_status_invalid'
     TOO_LARGE = 'answer_too_large'
-    TOO_MANY_PARTS = 'answer_parts_too_small'
+    PARTS_TOO_SMALL = 'answer_parts_too_small'
     # The response, and others that are being received, exceed their limit.
     NO_MEMORY = 'answers_exceed_memory'
     CANCELLED = 'cancelled'
@@ -201,8 +201,8 @@
         self._has_dropped_bytes = False
         # Fields and body parts of this exchange that the parser has delivered.
         self._event_count = 0
-        # Received bytes that wait for a turn of this connection.
-        self._unparsed = b''
+        # Received bytes that are kept until a turn of this connection.
+        self._kept = b''
         self._started_at = 0.0
         self._is_closed = False
         self._has_excess_data = False
@@ -398,7 +398,7 @@
             if response_limits.has_excessive_parts(
                 part_count=self._part_count, body_bytes=self._body_bytes
             ):
-                self._fail_exchange(FailureKind.TOO_MANY_PARTS)
+                self._fail_exchange(FailureKind.PARTS_TOO_SMALL)
                 return
             if start >= len(data):
                 return
@@ -410,16 +410,16 @@
         """Keep received bytes, and receive no more, until the next turn."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._unparsed:
-            self._unparsed += data
+        if self._kept:
+            self._kept += data
             return
-        self._unparsed = data
+        self._kept = data
         self._transport.pause_reading()
         self._turns.request(self, asyncio.get_running_loop())
 
     def continue_parsing(self) -> None:
         """Parse kept bytes, and receive further ones."""
-        data, self._unparsed = self._unparsed, b''
+        data, self._kept = self._kept, b''
         if (
             self._on_done is None
             or self._transport is None
@@ -639,7 +639,7 @@
         ended.
         """
         self._result = None
-        self._unparsed = b''
+        self._kept = b''
         self._reset_response()
 
     def _reset_response(self) -> None:
--- a/sassafraswood/transport/parse_turns.py
+++ b/sassafraswood/transport/parse_turns.py
@@ -9,7 +9,7 @@
 MAX_EVENTS_AT_ONCE: Final = 2048
 
 
-class Parsing(Protocol):
+class ParsingConnection(Protocol):
     """A connection with received bytes that are not parsed yet."""
 
     def continue_parsing(self) -> None:
@@ -29,11 +29,13 @@
     def __init__(self) -> None:
         """Initialize without connections."""
         self.part_count = 0
-        self._waiting: collections.deque[Parsing] = collections.deque()
+        self._waiting: collections.deque[ParsingConnection] = (
+            collections.deque()
+        )
         self._is_scheduled = False
 
     def request(
-        self, connection: Parsing, loop: asyncio.AbstractEventLoop
+        self, connection: ParsingConnection, loop: asyncio.AbstractEventLoop
     ) -> None:
         """Give a connection a turn behind those that wait already.
 
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -402,7 +402,7 @@
     outcome, sent = asyncio.run(
         async_flood(CHUNKED, 1000 * piece, held=64 << 20)
     )
-    assert outcome is exchange.FailureKind.TOO_MANY_PARTS
+    assert outcome is exchange.FailureKind.PARTS_TOO_SMALL
     assert sent < 16 << 20
 
 
