Play upstreams that send copies of their refusals

The stand-in of an upstream refuses a share of its requests, and sends copies of these refusals on the same connection: behind the refusal, some time later, at the next or the second next request, or when the refused id comes again.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -53,6 +53,30 @@
     ENDLESS_PIECES = 'endless_pieces'
 
 
+class Copy(enum.Enum):
+    """When the copy of a refusal is sent, on the connection of the refusal."""
+
+    NEVER = 'never'
+    # Right behind the refusal, in a segment of its own, or a little later.
+    BEHIND = 'behind'
+    DELAYED = 'delayed'
+    # When the next request arrives, or the second next, whatever its id.
+    AT_NEXT_REQUEST = 'at_next_request'
+    AT_SECOND_REQUEST = 'at_second_request'
+    # When the refused id arrives again, a little after that, or two copies.
+    AT_REPEAT = 'at_repeat'
+    AFTER_REPEAT = 'after_repeat'
+    TWICE_AT_REPEAT = 'twice_at_repeat'
+
+
+# Time after a refusal, or after a repeat, at which a late copy is sent, in
+# seconds.
+_COPY_DELAY_S = 0.02
+_REPEAT_COPIES = {
+    Copy.AT_REPEAT: 1,
+    Copy.AFTER_REPEAT: 1,
+    Copy.TWICE_AT_REPEAT: 2,
+}
 _FIELDS = b'x-field: value\r\n' * 4096
 # Bytes that are sent again and again, by fault.
 _ENDLESS_PARTS = {
@@ -97,6 +121,13 @@
         fault: Fault in a fraction of the responses.
         fault_share: Fraction of the responses with the fault, from 0 to 1.
         fault_status: Status of responses without end.
+        fault_target: Begin of the targets that have the fault; all if empty.
+        refusal_share: Fraction of the requests that it refuses although it
+            has slots, from 0 to 1.
+        refusal_status: Status of these refusals.
+        refusal_copy: When the copies of these refusals are sent.
+        repeat_count: Requests whose id was refused before on the same
+            connection.
         seen: Heads of the requests that ran.
         streams: Stream of the connection of each attempt that runs.
         digests: Hash of the body of each attempt that was received whole.
@@ -132,6 +163,11 @@
         self.fault = Fault.NONE
         self.fault_share = 0.0
         self.fault_status = 200
+        self.fault_target = ''
+        self.refusal_share = 0.0
+        self.refusal_status = 503
+        self.refusal_copy = Copy.NEVER
+        self.repeat_count = 0
         self.seen: list[str] = []
         self.streams: dict[str, asyncio.StreamReader] = {}
         self.digests: dict[str, str] = {}
@@ -251,6 +287,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        copies = _RefusalCopies(writer)
         try:
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
@@ -263,6 +300,14 @@
                     int(fields.get('content-length', '0'))
                 )
                 attempt = fields.get('x-attempt-id', '')
+                if copies.note_request(attempt):
+                    self.repeat_count += 1
+                if attempt and self._draw_refusal():
+                    refusal = self._build_refusal(attempt)
+                    writer.write(refusal)
+                    await writer.drain()
+                    copies.note_refusal(attempt, refusal, self.refusal_copy)
+                    continue
                 self.digests[attempt] = hashlib.sha256(body).hexdigest()
                 self.streams[attempt] = reader
                 try:
@@ -276,7 +321,11 @@
                     response += b'\r\n\r\n'
                 writer.write(response)
                 await writer.drain()
-                while self.fault_share > 0.0 and self.fault in _ENDLESS_PARTS:
+                while (
+                    self.fault_share > 0.0
+                    and self.fault in _ENDLESS_PARTS
+                    and self._has_fault_target(head)
+                ):
                     writer.write(_ENDLESS_PARTS[self.fault])
                     await writer.drain()
                 if is_last:
@@ -335,10 +384,29 @@
             response = response.removesuffix(body)
         if self.loses_answers:
             return b'', True
-        if self._random.random() < self.fault_share:
+        if (
+            self._has_fault_target(head)
+            and self._random.random() < self.fault_share
+        ):
             return self._apply_fault(response)
         return response, False
 
+    def _draw_refusal(self) -> bool:
+        # Sites without refusals draw the same random numbers as ever.
+        return (
+            self.refusal_share > 0.0
+            and self._random.random() < self.refusal_share
+        )
+
+    def _build_refusal(self, attempt: str) -> bytes:
+        return _build_plain(
+            self.refusal_status,
+            f'X-Attempt-Id: {attempt}\r\nX-Not-Executed: 1',
+        )
+
+    def _has_fault_target(self, head: str) -> bool:
+        return head.split(' ', 2)[1].startswith(self.fault_target)
+
     def _apply_fault(self, response: bytes) -> tuple[bytes, bool]:
         if self.fault is Fault.LOST:
             return b'', True
@@ -379,6 +447,52 @@
         return head + b'\r\n'
 
 
+class _RefusalCopies:
+    """Sends copies of the refusals of one connection."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        """Initialize without refusals."""
+        self._writer = writer
+        self._refusals: dict[str, tuple[bytes, Copy]] = {}
+        # Copies that are due, and the requests that arrive before.
+        self._due: list[tuple[int, bytes]] = []
+
+    def note_refusal(self, attempt: str, refusal: bytes, copy: Copy) -> None:
+        """Send the copy of a refusal later, or just now."""
+        self._refusals[attempt] = refusal, copy
+        if copy is Copy.BEHIND:
+            asyncio.get_running_loop().call_soon(self._write, refusal)
+        elif copy is Copy.DELAYED:
+            self._write_later(refusal)
+        elif copy is Copy.AT_NEXT_REQUEST:
+            self._due.append((0, refusal))
+        elif copy is Copy.AT_SECOND_REQUEST:
+            self._due.append((1, refusal))
+
+    def note_request(self, attempt: str) -> bool:
+        """Send what is due; return whether this id was refused here."""
+        for left, refusal in self._due:
+            if not left:
+                self._write(refusal)
+        self._due = [(left - 1, data) for left, data in self._due if left]
+        if attempt not in self._refusals:
+            return False
+        refusal, copy = self._refusals.pop(attempt)
+        for _ in range(_REPEAT_COPIES.get(copy, 0)):
+            if copy is Copy.AFTER_REPEAT:
+                self._write_later(refusal)
+            else:
+                self._write(refusal)
+        return True
+
+    def _write_later(self, data: bytes) -> None:
+        asyncio.get_running_loop().call_later(_COPY_DELAY_S, self._write, data)
+
+    def _write(self, data: bytes) -> None:
+        if not self._writer.is_closing():
+            self._writer.write(data)
+
+
 def _build_plain(status: int, head: str) -> bytes:
     return (
         f'HTTP/1.1 {status} X\r\n{head}\r\nContent-Length: 0\r\n\r\n'.encode()
