Log which exchange a refusal of the upstream ended

Two refusals of one attempt could be two answers of an upstream or one that came twice: the log had neither their status nor their connection. upstream_refused now has both, and the time since the request was sent, and the number of the exchange on its connection. Two metrics count answers with another id and bytes behind an answer.

test_refusal_of_the_upstream_is_logged_with_its_exchange and test_what_belongs_to_no_request_is_counted fail before.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -939,6 +939,8 @@
         metrics.gauge('requests_evicted', self._client_budget.evicted_count)
         metrics.gauge('answer_bytes_held', self._pool.held.count)
         metrics.gauge('answer_parts', self._pool.turns.part_count)
+        metrics.gauge('answers_skipped', self._pool.counts.skipped)
+        metrics.gauge('answers_in_excess', self._pool.counts.excess)
         metrics.gauge('resident_bytes', resident_memory.read_bytes())
         metrics.gauge('call_bytes_held', self._upstream.bodies.count)
         metrics.gauge(
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -601,7 +601,7 @@
             self._refuse(
                 call,
                 enums.RefusalReason.UPSTREAM_SHED,
-                has_reached_upstream=True,
+                response=response,
             )
             return
         if response.status == _STATUS_MISDIRECTED:
@@ -611,7 +611,7 @@
             self._refuse(
                 call,
                 enums.RefusalReason.NO_UPSTREAM,
-                has_reached_upstream=True,
+                response=response,
             )
             return
         is_sealed = names.seal in response.fields
@@ -672,13 +672,20 @@
         call: UpstreamCall,
         reason: enums.RefusalReason,
         *,
-        has_reached_upstream: bool = False,
+        response: exchange.Response | None = None,
     ) -> None:
+        """Refuse a call that has not run.
+
+        Args:
+            call: The call.
+            reason: Why it has not run.
+            response: The refusal of the upstream, if it refused the call.
+        """
         # A redirected call goes on; the daemon that sent it counts it.
         if reason is not enums.RefusalReason.UPSTREAM_FULL and not (
             reason is enums.RefusalReason.UPSTREAM_COLD and call.may_redirect
         ):
-            self._log_refusal(call, reason)
+            self._log_refusal(call, reason, response)
         is_local = reason not in (
             enums.RefusalReason.OVERLOADED,
             enums.RefusalReason.DEADLINE_UNREACHABLE,
@@ -690,7 +697,7 @@
                 call_id=call.run.call_id,
                 reason=reason.value,
                 is_local=is_local,
-                has_reached_upstream=has_reached_upstream,
+                has_reached_upstream=response is not None,
                 load=self._gate.compute_kind_load(call),
                 pace_per_s=self.pace_per_s,
                 wait_s=self._gate.compute_wait_s(call, self._slot_time.mean_s),
@@ -698,8 +705,20 @@
         )
 
     def _log_refusal(
-        self, call: UpstreamCall, reason: enums.RefusalReason
+        self,
+        call: UpstreamCall,
+        reason: enums.RefusalReason,
+        response: exchange.Response | None,
     ) -> None:
+        received: dict[str, float | None] = {}
+        if response is not None and call.running is not None:
+            received = {
+                'status': response.status,
+                'answered_s': round(
+                    self._clock.monotonic() - call.started_at, 4
+                ),
+                **call.running.describe(),
+            }
         self._log.decision(
             'upstream_refused',
             attempt=call.run.attempt_id.decode('latin-1'),
@@ -708,6 +727,7 @@
             waited_s=round(self._clock.monotonic() - call.queued_at, 4),
             in_flight=self._gate.in_flight,
             waiting=self._gate.waiting,
+            **received,
         )
 
     def _deliver_failure(
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -115,6 +115,20 @@
     body: bytes
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ResponseCounts:
+    """Responses and bytes that belong to no request, since the start.
+
+    Attributes:
+        skipped: Final responses that bear the id of another request.
+        excess: Times that bytes came behind a complete response, on a
+            connection without a request or in place of the next response.
+    """
+
+    skipped: int = 0
+    excess: int = 0
+
+
 Outcome = Response | FailureKind
 # Asks for the body of a request up to an offset.
 RequestBody = Callable[[int], object]
@@ -153,6 +167,7 @@
         held: held_bytes.ByteBudget | None = None,
         on_lost: Callable[['ExchangeConnection'], None] | None = None,
         turns: parse_turns.ParseTurns | None = None,
+        counts: ResponseCounts | None = None,
     ) -> None:
         """Initialize a connection without a transport.
 
@@ -166,6 +181,7 @@
                 callback of its exchange.
             turns: Gives turns to connections whose responses are slow to
                 parse.
+            counts: Counts what belongs to no request.
         """
         # Set by the pool, which numbers its connections in ascending order.
         self.number = 0
@@ -173,6 +189,7 @@
         self._kept_fields = kept_fields
         self._held = held or held_bytes.ByteBudget()
         self._turns = turns or parse_turns.ParseTurns()
+        self._counts = counts or ResponseCounts()
         # Body bytes of this response that are counted in held.
         self._size = 0
         self._id_field = id_field
@@ -189,6 +206,8 @@
         # Whether the method of the request is HEAD.
         self._is_head = False
         self._result: Outcome | None = None
+        # Exchanges of this connection, with the current one.
+        self._exchange_count = 0
         # Totals of this exchange: all bytes, those of bodies, the parts in
         # which these came, and skipped responses.
         self._received_bytes = 0
@@ -237,7 +256,7 @@
         return time.monotonic() - self.idle_since
 
     def describe(self) -> dict[str, float | None]:
-        """Return log fields of an exchange that has failed.
+        """Return log fields of the last exchange, which has ended.
 
         The idle time before it is in seconds; it is None on the first use of
         the connection.
@@ -247,7 +266,9 @@
             idle_s = round(self._started_at - self.idle_since, 4)
         return {
             'connection': self.number,
+            'exchange': self._exchange_count,
             'idle_s': idle_s,
+            'skipped': self._skipped_count,
             'received_bytes': self._received_bytes,
             'body_bytes': self._body_bytes,
             'body_parts': self._part_count,
@@ -279,6 +300,7 @@
         self._body_bytes = 0
         self._part_count = 0
         self._skipped_count = 0
+        self._exchange_count += 1
         self._event_count = 0
         self._is_unparsed = True
         self._has_dropped_bytes = False
@@ -352,6 +374,7 @@
         """Parse received bytes of the response."""
         if self._on_done is None or self._parser is None:
             # Bytes after a complete response belong to no request.
+            self._counts.excess += 1
             self.close()
             return
         if self._is_unparsed:
@@ -445,6 +468,8 @@
             or time.monotonic() - self._started_at > EXCESS_S
         ):
             return data
+        if not self._has_dropped_bytes:
+            self._counts.excess += 1
         self._has_dropped_bytes = True
         start = data.find(_RESPONSE_BEGIN)
         return data[start:] if start >= 0 else b''
@@ -592,6 +617,7 @@
         if self._id_field is not None and self._request_id is not None:
             if self._fields.get(self._id_field) != self._request_id:
                 self._skipped_count += 1
+                self._counts.skipped += 1
                 self._has_response_begun = False
                 self._has_header = False
                 return
@@ -612,6 +638,8 @@
             # The server would read the next request as the rest of the body.
             self._may_reuse = False
         self._body_in_parts = None
+        if self._has_excess_data:
+            self._counts.excess += 1
         if self._has_excess_data or not self._may_reuse:
             self.close()
         if on_done is not None and result is not None:
@@ -688,7 +716,7 @@
         return 0 if self._connection is None else self._connection.number
 
     def describe(self) -> dict[str, float | None]:
-        """Return log fields of the exchange, if it was sent and has failed."""
+        """Return log fields of the exchange, if it was sent and has ended."""
         return {} if self._connection is None else self._connection.describe()
 
     def attach(self, connection: ExchangeConnection) -> None:
@@ -778,6 +806,7 @@
         self.opened = 0
         self.held = held_bytes.ByteBudget()
         self.turns = parse_turns.ParseTurns()
+        self.counts = ResponseCounts()
 
     def start(
         self,
@@ -904,6 +933,7 @@
                     self.held,
                     self._remove_connection,
                     self.turns,
+                    self.counts,
                 ),
                 host,
                 port,
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -1,6 +1,7 @@
 """Tests of how a daemon forwards calls to its upstream and sees it crash."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -80,6 +81,10 @@
 class FakeExchange:
     """An exchange on a connection with a number."""
 
+    def describe(self) -> dict[str, float | None]:
+        """Return the log fields of an exchange."""
+        return {'connection': self.connection_number, 'exchange': 2}
+
     def __init__(self, number) -> None:
         """Set the number of the connection."""
         self.connection_number = number
@@ -105,6 +110,7 @@
         downstream_load = deep_load.DownstreamLoad()
         self.depth = call_depth.CallDepth()
         self.log_file = open(tmp_path / 'log', 'wb')
+        self.log = json_log.JsonLog('d1', self.log_file.fileno())
         self.stop_plan = stop_plan.StopPlan(self.clock)
         self.evacuations = evacuation.Evacuations('a', self.clock)
         self.evacuations.replace((), 1)
@@ -122,7 +128,7 @@
             pool=self.pool,
             names=NAMES,
             service=SERVICE,
-            log=json_log.JsonLog('d1', self.log_file.fileno()),
+            log=self.log,
             crashes=self.crashes,
             on_serving=lambda is_serving: None,
             report_interval_s=INTERVAL_S,
@@ -239,6 +245,22 @@
     assert isinstance(case.replies[0], frames.Refused)
 
 
+# Guards against a log in which a refusal that came twice looks like two.
+def test_refusal_of_the_upstream_is_logged_with_its_exchange(tmp_path) -> None:
+    """The log has its status, its time and the connection that it came on."""
+    case = Case(tmp_path)
+    call = case.submit()
+    call.running = FakeExchange(7)
+    case.clock.advance(0.25)
+    case.respond(status=429, not_run=b'1')
+    case.log.flush()
+    lines = map(json.loads, (tmp_path / 'log').read_text().splitlines())
+    (line,) = (item for item in lines if item['event'] == 'upstream_refused')
+    assert line['status'] == 429
+    assert line['answered_s'] == 0.25
+    assert (line['connection'], line['exchange']) == (7, 2)
+
+
 def test_other_instance_at_the_address_ends_the_service(tmp_path) -> None:
     """A status of 421 shows that the upstream was replaced."""
     case = Case(tmp_path)
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -1,6 +1,7 @@
 """Tests of HTTP exchanges with faulty servers."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
@@ -258,6 +259,7 @@
 
     values = asyncio.run(async_run())
     assert values['connection'] == 1
+    assert values['exchange'] == 2
     assert 0.01 <= values['idle_s'] < 5.0
     assert values['received_bytes'] == len(COMPLETE) - 1
 
@@ -492,6 +494,46 @@
     assert second.status == 200
 
 
+# Guards against answers to other requests of which no figure tells.
+@pytest.mark.parametrize(
+    ('responses', 'skipped', 'excess'),
+    [
+        ([COMPLETE, REFUSAL % b'a0' + COMPLETE], 1, 0),
+        ([COMPLETE + REFUSAL % b'a0', COMPLETE], 0, 1),
+        ([COMPLETE, b'junk\r\n' + COMPLETE], 0, 1),
+        ([COMPLETE, COMPLETE], 0, 0),
+    ],
+)
+def test_what_belongs_to_no_request_is_counted(
+    responses, skipped, excess
+) -> None:
+    """The pool counts responses with another id and bytes in excess."""
+
+    async def async_run() -> exchange.ResponseCounts:
+        script = list(responses)
+
+        async def async_serve(reader, writer) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while await reader.readuntil(b'\r\n\r\n'):
+                    writer.write(script.pop(0))
+
+        server = await asyncio.start_server(async_serve, '127.0.0.1', 0)
+        pool = exchange.ExchangePool(
+            server.sockets[0].getsockname(), KEPT_FIELDS, b'attempt'
+        )
+        for _ in responses:
+            done = asyncio.get_running_loop().create_future()
+            pool.start(REQUEST, b'a1', done.set_result)
+            assert (await asyncio.wait_for(done, 5.0)).status == 200
+        pool.close_idle()
+        server.close()
+        return pool.counts
+
+    assert asyncio.run(async_run()) == exchange.ResponseCounts(
+        skipped=skipped, excess=excess
+    )
+
+
 BEGIN = b'HTTP/1.1 %d X\r\nattempt: a1\r\nseal: s\r\n'
 LENGTH = b'Content-Length: 5\r\n'
 CHUNKS = b'Transfer-Encoding: chunked\r\n'
