--- a/lab/refusal_copies.py
+++ b/lab/refusal_copies.py
@@ -84,17 +84,15 @@
     log: list[str] = dataclasses.field(default_factory=list)
 
     @property
-    def request_count(self) -> int:
-        """Return the number of requests."""
-        return sum(counter.total() for counter in self.statuses.values())
+    def totals(self) -> collections.Counter[int]:
+        """Return the number of responses by status."""
+        return sum(self.statuses.values(), start=collections.Counter())
 
     def describe(self) -> str:
         """Return one line of figures."""
-        statuses = collections.Counter[int]()
-        for counter in self.statuses.values():
-            statuses += counter
         return (
-            f'{self.request_count} requests {dict(sorted(statuses.items()))},'
+            f'{self.totals.total()} requests'
+            f' {dict(sorted(self.totals.items()))},'
             f' {self.repeats} repeats on the refusing connection,'
             f' told not run {_count(self.told_not_run)},'
             f' ran twice {_count(self.ran_twice)}, {self.exits} exits'
