Send no id again on a connection that has answered it

Callers got 503 for requests that ran, and unsafe requests ran twice. A refused request goes to the same upstream again with the same id, on the most recently used connection, which is mostly that of the refusal. An upstream that sends the refusal again puts it where the answer to the repeat is due; the id tells copies of other requests only. The copy of the last try is passed on as "not run", that of an earlier one leads to a further try, while the request runs.

Each connection remembers the ids that it has answered and that may come again, and ends with the 64th; the pool passes such a connection over for these ids and leaves it to others. Ids of final answers, after which no daemon repeats, are not kept. Requests without an id share no connection, and take no response that bears one. Why it works: of two answers with the same id on one connection, the second can only be a copy.

What it costs an upstream that sheds: a new connection for a repeat if no other one is idle. Ending each connection with a refusal costs one for each refusal. An id of its own for each sending would cost nothing, but upstreams must get the client's id.

The tests of the connections name the final answers to their pool now, which they must to let ids be reused; what they assert is unchanged.

--- a/sassafraswood/sidecar/process.py
+++ b/sassafraswood/sidecar/process.py
@@ -51,6 +51,7 @@
 from sassafraswood.sidecar import resident_memory
 from sassafraswood.sidecar import rules_follower
 from sassafraswood.sidecar import store_reader
+from sassafraswood.sidecar import upstream_answers
 from sassafraswood.sidecar import upstream_log
 from sassafraswood.sidecar import upstream_probe
 from sassafraswood.sidecar import upstream_side
@@ -163,6 +164,10 @@
             settings.upstream_address,
             exchange.response_field_names(names),
             names.attempt_id,
+            lambda response: (
+                upstream_answers.classify(response, names)
+                is upstream_answers.AnswerKind.FINAL
+            ),
         )
         downstream_load = deep_load.DownstreamLoad()
         depth = call_depth.CallDepth()
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -20,6 +20,7 @@
 from sassafraswood.models import ids
 from sassafraswood.protocol import frames
 from sassafraswood.sidecar import fingerprints
+from sassafraswood.sidecar import upstream_answers
 from sassafraswood.sidecar import upstream_watch
 from sassafraswood.state import held_bytes
 from sassafraswood.transport import exchange
@@ -30,8 +31,6 @@
 
 # Reason of a failure by an unexpected exception, whose traceback is logged.
 INTERNAL_ERROR: Final = 'internal_error'
-# Status of an upstream that is not the expected instance.
-_STATUS_MISDIRECTED: Final = 421
 # Latency relative to the usual one up to which a recovering upstream gets more
 # calls at once; a cold one takes about twice the usual time.
 MAX_GROWTH_SLOWNESS: Final = 2.5
@@ -576,7 +575,7 @@
     ) -> None:
         """Adapt a pace that is not stated to the outcome of a call."""
         if isinstance(outcome, exchange.Response):
-            if outcome.status == _STATUS_MISDIRECTED:
+            if outcome.status == upstream_answers.STATUS_MISDIRECTED:
                 return
             if (
                 outcome.status < 500
@@ -591,20 +590,20 @@
     def _deliver_response(
         self, call: UpstreamCall, response: exchange.Response
     ) -> None:
-        names = self._names
         run = call.run
-        if response.status != _STATUS_MISDIRECTED:
+        if response.status != upstream_answers.STATUS_MISDIRECTED:
             self._watch.note_response(call)
         elif call.upstream is not None:
             self._watch.note_other_instance(call.upstream)
-        if names.not_run in response.fields:
+        kind = upstream_answers.classify(response, self._names)
+        if kind is upstream_answers.AnswerKind.REFUSED:
             self._refuse(
                 call,
                 enums.RefusalReason.UPSTREAM_SHED,
                 response=response,
             )
             return
-        if response.status == _STATUS_MISDIRECTED:
+        if kind is upstream_answers.AnswerKind.OTHER_INSTANCE:
             if call.upstream is not None:
                 self._registry.forget(call.upstream.instance_id)
                 self.refresh()
@@ -614,8 +613,7 @@
                 response=response,
             )
             return
-        is_sealed = names.seal in response.fields
-        if not is_sealed or b'content-encoding' in response.fields:
+        if kind is upstream_answers.AnswerKind.UNSEALED:
             self._deliver_failure(call, 'answer_without_seal')
             return
         self._deliver(
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -67,6 +67,8 @@
 EXCESS_S: Final = 0.02
 # Bytes of responses that are parsed at once.
 MAX_PARSED_BYTES: Final = 16 * 1024
+# Ids that a connection remembers; it ends at the next one.
+MAX_ANSWERED_IDS: Final = 64
 # An attempt to connect that takes longer counts as failed.
 CONNECT_TIMEOUT_S: Final = 1.0
 
@@ -130,6 +132,8 @@
 
 
 Outcome = Response | FailureKind
+# Whether the request of a response is never sent again.
+IsFinal = Callable[[Response], bool]
 # Asks for the body of a request up to an offset.
 RequestBody = Callable[[int], object]
 
@@ -152,7 +156,11 @@
 
     A response that carries the id of another request is discarded: a server
     may respond twice, and the second response can arrive where the response to
-    the next request is expected.
+    the next request is expected. If a request is sent again after its
+    response, the id does not tell a copy of that response from the response to
+    the repeat. So no request is sent on a connection that has carried a
+    response to its id, unless that response was final. Requests without an id
+    share no connection.
 
     The parser can't be told that a response has no body although its fields
     announce one. Such a response is complete at the end of its head, and its
@@ -168,6 +176,7 @@
         on_lost: Callable[['ExchangeConnection'], None] | None = None,
         turns: parse_turns.ParseTurns | None = None,
         counts: ResponseCounts | None = None,
+        is_final: IsFinal | None = None,
     ) -> None:
         """Initialize a connection without a transport.
 
@@ -182,6 +191,8 @@
             turns: Gives turns to connections whose responses are slow to
                 parse.
             counts: Counts what belongs to no request.
+            is_final: Tells responses after which their request is not sent
+                again; if None, no request is.
         """
         # Set by the pool, which numbers its connections in ascending order.
         self.number = 0
@@ -190,6 +201,9 @@
         self._held = held or held_bytes.ByteBudget()
         self._turns = turns or parse_turns.ParseTurns()
         self._counts = counts or ResponseCounts()
+        self._is_final = is_final
+        # Ids of requests that may be sent again, but not on this connection.
+        self._answered_ids: set[bytes | None] = set()
         # Body bytes of this response that are counted in held.
         self._size = 0
         self._id_field = id_field
@@ -255,6 +269,14 @@
         """Return the time since the last exchange ended, in seconds."""
         return time.monotonic() - self.idle_since
 
+    def has_answered(self, request_id: bytes | None) -> bool:
+        """Return whether a copy of a response could bear the id of a request.
+
+        Args:
+            request_id: Id of the request; None if it has none.
+        """
+        return request_id in self._answered_ids
+
     def describe(self) -> dict[str, float | None]:
         """Return log fields of the last exchange, which has ended.
 
@@ -602,11 +624,13 @@
             not self._is_head or status < 200
         ):
             return False
-        return (
-            self._id_field is None
-            or self._request_id is None
-            or self._fields.get(self._id_field) == self._request_id
-        )
+        return self._bears_request_id()
+
+    def _bears_request_id(self) -> bool:
+        """Return whether the response is that to the request, by its id."""
+        if self._id_field is None:
+            return True
+        return (self._fields.get(self._id_field) or None) == self._request_id
 
     def _is_unframed_body(self) -> bool:
         return (
@@ -614,13 +638,12 @@
         )
 
     def _complete_response(self) -> None:
-        if self._id_field is not None and self._request_id is not None:
-            if self._fields.get(self._id_field) != self._request_id:
-                self._skipped_count += 1
-                self._counts.skipped += 1
-                self._has_response_begun = False
-                self._has_header = False
-                return
+        if not self._bears_request_id():
+            self._skipped_count += 1
+            self._counts.skipped += 1
+            self._has_response_begun = False
+            self._has_header = False
+            return
         assert self._parser is not None
         self._result = Response(
             status=self._parser.get_status_code(),
@@ -638,6 +661,8 @@
             # The server would read the next request as the rest of the body.
             self._may_reuse = False
         self._body_in_parts = None
+        if isinstance(result, Response):
+            self._remember_id(result)
         if self._has_excess_data:
             self._counts.excess += 1
         if self._has_excess_data or not self._may_reuse:
@@ -645,6 +670,18 @@
         if on_done is not None and result is not None:
             on_done(result)
 
+    def _remember_id(self, response: Response) -> None:
+        """Remember the id of a request that may be sent again."""
+        if self._id_field is None:
+            return
+        if self._request_id is not None and (
+            self._is_final is None or self._is_final(response)
+        ):
+            return
+        self._answered_ids.add(self._request_id)
+        if len(self._answered_ids) >= MAX_ANSWERED_IDS:
+            self._may_reuse = False
+
     def _fail_exchange(self, kind: FailureKind) -> None:
         on_done = self._on_done
         self._on_done = None
@@ -781,6 +818,7 @@
         address: tuple[str, int],
         kept_fields: frozenset[bytes],
         id_field: bytes | None = None,
+        is_final: IsFinal | None = None,
     ) -> None:
         """Initialize a pool without connections.
 
@@ -790,8 +828,11 @@
                 are kept.
             id_field: Lower-case name of the response field that carries the
                 request id; None if ids are not compared.
+            is_final: Tells responses after which their request is not sent
+                again; if None, no request is.
         """
         self._address = address
+        self._is_final = is_final
         self._kept_fields = kept_fields
         self._id_field = id_field
         self._idle_connections: collections.deque[ExchangeConnection] = (
@@ -830,7 +871,7 @@
             body: Body that follows the payload, if any.
         """
         exchange = Exchange()
-        connection = self._pop_idle_connection(may_retry)
+        connection = self._pop_idle_connection(may_retry, request_id)
         if connection is not None:
             self._send(
                 connection, exchange, payload, request_id, on_done, body
@@ -844,21 +885,28 @@
         return exchange
 
     def _pop_idle_connection(
-        self, may_retry: bool
+        self, may_retry: bool, request_id: bytes | None
     ) -> ExchangeConnection | None:
-        """Return the most recently used idle connection, if it is reusable."""
+        """Return the most recently used connection that may be reused."""
         limit_s = self._idle_limit.limit_s
-        while self._idle_connections:
+        passed_over: list[ExchangeConnection] = []
+        found = None
+        while self._idle_connections and found is None:
             connection = self._idle_connections.pop()
             if not connection.is_reusable or connection.idle_s > limit_s:
                 connection.close()
-                continue
-            if may_retry or connection.idle_s <= MAX_IDLE_WITHOUT_RETRY_S:
-                return connection
-            # All other connections have been idle for longer.
-            self._idle_connections.append(connection)
-            return None
-        return None
+            elif (
+                not may_retry and connection.idle_s > MAX_IDLE_WITHOUT_RETRY_S
+            ):
+                # All other connections have been idle for longer.
+                self._idle_connections.append(connection)
+                break
+            elif connection.has_answered(request_id):
+                passed_over.append(connection)
+            else:
+                found = connection
+        self._idle_connections.extend(reversed(passed_over))
+        return found
 
     def has_open_connection(self, up_to: int) -> bool:
         """Return whether a connection with at most this number is open."""
@@ -934,6 +982,7 @@
                     self._remove_connection,
                     self.turns,
                     self.counts,
+                    self._is_final,
                 ),
                 host,
                 port,
--- a/tests/transport/test_answer_copies.py
+++ b/tests/transport/test_answer_copies.py
@@ -30,7 +30,9 @@
         script = self._scripts.pop(0)
         seen: list[bytes] = []
         self.requests.append(seen)
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        with contextlib.suppress(
+            asyncio.CancelledError, asyncio.IncompleteReadError, OSError
+        ):
             for response in script:
                 seen.append(await reader.readuntil(b'\r\n\r\n'))
                 writer.write(response)
@@ -44,7 +46,10 @@
     """Return the outcomes of requests with these ids, one after another."""
     listener = await asyncio.start_server(server.async_serve, '127.0.0.1', 0)
     pool = exchange.ExchangePool(
-        listener.sockets[0].getsockname(), KEPT_FIELDS, b'attempt'
+        listener.sockets[0].getsockname(),
+        KEPT_FIELDS,
+        b'attempt',
+        lambda response: b'not-run' not in response.fields,
     )
     outcomes = []
     for request_id in ids:
@@ -108,3 +113,24 @@
     unhealthy = HEALTHY.replace(b'200 OK', b'503 X')
     server = Server([HEALTHY, HEALTHY + unhealthy], [unhealthy])
     assert run(server, None, None) == [200, 503]
+
+
+# Guards against a new connection for each call while an upstream refuses.
+def test_refusal_leaves_its_connection_to_other_requests() -> None:
+    """Only the refused id gets another connection, an idle one if any."""
+    server = Server(
+        [REFUSAL % b'a1', ANSWER % b'a2'], [ANSWER % b'a1', ANSWER % b'a3']
+    )
+    statuses = run(server, b'a1', b'a2', b'a1', b'a3')
+    assert statuses == [503, 200, 200, 200]
+    assert [len(seen) for seen in server.requests] == [2, 2]
+
+
+# Guards against connections that remember ids without bound.
+def test_connection_ends_after_many_refusals() -> None:
+    """It ends with the last id that it may remember."""
+    ids = [b'a%d' % number for number in range(exchange.MAX_ANSWERED_IDS + 1)]
+    refusals = [REFUSAL % request_id for request_id in ids]
+    server = Server(refusals[:-1], refusals[-1:])
+    assert run(server, *ids) == [503] * len(ids)
+    assert [len(seen) for seen in server.requests] == [len(ids) - 1, 1]
