Take no status of an upstream alone for "not run"

Callers got 408, 429 or 503 for requests that had run. Clients take these statuses as the promise that a request has not run, and send unsafe requests again.

Cause: only the field with the proof says that an upstream has not run a request, but a sealed answer with such a status was passed on as it is.

Such an answer is now a failure, `answer_without_proof`, whatever seal it bears. Unsafe requests get 502, which promises nothing. Safe ones are sent again within the retry budget, and get 502 if that is used up: their clients send them again after either status, and a further try may get the answer that the upstream withheld. A 409, 500 or 504 of an upstream is still passed on. Status 421 stays a refusal: another instance has not run the request.

Evidence: test_status_without_proof_promises_nothing plays each status at two daemon processes; it fails on (a request that ran gets 429), and passes here.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -133,6 +133,7 @@
         digests: Hash of the body of each attempt that was received whole.
         body: Body of each response; its id and the body of the request if
             empty.
+        answer_status: Status of the sealed responses to requests that ran.
         slots: Requests that run at once; further ones are refused.
         is_dark: Whether it hangs: no reports and responses, but open
             connections.
@@ -172,6 +173,7 @@
         self.streams: dict[str, asyncio.StreamReader] = {}
         self.digests: dict[str, str] = {}
         self.body = b''
+        self.answer_status = 200
         self.slots = SLOTS
         self.is_dark = False
         self.cold_until = 0.0
@@ -379,7 +381,7 @@
         if not has_succeeded:
             return _build_sealed(500, attempt, b''), False
         body = self.body or self.instance_id.encode() + b' ' + body
-        response = _build_sealed(200, attempt, body)
+        response = _build_sealed(self.answer_status, attempt, body)
         if head.startswith('HEAD '):
             response = response.removesuffix(body)
         if self.loses_answers:
--- a/sassafraswood/sidecar/upstream_answers.py
+++ b/sassafraswood/sidecar/upstream_answers.py
@@ -8,6 +8,8 @@
 
 # Status of an upstream that is not the expected instance.
 STATUS_MISDIRECTED: Final = 421
+# Further statuses by which a client takes its request as not run.
+NOT_RUN_STATUSES: Final = frozenset({408, 429, 503})
 
 
 class AnswerKind(enum.Enum):
@@ -19,6 +21,9 @@
     REFUSED = 'refused'
     # It has not run it because it is not the expected instance.
     OTHER_INSTANCE = 'other_instance'
+    # Its status states that the request has not run, without the field that
+    # proves it; the request may have run.
+    UNPROVEN = 'unproven'
     # The sender is not known, and the request may have run.
     UNSEALED = 'unsealed'
 
@@ -36,6 +41,8 @@
         return AnswerKind.REFUSED
     if response.status == STATUS_MISDIRECTED:
         return AnswerKind.OTHER_INSTANCE
+    if response.status in NOT_RUN_STATUSES:
+        return AnswerKind.UNPROVEN
     if (
         names.seal not in response.fields
         or b'content-encoding' in response.fields
--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -31,6 +31,8 @@
 
 # Reason of a failure by an unexpected exception, whose traceback is logged.
 INTERNAL_ERROR: Final = 'internal_error'
+# Reason of a failure by a response whose status alone denies the run.
+UNPROVEN_REFUSAL: Final = 'answer_without_proof'
 # Latency relative to the usual one up to which a recovering upstream gets more
 # calls at once; a cold one takes about twice the usual time.
 MAX_GROWTH_SLOWNESS: Final = 2.5
@@ -613,6 +615,10 @@
                 response=response,
             )
             return
+        if kind is upstream_answers.AnswerKind.UNPROVEN:
+            # Passed on as it is, it would promise that the call has not run.
+            self._deliver_failure(call, UNPROVEN_REFUSAL)
+            return
         if kind is upstream_answers.AnswerKind.UNSEALED:
             self._deliver_failure(call, 'answer_without_seal')
             return
--- a/tests/sidecar/test_refusal_copies.py
+++ b/tests/sidecar/test_refusal_copies.py
@@ -3,7 +3,10 @@
 import pytest
 
 from lab import platform_upstream
+from lab import process_site
 from lab import refusal_copies
+from lab.soak import http_caller
+from lab.soak import machine as machine_module
 
 LENGTH_S = 3.0
 # Requests of each kind of outcome that make a play worth something.
@@ -57,3 +60,28 @@
     found = {'not run': outcome.told_not_run, 'twice': outcome.ran_twice}
     assert not any(found.values()), (dict(found), outcome.describe())
     assert not outcome.exits
+
+
+# Guards against a client that is told "not run" of a request that ran, since
+# its upstream answered with such a status.
+@pytest.mark.parametrize('status', [408, 429, 503])
+async def test_status_without_proof_promises_nothing(tmp_path, status) -> None:
+    """Only a response that proves it passes for a refusal of the upstream."""
+    services = refusal_copies.SERVICES
+    async with process_site.async_site(
+        tmp_path, services, rules=refusal_copies.build_rules()
+    ) as site:
+        address = site.first.host, machine_module.CALLER
+        for service in services:
+            upstream = site.upstream(service)
+            upstream.answer_status = status
+            for kind in refusal_copies.KINDS:
+                upstream.seen.clear()
+                caller = http_caller.HttpCaller(address)
+                response = await caller.async_call(
+                    process_site.build_request(f'{service}-{kind}'), 4.0
+                )
+                caller.close()
+                runs = len(upstream.seen)
+                assert response.status == 502
+                assert runs == 1 if kind == 'unsafe' else runs
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -261,6 +261,52 @@
     assert (line['connection'], line['exchange']) == (7, 2)
 
 
+# Guards against a client that is told "not run" by the status of an answer
+# alone, which the upstream may also send after the run.
+@pytest.mark.parametrize('sealed', [{b'seal': b's'}, {}])
+@pytest.mark.parametrize('status', [408, 429, 503])
+@pytest.mark.parametrize('is_idempotent', [False, True])
+def test_unproven_refusal_of_the_upstream_is_a_failure(
+    tmp_path, status, sealed, is_idempotent
+) -> None:
+    """Only the header field proves that the call has not run."""
+    case = Case(tmp_path)
+    case.submit(is_idempotent=is_idempotent)
+    case.pool.requests[0][2](
+        exchange.Response(
+            status=status,
+            head=b'',
+            fields={b'attempt': b'abc', **sealed},
+            body=b'x',
+        )
+    )
+    (reply,) = case.replies
+    assert isinstance(reply, frames.CallFailed)
+    assert reply.reason == upstream_side.UNPROVEN_REFUSAL
+
+
+@pytest.mark.parametrize('status', [400, 404, 413, 500, 502, 504])
+def test_other_errors_of_the_upstream_are_passed_on(tmp_path, status) -> None:
+    """They do not say that the call has not run."""
+    case = Case(tmp_path)
+    case.submit()
+    case.respond(status=status)
+    (reply,) = case.replies
+    assert isinstance(reply, frames.Answer)
+    assert reply.status == status
+
+
+@pytest.mark.parametrize('status', [400, 408, 421, 429, 503])
+def test_proven_refusal_of_the_upstream_is_not_run(tmp_path, status) -> None:
+    """Its caller may send the call again."""
+    case = Case(tmp_path)
+    case.submit()
+    case.respond(status=status, not_run=b'1')
+    (reply,) = case.replies
+    assert isinstance(reply, frames.Refused)
+    assert reply.has_reached_upstream
+
+
 def test_other_instance_at_the_address_ends_the_service(tmp_path) -> None:
     """A status of 421 shows that the upstream was replaced."""
     case = Case(tmp_path)
