End a refusing connection in exchange for a new one

An unsafe call that was refused and goes to the same upstream again got 502 if the upstream accepted no further connection (max-conns, or fewer while its queue is long): the connection of the refusal stayed open beside the new one, which the upstream reset. The one that has been idle for longest ends now before the new one is opened, so that their number does not grow.

The ids are kept as hashes, since clients may send long ones; equal hashes cost a connection and no more.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -67,7 +67,7 @@
 EXCESS_S: Final = 0.02
 # Bytes of responses that are parsed at once.
 MAX_PARSED_BYTES: Final = 16 * 1024
-# Ids that a connection remembers; it ends at the next one.
+# Ids that a connection remembers; it ends with the last of them.
 MAX_ANSWERED_IDS: Final = 64
 # An attempt to connect that takes longer counts as failed.
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -132,7 +132,7 @@
 
 
 Outcome = Response | FailureKind
-# Whether the request of a response is never sent again.
+# Whether a response ends its request, unless the request may run again.
 IsFinal = Callable[[Response], bool]
 # Asks for the body of a request up to an offset.
 RequestBody = Callable[[int], object]
@@ -159,8 +159,9 @@
     the next request is expected. If a request is sent again after its
     response, the id does not tell a copy of that response from the response to
     the repeat. So no request is sent on a connection that has carried a
-    response to its id, unless that response was final. Requests without an id
-    share no connection.
+    response to its id, unless that response was final: a copy of a final
+    response is that of a run. No connection carries two requests without an
+    id.
 
     The parser can't be told that a response has no body although its fields
     announce one. Such a response is complete at the end of its head, and its
@@ -191,8 +192,8 @@
             turns: Gives turns to connections whose responses are slow to
                 parse.
             counts: Counts what belongs to no request.
-            is_final: Tells responses after which their request is not sent
-                again; if None, no request is.
+            is_final: Tells responses that end their request; if None, all
+                do.
         """
         # Set by the pool, which numbers its connections in ascending order.
         self.number = 0
@@ -202,8 +203,9 @@
         self._turns = turns or parse_turns.ParseTurns()
         self._counts = counts or ResponseCounts()
         self._is_final = is_final
-        # Ids of requests that may be sent again, but not on this connection.
-        self._answered_ids: set[bytes | None] = set()
+        # Hashes of the ids of requests that may be sent again, but not on this
+        # connection; ids may be long.
+        self._answered_ids: set[int] = set()
         # Body bytes of this response that are counted in held.
         self._size = 0
         self._id_field = id_field
@@ -275,7 +277,7 @@
         Args:
             request_id: Id of the request; None if it has none.
         """
-        return request_id in self._answered_ids
+        return hash(request_id) in self._answered_ids
 
     def describe(self) -> dict[str, float | None]:
         """Return log fields of the last exchange, which has ended.
@@ -678,7 +680,7 @@
             self._is_final is None or self._is_final(response)
         ):
             return
-        self._answered_ids.add(self._request_id)
+        self._answered_ids.add(hash(self._request_id))
         if len(self._answered_ids) >= MAX_ANSWERED_IDS:
             self._may_reuse = False
 
@@ -828,8 +830,8 @@
                 are kept.
             id_field: Lower-case name of the response field that carries the
                 request id; None if ids are not compared.
-            is_final: Tells responses after which their request is not sent
-                again; if None, no request is.
+            is_final: Tells responses that end their request; if None, all
+                do.
         """
         self._address = address
         self._is_final = is_final
@@ -887,7 +889,11 @@
     def _pop_idle_connection(
         self, may_retry: bool, request_id: bytes | None
     ) -> ExchangeConnection | None:
-        """Return the most recently used connection that may be reused."""
+        """Return the most recently used connection that may be reused.
+
+        If those that could be used have answered the id, one connection ends
+        in exchange for the new one.
+        """
         limit_s = self._idle_limit.limit_s
         passed_over: list[ExchangeConnection] = []
         found = None
@@ -906,6 +912,9 @@
             else:
                 found = connection
         self._idle_connections.extend(reversed(passed_over))
+        if found is None and passed_over:
+            # The server may accept no further connection beside these.
+            self._idle_connections.popleft().close()
         return found
 
     def has_open_connection(self, up_to: int) -> bool:
--- a/tests/sidecar/test_refusal_copies.py
+++ b/tests/sidecar/test_refusal_copies.py
@@ -31,7 +31,7 @@
 # Guards against the copy of a refusal that passes for the answer to a repeat:
 # a request that ran is called "not run", or runs a second time.
 @pytest.mark.parametrize(('status', 'copy'), COPIES)
-async def test_copy_of_a_refusal_ends_no_repeat(
+async def test_copy_of_a_refusal_does_not_answer_a_repeat(
     tmp_path, status, copy
 ) -> None:
     """No request that runs is refused, and no unsafe one runs twice."""
@@ -40,6 +40,7 @@
     )
     found = {'not run': outcome.told_not_run, 'twice': outcome.ran_twice}
     assert not any(found.values()), (dict(found), outcome.describe())
+    assert not outcome.repeats
     assert outcome.totals[200] > MIN_COUNT
     assert outcome.totals[503] > MIN_COUNT
 
@@ -60,6 +61,8 @@
     found = {'not run': outcome.told_not_run, 'twice': outcome.ran_twice}
     assert not any(found.values()), (dict(found), outcome.describe())
     assert not outcome.exits
+    assert not outcome.repeats
+    assert outcome.totals[200] > MIN_COUNT
 
 
 # Guards against a client that is told "not run" of a request that ran, since
--- a/tests/transport/test_answer_copies.py
+++ b/tests/transport/test_answer_copies.py
@@ -1,6 +1,7 @@
 """Tests of HTTP exchanges with servers that send an answer again later."""
 
 import asyncio
+from collections.abc import AsyncIterator, Awaitable
 import contextlib
 
 import pytest
@@ -20,13 +21,19 @@
 class Server:
     """Responds to the requests of each connection by a script."""
 
-    def __init__(self, *scripts: list[bytes]) -> None:
+    def __init__(self, *scripts: list[bytes], max_open: int = 64) -> None:
         """Set the responses by connection and request."""
         self.requests: list[list[bytes]] = []
+        self._max_open = max_open
+        self._open_count = 0
         self._scripts = list(scripts)
 
     async def async_serve(self, reader, writer) -> None:
         """Respond to the requests of one connection."""
+        if self._open_count >= self._max_open:
+            writer.transport.abort()
+            return
+        self._open_count += 1
         script = self._scripts.pop(0)
         seen: list[bytes] = []
         self.requests.append(seen)
@@ -37,13 +44,13 @@
                 seen.append(await reader.readuntil(b'\r\n\r\n'))
                 writer.write(response)
             await reader.read()
+        self._open_count -= 1
         writer.close()
 
 
-async def async_exchange(
-    server: Server, *ids: bytes | None
-) -> list[exchange.Outcome]:
-    """Return the outcomes of requests with these ids, one after another."""
+@contextlib.asynccontextmanager
+async def async_pool(server: Server) -> AsyncIterator[exchange.ExchangePool]:
+    """Run a server and return a pool of connections to it."""
     listener = await asyncio.start_server(server.async_serve, '127.0.0.1', 0)
     pool = exchange.ExchangePool(
         listener.sockets[0].getsockname(),
@@ -51,15 +58,30 @@
         b'attempt',
         lambda response: b'not-run' not in response.fields,
     )
-    outcomes = []
-    for request_id in ids:
-        done = asyncio.get_running_loop().create_future()
-        payload = HEALTH if request_id is None else REQUEST % request_id
-        pool.start(payload, request_id, done.set_result)
-        outcomes.append(await asyncio.wait_for(done, 5.0))
+    yield pool
     pool.close_idle()
     listener.close()
-    return outcomes
+
+
+def start(
+    pool: exchange.ExchangePool,
+    request_id: bytes | None,
+    *,
+    may_retry: bool = True,
+) -> Awaitable[exchange.Outcome]:
+    """Send a request and return its outcome to wait for."""
+    done = asyncio.get_running_loop().create_future()
+    payload = HEALTH if request_id is None else REQUEST % request_id
+    pool.start(payload, request_id, done.set_result, may_retry=may_retry)
+    return asyncio.wait_for(done, 5.0)
+
+
+async def async_exchange(
+    server: Server, *ids: bytes | None
+) -> list[exchange.Outcome]:
+    """Return the outcomes of requests with these ids, one after another."""
+    async with async_pool(server) as pool:
+        return [await start(pool, request_id) for request_id in ids]
 
 
 def run(server: Server, *ids: bytes | None) -> list[int]:
@@ -115,15 +137,52 @@
     assert run(server, None, None) == [200, 503]
 
 
+# Guards against an id that a connection echoes as an empty field.
+def test_empty_id_is_none() -> None:
+    """A health check takes a response with an empty id."""
+    server = Server([ANSWER % b''])
+    assert run(server, None) == [200]
+
+
 # Guards against a new connection for each call while an upstream refuses.
 def test_refusal_leaves_its_connection_to_other_requests() -> None:
     """Only the refused id gets another connection, an idle one if any."""
     server = Server(
-        [REFUSAL % b'a1', ANSWER % b'a2'], [ANSWER % b'a1', ANSWER % b'a3']
+        [REFUSAL % b'a1', ANSWER % b'a4'],
+        [REFUSAL % b'a2', ANSWER % b'a1', REFUSAL % b'a3', ANSWER % b'a4'],
     )
-    statuses = run(server, b'a1', b'a2', b'a1', b'a3')
-    assert statuses == [503, 200, 200, 200]
-    assert [len(seen) for seen in server.requests] == [2, 2]
+
+    async def async_run() -> list[int]:
+        async with async_pool(server) as pool:
+            # Two connections at first.
+            pending = [start(pool, b'a1'), start(pool, b'a2')]
+            found = [(await item).status for item in pending]
+            for request_id in (b'a1', b'a3', b'a4'):
+                found.append((await start(pool, request_id)).status)
+        return found
+
+    assert asyncio.run(async_run()) == [503, 503, 200, 503, 200]
+    assert sum(len(seen) for seen in server.requests) == 5
+    assert len(server.requests) == 2
+
+
+# Guards against repeats that are reset by a server that accepts no further
+# connection, and so end without a promise.
+@pytest.mark.parametrize('may_retry', [False, True])
+def test_repeat_needs_no_further_connection(may_retry) -> None:
+    """The connection of the refusal ends before the other one begins."""
+    server = Server([REFUSAL % b'a1'], [ANSWER % b'a1'], max_open=1)
+
+    async def async_run() -> list[int]:
+        async with async_pool(server) as pool:
+            found = []
+            for _ in range(2):
+                outcome = await start(pool, b'a1', may_retry=may_retry)
+                assert isinstance(outcome, exchange.Response), outcome
+                found.append(outcome.status)
+        return found
+
+    assert asyncio.run(async_run()) == [503, 200]
 
 
 # Guards against connections that remember ids without bound.
