Take no trailer field of a response for a header field

A response whose trailer states that it was not run, or the id of another request, was taken for a refusal, or for the answer to that request: the client was told "not run" of a request that ran. The parser reports trailer fields like header fields, and both were kept. Trailer fields are dropped now; their bytes and their number are limited as before.

Found by review. test_trailer_states_nothing_of_the_response fails before.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -540,6 +540,9 @@
         if self._result is not None or self._on_done is None:
             return
         self._event_count += 1
+        if self._has_header:
+            # Trailer fields, which may not take the place of header fields.
+            return
         lower = name.lower()
         if lower in self._kept_fields:
             self._fields[lower] = value
--- a/tests/transport/test_answer_copies.py
+++ b/tests/transport/test_answer_copies.py
@@ -193,3 +193,22 @@
     server = Server(refusals[:-1], refusals[-1:])
     assert run(server, *ids) == [503] * len(ids)
     assert [len(seen) for seen in server.requests] == [len(ids) - 1, 1]
+
+
+# Guards against trailer fields that state what only a header may: the proof of
+# a refusal, or the id of another request.
+def test_trailer_states_nothing_of_the_response() -> None:
+    """Neither an answer turns into a refusal, nor another one into its own."""
+    chunked = b'HTTP/1.1 200 OK\r\nattempt: %b\r\nTransfer-Encoding: chunked'
+    chunked += b'\r\n\r\n2\r\nno\r\n0\r\n%b\r\n\r\n'
+    server = Server(
+        [
+            ANSWER % b'a0',
+            chunked % (b'a0', b'attempt: a1') + ANSWER % b'a1',
+            chunked % (b'a2', b'not-run: 1'),
+        ]
+    )
+    outcomes = asyncio.run(async_exchange(server, b'a0', b'a1', b'a2'))
+    assert [item.body for item in outcomes] == [b'ok', b'ok', b'no']
+    assert b'not-run' not in outcomes[2].fields
+    assert b'not-run' not in outcomes[2].head
