Log the exchange that a refusal ended, not the next one

The log line of a refusal named the next exchange of its connection, with counts of zero, whenever a call was waiting: that call begins on the same connection before the line is written. The response is described first now.

Found by review. test_refusal_of_the_upstream_is_logged_with_its_exchange has a waiting call now, and fails before.

--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -1,7 +1,8 @@
 """Admits calls to the upstream beside this daemon and forwards them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import sys
+import types
 from typing import Final
 
 from sassafraswood import clock as clock_module
@@ -50,6 +51,7 @@
         bodies: The budget in which its body is counted; None if it is not.
         counted_bytes: Bytes that are counted there.
         request_body: Asks for the body up to an offset, if it comes in parts.
+        received: Log fields of a response that is not passed on.
     """
 
     run: frames.Run
@@ -60,6 +62,7 @@
     bodies: held_bytes.ByteBudget | None = None
     counted_bytes = 0
     request_body: exchange.RequestBody | None = None
+    received: Mapping[str, float | None] = types.MappingProxyType({})
 
     def end(self) -> None:
         """Mark the call as ended, and release its body."""
@@ -548,11 +551,16 @@
             self.health.note_end(id(call), is_error=True)
         if self._pace.is_found:
             self._note_pace(call, outcome)
-        self._remove_running(call)
         if isinstance(outcome, exchange.Response):
+            kind = upstream_answers.classify(outcome, self._names)
+            if kind is not upstream_answers.AnswerKind.FINAL:
+                # Its connection may begin the next exchange below.
+                call.received = self._describe(call, outcome)
+            self._remove_running(call)
             self._stop_plan.note_end(call.run.route, call.queued_at)
-            self._deliver_response(call, outcome)
+            self._deliver_response(call, outcome, kind)
             return
+        self._remove_running(call)
         if outcome in exchange.NOTHING_SENT:
             if outcome is exchange.FailureKind.REFUSED and call.upstream:
                 self._watch.note_port_refused(call.upstream)
@@ -589,31 +597,35 @@
                 return
         self._pace.note_overload()
 
-    def _deliver_response(
+    def _describe(
         self, call: UpstreamCall, response: exchange.Response
+    ) -> dict[str, float | None]:
+        """Return log fields of a response and its exchange."""
+        return {
+            'status': response.status,
+            'answered_s': round(self._clock.monotonic() - call.started_at, 4),
+            **({} if call.running is None else call.running.describe()),
+        }
+
+    def _deliver_response(
+        self,
+        call: UpstreamCall,
+        response: exchange.Response,
+        kind: upstream_answers.AnswerKind,
     ) -> None:
         run = call.run
         if response.status != upstream_answers.STATUS_MISDIRECTED:
             self._watch.note_response(call)
         elif call.upstream is not None:
             self._watch.note_other_instance(call.upstream)
-        kind = upstream_answers.classify(response, self._names)
         if kind is upstream_answers.AnswerKind.REFUSED:
-            self._refuse(
-                call,
-                enums.RefusalReason.UPSTREAM_SHED,
-                response=response,
-            )
+            self._refuse(call, enums.RefusalReason.UPSTREAM_SHED)
             return
         if kind is upstream_answers.AnswerKind.OTHER_INSTANCE:
             if call.upstream is not None:
                 self._registry.forget(call.upstream.instance_id)
                 self.refresh()
-            self._refuse(
-                call,
-                enums.RefusalReason.NO_UPSTREAM,
-                response=response,
-            )
+            self._refuse(call, enums.RefusalReason.NO_UPSTREAM)
             return
         if kind is upstream_answers.AnswerKind.UNPROVEN:
             # Passed on as it is, it would promise that the call has not run.
@@ -671,25 +683,13 @@
         self.health.drop(id(call))
         self._gate.finish(call)
 
-    def _refuse(
-        self,
-        call: UpstreamCall,
-        reason: enums.RefusalReason,
-        *,
-        response: exchange.Response | None = None,
-    ) -> None:
-        """Refuse a call that has not run.
-
-        Args:
-            call: The call.
-            reason: Why it has not run.
-            response: The refusal of the upstream, if it refused the call.
-        """
+    def _refuse(self, call: UpstreamCall, reason: enums.RefusalReason) -> None:
+        """Refuse a call that has not run."""
         # A redirected call goes on; the daemon that sent it counts it.
         if reason is not enums.RefusalReason.UPSTREAM_FULL and not (
             reason is enums.RefusalReason.UPSTREAM_COLD and call.may_redirect
         ):
-            self._log_refusal(call, reason, response)
+            self._log_refusal(call, reason)
         is_local = reason not in (
             enums.RefusalReason.OVERLOADED,
             enums.RefusalReason.DEADLINE_UNREACHABLE,
@@ -701,7 +701,7 @@
                 call_id=call.run.call_id,
                 reason=reason.value,
                 is_local=is_local,
-                has_reached_upstream=response is not None,
+                has_reached_upstream=bool(call.received),
                 load=self._gate.compute_kind_load(call),
                 pace_per_s=self.pace_per_s,
                 wait_s=self._gate.compute_wait_s(call, self._slot_time.mean_s),
@@ -709,20 +709,8 @@
         )
 
     def _log_refusal(
-        self,
-        call: UpstreamCall,
-        reason: enums.RefusalReason,
-        response: exchange.Response | None,
+        self, call: UpstreamCall, reason: enums.RefusalReason
     ) -> None:
-        received: dict[str, float | None] = {}
-        if response is not None and call.running is not None:
-            received = {
-                'status': response.status,
-                'answered_s': round(
-                    self._clock.monotonic() - call.started_at, 4
-                ),
-                **call.running.describe(),
-            }
         self._log.decision(
             'upstream_refused',
             attempt=call.run.attempt_id.decode('latin-1'),
@@ -731,7 +719,7 @@
             waited_s=round(self._clock.monotonic() - call.queued_at, 4),
             in_flight=self._gate.in_flight,
             waiting=self._gate.waiting,
-            **received,
+            **call.received,
         )
 
     def _deliver_failure(
--- a/tests/sidecar/test_upstream_side.py
+++ b/tests/sidecar/test_upstream_side.py
@@ -81,13 +81,17 @@
 class FakeExchange:
     """An exchange on a connection with a number."""
 
-    def describe(self) -> dict[str, float | None]:
-        """Return the log fields of an exchange."""
-        return {'connection': self.connection_number, 'exchange': 2}
-
     def __init__(self, number) -> None:
         """Set the number of the connection."""
         self.connection_number = number
+        self.exchange = 1
+
+    def describe(self) -> dict[str, float | None]:
+        """Return the log fields of the last exchange of the connection."""
+        return {
+            'connection': self.connection_number,
+            'exchange': self.exchange,
+        }
 
 
 class Case:
@@ -245,12 +249,24 @@
     assert isinstance(case.replies[0], frames.Refused)
 
 
-# Guards against a log in which a refusal that came twice looks like two.
-def test_refusal_of_the_upstream_is_logged_with_its_exchange(tmp_path) -> None:
+# Guards against a log in which a refusal that came twice looks like two, also
+# if the next call begins on its connection at once.
+def test_refusal_of_the_upstream_is_logged_with_its_exchange(
+    tmp_path, monkeypatch
+) -> None:
     """The log has its status, its time and the connection that it came on."""
     case = Case(tmp_path)
+    case.report(sequence=2, slots=1)
     call = case.submit()
     call.running = FakeExchange(7)
+    case.submit(call_id=2)
+    start = case.pool.start
+
+    def start_on_the_same(*args, **options) -> exchange.Exchange:
+        call.running.exchange += 1
+        return start(*args, **options)
+
+    monkeypatch.setattr(case.pool, 'start', start_on_the_same)
     case.clock.advance(0.25)
     case.respond(status=429, not_run=b'1')
     case.log.flush()
@@ -258,7 +274,8 @@
     (line,) = (item for item in lines if item['event'] == 'upstream_refused')
     assert line['status'] == 429
     assert line['answered_s'] == 0.25
-    assert (line['connection'], line['exchange']) == (7, 2)
+    assert (line['connection'], line['exchange']) == (7, 1)
+    assert call.running.exchange == 2
 
 
 # Guards against a client that is told "not run" by the status of an answer
