Take no status of an upstream from earlier daemons for "not run"

While a fleet changes to this version, callers could still get 408, 421, 429 or 503 for requests that had run, if a daemon of an earlier version called the upstream: it passes such an answer on as it is.

The daemon of the caller now treats an answer with such a status as a lost one as well: a refusal comes as a message of its own.

Evidence: test_status_of_an_upstream_promises_nothing, four cases; all fail on the parent, all pass here.

--- a/sassafraswood/sidecar/caller_side.py
+++ b/sassafraswood/sidecar/caller_side.py
@@ -28,6 +28,7 @@
 from sassafraswood.sidecar import measures
 from sassafraswood.sidecar import peers as peers_module
 from sassafraswood.sidecar import quota_wait
+from sassafraswood.sidecar import upstream_answers
 from sassafraswood.sidecar import upstream_side
 from sassafraswood.state import route_index
 from sassafraswood.transport import ingress_connection
@@ -670,6 +671,10 @@
             if call.counts_as_deep_load:
                 self._downstream_load.note(reply.deep_load, now)
             self._note_depth(call, reply.depth, now)
+            if reply.status in upstream_answers.NOT_RUN_STATUSES:
+                # A daemon of an earlier version has passed it on.
+                self._handle_failure(call, upstream_side.UNPROVEN_REFUSAL)
+                return
             self._respond(call, reply, now)
         elif isinstance(reply, frames.Refused):
             if reply.reason == enums.RefusalReason.UPSTREAM_COLD.value:
--- a/tests/sidecar/test_caller_side.py
+++ b/tests/sidecar/test_caller_side.py
@@ -309,6 +309,26 @@
     assert connection.responses[0][0] == 502
 
 
+# Guards against a client that is told "not run" of a request that ran, while
+# daemons of an earlier version pass on all answers of their upstreams.
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_status_of_an_upstream_promises_nothing(tmp_path, status) -> None:
+    """Only a refusal by a daemon does."""
+    fixture = Fixture(tmp_path)
+
+    def answer(run: frames.Run) -> frames.Answer:
+        return msgspec.structs.replace(ok(run), status=status)
+
+    connection = fixture.send('pay')
+    fixture.reply_to_call(0, answer)
+    assert [item[0] for item in connection.responses] == [502]
+    connection = fixture.send('read')
+    fixture.reply_to_call(1, answer)
+    assert not connection.responses
+    fixture.reply_to_call(2, ok)
+    assert [item[0] for item in connection.responses] == [200]
+
+
 # Guards against a sound daemon that is avoided, and an upstream that runs a
 # request again, since the callers' own daemon has read too slowly.
 def test_dropped_response_is_not_a_failure_of_the_other_daemon(
