Refuse no further message of a call that runs

A daemon could state that a call has not run while it ran: a second message with the call's id was refused if the replies held for that peer exceeded their limit, or if it could not be decoded. The peer takes the refusal for the reply to the running call. No peer is known to send an id twice on a connection; found by reading.

The id is now compared before the limit, and an undecodable message with the id of a running call gets no reply of its own: the call does.

Evidence: test_further_message_of_a_running_call_is_not_refused, two cases; both fail on the parent and pass here.

--- a/sassafraswood/sidecar/peers.py
+++ b/sassafraswood/sidecar/peers.py
@@ -636,6 +636,9 @@
         if connection.daemon_id is None:
             connection.close(f'cannot decode frames: {message.error}')
         elif message.call_id is not None and message.is_run:
+            if (connection, message.call_id) in self._running:
+                # A refusal would deny the run of the call with this id.
+                return
             connection.send(
                 frames.Refused(
                     call_id=message.call_id,
@@ -761,6 +764,15 @@
     def _handle_call(
         self, connection: frame_link.FrameConnection, run: frames.Run
     ) -> None:
+        key = (connection, run.call_id)
+        if key in self._running:
+            # Its first message is answered; a second run could run it twice.
+            self._log.decision(
+                'call_repeated',
+                peer=connection.daemon_id or '',
+                call=run.call_id,
+            )
+            return
         if connection.unsent_bytes > self.max_unsent_bytes:
             # Another daemon or the caller may send the call again.
             connection.send(
@@ -773,15 +785,6 @@
                 )
             )
             return
-        key = (connection, run.call_id)
-        if key in self._running:
-            # Its first message is answered; a second run could run it twice.
-            self._log.decision(
-                'call_repeated',
-                peer=connection.daemon_id or '',
-                call=run.call_id,
-            )
-            return
 
         def deliver(reply: upstream_side.Reply) -> None:
             self._running.pop(key, None)
--- a/tests/sidecar/test_odd_frames.py
+++ b/tests/sidecar/test_odd_frames.py
@@ -192,3 +192,28 @@
         assert len(fleet.upstreams['status'].seen) == 1
 
     run_with_peer(async_test)
+
+
+# Guards against a call that runs and is called "not run", since a further
+# message with its id is refused.
+@pytest.mark.parametrize('is_valid', [True, False])
+def test_further_message_of_a_running_call_is_not_refused(is_valid) -> None:
+    """Neither one that finds no memory nor one that cannot be decoded."""
+
+    async def async_test(fleet, peer) -> None:
+        fleet.upstreams['status'].delay_s = 0.3
+        fleet.upstreams['status'].seen.clear()
+        peer.send(frames.encode(RUN))
+        await asyncio.sleep(0.1)
+        peers = fleet.daemons['status']._peers
+        limit, peers.max_unsent_bytes = peers.max_unsent_bytes, -1
+        parts = elements(RUN)
+        if not is_valid:
+            parts[6] = NAN
+        peer.send(pack(parts))
+        reply = await peer.async_reply(RUN.call_id)
+        peers.max_unsent_bytes = limit
+        assert isinstance(reply, frames.Answer)
+        assert len(fleet.upstreams['status'].seen) == 1
+
+    run_with_peer(async_test)
