--- a/sassafraswood/sidecar/upstream_answers.py
+++ b/sassafraswood/sidecar/upstream_answers.py
@@ -8,8 +8,8 @@
 
 # Status of an upstream that is not the expected instance.
 STATUS_MISDIRECTED: Final = 421
-# Further statuses by which a client takes its request as not run.
-NOT_RUN_STATUSES: Final = frozenset({408, 429, 503})
+# Statuses by which a client takes its request as not run.
+NOT_RUN_STATUSES: Final = frozenset({408, STATUS_MISDIRECTED, 429, 503})
 
 
 class AnswerKind(enum.Enum):
