--- a/tests/coordination/test_serving.py
+++ b/tests/coordination/test_serving.py
@@ -217,6 +217,37 @@
     assert harness.results['relayed'].result == harness.upstream.result
 
 
+# Guards against "not run" for a call that ran, by the copy of the refusal of
+# an earlier call.
+@pytest.mark.parametrize('status', [200, 400, 421, 429, 500, 503])
+@pytest.mark.parametrize('has_token', [False, True])
+async def test_copied_refusal_does_not_prove_not_run(
+    status: int, has_token: bool
+) -> None:
+    """Only the token of the same sending proves it."""
+    harness = _Harness()
+    harness.upstream.release.set()
+    harness.upstream.echo_not_run = True
+    await harness.async_run('shed')
+    tokens = [
+        dict(request.headers)[const.HEADER_CALL_TOKEN]
+        for request in harness.upstream.requests
+    ]
+    harness.upstream.echo_not_run = False
+    copy = call.Answer(
+        status=status,
+        headers=[(const.HEADER_NOT_RUN, tokens[0])] if has_token else [],
+        body=b'',
+    )
+    harness.upstream.result = copy
+    await harness.async_run('repeat')
+    assert harness.results['repeat'].result == copy
+    repeat = dict(harness.upstream.requests[1].headers)
+    assert repeat[const.HEADER_CALL_TOKEN] != tokens[0]
+    state = harness.serving.cancel(ids.CallId('repeat'))
+    assert state is enums.CancelState.CANCELLED_UNKNOWN
+
+
 async def test_broken_connection_is_unknown_and_suspect() -> None:
     """Guards against "not run" and missing suspects after a crash."""
     harness = _Harness()
