End connections to the product's upstream with bytes behind an answer

Callers could get the rest of a copy as their answer. Bytes that come together with the end of an answer were parsed and dropped, and the connection stayed in use; if they ended within a response, the next request got the rest of it.

A response that begins behind a complete one makes the connection unusable, as the next request would not know what belongs to it. Bytes that come later already did.

--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -148,6 +148,9 @@
 
     def on_message_begin(self) -> None:
         """Start a new response."""
+        if self._response is not None and self._response.done():
+            # These bytes follow a complete response and belong to none.
+            self._is_reusable = False
         self._reset_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
