Tell copies of answers by the Call-Token that the upstream returns

Callers of the product's own daemon could get the answer to another request, with another caller's data: the interface to the upstream compared no id, so a copy that arrived after the next request was sent on its connection was taken for its answer.

The first answer on a connection can be no copy of an earlier one there. Behind it, a connection is used again only after answers with the token of their request, so a copy bears another token and is skipped, within the limits on responses. An answer without a token on such a connection may belong to anything: the request fails as unknown (502, answer_without_token), and is repeated only if it is idempotent. Call-Not-Run with the own token also shows whose answer it is.

An upstream that returns no tokens gets a connection for each call. Leaving such connections open was the alternative; it would keep the fault for these upstreams, and a wrong answer does more harm than a connection.

An upstream with the token in some answers only costs callers a 502.

--- a/lab/upstream.py
+++ b/lab/upstream.py
@@ -297,7 +297,8 @@
     record_file = open(record, 'ab', buffering=0) if record else None
     parsed_behaviour = msgspec.json.decode(behaviour, type=Behaviour)
     if not daemon:
-        asgi.run_app(Upstream(parsed_behaviour, None, record_file), address)
+        upstream = Upstream(parsed_behaviour, None, record_file)
+        asgi.run_app(upstream_api.CallTokenMiddleware(upstream), address)
         return
     api = upstream_api.DaemonApi(daemon)
 
@@ -305,8 +306,9 @@
         slots = announced_slots or parsed_behaviour.slots
         await _async_announce(api, address, slots)
 
+    upstream = Upstream(parsed_behaviour, api, record_file)
     asgi.run_app(
-        Upstream(parsed_behaviour, api, record_file), address, async_announce
+        upstream_api.CallTokenMiddleware(upstream), address, async_announce
     )
 
 
--- a/sassafraswood/coordination/retry.py
+++ b/sassafraswood/coordination/retry.py
@@ -28,6 +28,7 @@
         enums.RefusalReason.PEER_SILENT,
         enums.RefusalReason.UPSTREAM_BROKE,
         enums.RefusalReason.ANSWER_TRUNCATED,
+        enums.RefusalReason.ANSWER_WITHOUT_TOKEN,
     }
 )
 
--- a/sassafraswood/models/enums.py
+++ b/sassafraswood/models/enums.py
@@ -115,6 +115,8 @@
     ANSWER_TRUNCATED = 'answer_truncated'
     ANSWER_TOO_LARGE = 'answer_too_large'
     ANSWER_STATUS_INVALID = 'answer_status_invalid'
+    # It may be the answer to another call.
+    ANSWER_WITHOUT_TOKEN = 'answer_without_token'
     PEER_SILENT = 'peer_silent'
 
 
--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from sassafraswood import const
 from sassafraswood import exceptions
 from sassafraswood.models import call
 from sassafraswood.models import enums
@@ -22,6 +23,11 @@
     A response without Content-Length and without chunks would end with the
     connection. A crash of the upstream looks the same, so such a response
     counts as truncated.
+
+    An upstream may send a response twice. The first response on a connection
+    is that to the first request; a later one is that to its request only if it
+    returns the Call-Token. The connection is reused only after responses that
+    return it, so a copy is told by its token.
     """
 
     def __init__(self, host: str) -> None:
@@ -43,12 +49,14 @@
         self._is_closed = False
         self._is_reusable = False
         self._method = ''
+        self._token: str | None = None
+        self._has_responded = False
         self._max_body_bytes = 0
         # Totals since the request was sent.
         self._received_bytes = 0
         self._all_body_bytes = 0
         self._part_count = 0
-        self._interim_count = 0
+        self._skipped_count = 0
         self._body = body_buffer.BodyBuffer()
         self._reset_response()
 
@@ -76,12 +84,13 @@
                 enums.Outcome.NOT_RUN,
             )
         self._method = request.method
+        self._token = dict(request.headers).get(const.HEADER_CALL_TOKEN)
         self._max_body_bytes = max_body_bytes
         self._is_reusable = False
         self._received_bytes = 0
         self._all_body_bytes = 0
         self._part_count = 0
-        self._interim_count = 0
+        self._skipped_count = 0
         # If the connection ends before the first byte of this response, the
         # state of the previous response must not make it count as truncated.
         self._reset_response()
@@ -124,7 +133,7 @@
         if not self._response.done() and response_limits.is_oversized(
             received_bytes=self._received_bytes,
             body_bytes=self._all_body_bytes,
-            skipped_count=self._interim_count,
+            skipped_count=self._skipped_count,
             max_body_bytes=max(
                 self._max_body_bytes, response_limits.MAX_OVERHEAD_BYTES
             ),
@@ -161,14 +170,22 @@
         self._headers.append((lower.decode(), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
-        """Complete the response to a HEAD request, which has no body."""
+        """Tell whether the response is that to the request.
+
+        That to a HEAD request has no body and is complete.
+        """
         self._has_headers = True
         assert self._parser is not None
         status = self._parser.get_status_code()
         if not response_limits.is_valid_status(status):
             self._fail_request(enums.RefusalReason.ANSWER_STATUS_INVALID)
             return
-        if self._method == 'HEAD' and status >= 200:
+        if status < 200:
+            return
+        self._match_token()
+        if self._is_skipped or self._is_closed:
+            return
+        if self._method == 'HEAD':
             # The parser would wait for a body, so the connection cannot be
             # reused.
             self._complete_response(status, is_reusable=False)
@@ -181,7 +198,8 @@
         if self._body_bytes > self._max_body_bytes:
             self._fail_request(enums.RefusalReason.ANSWER_TOO_LARGE)
             return
-        self._body.append(data)
+        if not self._is_skipped:
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one."""
@@ -189,8 +207,8 @@
         status = self._parser.get_status_code()
         if not response_limits.is_valid_status(status):
             return
-        if status < 200:
-            self._interim_count += 1
+        if status < 200 or self._is_skipped:
+            self._skipped_count += 1
             return
         if not self._is_framed and status not in (204, 304):
             self._fail_request(enums.RefusalReason.ANSWER_TRUNCATED)
@@ -205,6 +223,24 @@
         self._body_bytes = 0
         self._is_framed = False
         self._has_headers = False
+        self._is_skipped = False
+        self._has_token = False
+
+    def _match_token(self) -> None:
+        """Skip a response to another request, or fail if it may be one."""
+        tokens = self._find_values(const.HEADER_CALL_TOKEN)
+        self._has_token = self._token in tokens
+        if self._has_token:
+            return
+        if tokens:
+            self._is_skipped = True
+        elif self._has_responded and (
+            self._token not in self._find_values(const.HEADER_NOT_RUN)
+        ):
+            self._fail_request(enums.RefusalReason.ANSWER_WITHOUT_TOKEN)
+
+    def _find_values(self, name: str) -> list[str]:
+        return [value for key, value in self._headers if key == name]
 
     def _complete_response(self, status: int, *, is_reusable: bool) -> None:
         if self._response is None or self._response.done():
@@ -212,7 +248,8 @@
         answer = call.Answer(
             status=status, headers=self._headers, body=self._body.take()
         )
-        self._is_reusable = is_reusable
+        self._has_responded = True
+        self._is_reusable = is_reusable and self._has_token
         self._response.set_result(answer)
 
     def _fail_request(self, reason: enums.RefusalReason) -> None:
--- a/sassafraswood/upstream_api.py
+++ b/sassafraswood/upstream_api.py
@@ -4,7 +4,11 @@
 through it, and drains before it stops.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
 import dataclasses
+from typing import Any
 import uuid
 
 import httpcore
@@ -13,6 +17,11 @@
 from sassafraswood import const
 from sassafraswood import exceptions
 
+_Message = MutableMapping[str, Any]
+_Receive = Callable[[], Awaitable[_Message]]
+_Send = Callable[[_Message], Awaitable[None]]
+_AsgiApp = Callable[[_Message, _Receive, _Send], Awaitable[None]]
+
 
 class DaemonRefusedError(exceptions.SassafraswoodError):
     """The daemon refused a request on its local interface.
@@ -149,6 +158,51 @@
             raise DaemonRefusedError(response.status)
 
 
+class CallTokenMiddleware:
+    """ASGI middleware that returns the Call-Token in each response.
+
+    By the token the daemon tells the response from a copy of an earlier one,
+    so that it can use the connection again.
+    """
+
+    def __init__(self, app: _AsgiApp) -> None:
+        """Wrap an ASGI application."""
+        self._app = app
+
+    async def __call__(
+        self, scope: _Message, receive: _Receive, send: _Send
+    ) -> None:
+        """Serve one request."""
+        name = const.HEADER_CALL_TOKEN.encode()
+        fields = [
+            (name, value)
+            for key, value in scope.get('headers', ())
+            if key == name
+        ]
+        if scope['type'] != 'http' or not fields:
+            await self._app(scope, receive, send)
+            return
+
+        async def async_send(message: _Message) -> None:
+            if message['type'] == 'http.response.start':
+                headers = [*message.get('headers', ()), *fields]
+                message = {**message, 'headers': headers}
+            await send(message)
+
+        await self._app(scope, receive, async_send)
+
+
+def answer_headers(call_token: str) -> list[tuple[str, str]]:
+    """Return the headers that each response of an upstream should have.
+
+    CallTokenMiddleware adds them to the responses of an ASGI application.
+
+    Args:
+        call_token: `Call-Token` of the request.
+    """
+    return [(const.HEADER_CALL_TOKEN, call_token)]
+
+
 def not_run_headers(call_token: str) -> list[tuple[str, str]]:
     """Return the headers of a response with which an upstream sheds a call.
 
