Use connections once while an upstream returns the token in some answers only

Callers of such an upstream would get 502 for each answer without the token that comes on a connection in use again.

After one, the client uses each connection for one call for 60 s; the first answer on a connection needs no token. This costs a connection for each of these calls. Calls under way on connections in use again may still fail.

Evidence: test_answer_without_the_usual_token_pauses_reuse[59.0-later0] fails without the change; the file passes with it.

--- a/sassafraswood/const.py
+++ b/sassafraswood/const.py
@@ -268,6 +268,9 @@
 # Connections to upstreams.
 UPSTREAM_CONNECT_TIMEOUT_S: Final = 1.0
 UPSTREAM_IDLE_TIMEOUT_S: Final = 5.0
+# Time for which connections carry one call each after an answer without the
+# token that earlier ones on its connection had.
+UPSTREAM_REUSE_PAUSE_S: Final = 60.0
 # Longest cold phase of an upstream after its start.
 COLD_START_TIMEOUT_S: Final = 10.0
 
--- a/sassafraswood/transport/upstream_client.py
+++ b/sassafraswood/transport/upstream_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 
 import anyio
 
@@ -27,6 +28,8 @@
         self._idle_connections: collections.deque[
             tuple[float, upstream_connection.UpstreamConnection]
         ] = collections.deque()
+        # Monotonic time in seconds from which connections are reused.
+        self._reuse_at = -math.inf
 
     def set_address(self, address: str) -> None:
         """Set the address, as host:port, of all further requests."""
@@ -65,11 +68,14 @@
             connection = await self._async_connect()
         try:
             return await connection.async_send(request, max_body_bytes)
+        except exceptions.UpstreamError as error:
+            if error.reason is enums.RefusalReason.ANSWER_WITHOUT_TOKEN:
+                self._pause_reuse()
+            raise
         finally:
-            if connection.is_usable:
-                self._idle_connections.append(
-                    (self._clock.monotonic(), connection)
-                )
+            now = self._clock.monotonic()
+            if connection.is_usable and now >= self._reuse_at:
+                self._idle_connections.append((now, connection))
             else:
                 connection.close()
 
@@ -85,6 +91,15 @@
             _, connection = self._idle_connections.popleft()
             connection.close()
 
+    def _pause_reuse(self) -> None:
+        """Use each connection once for a while.
+
+        An upstream that returns the token in some answers only would fail
+        each other one on a reused connection.
+        """
+        self._reuse_at = self._clock.monotonic() + const.UPSTREAM_REUSE_PAUSE_S
+        self._close_idle_connections()
+
     def _pop_idle_connection(
         self,
     ) -> upstream_connection.UpstreamConnection | None:
--- a/tests/transport/test_upstream_client.py
+++ b/tests/transport/test_upstream_client.py
@@ -80,11 +80,12 @@
 
 
 async def async_call(
-    server: Server, count: int, body: bytes, pause_s: float
+    server: Server, count: int, body: bytes, pause_s: float, clock_s: float
 ) -> list[Outcome]:
     """Return the outcomes of requests with the tokens t0, t1 and so on."""
     listener = await asyncio.start_server(server.async_serve, '127.0.0.1', 0)
-    client = upstream_client.UpstreamClient(clock=clock.SystemClock())
+    manual = clock.ManualClock()
+    client = upstream_client.UpstreamClient(clock=manual)
     client.set_address('127.0.0.1:%d' % listener.sockets[0].getsockname()[1])
     outcomes: list[Outcome] = []
     for number in range(count):
@@ -99,16 +100,27 @@
         except exceptions.UpstreamError as error:
             outcomes.append(error.outcome)
         await asyncio.sleep(pause_s)
+        manual.advance(clock_s)
     client.set_address('127.0.0.1:1')
     listener.close()
     return outcomes
 
 
 def run(
-    server: Server, count: int, *, body: bytes = b'', pause_s: float = 0.0
+    server: Server,
+    count: int,
+    *,
+    body: bytes = b'',
+    pause_s: float = 0.0,
+    clock_s: float = 0.0,
 ) -> list[Outcome]:
-    """Return the outcomes of requests with the tokens t0, t1 and so on."""
-    return asyncio.run(async_call(server, count, body, pause_s))
+    """Return the outcomes of requests with the tokens t0, t1 and so on.
+
+    Args:
+        pause_s: Time between two requests.
+        clock_s: Time by which the clock of the client goes on in it.
+    """
+    return asyncio.run(async_call(server, count, body, pause_s, clock_s))
 
 
 COPIES = {
@@ -153,6 +165,26 @@
     assert run(server, 3) == [OWN[0], enums.Outcome.UNKNOWN, OWN[2]]
 
 
+# Guards against 502 for each second call to an upstream that returns the token
+# in some answers only.
+@pytest.mark.parametrize(
+    ('clock_s', 'later'),
+    [
+        (const.UPSTREAM_REUSE_PAUSE_S - 1.0, [['t2'], ['t3']]),
+        (const.UPSTREAM_REUSE_PAUSE_S, [['t2', 't3']]),
+    ],
+)
+def test_answer_without_the_usual_token_pauses_reuse(clock_s, later) -> None:
+    """Each connection carries one request until the pause is over."""
+    first = [answer(200, 't0'), answer(200)]
+    scripts = [[answer(200, token) for token in seen] for seen in later]
+    server = Server(first, *scripts)
+    outcomes = run(server, 4, clock_s=clock_s)
+    assert outcomes[1] is enums.Outcome.UNKNOWN
+    assert outcomes[2:] == [(200, b''), (200, b'')]
+    assert server.seen == [['t0', 't1'], *later]
+
+
 # Guards against a copy of an answer of an upstream that returns no tokens.
 @pytest.mark.parametrize('status', [200, 429, 503])
 @pytest.mark.parametrize('late', [False, True])
