Halve the limit on small parts of responses

What callers saw: beside load, calls to an upstream that sends chunks of one byte without end met their deadline (504) before the limit on parts (502), also with parts that are stored together.

Cause: eight responses up to 262,144 parts each take longer than a deadline of 3 s if the daemon gets a part of one processor only.

Change: responses fail beyond 131,072 parts if further ones have less than 16 bytes on the average. A response of 100,000 chunks of one byte is accepted as before; one of 150,000 is not any more.

--- a/sassafraswood/transport/response_limits.py
+++ b/sassafraswood/transport/response_limits.py
@@ -10,7 +10,7 @@
 MAX_FRAMING_RATIO: Final = 8
 # Parts of a body, such as its chunks, that may be of any size, and the least
 # mean size of further ones. Each part takes processor time, however small.
-MAX_SMALL_PARTS: Final = 256 * 1024
+MAX_SMALL_PARTS: Final = 128 * 1024
 MIN_PART_BYTES: Final = 16
 # Lowest and highest status of HTTP (RFC 9110, section 15).
 MIN_STATUS: Final = 100
