Give every other turn to the longest message

What callers saw: the same. Responses without end all lasted until their deadlines (504) where the daemon got little processor time.

Cause: turns went round, so that eight responses without end all met the limit on parts at the same time, that is after the time of all.

Change: every other turn is that of the message of which most was parsed. The first response meets its limit in about twice its own time, then the next one. The others keep half of the turns, so that a long request or response does not keep them from being parsed.

--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -468,6 +468,11 @@
         self._transport.pause_reading()
         self._turns.request(self, asyncio.get_running_loop())
 
+    @property
+    def parsed_events(self) -> int:
+        """Return the fields and body parts of this exchange so far."""
+        return self._event_count
+
     def continue_parsing(self) -> None:
         """Parse kept bytes, and receive further ones."""
         data, self._kept = self._kept, b''
--- a/sassafraswood/transport/ingress_connection.py
+++ b/sassafraswood/transport/ingress_connection.py
@@ -626,10 +626,7 @@
     @property
     def _takes_turns(self) -> bool:
         """Return whether the incomplete request is slow to parse."""
-        return (
-            self._event_count - self._first_event
-            >= parse_turns.MAX_EVENTS_AT_ONCE
-        )
+        return self.parsed_events >= parse_turns.MAX_EVENTS_AT_ONCE
 
     def _keep(self, data: bytes) -> None:
         """Keep received bytes until earlier requests have their responses."""
@@ -1224,6 +1221,11 @@
                 self.close()
         self._limit_kept()
 
+    @property
+    def parsed_events(self) -> int:
+        """Return the fields and chunks of the incomplete request so far."""
+        return self._event_count - self._first_event
+
     def continue_parsing(self) -> None:
         """Take a turn to parse what was received."""
         self._waits_for_turn = False
--- a/sassafraswood/transport/parse_turns.py
+++ b/sassafraswood/transport/parse_turns.py
@@ -12,6 +12,10 @@
 class ParsingConnection(Protocol):
     """A connection with received bytes that are not parsed yet."""
 
+    @property
+    def parsed_events(self) -> int:
+        """Return the fields and body parts of its message so far."""
+
     def continue_parsing(self) -> None:
         """Parse further bytes; may ask for another turn."""
 
@@ -20,7 +24,9 @@
     """Gives one connection a turn in each iteration of the event loop.
 
     However many connections receive responses that are slow to parse, the rest
-    of the process waits for one turn at most.
+    of the process waits for one turn at most. Every other turn is that of the
+    longest message, so that messages which never end meet their limits one
+    after the other, and not all of them only shortly before their deadlines.
 
     Attributes:
         part_count: Body parts of responses that were parsed since the start.
@@ -33,11 +39,12 @@
             collections.deque()
         )
         self._is_scheduled = False
+        self._is_turn_of_longest = False
 
     def request(
         self, connection: ParsingConnection, loop: asyncio.AbstractEventLoop
     ) -> None:
-        """Give a connection a turn behind those that wait already.
+        """Give a connection a turn, in general behind those that wait already.
 
         Args:
             connection: Connection that continues to parse in its turn.
@@ -53,7 +60,14 @@
 
     def _take_turn(self, loop: asyncio.AbstractEventLoop) -> None:
         self._is_scheduled = False
-        connection = self._waiting.popleft()
+        if self._is_turn_of_longest:
+            connection = max(
+                self._waiting, key=lambda waiting: waiting.parsed_events
+            )
+            self._waiting.remove(connection)
+        else:
+            connection = self._waiting.popleft()
+        self._is_turn_of_longest = not self._is_turn_of_longest
         if self._waiting:
             self._schedule(loop)
         connection.continue_parsing()
