Let the soak run the daemons of another source tree

The variable SASSAFRASWOOD_CODE named the code of the small sites only, so that a soak could not show which code has a fault. The VM, which all of them start, reads it now.

--- a/lab/process_site.py
+++ b/lab/process_site.py
@@ -10,7 +10,6 @@
 import contextlib
 import itertools
 import json
-import os
 import pathlib
 import signal
 import socket
@@ -24,7 +23,6 @@
 from lab.soak import ledger
 from lab.soak import machine as machine_module
 
-CODE_VARIABLE: Final = 'SASSAFRASWOOD_CODE'
 START_TIMEOUT_S: Final = 20.0
 # Ends a daemon that grows without bound, before the VM suffers.
 GUARD_MB: Final = 600.0
@@ -190,8 +188,7 @@
             folder: Folder of the settings and log files.
             services: Service of each VM, which is also its name.
             rules: Rules to begin with; those of build_rules if empty.
-            code: Source tree of the daemons; if None, the one that the
-                environment variable CODE_VARIABLE names, or that of this file.
+            code: Source tree of the daemons; if None, that of Machine.
             create_machine: Creates a VM with the arguments of Machine.
         """
         self.store = platform_store.PlatformStore()
@@ -200,8 +197,6 @@
         self._services = list(services)
         self._rules = rules or build_rules(services)
         self._folder = folder
-        if code is None and os.environ.get(CODE_VARIABLE):
-            code = pathlib.Path(os.environ[CODE_VARIABLE])
         self._create_machine = create_machine
         self._code = {} if code is None else {'code': code}
 
--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -34,6 +34,8 @@
 INNER_CRASH_FIELD: Final = 'x-inner-crash-after-s'
 CRASH_PEEK: Final = '/peek/odd'
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Environment variable that names the source tree of the daemons.
+CODE_VARIABLE: Final = 'SASSAFRASWOOD_CODE'
 # Where deploy/build installs the daemon.
 _DEPLOYED = _ROOT / 'target' / 'deps'
 _LAUNCHER = _ROOT / 'target' / 'bin' / 'sassafraswood-daemon'
@@ -101,7 +103,7 @@
         ledger: ledger_module.Ledger,
         deployed: bool,
         has_cold_bounds: bool = False,
-        code: pathlib.Path = _ROOT,
+        code: pathlib.Path | None = None,
     ) -> None:
         """Initialize the VM without starting anything.
 
@@ -116,7 +118,9 @@
             deployed: Whether to run the daemon that deploy/build installed.
             has_cold_bounds: Whether the settings bound the requests at cold
                 upstreams.
-            code: Source tree of the daemon, unless it is deployed.
+            code: Source tree of the daemon, unless it is deployed; if None,
+                the one that the environment variable CODE_VARIABLE names, or
+                that of this file.
         """
         self.name = name
         self.service = service
@@ -154,6 +158,7 @@
             ]
         self._folder = folder
         self._ledger = ledger
+        code = code or pathlib.Path(os.environ.get(CODE_VARIABLE) or _ROOT)
         # As on the platform, the daemon starts without the site module, which
         # would add the installed packages.
         self._code_path = (
