Let upstreams send copies of their final responses late

The stand-in of an upstream copied refusals only. It copies a share of its other responses, too, at the same times; all copies may also come at a health check, which shares connections with the calls. Without a share it draws the random numbers that it drew before.

--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -54,22 +54,27 @@
 
 
 class Copy(enum.Enum):
-    """When the copy of a refusal is sent, on the connection of the refusal."""
+    """When the copy of a response is sent, on the connection of the response.
+
+    A health check is a request with an empty id.
+    """
 
     NEVER = 'never'
-    # Right behind the refusal, in a segment of its own, or a little later.
+    # Right behind the response, in a segment of its own, or a little later.
     BEHIND = 'behind'
     DELAYED = 'delayed'
     # When the next request arrives, or the second next, whatever its id.
     AT_NEXT_REQUEST = 'at_next_request'
     AT_SECOND_REQUEST = 'at_second_request'
-    # When the refused id arrives again, a little after that, or two copies.
+    # When a health check arrives.
+    AT_HEALTH_CHECK = 'at_health_check'
+    # When the same id arrives again, a little after that, or two copies.
     AT_REPEAT = 'at_repeat'
     AFTER_REPEAT = 'after_repeat'
     TWICE_AT_REPEAT = 'twice_at_repeat'
 
 
-# Time after a refusal, or after a repeat, at which a late copy is sent, in
+# Time after a response, or after a repeat, at which a late copy is sent, in
 # seconds.
 _COPY_DELAY_S = 0.02
 _REPEAT_COPIES = {
@@ -126,8 +131,12 @@
             has slots, from 0 to 1.
         refusal_status: Status of these refusals.
         refusal_copy: When the copies of these refusals are sent.
-        repeat_count: Requests whose id was refused before on the same
-            connection.
+        answer_copy: When copies of responses that are no such refusals are
+            sent.
+        answer_copy_share: Fraction of these responses that are copied, from 0
+            to 1.
+        repeat_count: Requests whose id was refused, or whose response was
+            copied, before on the same connection.
         seen: Heads of the requests that ran.
         streams: Stream of the connection of each attempt that runs.
         digests: Hash of the body of each attempt that was received whole.
@@ -168,6 +177,8 @@
         self.refusal_share = 0.0
         self.refusal_status = 503
         self.refusal_copy = Copy.NEVER
+        self.answer_copy = Copy.NEVER
+        self.answer_copy_share = 0.0
         self.repeat_count = 0
         self.seen: list[str] = []
         self.streams: dict[str, asyncio.StreamReader] = {}
@@ -289,7 +300,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
-        copies = _RefusalCopies(writer)
+        copies = _Copies(writer)
         try:
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
@@ -302,13 +313,13 @@
                     int(fields.get('content-length', '0'))
                 )
                 attempt = fields.get('x-attempt-id', '')
-                if copies.note_request(attempt):
+                if copies.note_request(attempt) and attempt:
                     self.repeat_count += 1
-                if attempt and self._draw_refusal():
+                if attempt and self._draw(self.refusal_share):
                     refusal = self._build_refusal(attempt)
                     writer.write(refusal)
                     await writer.drain()
-                    copies.note_refusal(attempt, refusal, self.refusal_copy)
+                    copies.note_response(attempt, refusal, self.refusal_copy)
                     continue
                 self.digests[attempt] = hashlib.sha256(body).hexdigest()
                 self.streams[attempt] = reader
@@ -323,6 +334,8 @@
                     response += b'\r\n\r\n'
                 writer.write(response)
                 await writer.drain()
+                if self._draw(self.answer_copy_share):
+                    copies.note_response(attempt, response, self.answer_copy)
                 while (
                     self.fault_share > 0.0
                     and self.fault in _ENDLESS_PARTS
@@ -393,12 +406,9 @@
             return self._apply_fault(response)
         return response, False
 
-    def _draw_refusal(self) -> bool:
-        # Sites without refusals draw the same random numbers as ever.
-        return (
-            self.refusal_share > 0.0
-            and self._random.random() < self.refusal_share
-        )
+    def _draw(self, share: float) -> bool:
+        # Sites without copies draw the same random numbers as ever.
+        return share > 0.0 and self._random.random() < share
 
     def _build_refusal(self, attempt: str) -> bytes:
         return _build_plain(
@@ -449,42 +459,50 @@
         return head + b'\r\n'
 
 
-class _RefusalCopies:
-    """Sends copies of the refusals of one connection."""
+class _Copies:
+    """Sends copies of the responses of one connection."""
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
-        """Initialize without refusals."""
+        """Initialize without responses."""
         self._writer = writer
-        self._refusals: dict[str, tuple[bytes, Copy]] = {}
+        self._responses: dict[str, tuple[bytes, Copy]] = {}
         # Copies that are due, and the requests that arrive before.
         self._due: list[tuple[int, bytes]] = []
+        # Copies that are sent at the next health check.
+        self._due_at_check: list[bytes] = []
 
-    def note_refusal(self, attempt: str, refusal: bytes, copy: Copy) -> None:
-        """Send the copy of a refusal later, or just now."""
-        self._refusals[attempt] = refusal, copy
+    def note_response(self, attempt: str, response: bytes, copy: Copy) -> None:
+        """Send the copy of a response later, or just now."""
+        self._responses[attempt] = response, copy
         if copy is Copy.BEHIND:
-            asyncio.get_running_loop().call_soon(self._write, refusal)
+            asyncio.get_running_loop().call_soon(self._write, response)
         elif copy is Copy.DELAYED:
-            self._write_later(refusal)
+            self._write_later(response)
         elif copy is Copy.AT_NEXT_REQUEST:
-            self._due.append((0, refusal))
+            self._due.append((0, response))
         elif copy is Copy.AT_SECOND_REQUEST:
-            self._due.append((1, refusal))
+            self._due.append((1, response))
+        elif copy is Copy.AT_HEALTH_CHECK:
+            self._due_at_check.append(response)
 
     def note_request(self, attempt: str) -> bool:
-        """Send what is due; return whether this id was refused here."""
+        """Send what is due; return whether this id was noted here."""
+        if not attempt:
+            for data in self._due_at_check:
+                self._write(data)
+            self._due_at_check = []
         for left, refusal in self._due:
             if not left:
                 self._write(refusal)
         self._due = [(left - 1, data) for left, data in self._due if left]
-        if attempt not in self._refusals:
+        if attempt not in self._responses:
             return False
-        refusal, copy = self._refusals.pop(attempt)
+        response, copy = self._responses.pop(attempt)
         for _ in range(_REPEAT_COPIES.get(copy, 0)):
             if copy is Copy.AFTER_REPEAT:
-                self._write_later(refusal)
+                self._write_later(response)
             else:
-                self._write(refusal)
+                self._write(response)
         return True
 
     def _write_later(self, data: bytes) -> None:
