Check the calls of upstreams in the soak for runs though refused

The ledger compared what callers were told with what ran, but not what upstreams were told about their own calls. It records their statuses and reports a call that ran although it was answered 408, 421, 429 or 503.

--- a/lab/soak/ledger.py
+++ b/lab/soak/ledger.py
@@ -98,6 +98,8 @@
         self.attempts: dict[str, Attempt] = {}
         self.runs: dict[str, list[Run]] = collections.defaultdict(list)
         self.inner_calls: dict[str, str] = {}
+        # Status of the response to each call of an upstream that got one.
+        self.inner_statuses: dict[str, int] = {}
         # When the store accepted each version of the rules, and the service
         # that the moved route then had.
         self.moves: list[tuple[float, str]] = []
@@ -250,6 +252,8 @@
             return [f'key or workspace in a call of an upstream: {run}']
         if run.caller_service != self.inner_calls[run.attempt_id]:
             return [f'wrong caller service: {run}']
+        if self.inner_statuses.get(run.attempt_id) in NOT_RUN:
+            return [f'ran though refused: {run}']
         return []
 
     def _find_allowed_services(self, route: str) -> set[str]:
--- a/lab/soak/machine.py
+++ b/lab/soak/machine.py
@@ -481,6 +481,7 @@
             return False
         finally:
             caller.close()
+        self._ledger.inner_statuses[attempt] = response.status
         return response.status == 200
 
     # Helpers.
--- a/tests/lab/soak/test_ledger.py
+++ b/tests/lab/soak/test_ledger.py
@@ -82,6 +82,19 @@
     assert problem.startswith(expected)
 
 
+@pytest.mark.parametrize(('status', 'count'), [(200, 0), (502, 0), (503, 1)])
+def test_call_of_an_upstream_that_ran_though_refused(status, count) -> None:
+    """A call of an upstream is checked like that of a caller."""
+    ledger = make_ledger()
+    ledger.inner_calls['m0.i1'] = 'front'
+    ledger.inner_statuses['m0.i1'] = status
+    attempt = add_attempt(ledger, route='peek', workspace='')
+    add_run(ledger, attempt, attempt_id='m0.i1', service='deep')
+    problems = ledger.check()
+    assert len(problems) == count
+    assert all(item.startswith('ran though refused') for item in problems)
+
+
 def test_second_run_of_an_unsafe_request() -> None:
     """An unsafe request that runs twice is reported."""
     ledger = make_ledger()
