Soak upstreams that refuse and send copies

Two kinds of faults: the upstreams of a service refuse half of the requests with 503, 429, 408, 421 or 400 and send copies of these refusals at all the times the stand-in knows, every second time beside responses without end; and an upstream sends copies of three in ten of its other responses. They overlap with the other faults.

--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -44,17 +44,24 @@
     CROWD = 'crowd'
     # Responses of an upstream never end.
     UPSTREAM_FLOODS = 'upstream_floods'
-
-
-# Kinds that were added after the regression seeds were found; they are drawn
-# apart, so that these seeds keep their faults.
-_LATER_KINDS: Final = (
-    FaultKind.EVACUATE,
-    FaultKind.UPSTREAM_COLD,
-    FaultKind.CROWD,
-    FaultKind.UPSTREAM_FLOODS,
-)
-# Number of faults of the other kinds for each one of these.
+    # Upstreams of a service refuse requests and send copies of the refusals.
+    UPSTREAM_REFUSES = 'upstream_refuses'
+    # An upstream sends copies of its other responses.
+    UPSTREAM_REPEATS = 'upstream_repeats'
+
+
+# Kinds that were added after seeds had found faults; each group is drawn
+# apart, so that these seeds keep their other faults.
+_LATER_KINDS: Final = {
+    'later': (
+        FaultKind.EVACUATE,
+        FaultKind.UPSTREAM_COLD,
+        FaultKind.CROWD,
+        FaultKind.UPSTREAM_FLOODS,
+    ),
+    'copies': (FaultKind.UPSTREAM_REFUSES, FaultKind.UPSTREAM_REPEATS),
+}
+# Number of faults of the first kinds for each one of a later group.
 _LATER_KIND_INTERVAL: Final = 4
 
 
@@ -67,6 +74,7 @@
     FaultKind.RESTART: 2.0,
     FaultKind.UPSTREAM_REPLACED: 2.0,
     FaultKind.PEER_LINK: 2.0,
+    FaultKind.UPSTREAM_REFUSES: 3.0,
 }
 
 
@@ -106,21 +114,23 @@
     last_s = length_s - QUIET_S
     # One fault per second on six VMs, so that several faults overlap.
     count = max(3, int((last_s - SETTLE_S) * machines / 6))
+    later_kinds = {kind for kinds in _LATER_KINDS.values() for kind in kinds}
     faults = _draw_kinds(
         random.Random(seed),
-        [kind for kind in FaultKind if kind not in _LATER_KINDS],
+        [kind for kind in FaultKind if kind not in later_kinds],
         count=count,
         last_s=last_s,
         machines=machines,
     )
     if has_later_kinds:
-        faults += _draw_kinds(
-            random.Random(f'later {seed}'),
-            list(_LATER_KINDS),
-            count=max(1, count // _LATER_KIND_INTERVAL),
-            last_s=last_s,
-            machines=machines,
-        )
+        for name, kinds in _LATER_KINDS.items():
+            faults += _draw_kinds(
+                random.Random(f'{name} {seed}'),
+                list(kinds),
+                count=max(1, count // _LATER_KIND_INTERVAL),
+                last_s=last_s,
+                machines=machines,
+            )
     return sorted(faults)
 
 
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -57,6 +57,8 @@
         faults.FaultKind.BURST,
         faults.FaultKind.UPSTREAM_COLD,
         faults.FaultKind.UPSTREAM_FLOODS,
+        faults.FaultKind.UPSTREAM_REFUSES,
+        faults.FaultKind.UPSTREAM_REPEATS,
     }
 )
 # Only these, in this order: the faults of the regression seeds depend on it.
@@ -70,6 +72,12 @@
     platform_upstream.Fault.ENDLESS_CHUNKS,
     platform_upstream.Fault.ENDLESS_SIZE,
 )
+_COPIES: Final = tuple(platform_upstream.Copy)
+_REFUSAL_STATUSES: Final = (503, 429, 408, 421, 400)
+_REFUSAL_SHARE: Final = 0.5
+# Attempts of the calls that upstreams refuse; the service has fewer upstreams,
+# so that calls are sent to the same one again.
+_REFUSED_ATTEMPTS: Final = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -105,7 +113,7 @@
             folder: Folder of the settings and log files.
             deployed: Whether to run the daemon that deploy/build installed.
             has_later_kinds: Whether to evacuate failure domains, to let
-                upstreams be cold, and to hold bodies.
+                upstreams be cold, flood and send copies, and to hold bodies.
         """
         self.seed = seed
         self.hosts = ports.reserve_hosts(machines)
@@ -234,7 +242,9 @@
             } | changes
 
         service: dict[str, float] = {}
+        attempts: dict[str, int] = {}
         if self._has_later_kinds:
+            attempts = {'max-attempts': _REFUSED_ATTEMPTS}
             service = {
                 'cold-s': COLD_S,
                 'cold-per-s': ledger_module.COLD_RATE_PER_S,
@@ -248,8 +258,10 @@
             'version': f'r{self._version}',
             'routes': {
                 'read': route('read', 'front'),
-                'book': route('book', 'deep', kind='unsafe', priority=0),
-                'moved': route('moved', self._moved_to),
+                'book': route(
+                    'book', 'deep', kind='unsafe', priority=0, **attempts
+                ),
+                'moved': route('moved', self._moved_to, **attempts),
                 'peek': route('peek', 'deep', anonymous=True),
             },
             'services': {'front': service, 'deep': service},
@@ -302,6 +314,12 @@
             return ['store']
         if kind in (faults.FaultKind.KILL_ALL, faults.FaultKind.POISON):
             return [item.name for item in self._machines]
+        if kind is faults.FaultKind.UPSTREAM_REFUSES:
+            return [
+                item.name
+                for item in self._machines
+                if item.service == machine.service
+            ]
         if kind is faults.FaultKind.RESTART:
             # A graceful stop responds to all accepted requests, and the next
             # process is checked separately.
@@ -338,6 +356,8 @@
             await self._async_burst(machine, fault.for_s)
         elif kind is faults.FaultKind.POISON:
             await self._async_poison(fault)
+        elif kind is faults.FaultKind.UPSTREAM_REFUSES:
+            await self._async_refuse(fault, machine)
         elif kind.value.endswith('_link'):
             await self._async_link(fault, machine)
         elif kind.value.startswith('store'):
@@ -457,9 +477,12 @@
         if kind is faults.FaultKind.UPSTREAM_SLOW:
             upstream.delay_s = 10.0 * delay_s
         elif kind is faults.FaultKind.UPSTREAM_FLOODS:
-            upstream.fault = _FLOODS[fault.variant % len(_FLOODS)]
-            upstream.fault_status = (200, 500)[fault.variant // 16 % 2]
-            upstream.fault_share = 0.3
+            _start_flood(upstream, fault.variant)
+        elif kind is faults.FaultKind.UPSTREAM_REPEATS:
+            upstream.answer_copy = _COPIES[
+                1 + fault.variant % (len(_COPIES) - 1)
+            ]
+            upstream.answer_copy_share = 0.3
         else:
             upstream.fault = _RESPONSE_FAULTS[
                 fault.variant % len(_RESPONSE_FAULTS)
@@ -468,6 +491,33 @@
         await asyncio.sleep(fault.for_s)
         upstream.delay_s = delay_s
         upstream.fault_share = 0.0
+        upstream.answer_copy_share = 0.0
+
+    async def _async_refuse(
+        self, fault: faults.Fault, machine: machine_module.Machine
+    ) -> None:
+        """Let the upstreams of a service refuse, and one of them flood."""
+        source = random.Random(fault.variant)
+        upstreams = [
+            item.upstream
+            for item in self._machines
+            if item.service == machine.service and item.upstream is not None
+        ]
+        status = source.choice(_REFUSAL_STATUSES)
+        copy = source.choice(_COPIES)
+        has_flood = source.random() < 0.5
+        for upstream in upstreams:
+            upstream.refusal_status = status
+            upstream.refusal_copy = copy
+            upstream.refusal_share = _REFUSAL_SHARE
+        flooding = machine.upstream if has_flood else None
+        if flooding is not None:
+            _start_flood(flooding, fault.variant)
+        await asyncio.sleep(fault.for_s)
+        for upstream in upstreams:
+            upstream.refusal_share = 0.0
+        if flooding is not None:
+            flooding.fault_share = 0.0
 
     # Checks.
 
@@ -509,3 +559,12 @@
             and attempt.key not in self.ledger.withdrawn_at
             and not attempt.crashes
         )
+
+
+def _start_flood(
+    upstream: platform_upstream.PlatformUpstream, variant: int
+) -> None:
+    """Let responses of an upstream never end."""
+    upstream.fault = _FLOODS[variant % len(_FLOODS)]
+    upstream.fault_status = (200, 500)[variant // 16 % 2]
+    upstream.fault_share = 0.3
