--- a/tests/lab/soak/test_soak.py
+++ b/tests/lab/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lab.soak import faults
 from lab.soak import run
 
 # Seeds and the faults that they found, with six VMs and 25 s of traffic.
@@ -28,6 +29,21 @@
     assert result.problems == []
 
 
+# Guards against the copy of a refusal that passes for the answer to a repeat:
+# requests that ran are called "not run", and an unsafe one runs twice.
+@pytest.mark.process
+def test_upstreams_that_send_copies_of_their_refusals(tmp_path) -> None:
+    """They do so beside floods and other faults of upstreams."""
+    soak = run.Soak(seed=13, length_s=20.0, machines=2, folder=tmp_path)
+    result = asyncio.run(soak.async_run())
+    kinds = {fault.kind for fault in result.faults}
+    assert {
+        faults.FaultKind.UPSTREAM_REFUSES,
+        faults.FaultKind.UPSTREAM_FLOODS,
+    } <= kinds
+    assert result.problems == []
+
+
 # Guards against soaks that fail to start, since another one at the same time
 # listens on their addresses.
 def test_soaks_at_the_same_time_share_no_address(tmp_path) -> None:
