Reuse no connection to the product's upstream with an unsent request

An upstream that answers a call before it has read its body may read the next request on the connection as the rest of that body.

Bytes that the kernel still holds are not seen.

Evidence: test_connection_with_unsent_bytes_is_not_reused[1] fails without the change; the tests of the connection, of the client and test_daemon_copies pass with it.

--- a/sassafraswood/transport/upstream_connection.py
+++ b/sassafraswood/transport/upstream_connection.py
@@ -249,7 +249,12 @@
             status=status, headers=self._headers, body=self._body.take()
         )
         self._has_responded = True
-        self._is_reusable = is_reusable and self._has_token
+        # The upstream might read the next request as the rest of this one.
+        is_sent = (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() == 0
+        )
+        self._is_reusable = is_reusable and self._has_token and is_sent
         self._response.set_result(answer)
 
     def _fail_request(self, reason: enums.RefusalReason) -> None:
--- a/tests/transport/test_upstream_connection.py
+++ b/tests/transport/test_upstream_connection.py
@@ -25,6 +25,11 @@
         """Start open."""
         super().__init__()
         self.is_aborted = False
+        self.unsent_bytes = 0
+
+    def get_write_buffer_size(self) -> int:
+        """Return how much of the request is not sent yet."""
+        return self.unsent_bytes
 
     def get_extra_info(self, name, default=None):
         """Return a socket that accepts all options."""
@@ -150,3 +155,30 @@
     parts = [head + b'Content-Length: 2\r\n\r\n', b'ok']
     _, reason = asyncio.run(async_receive(parts))
     assert reason is enums.RefusalReason.ANSWER_STATUS_INVALID
+
+
+# Guards against a request that an upstream reads as the rest of the former
+# one, which it answered early.
+@pytest.mark.parametrize('unsent_bytes', [0, 1])
+def test_connection_with_unsent_bytes_is_not_reused(unsent_bytes) -> None:
+    """Only a request that was sent whole leaves its connection usable."""
+
+    async def async_run() -> bool:
+        connection = upstream_connection.UpstreamConnection('x')
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        headers = [(const.HEADER_CALL_TOKEN, 't')]
+        request = call.HttpRequest(
+            method='POST', target='/', headers=headers, body=b'x'
+        )
+        sending = asyncio.create_task(
+            connection.async_send(request, MAX_BODY_BYTES)
+        )
+        await asyncio.sleep(0)
+        transport.unsent_bytes = unsent_bytes
+        fields = b'Call-Token: t\r\nContent-Length: 0\r\n\r\n'
+        connection.data_received(HEAD + fields)
+        assert (await sending).status == 200
+        return connection.is_usable
+
+    assert asyncio.run(async_run()) is (unsent_bytes == 0)
