Play daemons that stand still or are killed beside a flood

The play of copied refusals knew no daemon that stands still, so that the second hypothesis of the incident was open: a daemon that is given up, and goes on later, may run what its caller called "not run" or sent again.

What the upstreams ran is compared 1 s after the last request. A request whose client got no answer counts as well.

--- a/lab/refusal_copies.py
+++ b/lab/refusal_copies.py
@@ -1,7 +1,8 @@
 """Plays upstreams that refuse calls and send copies of these refusals.
 
-Two daemons, each with an upstream, get calls that are half refused. What a
-client was told is compared with what ran. Run with
+Two daemons, each with an upstream, get calls that are half refused; with a
+third one, they may also stand still or be killed meanwhile. What a client was
+told is compared with what ran. Run with
 `script/python -m lab.refusal_copies`.
 """
 
@@ -9,10 +10,13 @@
 import collections
 import contextlib
 import dataclasses
+import enum
 import json
 import pathlib
+import random
+import signal
 import tempfile
-from typing import Annotated, Final
+from typing import Annotated, Any, Final
 
 import typer
 import uvloop
@@ -23,6 +27,9 @@
 from lab.soak import machine as machine_module
 
 SERVICES: Final = ('near', 'far')
+# Second VM of the far service in plays with a disturbance, to which calls may
+# be sent again. As services, its name is also that of a route.
+SPARE: Final = 'spare'
 KINDS: Final = ('unsafe', 'safe')
 CLIENTS: Final = 12
 # Clients that call the route whose responses never end.
@@ -33,10 +40,33 @@
 REFUSAL_SHARE: Final = 0.5
 # Time that an upstream takes for a call, in seconds.
 RUN_S: Final = 0.005
+# Pause of a client that got no response, in seconds.
+RETRY_S: Final = 0.02
+# Shortest and longest time for which a daemon stands still, and between two
+# such times, in seconds.
+PAUSE_S: Final = (0.3, 2.4)
+PAUSE_INTERVAL_S: Final = (0.1, 0.6)
+# Time without a killed daemon, in seconds.
+DOWNTIME_S: Final = 0.3
+# Time at the end in which requests that were given up may still run, in
+# seconds.
+SETTLE_S: Final = 1.0
 # Statuses that promise that a request has not run.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
 
+class Disturbance(enum.Enum):
+    """What happens to the daemons while they get calls."""
+
+    NONE = 'none'
+    # That beside the far upstream stands still from time to time.
+    PAUSES = 'pauses'
+    # It is killed as well, running or standing still, and starts again.
+    KILLS = 'kills'
+    # All stand still from time to time, independently.
+    ALL_PAUSES = 'all_pauses'
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Refusals:
     """What the upstreams send.
@@ -46,12 +76,20 @@
         copy: When their copies are sent.
         flood: What the far upstream sends without end to further clients.
         flood_status: Status of these responses.
+        refusal_share: Fraction of the calls that they refuse, from 0 to 1.
+        run_s: Time that they take for a call, in seconds.
+        slots: Calls that each runs at once.
+        clients: Clients beside the near upstream.
     """
 
     status: int = 503
     copy: platform_upstream.Copy = platform_upstream.Copy.NEVER
     flood: platform_upstream.Fault = platform_upstream.Fault.NONE
     flood_status: int = 200
+    refusal_share: float = REFUSAL_SHARE
+    run_s: float = RUN_S
+    slots: int = platform_upstream.SLOTS
+    clients: int = CLIENTS
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -107,6 +145,7 @@
     """Return rules with one route for each service and kind."""
     rules = json.loads(process_site.build_rules(SERVICES, TIMEOUT_S))
     routes = rules['routes']
+    routes[SPARE] = {**routes['far'], 'path-prefix': f'/{SPARE}/'}
     for service in SERVICES:
         for kind in KINDS:
             routes[f'{service}-{kind}'] = {
@@ -131,11 +170,20 @@
         )
         # Route and status by the id of the request.
         self.told: dict[str, tuple[str, int]] = {}
-        self._address = site.first.host, machine_module.CALLER
-
-    async def async_call(self, route: str, method: str = 'POST') -> None:
-        """Send one request after the other until it is cancelled."""
-        caller = http_caller.HttpCaller(self._address)
+        self._site = site
+
+    async def async_call(
+        self, route: str, method: str = 'POST', name: str = ''
+    ) -> None:
+        """Send one request after the other until it is cancelled.
+
+        Args:
+            route: Route that is called.
+            method: Method of the requests.
+            name: Name of the VM of the client; the first VM if empty.
+        """
+        machine = self._site.machines[name] if name else self._site.first
+        caller = http_caller.HttpCaller((machine.host, machine_module.CALLER))
         try:
             while True:
                 attempt_id = process_site.create_attempt_id()
@@ -147,19 +195,60 @@
                         b'\r\n\r\n', b'\r\nContent-Length: 0\r\n\r\n'
                     )
                 status = 0
+                self.told[attempt_id] = route, status
                 with contextlib.suppress(ConnectionError, TimeoutError):
                     response = await caller.async_call(
                         request, TIMEOUT_S + 1.0
                     )
                     status = response.status
+                if not status:
+                    # A daemon that is down would be called without a pause.
+                    await asyncio.sleep(RETRY_S)
                 self.told[attempt_id] = route, status
                 self.statuses[route][status] += 1
         finally:
             caller.close()
 
 
+def _create_machine(
+    *, name: str, service: str, **options: Any
+) -> machine_module.Machine:
+    """Create a VM; the spare one belongs to the far service."""
+    return machine_module.Machine(
+        name=name, service='far' if name == SPARE else service, **options
+    )
+
+
+async def _async_disturb(
+    machine: machine_module.Machine, *, has_kills: bool
+) -> None:
+    """Let a daemon stand still from time to time until this is cancelled.
+
+    Args:
+        machine: VM of the daemon.
+        has_kills: Whether to kill it as well.
+    """
+    draw = random.Random(machine.name)
+    try:
+        while True:
+            await asyncio.sleep(draw.uniform(*PAUSE_INTERVAL_S))
+            machine.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(draw.uniform(*PAUSE_S))
+            if has_kills and draw.random() < 0.5:
+                await machine.async_kill(DOWNTIME_S)
+            machine.send_signal(signal.SIGCONT)
+            if has_kills and draw.random() < 0.5:
+                await asyncio.sleep(draw.uniform(*PAUSE_INTERVAL_S))
+                await machine.async_kill(DOWNTIME_S)
+    finally:
+        machine.send_signal(signal.SIGCONT)
+
+
 async def async_play(
-    folder: pathlib.Path, refusals: Refusals, length_s: float
+    folder: pathlib.Path,
+    refusals: Refusals,
+    length_s: float,
+    disturbance: Disturbance = Disturbance.NONE,
 ) -> Outcome:
     """Play a site and return what was told and what ran.
 
@@ -167,16 +256,21 @@
         folder: Folder of the settings and log files.
         refusals: What the upstreams send.
         length_s: Time for which clients send requests, in seconds.
+        disturbance: What happens to the daemons meanwhile.
     """
     outcome = Outcome()
+    names: tuple[str, ...] = SERVICES
+    if disturbance is not Disturbance.NONE:
+        names += (SPARE,)
     async with process_site.async_site(
-        folder, SERVICES, rules=build_rules()
+        folder, names, rules=build_rules(), create_machine=_create_machine
     ) as site:
         callers = _Callers(site)
-        for service in SERVICES:
-            upstream = site.upstream(service)
-            upstream.delay_s = RUN_S
-            upstream.refusal_share = REFUSAL_SHARE
+        for name in names:
+            upstream = site.upstream(name)
+            upstream.delay_s = refusals.run_s
+            upstream.slots = refusals.slots
+            upstream.refusal_share = refusals.refusal_share
             upstream.refusal_status = refusals.status
             upstream.refusal_copy = refusals.copy
         far = site.upstream('far')
@@ -187,7 +281,7 @@
         ]
         calls = [
             callers.async_call(routes[index % len(routes)])
-            for index in range(CLIENTS)
+            for index in range(refusals.clients)
         ]
         if refusals.flood is not platform_upstream.Fault.NONE:
             far.fault, far.fault_share = refusals.flood, 1.0
@@ -195,6 +289,23 @@
                 callers.async_call(FLOOD_ROUTE, 'GET')
                 for _ in range(FLOOD_CLIENTS)
             ]
+        if disturbance is not Disturbance.NONE:
+            # Clients beside the far upstream.
+            calls += [
+                callers.async_call(f'far-{kind}', name='far')
+                for kind in KINDS
+                for _ in range(refusals.clients // 4)
+            ]
+            disturbed = (
+                names if disturbance is Disturbance.ALL_PAUSES else ('far',)
+            )
+            calls += [
+                _async_disturb(
+                    site.machines[name],
+                    has_kills=disturbance is Disturbance.KILLS,
+                )
+                for name in disturbed
+            ]
         calls.append(site.async_guard())
         tasks = [asyncio.create_task(call) for call in calls]
         await asyncio.sleep(length_s)
@@ -202,11 +313,12 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(SETTLE_S)
         _judge(site, callers, outcome)
         outcome.exits = sum(
             len(machine.unexpected_exits) for machine in site.machines.values()
         )
-        for name in SERVICES:
+        for name in names:
             outcome.log += [
                 json.dumps({'daemon': name, **line})
                 for line in site.read_log(name)
@@ -219,8 +331,8 @@
 ) -> None:
     """Compare what clients were told with what the upstreams ran."""
     runs = collections.Counter[str]()
-    for service in SERVICES:
-        upstream = site.upstream(service)
+    for machine in site.machines:
+        upstream = site.upstream(machine)
         outcome.repeats += upstream.repeat_count
         for head in upstream.seen:
             for line in head.split('\r\n'):
@@ -235,11 +347,15 @@
             outcome.ran_twice[route].append(attempt_id)
 
 
-def _run(refusals: Refusals, length_s: float) -> Outcome:
+def _run(
+    refusals: Refusals, length_s: float, disturbance: Disturbance
+) -> Outcome:
     with tempfile.TemporaryDirectory(prefix='refusal-copies-') as folder:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             return runner.run(
-                async_play(pathlib.Path(folder), refusals, length_s)
+                async_play(
+                    pathlib.Path(folder), refusals, length_s, disturbance
+                )
             )
 
 
@@ -259,6 +375,21 @@
     flood_status: Annotated[
         int, typer.Option(help='Status of that response.')
     ] = 200,
+    disturbance: Annotated[
+        str, typer.Option(help='What happens to the daemons.')
+    ] = 'none',
+    refusal_share: Annotated[
+        float, typer.Option(help='Fraction of the calls that are refused.')
+    ] = REFUSAL_SHARE,
+    run_s: Annotated[
+        float, typer.Option(help='Run time of a call in seconds.')
+    ] = RUN_S,
+    slots: Annotated[
+        int, typer.Option(help='Calls that an upstream runs at once.')
+    ] = platform_upstream.SLOTS,
+    clients: Annotated[
+        int, typer.Option(help='Clients beside the near upstream.')
+    ] = CLIENTS,
 ) -> None:
     """Print what clients were told, and what ran, for each kind of copy."""
     names = copies.split(',') if copies else list(platform_upstream.Copy)
@@ -269,8 +400,12 @@
                 copy=platform_upstream.Copy(name),
                 flood=platform_upstream.Fault(flood),
                 flood_status=flood_status,
+                refusal_share=refusal_share,
+                run_s=run_s,
+                slots=slots,
+                clients=clients,
             )
-            outcome = _run(refusals, length)
+            outcome = _run(refusals, length, Disturbance(disturbance))
             print(f'{status} {name}: {outcome.describe()}', flush=True)
 
 
--- a/tests/sidecar/test_refusal_copies.py
+++ b/tests/sidecar/test_refusal_copies.py
@@ -88,3 +88,37 @@
                 runs = len(upstream.seen)
                 assert response.status == 502
                 assert runs == 1 if kind == 'unsafe' else runs
+
+
+# Guards against a daemon that is given up while it stands still, and runs
+# later what its caller has called "not run" or sent again.
+@pytest.mark.parametrize(
+    'disturbance',
+    [
+        refusal_copies.Disturbance.KILLS,
+        refusal_copies.Disturbance.PAUSES,
+        refusal_copies.Disturbance.ALL_PAUSES,
+    ],
+)
+async def test_daemon_that_stands_still_breaks_no_promise(
+    tmp_path, disturbance
+) -> None:
+    """It does so several times, beside a flood, with calls that wait."""
+    outcome = await refusal_copies.async_play(
+        tmp_path,
+        refusal_copies.Refusals(
+            flood=platform_upstream.Fault.ENDLESS_BYTE_CHUNKS,
+            flood_status=500,
+            refusal_share=0.02,
+            run_s=0.2,
+            slots=10,
+            clients=36,
+        ),
+        2.0 * LENGTH_S,
+        disturbance,
+    )
+    found = {'not run': outcome.told_not_run, 'twice': outcome.ran_twice}
+    assert not any(found.values()), (dict(found), outcome.describe())
+    assert not outcome.exits
+    assert outcome.totals[200] > MIN_COUNT
+    assert outcome.totals[503] > MIN_COUNT
