--- a/sassafraswood/sidecar/upstream_side.py
+++ b/sassafraswood/sidecar/upstream_side.py
@@ -51,7 +51,8 @@
         bodies: The budget in which its body is counted; None if it is not.
         counted_bytes: Bytes that are counted there.
         request_body: Asks for the body up to an offset, if it comes in parts.
-        received: Log fields of a response that is not passed on.
+        received: Log fields of a response that is not passed on; empty if the
+            upstream has sent none.
     """
 
     run: frames.Run
--- a/sassafraswood/transport/exchange.py
+++ b/sassafraswood/transport/exchange.py
@@ -122,7 +122,8 @@
     """Responses and bytes that belong to no request, since the start.
 
     Attributes:
-        skipped: Final responses that bear the id of another request.
+        skipped: Final responses that do not bear the id of the request under
+            way.
         excess: Times that bytes came behind a complete response, on a
             connection without a request or in place of the next response.
     """
@@ -132,7 +133,8 @@
 
 
 Outcome = Response | FailureKind
-# Whether a response ends its request, unless the request may run again.
+# Whether a response ends its request; only requests that may run several times
+# are sent again after it.
 IsFinal = Callable[[Response], bool]
 # Asks for the body of a request up to an offset.
 RequestBody = Callable[[int], object]
