--- a/lab/platform_upstream.py
+++ b/lab/platform_upstream.py
@@ -491,9 +491,9 @@
             for data in self._due_at_check:
                 self._write(data)
             self._due_at_check = []
-        for left, refusal in self._due:
+        for left, data in self._due:
             if not left:
-                self._write(refusal)
+                self._write(data)
         self._due = [(left - 1, data) for left, data in self._due if left]
         if attempt not in self._responses:
             return False
